--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# The two commands a newcomer needs are `make demo` and `make test`.
+GO ?= go
+TOOLS := $(CURDIR)/.tools
+LINTER_VERSION := v2.15.0
+LINTER := $(TOOLS)/golangci-lint-$(LINTER_VERSION)
+PROGRAMS := router keeper skctl standin load bench
+MODULES := lib $(PROGRAMS)
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+
+.PHONY: build demo test lint format unit generate measure faults clean
+
+build:
+	@mkdir -p bin
+	@for program in $(PROGRAMS); do \
+		$(GO) build -ldflags "-X shallotkeel.example/lib/starter.Version=$(VERSION)" \
+			-o bin/$$program ./$$program || exit 1; \
+	done
+
+demo: build
+	bin/bench demo
+
+test: lint unit
+
+unit:
+	$(GO) test -race -timeout 8m work
+
+lint: $(LINTER)
+	@for module in $(MODULES); do (cd $$module && $(LINTER) run ./...) || exit 1; done
+
+format: $(LINTER)
+	@for module in $(MODULES); do (cd $$module && $(LINTER) fmt ./...) || exit 1; done
+
+# The linter comes from the module proxy, pinned, and is built once.
+$(LINTER):
+	@mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) GOWORK=off $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINTER)
+
+# Generated code is committed, so only someone who edits a .proto file needs protoc.
+generate:
+	cd lib/messenger && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. messenger.proto
+
+measure: build
+	bin/bench measure
+
+faults: build
+	bin/bench faults
+
+clean:
+	rm -rf bin .data
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Package main is the bench program of shallotkeel.
+package main
+
+func main() {}
--- /dev/null
+++ b/lib/starter/starter.go
@@ -0,0 +1,103 @@
+// Package starter is what the mains of all programs share: the command line,
+// the version, logging, and stopping on a signal.
+//
+// Invariants: a program ends with status 0 on success, 1 when it failed and 2
+// when it was called wrongly; SIGTERM and SIGINT cancel the context once, and
+// the program then finishes what it is doing.
+package starter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+)
+
+// Version is set by the build.
+var Version = "unknown"
+
+// Exit statuses of every program.
+const (
+	StatusOK     = 0
+	StatusFailed = 1
+	StatusUsage  = 2
+)
+
+// Options are the flags of every server program.
+type Options struct {
+	Settings string `long:"settings" short:"s" value-name:"FILE" required:"yes" description:"settings file, JSON with comments"`
+	Check    bool   `long:"check" description:"check the settings and stop"`
+	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe lines to log"`
+}
+
+// Program is a server: it runs until the context is cancelled.
+type Program func(ctx context.Context, options Options, log zerolog.Logger) error
+
+// Main runs a server program and returns its exit status.
+func Main(name, purpose string, arguments []string, program Program) int {
+	var options Options
+	if status, stop := ParseFlags(name, purpose, arguments, &options); stop {
+		return status
+	}
+	log := Logger(os.Stderr, name, options.LogLevel)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := program(ctx, options, log); err != nil {
+		log.Error().Err(err).Msg("stopped by an error")
+		return StatusFailed
+	}
+	return StatusOK
+}
+
+// ParseFlags reads the flags into options and handles --help and --version.
+// When stop is true the program ends with the status.
+func ParseFlags(name, purpose string, arguments []string, options any) (status int, stop bool) {
+	var version struct {
+		Version func() `long:"version" description:"print the version and stop"`
+	}
+	errVersion := errors.New("version")
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = purpose
+	printed := false
+	version.Version = func() { printed = true }
+	for _, group := range []any{options, &version} {
+		if _, err := parser.AddGroup(name, purpose, group); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return StatusUsage, true
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	if printed {
+		err = errVersion
+	}
+	var asked *flags.Error
+	switch {
+	case errors.Is(err, errVersion):
+		fmt.Println(name, Version)
+		return StatusOK, true
+	case errors.As(err, &asked) && asked.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return StatusOK, true
+	case err != nil:
+		fmt.Fprintln(os.Stderr, name+":", err)
+		return StatusUsage, true
+	}
+	return StatusOK, false
+}
+
+// Logger returns the structured log of a program: JSON lines on the writer.
+func Logger(w io.Writer, name, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		parsed = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(w).Level(parsed).With().Timestamp().Str("program", name).Logger()
+}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,4 @@
+// Package main is the load program of shallotkeel.
+package main
+
+func main() {}
--- /dev/null
+++ b/router/main.go
@@ -0,0 +1,4 @@
+// Package main is the router program of shallotkeel.
+package main
+
+func main() {}
--- /dev/null
+++ b/skctl/main.go
@@ -0,0 +1,4 @@
+// Package main is the skctl program of shallotkeel.
+package main
+
+func main() {}
