Define prompt and prefix hash once for routers and engines

Cause: the ticket's prefix and the announced cache entries must come from the same function, or prefix affinity never hits and nobody notices. The prompt that an answer is a function of was not said either.

--- a/lib/answerer/answerer.go
+++ b/lib/answerer/answerer.go
@@ -11,6 +11,40 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// DefaultBound is how many tokens an answer has at most where the request sets
+// no max_tokens.
+const DefaultBound = 64
+
+// prefixBytes is the part of a prompt that Prefix hashes. Prompts of one task
+// share a long instruction at the front, which is what engines cache.
+const prefixBytes = 256
+
+// Message is one message of a chat completion.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Prompt joins messages into the one text that an answer is a function of.
+func Prompt(messages []Message) string {
+	var prompt strings.Builder
+	for _, message := range messages {
+		prompt.WriteString(message.Content)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String()
+}
+
+// Prefix returns the hash of the first bytes of a model's prompt, by which
+// engines report what they have cached and routers ask for it. It is 0, no
+// prefix, for prompts that are too short to be worth caching.
+func Prefix(model, prompt string) uint64 {
+	if len(prompt) < prefixBytes {
+		return 0
+	}
+	return xxhash.Sum64String(model + "\x02" + prompt[:prefixBytes])
+}
+
 // Token returns the i-th token, counted from 0, of a model's answer to a prompt.
 func Token(model, prompt string, i int) string {
 	digest := xxhash.New()
