Add skctl and the checks of the shared packages

Cause: operators drive the fleet only by labels and selectors; they need one tool that applies, compares, waits and explains, and that is safe to repeat. A change keeps its id over resends (the fake applies it once when two answers are lost) and its objects' versions, so that a race shows the winner. Ruled out: own trailing-text check in loader; hujson already refuses it with a position.

--- /dev/null
+++ b/lib/dialer/dialer_test.go
@@ -0,0 +1,62 @@
+package dialer
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func serve(t *testing.T, secret string, counter *Counter) string {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := Server(secret, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Proto)
+	}))
+	go func() { _ = server.Serve(Listener(inner, counter)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return "http://" + inner.Addr().String()
+}
+
+func TestCallNeedsTheSecret(t *testing.T) {
+	tests := map[string]struct {
+		secret string
+		status int
+	}{
+		"right": {secret: "fleet", status: http.StatusOK},
+		"wrong": {secret: "other", status: http.StatusUnauthorized},
+		"none":  {secret: "", status: http.StatusUnauthorized},
+	}
+	address := serve(t, "fleet", &Counter{})
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			response, err := Client(test.secret, &Counter{}).Get(address)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, test.status, response.StatusCode)
+		})
+	}
+}
+
+func TestBytesOfBothSidesAgree(t *testing.T) {
+	var calling, serving Counter
+	client := Client("fleet", &calling)
+	address := serve(t, "fleet", &serving)
+	const calls = 20
+	for range calls {
+		response, err := client.Get(address)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, "HTTP/2.0", string(body))
+		response.Body.Close()
+	}
+	require.Positive(t, calling.Sent.Load())
+	require.LessOrEqual(t, serving.Received.Load(), calling.Sent.Load())
+	require.LessOrEqual(t, calling.Received.Load(), serving.Sent.Load())
+	perCall := (calling.Sent.Load() + calling.Received.Load()) / calls
+	require.Less(t, perCall, uint64(200), "a kept connection compresses repeated headers")
+}
--- a/lib/loader/loader.go
+++ b/lib/loader/loader.go
@@ -10,7 +10,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"os"
 	"regexp"
 	"strings"
@@ -23,6 +22,9 @@
 // ErrSettings is the kind of every error about a settings file.
 var ErrSettings = merry.Sentinel("settings are not usable")
 
+// ErrJSON is the kind of every error about a text that is not the JSON expected.
+var ErrJSON = merry.Sentinel("JSON is not usable")
+
 // Problem is one value that a program cannot use.
 type Problem struct {
 	Key     string // the JSON key, for finding the line
@@ -48,7 +50,7 @@
 // Decode is Load for a text that has been read already; name stands in errors.
 func Decode(name string, text []byte, settings Checked) error {
 	if err := Unmarshal(name, text, settings); err != nil {
-		return err
+		return merry.Errorf("%w: %w", ErrSettings, err)
 	}
 	problems := settings.Check()
 	if len(problems) == 0 {
@@ -67,18 +69,13 @@
 	// Standardizing blanks comments in place, so offsets still lead to lines.
 	standard, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
-		return merry.Errorf("%w: %s: %v; mend the JSON there", ErrSettings, name, err)
+		return merry.Errorf("%w: %s: %v; mend the JSON there", ErrJSON, name, err)
 	}
 	decoder := json.NewDecoder(bytes.NewReader(standard))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		line := lineOf(text, err, decoder)
 		return merry.Errorf("%w: %s:%d: %v; correct or remove that key (see docs/OPERATING.md)",
-			ErrSettings, name, line, err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		line := lineAt(text, decoder.InputOffset())
-		return merry.Errorf("%w: %s:%d: text after the value; keep one JSON value in the file", ErrSettings, name, line)
+			ErrJSON, name, lineOf(text, err, decoder), err)
 	}
 	return nil
 }
--- /dev/null
+++ b/skctl/internal/commander/changes.go
@@ -0,0 +1,306 @@
+package commander
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"shallotkeel.example/lib/describer"
+	"shallotkeel.example/lib/labeler"
+	"shallotkeel.example/lib/reporter"
+	"shallotkeel.example/skctl/internal/printer"
+)
+
+// changeFlags are the flags of every command that changes something.
+type changeFlags struct {
+	Change  string        `long:"change" value-name:"ID" description:"change id; the same id is applied once, however often it is sent"`
+	DryRun  bool          `long:"dry-run" description:"validate only"`
+	Wait    bool          `long:"wait" description:"return when the change is in force at every live router"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"how long --wait waits"`
+}
+
+// submit sends edits as one change, prints the findings, and waits if asked.
+func (c *Commander) submit(flags changeFlags, edits []describer.Edit) error {
+	change := describer.Change{ID: flags.Change, Author: c.global.Author, Edits: edits}
+	if change.ID == "" {
+		change.ID = c.NewID()
+	}
+	if !flags.DryRun {
+		c.note("change %s (repeat with --change %s if no answer comes)", change.ID, change.ID)
+	}
+	applied, err := c.requester().Apply(background(), change, flags.DryRun)
+	if err != nil {
+		return err
+	}
+	printer.Findings(c.Err, applied.Findings)
+	if err := c.printer().Print(applied, appliedTable(applied, flags.DryRun)); err != nil {
+		return err
+	}
+	switch applied.Outcome {
+	case reporter.Invalid:
+		return merry.Errorf("%w: see the findings above", errInvalid)
+	case reporter.Conflict:
+		return merry.Errorf("%w: look at the values above, then run the command again without --change", errConflict)
+	}
+	if flags.Wait && !flags.DryRun {
+		return c.wait(applied.Revision, flags.Timeout)
+	}
+	return nil
+}
+
+func appliedTable(applied reporter.Applied, dryRun bool) func(io.Writer) {
+	return func(w io.Writer) {
+		switch {
+		case applied.Outcome == reporter.Conflict:
+			fmt.Fprintln(w, "in force is:")
+			printer.Objects(applied.Winners)(w)
+		case dryRun:
+			fmt.Fprintln(w, applied.Outcome+" (dry run, nothing changed)")
+		case applied.Resent:
+			fmt.Fprintf(w, "%s earlier as revision %d\n", applied.Outcome, applied.Revision)
+		default:
+			fmt.Fprintf(w, "%s as revision %d\n", applied.Outcome, applied.Revision)
+		}
+	}
+}
+
+// pollEvery is how often --wait and watch ask.
+const pollEvery = 200 * time.Millisecond
+
+// wait returns when every live router has the revision in force, and names
+// those that have not when the time is over.
+func (c *Commander) wait(revision uint64, timeout time.Duration) error {
+	deadline := c.Clock.Now().Add(timeout)
+	told := ""
+	for {
+		lagging, total, err := c.lagging(revision)
+		if err == nil && len(lagging) == 0 && total > 0 {
+			c.note("in force at all %d routers", total)
+			return nil
+		}
+		if c.Clock.Now().After(deadline) {
+			if err != nil {
+				return err
+			}
+			return merry.Errorf("%w: waiting for %s; see skctl status", errLagging, strings.Join(lagging, ", "))
+		}
+		progress := fmt.Sprintf("in force at %d of %d routers", total-len(lagging), total)
+		if err == nil && progress != told {
+			c.note("%s", progress)
+			told = progress
+		}
+		c.Clock.Sleep(pollEvery)
+	}
+}
+
+func (c *Commander) lagging(revision uint64) (names []string, total int, err error) {
+	status, err := c.requester().Status(background())
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, router := range status.Routers {
+		if router.InForce < revision {
+			names = append(names, router.Name)
+		}
+	}
+	return names, len(status.Routers), nil
+}
+
+type apply struct {
+	changeFlags
+	Prune bool `long:"prune" description:"delete objects that the files do not hold"`
+	Args  struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command.
+func (a *apply) Execute([]string) error {
+	differences, err := a.commander.differences(a.Args.Files, a.Prune)
+	if err != nil {
+		return err
+	}
+	if len(differences) == 0 {
+		a.commander.note("nothing to change")
+		return nil
+	}
+	return a.commander.submit(a.changeFlags, describer.Edits(differences))
+}
+
+func (c *Commander) differences(files []string, prune bool) ([]describer.Difference, error) {
+	wanted, err := c.read(files)
+	if err != nil {
+		return nil, err
+	}
+	current, err := c.requester().Objects(background(), 0)
+	if err != nil {
+		return nil, err
+	}
+	return describer.Diff(current.Objects, wanted, prune), nil
+}
+
+type diff struct {
+	Prune bool `long:"prune" description:"show deletions of objects that the files do not hold"`
+	Args  struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command.
+func (d *diff) Execute([]string) error {
+	differences, err := d.commander.differences(d.Args.Files, d.Prune)
+	if err != nil {
+		return err
+	}
+	if err := d.commander.printer().Print(differences, printer.Differences(differences)); err != nil {
+		return err
+	}
+	if len(differences) > 0 {
+		return merry.Errorf("%w: %d objects", errDiffers, len(differences))
+	}
+	return nil
+}
+
+type objectArgs struct {
+	Kind describer.Kind `positional-arg-name:"KIND" required:"yes"`
+	Name string         `positional-arg-name:"NAME" required:"yes"`
+}
+
+type remove struct {
+	changeFlags
+	Args      objectArgs `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command.
+func (r *remove) Execute([]string) error {
+	before, found, err := r.commander.find(describer.Key(r.Args))
+	if err != nil {
+		return err
+	}
+	if !found {
+		return merry.Errorf("%s %s does not exist; see skctl get %s", r.Args.Kind, r.Args.Name, r.Args.Kind)
+	}
+	gone := describer.Difference{Key: before.Key(), Before: &before}
+	return r.commander.submit(r.changeFlags, describer.Edits([]describer.Difference{gone}))
+}
+
+func (c *Commander) find(key describer.Key) (object describer.Object, found bool, err error) {
+	current, err := c.requester().Objects(background(), 0)
+	if err != nil {
+		return describer.Object{}, false, err
+	}
+	for _, candidate := range current.Objects {
+		if candidate.Key() == key {
+			return candidate, true, nil
+		}
+	}
+	return describer.Object{Kind: key.Kind, Name: key.Name}, false, nil
+}
+
+type label struct {
+	changeFlags
+	Args struct {
+		Kind   describer.Kind `positional-arg-name:"KIND" required:"yes"`
+		Name   string         `positional-arg-name:"NAME" required:"yes"`
+		Labels []string       `positional-arg-name:"KEY=VALUE|KEY-" required:"1"`
+	} `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command.
+func (l *label) Execute([]string) error {
+	return l.commander.relabel(l.changeFlags, describer.Key{Kind: l.Args.Kind, Name: l.Args.Name}, l.Args.Labels)
+}
+
+// relabel sets labels written as key=value and removes those written as key-.
+func (c *Commander) relabel(flags changeFlags, key describer.Key, labels []string) error {
+	before, found, err := c.find(key)
+	if err != nil {
+		return err
+	}
+	after := before
+	after.Labels = maps.Clone(before.Labels)
+	if after.Labels == nil {
+		after.Labels = make(labeler.Labels)
+	}
+	for _, written := range labels {
+		if err := setLabel(after.Labels, written); err != nil {
+			return err
+		}
+	}
+	difference := describer.Difference{Key: key, After: &after}
+	if found {
+		difference.Before = &before
+	}
+	if found && describer.Same(before, after) {
+		c.note("nothing to change")
+		return nil
+	}
+	return c.submit(flags, describer.Edits([]describer.Difference{difference}))
+}
+
+func setLabel(labels labeler.Labels, written string) error {
+	if key, removed := strings.CutSuffix(written, "-"); removed && !strings.Contains(written, "=") {
+		delete(labels, key)
+		return nil
+	}
+	key, value, found := strings.Cut(written, "=")
+	if !found {
+		return merry.Errorf("%q is no label; write key=value, or key- to remove one", written)
+	}
+	labels[key] = value
+	return nil
+}
+
+type drain struct {
+	changeFlags
+	Undo bool `long:"undo" description:"let new work go there again"`
+	Args struct {
+		Endpoint string `positional-arg-name:"ENDPOINT" required:"yes"`
+	} `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command. Draining is nothing but a label on the endpoint.
+func (d *drain) Execute([]string) error {
+	written := describer.LabelDrain + "=" + describer.Yes
+	if d.Undo {
+		written = describer.LabelDrain + "-"
+	}
+	key := describer.Key{Kind: describer.Endpoint, Name: d.Args.Endpoint}
+	return d.commander.relabel(d.changeFlags, key, []string{written})
+}
+
+type rollback struct {
+	changeFlags
+	Args struct {
+		Revision uint64 `positional-arg-name:"REVISION" required:"yes"`
+	} `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command. The earlier objects come back as a new change with
+// a new revision, so that revisions never decrease anywhere.
+func (r *rollback) Execute([]string) error {
+	earlier, err := r.commander.requester().Objects(background(), r.Args.Revision)
+	if err != nil {
+		return err
+	}
+	current, err := r.commander.requester().Objects(background(), 0)
+	if err != nil {
+		return err
+	}
+	differences := describer.Diff(current.Objects, earlier.Objects, true)
+	if len(differences) == 0 {
+		r.commander.note("nothing to change")
+		return nil
+	}
+	return r.commander.submit(r.changeFlags, describer.Edits(differences))
+}
