--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 # Generated code is committed, so only someone who edits a .proto file needs protoc.
 generate:
-	cd lib/messenger && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. messenger.proto
+	cd lib/messenger && protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. messenger.proto replication.proto
 
 measure: build
 	bin/bench measure
