--- /dev/null
+++ b/standin/internal/completer/completer.go
@@ -0,0 +1,161 @@
+package completer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"shallotkeel.example/lib/answerer"
+	"shallotkeel.example/standin/internal/batcher"
+	"shallotkeel.example/standin/internal/failer"
+	"shallotkeel.example/standin/internal/journaler"
+)
+
+// MaxBody bounds a request's body.
+const MaxBody = 16 << 20
+
+// promptUnit is how many bytes of a prompt make one unit.
+const promptUnit = 4
+
+// Completer is the HTTP side of the engine.
+type Completer struct {
+	Engine  *Engine
+	Failer  *failer.Failer
+	Journal *journaler.Journaler
+	Caches  *Caches
+
+	lock   sync.Mutex
+	models []string
+}
+
+// SetModels replaces the loaded models.
+func (c *Completer) SetModels(models []string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.models = slices.Clone(models)
+}
+
+// Models returns the loaded models.
+func (c *Completer) Models() []string {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return slices.Clone(c.models)
+}
+
+// body is the part of OpenAI's request that a stand-in understands.
+type body struct {
+	Model     string             `json:"model"`
+	Messages  []answerer.Message `json:"messages"`
+	MaxTokens int                `json:"max_tokens"`
+	Stream    bool               `json:"stream"`
+}
+
+// call is one request on its way through the engine.
+type call struct {
+	body
+	id        string
+	key       string
+	workspace string
+	prompt    string
+	length    int
+	from      int
+	crash     bool
+}
+
+// ServeHTTP answers POST /v1/chat/completions.
+func (c *Completer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		return // the router went away while sending
+	}
+	q := call{id: r.Header.Get("X-Request-Id"), key: r.Header.Get("Idempotency-Key"), workspace: r.Header.Get("X-Workspace")}
+	w.Header().Set("X-Request-Id", q.id)
+	if err := json.Unmarshal(text, &q.body); err != nil || len(q.Messages) == 0 {
+		c.refuse(w, q, http.StatusBadRequest, "send a chat completion with messages")
+		return
+	}
+	q.prompt = answerer.Prompt(q.Messages)
+	q.crash = c.Failer.Crashes(text)
+	bound := q.MaxTokens
+	if bound <= 0 {
+		bound = answerer.DefaultBound
+	}
+	q.length = answerer.Length(q.Model, q.prompt, bound)
+	if from, err := strconv.Atoi(r.Header.Get("X-Resume-From")); err == nil {
+		q.from = min(max(from, 0), q.length)
+	}
+	switch {
+	case c.Failer.Faults().Refuse:
+		c.refuse(w, q, http.StatusServiceUnavailable, "come back later; this endpoint refuses requests for a test")
+	case !slices.Contains(c.Models(), q.Model):
+		c.refuse(w, q, http.StatusNotFound, "load the model first")
+	default:
+		c.run(w, r, q)
+	}
+}
+
+func (c *Completer) refuse(w http.ResponseWriter, q call, status int, remedy string) {
+	c.Journal.Add(journaler.Entry{Verb: journaler.Refused, Request: q.id, Key: q.key, Workspace: q.workspace})
+	w.Header().Set("X-Started", "no")
+	http.Error(w, remedy, status)
+}
+
+func (c *Completer) run(w http.ResponseWriter, r *http.Request, q call) {
+	entry := journaler.Entry{Request: q.id, Key: q.key, Workspace: q.workspace, From: q.from}
+	entry.Verb = journaler.Received
+	c.Journal.Add(entry)
+	j := c.Engine.submit(q.id, batcher.Request{
+		Prompt: 1 + len(q.prompt)/promptUnit,
+		Prefix: answerer.Prefix(q.Model, q.prompt),
+		Length: q.length,
+		From:   q.from,
+		Warm:   c.Caches.Take(q.id, q.prompt),
+	})
+	defer c.Engine.end(j)
+	out := newWriter(w, q)
+	sent := q.from
+	started := false
+	for {
+		now := c.Engine.look(j)
+		if now.started && !started {
+			started = true
+			entry.Verb = journaler.Started
+			c.Journal.Add(entry)
+		}
+		if now.tokens > sent && q.crash {
+			c.Failer.Exit()
+			return
+		}
+		for ; sent < now.tokens; sent++ {
+			out.token(sent)
+			c.Caches.Note(q.id, q.prompt, sent+1)
+		}
+		if now.finished || now.cancelled || r.Context().Err() != nil {
+			c.finish(out, now, started, entry, sent-q.from)
+			return
+		}
+		out.flush()
+		select {
+		case <-j.changed:
+		case <-r.Context().Done():
+		}
+	}
+}
+
+func (c *Completer) finish(out *writer, now state, started bool, entry journaler.Entry, units int) {
+	entry.Verb, entry.Units = journaler.Cancelled, units
+	if now.finished {
+		entry.Verb = journaler.Finished
+	}
+	if started {
+		c.Journal.Add(entry)
+	}
+	if !now.finished {
+		// A cancelled answer must not look like a whole one.
+		panic(http.ErrAbortHandler)
+	}
+	out.close()
+}
--- /dev/null
+++ b/standin/internal/runner/runner.go
@@ -0,0 +1,241 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"shallotkeel.example/lib/announcer"
+	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/starter"
+	"shallotkeel.example/standin/internal/batcher"
+	"shallotkeel.example/standin/internal/completer"
+	"shallotkeel.example/standin/internal/controller"
+	"shallotkeel.example/standin/internal/failer"
+	"shallotkeel.example/standin/internal/journaler"
+	"shallotkeel.example/standin/internal/performer"
+)
+
+// ErrStandin is the kind of every error that ends a stand-in.
+var ErrStandin = merry.Sentinel("stand-in cannot run")
+
+const (
+	crashStatus     = 3
+	defaultStop     = 30 * time.Second
+	headerTimeout   = 5 * time.Second
+	withdrawTimeout = time.Second
+	idleCheck       = 10 * time.Millisecond
+	journalMode     = 0o644
+)
+
+// Main is the program: it runs until the context ends and then stops in order.
+func Main(ctx context.Context, options starter.Options, log zerolog.Logger) error {
+	var settings Settings
+	if err := loader.Load(options.Settings, &settings); err != nil {
+		return err
+	}
+	if options.Check {
+		return nil
+	}
+	return Run(ctx, settings, clockwork.NewRealClock(), log)
+}
+
+// standin is the parts of one stand-in.
+type standin struct {
+	settings    Settings
+	clock       clockwork.Clock
+	log         zerolog.Logger
+	incarnation uint64
+	journal     *journaler.Journaler
+	failer      *failer.Failer
+	engine      *completer.Engine
+	completer   *completer.Completer
+	performer   *performer.Performer
+	control     *controller.Controller
+	reporter    *reporter
+	leaving     chan struct{}
+}
+
+// Run runs a stand-in.
+func Run(ctx context.Context, settings Settings, clock clockwork.Clock, log zerolog.Logger) error {
+	file, err := openJournal(settings.Journal)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	s := &standin{
+		settings: settings, clock: clock, log: log, leaving: make(chan struct{}),
+		incarnation: uint64(clock.Now().UnixMilli()),
+		journal:     &journaler.Journaler{Clock: clock, File: file},
+		failer:      &failer.Failer{Exit: func() { os.Exit(crashStatus) }},
+		reporter: &reporter{
+			eventDelay: settings.EventDelay.Duration, eventLoss: settings.EventLoss, loadLag: settings.LoadLag.Duration,
+			random: rand.New(rand.NewPCG(settings.Seed, 0)),
+		},
+	}
+	listener, err := net.Listen("tcp", settings.Listen.String())
+	if err != nil {
+		return merry.Errorf("%w: %v; set a free address in \"listen\"", ErrStandin, err)
+	}
+	return s.serve(ctx, listener)
+}
+
+type discard struct{ io.Writer }
+
+func (discard) Close() error { return nil }
+
+func openJournal(path string) (io.WriteCloser, error) {
+	if path == "" {
+		return discard{io.Discard}, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, journalMode)
+	if err != nil {
+		return nil, merry.Errorf("%w: %v; set a writable file in \"journal\"", ErrStandin, err)
+	}
+	return file, nil
+}
+
+func (s *standin) serve(ctx context.Context, listener net.Listener) error {
+	// Running requests outlive the context: a planned stop cuts nothing off.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	server := &http.Server{Handler: s.handler(running), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	voice := s.announcer()
+	announcing, hush := context.WithCancel(running)
+	quiet := make(chan struct{})
+	go func() { voice.Run(announcing); close(quiet) }()
+	s.log.Info().Stringer("listen", listener.Addr()).Uint64("incarnation", s.incarnation).Msg("serves")
+	select {
+	case err := <-failed:
+		hush()
+		return merry.Errorf("%w: %v; see the log above", ErrStandin, err)
+	case <-ctx.Done():
+	}
+	hush()
+	<-quiet
+	return s.stop(running, server, voice)
+}
+
+// stop announces that the endpoint leaves, lets its requests finish, withdraws
+// and closes. Closing before announcing would fail the requests that routers
+// send until the lease is over.
+func (s *standin) stop(ctx context.Context, server *http.Server, voice *announcer.Announcer) error {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTimeout.Or(defaultStop))
+	defer cancel()
+	close(s.leaving)
+	s.log.Info().Int("load", s.load()).Msg("leaves")
+	if err := voice.Announce(ctx, voice.Describe()); err != nil {
+		s.log.Warn().Err(err).Msg("could not announce that it leaves")
+	}
+	for s.load() > 0 && ctx.Err() == nil {
+		s.clock.Sleep(idleCheck)
+	}
+	if err := voice.Withdraw(ctx, s.incarnation, withdrawTimeout); err != nil {
+		s.log.Warn().Err(err).Msg("could not withdraw")
+	}
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return merry.Errorf("%w: %v; raise \"stop_timeout\"", ErrStandin, err)
+	}
+	return nil
+}
+
+func (s *standin) handler(ctx context.Context) http.Handler {
+	mux := http.NewServeMux()
+	s.control = &controller.Controller{Journal: s.journal, Failer: s.failer, Fenced: s.settings.Fenced}
+	if s.settings.Type == TypeModel {
+		s.serveModel(ctx, mux)
+	} else {
+		s.servePlain(mux)
+	}
+	s.control.Register(mux)
+	return mux
+}
+
+func (s *standin) serveModel(ctx context.Context, mux *http.ServeMux) {
+	s.engine = completer.NewEngine(s.clock, batcher.Settings{
+		Slots: s.settings.Slots, TokenTime: s.settings.TokenTime.Duration, Slowdown: s.settings.Slowdown,
+		Prefill: s.settings.Prefill.Duration, CacheEntries: s.settings.Cache,
+	})
+	s.completer = &completer.Completer{Engine: s.engine, Failer: s.failer, Journal: s.journal, Caches: &completer.Caches{}}
+	s.completer.SetModels(s.settings.Models)
+	s.control.Completer = s.completer
+	s.failer.OnChange(func(f failer.Faults) { s.engine.Adjust(f.Slow, f.Hang) })
+	go s.engine.Run(ctx)
+	mux.Handle("POST /v1/chat/completions", s.completer)
+}
+
+func (s *standin) servePlain(mux *http.ServeMux) {
+	s.performer = performer.New(s.clock, s.failer, s.journal, s.settings.Slots, s.settings.Busy.Duration)
+	mux.Handle("/", s.performer)
+}
+
+func (s *standin) load() int {
+	if s.engine != nil {
+		return s.engine.Load()
+	}
+	return s.performer.Load()
+}
+
+func (s *standin) announcer() *announcer.Announcer {
+	return &announcer.Announcer{
+		ID: s.settings.Name, Routers: s.settings.Routers, Token: s.settings.EndpointToken, Clock: s.clock,
+		Client:   &http.Client{Transport: silencer{failer: s.failer, next: http.DefaultTransport}},
+		Describe: s.describe,
+		Changed:  s.announced,
+	}
+}
+
+func (s *standin) announced(err error) {
+	if err != nil {
+		s.log.Warn().Err(err).Msg("no longer announced")
+		return
+	}
+	s.log.Info().Msg("announced")
+}
+
+func (s *standin) describe() announcer.Announcement {
+	now := s.clock.Now()
+	announcement := announcer.Announcement{
+		Incarnation: s.incarnation, Service: s.settings.Service, Address: s.settings.address(),
+		Labels: s.settings.Labels, Slots: s.settings.Slots, TTL: s.settings.TTL.Milliseconds(),
+		Load: s.reporter.load(now, s.load()), Fenced: s.settings.Fenced, Fence: s.control.Fence(),
+	}
+	if s.completer != nil {
+		announcement.Models = s.completer.Models()
+		announcement.Loaded = s.completer.Models()
+		for _, event := range s.engine.CacheEvents() {
+			s.reporter.event(now, event)
+		}
+		announcement.Cached, announcement.Evicted = s.reporter.due(now)
+	}
+	select {
+	case <-s.leaving:
+		announcement.Leaving = true
+	default:
+	}
+	return announcement
+}
+
+// silencer keeps announcements back while the fault "silent" is on.
+type silencer struct {
+	failer *failer.Failer
+	next   http.RoundTripper
+}
+
+func (s silencer) RoundTrip(r *http.Request) (*http.Response, error) {
+	if s.failer.Faults().Silent {
+		return nil, merry.Errorf("%w: silenced for a test; clear the fault", announcer.ErrAnnounce)
+	}
+	return s.next.RoundTrip(r)
+}
