--- a/standin/internal/completer/completer.go
+++ b/standin/internal/completer/completer.go
@@ -129,6 +129,7 @@
 			c.Failer.Exit()
 			return
 		}
+		c.Journal.Serve(q.workspace, now.tokens-sent)
 		for ; sent < now.tokens; sent++ {
 			out.token(sent)
 			c.Caches.Note(q.id, q.prompt, sent+1)
--- a/standin/internal/controller/controller.go
+++ b/standin/internal/controller/controller.go
@@ -50,6 +50,7 @@
 // Register adds the control paths to a mux.
 func (c *Controller) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /control/executions", c.executions)
+	mux.HandleFunc("GET /control/service", c.service)
 	mux.HandleFunc("GET /control/log", c.log)
 	mux.HandleFunc("POST /control/faults", c.faults)
 	if c.Completer == nil {
@@ -65,6 +66,10 @@
 	write(w, c.Journal.Executions())
 }
 
+func (c *Controller) service(w http.ResponseWriter, _ *http.Request) {
+	write(w, c.Journal.Service())
+}
+
 func (c *Controller) log(w http.ResponseWriter, _ *http.Request) {
 	write(w, c.Journal.Entries())
 }
--- a/standin/internal/journaler/journaler.go
+++ b/standin/internal/journaler/journaler.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"sync"
 	"time"
 
@@ -64,6 +65,12 @@
 	Incomplete bool           `json:"incomplete,omitempty"`
 }
 
+// Service answers GET /control/service: the units that each workspace has
+// received here so far, tokens for models and milliseconds for plain services.
+type Service struct {
+	Workspaces map[string]int64 `json:"workspaces"`
+}
+
 // Journaler keeps the journal of one stand-in.
 type Journaler struct {
 	Clock clockwork.Clock
@@ -74,6 +81,28 @@
 	entries    []Entry
 	running    int
 	incomplete bool
+	service    map[string]int64
+}
+
+// Serve counts units that a workspace received.
+func (j *Journaler) Serve(workspace string, units int) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	if j.service == nil {
+		j.service = make(map[string]int64)
+	}
+	if _, known := j.service[workspace]; !known && len(j.service) >= MaxKeys {
+		j.incomplete = true
+		return
+	}
+	j.service[workspace] += int64(units)
+}
+
+// Service returns the units that workspaces received so far.
+func (j *Journaler) Service() Service {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return Service{Workspaces: maps.Clone(j.service)}
 }
 
 // Add records an entry. A journal that cannot be written is incomplete.
@@ -122,11 +151,7 @@
 func (j *Journaler) Executions() Executions {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	counts := make(map[string]int, len(j.counts))
-	for key, n := range j.counts {
-		counts[key] = n
-	}
-	return Executions{Executions: counts, Running: j.running, Incomplete: j.incomplete}
+	return Executions{Executions: maps.Clone(j.counts), Running: j.running, Incomplete: j.incomplete}
 }
 
 // Entries returns the newest entries, oldest first.
--- a/standin/internal/performer/performer.go
+++ b/standin/internal/performer/performer.go
@@ -88,6 +88,7 @@
 	p.work(r.Context())
 	entry.Verb, entry.Units = journaler.Finished, int(p.Busy.Milliseconds())
 	p.Journal.Add(entry)
+	p.Journal.Serve(entry.Workspace, entry.Units)
 	if p.Failer.Faults().Mute {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/internal/runner/runner_test.go
+++ b/standin/internal/runner/runner_test.go
@@ -34,6 +34,7 @@
 	s := &standin{
 		settings: Settings{
 			Type: kind, Slots: 2, TokenTime: loader.Duration{Duration: time.Millisecond}, Models: []string{"draft-7b"}, Fenced: true,
+			Busy: loader.Duration{Duration: 2 * time.Millisecond},
 		},
 		clock: clock, log: zerolog.Nop(), journal: &journaler.Journaler{Clock: clock}, reporter: &reporter{},
 		failer: &failer.Failer{Exit: func() { crashed <- struct{}{} }},
@@ -183,12 +184,14 @@
 func TestPlainCountsByIdempotencyKey(t *testing.T) {
 	url, _, _ := serve(t, TypePlain)
 	for range 2 {
-		text := send(t, http.MethodPost, url+"/confirm/7?day=2", "body", map[string]string{"Idempotency-Key": "k", "X-Request-Id": "r"}).text
+		text := send(t, http.MethodPost, url+"/confirm/7?day=2", "body", map[string]string{"Idempotency-Key": "k", "X-Workspace": "w"}).text
 		require.Equal(t, answerer.Plain(http.MethodPost, "/confirm/7?day=2", []byte("body")), text)
 	}
 	send(t, http.MethodGet, url+"/list", "", map[string]string{"X-Request-Id": "r2"})
 	text := send(t, http.MethodGet, url+"/control/executions", "", nil).text
 	require.JSONEq(t, `{"executions":{"k":2,"r2":1},"running":0}`, text)
+	service := send(t, http.MethodGet, url+"/control/service", "", nil).text
+	require.JSONEq(t, `{"workspaces":{"w":4,"":2}}`, service)
 }
 
 func TestOrders(t *testing.T) {
