Launch a fleet of processes, relay between them and run the demo

Cause: what a caller can trust shows only against separate processes. Cuts are made by relays that find out who connects by the process that owns the connection's other end, because routers learn each other's addresses by gossip and a relay for each pair of processes could not be written into settings. Ruled out: network namespaces and packet filters, which need rights that the machine does not give. Not run yet: the demo, since routers and keepers have no main.

--- /dev/null
+++ b/bench/internal/demo/demo.go
@@ -0,0 +1,285 @@
+// Package demo runs a small deployment shaped after Scambiocasa's on one
+// machine, as separate processes, sends it a mixed load and checks all of it.
+//
+// Invariants: whatever happens, the last line is "demo: ok" or "demo: failed:
+// why", all processes are ended, and the data folder is removed only if
+// nothing failed.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"shallotkeel.example/bench/internal/inspector"
+	"shallotkeel.example/bench/internal/launcher"
+	"shallotkeel.example/lib/caller"
+)
+
+// ErrDemo is the kind of every failure of the demo.
+var ErrDemo = merry.Sentinel("demo found a fault")
+
+// Durations of the demo's parts.
+const (
+	startLimit   = 20 * time.Second
+	mixedTime    = 8 * time.Second
+	backlogTime  = 6 * time.Second
+	settleTime   = 1500 * time.Millisecond // after which a backlog is a steady state
+	patience     = 20 * time.Second
+	spansLimit   = 8 * time.Second
+	maxInFlight  = 4096
+	demoSeed     = 7
+	backlogSeed  = 8
+	largeRate    = 8.0 // requests a second
+	smallRate    = 2.0
+	largeBacklog = 48 // requests outstanding
+	smallBacklog = 24
+)
+
+// Options of the demo.
+type Options struct {
+	Programs string
+	Example  string
+}
+
+// run is one demo.
+type run struct {
+	options    Options
+	out        io.Writer
+	folder     string
+	deployment launcher.Deployment
+	fleet      *launcher.Fleet
+	recorder   *caller.Recorder
+	report     report
+}
+
+// Run runs the demo and returns whether all was well.
+func Run(options Options, out io.Writer) bool {
+	folder, err := os.MkdirTemp("", "shallotkeel-demo-")
+	if err != nil {
+		fmt.Fprintf(out, "demo: failed: %v\n", err)
+		return false
+	}
+	d := &run{options: options, out: out, folder: folder, recorder: &caller.Recorder{Keep: true}}
+	err = d.all()
+	if d.fleet != nil {
+		d.fleet.Close()
+	}
+	if err != nil {
+		fmt.Fprintf(out, "settings and logs are kept in %s\ndemo: failed: %v\n", folder, err)
+		return false
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		fmt.Fprintf(out, "demo: failed: %v\n", err)
+		return false
+	}
+	fmt.Fprintln(out, "demo: ok")
+	return true
+}
+
+func (d *run) all() error {
+	if err := d.start(); err != nil {
+		return err
+	}
+	before, err := inspector.Scrape(context.Background(), d.fleet.Of(launcher.Router))
+	if err != nil {
+		return err
+	}
+	d.say("sending a mixed load to %d routers for %v", len(d.fleet.Targets()), mixedTime)
+	d.load(d.mixed(), demoSeed, mixedTime)
+	d.report.latency = d.recorder.Summary()
+	after, err := inspector.Scrape(context.Background(), d.fleet.Of(launcher.Router))
+	if err != nil {
+		return err
+	}
+	d.report.control = after.Minus(before)
+	d.say("keeping four clubs backlogged, each at one router of its own, for %v", backlogTime)
+	if err := d.backlog(); err != nil {
+		return err
+	}
+	spans, err := d.trace()
+	if err != nil {
+		return err
+	}
+	if err := d.check(); err != nil {
+		d.report.write(d.out)
+		return err
+	}
+	d.report.spans = spans
+	d.report.write(d.out)
+	return nil
+}
+
+func (d *run) say(format string, values ...any) {
+	fmt.Fprintf(d.out, format+"\n", values...)
+}
+
+// start launches the processes and applies the example's configuration.
+func (d *run) start() error {
+	var err error
+	if d.deployment, err = launcher.ReadDeployment(d.options.Example); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	began := time.Now()
+	if d.fleet, err = launcher.Prepare(d.plan()); err != nil {
+		return err
+	}
+	if err := d.fleet.Start(); err != nil {
+		return err
+	}
+	if err := d.fleet.AwaitReady(ctx); err != nil {
+		return err
+	}
+	if err := d.fleet.Apply(ctx, d.deployment.Folder); err != nil {
+		return err
+	}
+	if err := d.fleet.AwaitEndpoints(ctx); err != nil {
+		return err
+	}
+	d.say("%d processes run, %d objects are in force, after %.1f s",
+		len(d.fleet.Nodes), len(d.deployment.Objects), time.Since(began).Seconds())
+	return nil
+}
+
+func (d *run) plan() launcher.Plan {
+	models, plain := d.deployment.Models, d.deployment.Plain
+	engine := func(name string) launcher.StandinSettings { return launcher.Model(name, d.deployment.Model, models) }
+	return launcher.Plan{
+		Programs: d.options.Programs, Folder: d.folder, Scheduling: "pool", Trace: "log",
+		Zones: []launcher.ZonePlan{
+			{Name: "trento-a", Keepers: 2, Routers: 2, Standins: []launcher.StandinSettings{
+				engine("modelli-a1"), engine("modelli-a2"), launcher.PlainService("scambio-app-a1", plain),
+			}},
+			{Name: "verona-b", Keepers: 1, Routers: 2, Standins: []launcher.StandinSettings{
+				engine("modelli-b1"), engine("modelli-b2"), launcher.PlainService("scambio-app-b1", plain),
+			}},
+		},
+	}
+}
+
+func (d *run) mix() caller.Mix {
+	return caller.Mix{
+		Stream: 5, Whole: 2, Plain: 2, Once: 2, Models: d.deployment.Models, Service: d.deployment.Plain, Bound: 48, Prompt: 600,
+	}
+}
+
+func (d *run) mixed() []caller.Load {
+	loads := make([]caller.Load, 0, len(d.deployment.Workspaces))
+	for _, workspace := range d.deployment.Workspaces {
+		rate := smallRate
+		if workspace.Large {
+			rate = largeRate
+		}
+		loads = append(loads, caller.Load{Workspace: workspace.Name, Token: workspace.Token, PerSecond: rate, Mix: d.mix()})
+	}
+	return loads
+}
+
+// uneven are two large and two small clubs, each backlogged at one router.
+func (d *run) uneven() ([]caller.Load, map[string]float64) {
+	var loads []caller.Load
+	weights := make(map[string]float64)
+	targets := d.fleet.Targets()
+	wanted := map[bool]int{true: 2, false: 2}
+	for _, workspace := range d.deployment.Workspaces {
+		if wanted[workspace.Large] == 0 {
+			continue
+		}
+		wanted[workspace.Large]--
+		outstanding := smallBacklog
+		if workspace.Large {
+			outstanding = largeBacklog
+		}
+		mix := caller.Mix{Stream: 1, Models: d.deployment.Models, Bound: 48, Prompt: 600}
+		at := targets[len(loads)%len(targets)]
+		loads = append(loads, caller.Load{
+			Workspace: workspace.Name, Token: workspace.Token, Backlog: outstanding, Targets: []string{at}, Mix: mix,
+		})
+		weights[workspace.Name] = workspace.Weight
+	}
+	return loads, weights
+}
+
+func (d *run) load(loads []caller.Load, seed uint64, lasts time.Duration) {
+	driver := caller.Driver{
+		Caller:  &caller.Caller{Client: caller.NewClient(), Clock: clockwork.NewRealClock(), Patience: patience},
+		Targets: d.fleet.Targets(), Loads: loads, Seed: seed, Recorder: d.recorder, MaxOutstanding: maxInFlight,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lasts)
+	defer cancel()
+	driver.Run(ctx)
+	d.report.dropped += driver.Dropped()
+}
+
+// backlog measures gap and utilisation while four clubs always have work waiting.
+func (d *run) backlog() error {
+	loads, weights := d.uneven()
+	var models []*launcher.Node
+	for _, standin := range d.fleet.Of(launcher.Standin) {
+		if standin.Standin.Type == "model" {
+			models = append(models, standin)
+			d.report.ideal += standin.Standin.Ideal()
+		}
+	}
+	meter := inspector.Meter{Standins: models}
+	meter.Start()
+	began := time.Now()
+	d.load(loads, backlogSeed, backlogTime)
+	samples, err := meter.Stop()
+	if err != nil {
+		return err
+	}
+	steady := inspector.Between(samples, began.Add(settleTime), began.Add(backlogTime))
+	d.report.throughput = inspector.Throughput(steady)
+	d.report.gap = inspector.Gap(steady, weights)
+	return nil
+}
+
+// check holds what callers were told against what was executed.
+func (d *run) check() error {
+	executions, err := inspector.Read(d.fleet)
+	if err != nil {
+		return err
+	}
+	counted, err := inspector.Ask(context.Background(), d.fleet)
+	if err != nil {
+		return err
+	}
+	if !maps.Equal(counted, executions.ByIdentity) {
+		return merry.Errorf("%w: the stand-ins count %d executed requests, their journals %d",
+			ErrDemo, len(counted), len(executions.ByIdentity))
+	}
+	results, whole := d.recorder.Results()
+	if !whole {
+		return merry.Errorf("%w: more results than are kept; shorten the load", ErrDemo)
+	}
+	d.report.verdict = inspector.Judge(results, executions)
+	v := d.report.verdict
+	if n := v.Requests - v.Answered - v.NotRun; n > 0 {
+		d.explain()
+		return merry.Errorf("%w: %d of %d calls were neither answered nor refused as not run", ErrDemo, n, v.Requests)
+	}
+	if v.Broken() > 0 {
+		return merry.Errorf("%w: double %d, false not-run %d, answered without being run %d",
+			ErrDemo, v.Double, v.FalseNotRun, v.Phantom)
+	}
+	if v.Answered == 0 || d.report.dropped > 0 {
+		return merry.Errorf("%w: %d answered, %d not sent", ErrDemo, v.Answered, d.report.dropped)
+	}
+	return nil
+}
+
+func (d *run) explain() {
+	for _, failure := range d.recorder.Failures() {
+		d.say("  %s: %s %s at %s, request %s: %s %s %.60q", failure.Ending, failure.Request.Workspace,
+			failure.Request.Kind, failure.Target, failure.ID, failure.Code, failure.Error, failure.Got)
+	}
+}
--- /dev/null
+++ b/bench/internal/inspector/inspector_test.go
@@ -0,0 +1,91 @@
+package inspector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/caller"
+)
+
+func TestJudge(t *testing.T) {
+	once := caller.Request{Once: true, Key: "k"}
+	ran := `{"verb":"started","request":"r1","key":"k"}` + "\n"
+	tests := map[string]struct {
+		results []caller.Result
+		journal string
+		want    Verdict
+		broken  int
+	}{
+		"answered and run once": {
+			results: []caller.Result{{Request: once, ID: "r1", Ending: caller.Answered}},
+			journal: ran, want: Verdict{Requests: 1, Answered: 1},
+		},
+		"not repeatable and run twice, told of by two results": {
+			results: []caller.Result{
+				{Request: once, ID: "r1", Ending: caller.Lost}, {Request: once, ID: "r2", Ending: caller.Answered},
+			},
+			journal: ran + `{"verb":"started","request":"r2","key":"k"}`,
+			want:    Verdict{Requests: 2, Answered: 1, Lost: 1, Double: 1}, broken: 1,
+		},
+		"repeatable and run twice": {
+			results: []caller.Result{{ID: "r1", Ending: caller.Answered}},
+			journal: ran + `{"verb":"started","request":"r1"}`, want: Verdict{Requests: 1, Answered: 1},
+		},
+		"refused as not run, but run": {
+			results: []caller.Result{{Request: once, ID: "r1", Ending: caller.NotRun}},
+			journal: ran, want: Verdict{Requests: 1, NotRun: 1, FalseNotRun: 1}, broken: 1,
+		},
+		"refused by the endpoint itself": {
+			results: []caller.Result{{Request: once, ID: "r1", Ending: caller.NotRun}},
+			journal: `{"verb":"refused","request":"r1","key":"k"}`, want: Verdict{Requests: 1, NotRun: 1},
+		},
+		"answered without being run": {
+			results: []caller.Result{{Request: once, ID: "r1", Ending: caller.Answered}},
+			want:    Verdict{Requests: 1, Answered: 1, Phantom: 1}, broken: 1,
+		},
+		"wrong and missing": {
+			results: []caller.Result{{Ending: caller.Wrong}, {Ending: caller.Missing}, {Ending: caller.Cut}},
+			want:    Verdict{Requests: 3, Wrong: 1, Missing: 1, Cut: 1}, broken: 2,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			executions := Executions{ByIdentity: make(map[string]int), Started: make(map[string]bool)}
+			require.NoError(t, executions.read("m1", []byte(test.journal)))
+			verdict := Judge(test.results, executions)
+			require.Equal(t, test.want, verdict)
+			require.Equal(t, test.broken, verdict.Broken())
+		})
+	}
+}
+
+func TestReadRefusesADamagedJournal(t *testing.T) {
+	executions := Executions{ByIdentity: make(map[string]int), Started: make(map[string]bool)}
+	require.ErrorIs(t, executions.read("m1", []byte(`{"verb":"sta`)), ErrInspect)
+}
+
+func TestSeries(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(second int, a, b float64) Sample {
+		return Sample{At: start.Add(time.Duration(second) * time.Second), Workspaces: map[string]float64{"a": a, "b": b}}
+	}
+	samples := []Sample{at(0, 0, 0), at(1, 60, 10), at(2, 60, 70), at(3, 120, 90)}
+	require.InDelta(t, 70, Throughput(samples), 1e-9)
+	// a leads by 50, then trails by 10: the gap over the stretch between is 60.
+	require.InDelta(t, 60, Gap(samples, map[string]float64{"a": 1, "b": 1}), 1e-9)
+	// With twice the weight of a, b's service counts half: the lead goes from 0 over 55 to 25 and 75.
+	require.InDelta(t, 75, Gap(samples, map[string]float64{"a": 1, "b": 2}), 1e-9)
+	require.Len(t, Between(samples, start.Add(time.Second), start.Add(2*time.Second)), 2)
+	require.Zero(t, Throughput(samples[:1]))
+}
+
+func TestMatchingTellsAbsentFromZero(t *testing.T) {
+	metrics := Metrics{"control_sent_bytes_total": 3, "control_received_bytes_total": 4}
+	sum, found := metrics.Matching("control", "sent")
+	require.True(t, found)
+	require.InDelta(t, 3, sum, 0)
+	_, found = metrics.Matching("messages")
+	require.False(t, found)
+}
--- /dev/null
+++ b/bench/internal/launcher/process.go
@@ -0,0 +1,190 @@
+// Package launcher starts shallotkeel's programs as separate processes for the
+// demo and the bench, and ends them.
+//
+// Invariants: only processes that this package started are signalled, by
+// their id and while they have not been waited for, so that a recycled id
+// cannot hit a stranger; every started process is ended by Fleet.Close, and
+// by the kernel if the bench itself dies first.
+package launcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrProcess is the kind of every error about a process.
+var ErrProcess = merry.Sentinel("process failed")
+
+const (
+	fileMode   = 0o644
+	folderMode = 0o755
+	// ticksPerSecond is USER_HZ, which Linux fixes for user space.
+	ticksPerSecond = 100
+)
+
+// Process is one started program.
+type Process struct {
+	Name    string
+	Log     string // file of its log
+	command *exec.Cmd
+	ended   chan struct{}
+	lock    sync.Mutex // held while signalling, so that the id is still ours
+	done    bool
+}
+
+// starts hands commands to one thread that lives as long as the bench,
+// because the kernel ends a process when the thread that started it ends.
+var starts = sync.OnceValue(func() chan func() {
+	queue := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range queue {
+			start()
+		}
+	}()
+	return queue
+})
+
+// Start runs a program with a settings value, which is written next to its log.
+func Start(folder, name, program string, settings any) (*Process, error) {
+	text, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, merry.Errorf("%w: %s: %v", ErrProcess, name, err)
+	}
+	path := filepath.Join(folder, name+".json")
+	if err := os.WriteFile(path, text, fileMode); err != nil {
+		return nil, merry.Errorf("%w: %s: %v; check the data folder", ErrProcess, name, err)
+	}
+	log := filepath.Join(folder, name+".log")
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, merry.Errorf("%w: %s: %v; check the data folder", ErrProcess, name, err)
+	}
+	defer out.Close()
+	command := exec.Command(program, "--settings", path)
+	command.Stdout, command.Stderr = out, out
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	failed := make(chan error)
+	starts() <- func() { failed <- command.Start() }
+	if err := <-failed; err != nil {
+		return nil, merry.Errorf("%w: %s: %v; run make build first", ErrProcess, name, err)
+	}
+	p := &Process{Name: name, Log: log, command: command, ended: make(chan struct{})}
+	go p.wait()
+	return p, nil
+}
+
+func (p *Process) wait() {
+	_ = p.command.Wait()
+	p.lock.Lock()
+	p.done = true
+	p.lock.Unlock()
+	close(p.ended)
+}
+
+func (p *Process) signal(signal syscall.Signal) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if !p.done {
+		// os.Process refuses to signal a process that has been waited for.
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// Terminate asks the process to stop.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// Freeze stops the process without its knowledge.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Running tells whether the process has not ended yet.
+func (p *Process) Running() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Status returns the exit status of a process that has ended.
+func (p *Process) Status() int { return p.command.ProcessState.ExitCode() }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// End asks the process to stop and kills it after the grace time. It tells
+// whether it stopped by itself.
+func (p *Process) End(grace time.Duration) bool {
+	p.Resume()
+	p.Terminate()
+	select {
+	case <-p.ended:
+		return true
+	case <-time.After(grace):
+		p.Kill()
+		return false
+	}
+}
+
+// CPU returns the processor time that the process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return 0, merry.Errorf("%w: %s has ended: %v", ErrProcess, p.Name, err)
+	}
+	// The second field is the program's name in parentheses and may hold blanks.
+	rest := text[bytes.LastIndexByte(text, ')')+1:]
+	fields := strings.Fields(string(rest))
+	const user, system = 11, 12 // fields 14 and 15 of proc(5), counted behind the name
+	if len(fields) <= system {
+		return 0, merry.Errorf("%w: /proc/%d/stat is short", ErrProcess, p.PID())
+	}
+	var ticks int64
+	for _, field := range []string{fields[user], fields[system]} {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, merry.Errorf("%w: /proc/%d/stat: %v", ErrProcess, p.PID(), err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
+}
+
+// Memory returns the bytes that the process holds in memory.
+func (p *Process) Memory() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.PID()))
+	if err != nil {
+		return 0, merry.Errorf("%w: %s has ended: %v", ErrProcess, p.Name, err)
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0, merry.Errorf("%w: /proc/%d/statm is short", ErrProcess, p.PID())
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()), err
+}
--- /dev/null
+++ b/bench/internal/relay/relay_test.go
@@ -0,0 +1,143 @@
+package relay_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/bench/internal/relay"
+)
+
+const quiet = 150 * time.Millisecond
+
+// echo answers every line with the same line.
+func echo(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// connect returns a connection of process "a" to process "b" through a relay.
+func connect(t *testing.T, network *relay.Network) *net.TCPConn {
+	t.Helper()
+	address, err := network.Listen(netip.MustParseAddrPort("127.0.0.1:0"), "b", echo(t))
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", address.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+// says tells whether the line comes back within the quiet time.
+func says(t *testing.T, conn *net.TCPConn, reader *bufio.Reader, line string) bool {
+	t.Helper()
+	_, err := io.WriteString(conn, line+"\n")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(quiet)))
+	got, err := reader.ReadString('\n')
+	if err != nil {
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		return false
+	}
+	require.Equal(t, line+"\n", got)
+	return true
+}
+
+func TestCut(t *testing.T) {
+	tests := map[string]struct {
+		cut   []relay.Link
+		heard bool
+	}{
+		"nothing":                 {heard: true},
+		"requests":                {cut: []relay.Link{{From: "a", To: "b"}}},
+		"answers":                 {cut: []relay.Link{{From: "b", To: "a"}}},
+		"another process's links": {cut: []relay.Link{{From: "c", To: "b"}, {From: "b", To: "c"}}, heard: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			network := &relay.Network{Owner: func(netip.AddrPort) string { return "a" }}
+			defer network.Close()
+			conn := connect(t, network)
+			reader := bufio.NewReader(conn)
+			require.True(t, says(t, conn, reader, "before"))
+			network.Cut(test.cut...)
+			require.Equal(t, test.heard, says(t, conn, reader, "during"))
+			network.Mend()
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			if !test.heard {
+				got, err := reader.ReadString('\n')
+				require.NoError(t, err)
+				require.Equal(t, "during\n", got, "a cut holds bytes back and loses none")
+			}
+			require.True(t, says(t, conn, reader, "after"))
+		})
+	}
+}
+
+func TestNewConnectionStaysSilentWhileCut(t *testing.T) {
+	network := &relay.Network{Owner: func(netip.AddrPort) string { return "a" }}
+	defer network.Close()
+	network.Cut(relay.Link{From: "a", To: "b"})
+	conn := connect(t, network)
+	require.False(t, says(t, conn, bufio.NewReader(conn), "hello"))
+}
+
+// A connection whose far process is killed must break, not end: an end could
+// be taken for the end of an answer.
+func TestBrokenConnectionIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	network := &relay.Network{Owner: func(netip.AddrPort) string { return "a" }}
+	defer network.Close()
+	address, err := network.Listen(netip.MustParseAddrPort("127.0.0.1:0"), "b", netip.MustParseAddrPort(listener.Addr().String()))
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", address.String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.ReadAll(conn)
+	require.Error(t, err)
+}
+
+func TestFinderKnowsTheOwnerOfAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	own := netip.MustParseAddrPort(conn.LocalAddr().String())
+	finder := relay.Finder{Processes: func() map[string]int { return map[string]int{"me": os.Getpid()} }}
+	require.Equal(t, "me", finder.Owner(own))
+	require.Empty(t, finder.Owner(netip.MustParseAddrPort("127.0.0.1:1")))
+	nobody := relay.Finder{Processes: func() map[string]int { return nil }}
+	require.Empty(t, nobody.Owner(own))
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,88 @@
-// Package main is the bench program of shallotkeel.
+// Package main is the bench program of shallotkeel: the demo, the fault cells
+// and the measurements, against the real processes.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/jessevdk/go-flags"
+
+	"shallotkeel.example/bench/internal/demo"
+	"shallotkeel.example/lib/starter"
+)
+
+// demoCommand runs the demo.
+type demoCommand struct {
+	common
+	Example string `long:"example" default:"examples/scambiocasa" value-name:"FOLDER" description:"deployment whose configuration is applied"`
+}
+
+// common are the flags of every command.
+type common struct {
+	Programs string `long:"programs" value-name:"FOLDER" description:"folder of the programs; the bench's own by default"`
+}
+
+// failed is returned by a command that found a fault and has said so.
+type failed struct{}
+
+func (failed) Error() string { return "" }
+
+func (c *common) programs() (string, error) {
+	if c.Programs != "" {
+		return c.Programs, nil
+	}
+	own, err := os.Executable()
+	return filepath.Dir(own), err
+}
+
+// Execute is called by the parser.
+func (c *demoCommand) Execute([]string) error {
+	programs, err := c.programs()
+	if err != nil {
+		return err
+	}
+	if !demo.Run(demo.Options{Programs: programs, Example: c.Example}, os.Stdout) {
+		return failed{}
+	}
+	return nil
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(arguments []string) int {
+	if len(arguments) == 1 && arguments[0] == "--version" {
+		fmt.Println("bench", starter.Version)
+		return starter.StatusOK
+	}
+	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Run shallotkeel's processes on this machine: the demo, the fault cells, the measurements."
+	if _, err := parser.AddCommand("demo", "run a small deployment and check it", "", &demoCommand{}); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return starter.StatusUsage
+	}
+	_, err := parser.ParseArgs(arguments)
+	return status(err)
+}
+
+func status(err error) int {
+	var asked *flags.Error
+	switch {
+	case err == nil:
+		return starter.StatusOK
+	case errors.Is(err, failed{}):
+		return starter.StatusFailed
+	case errors.As(err, &asked) && asked.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return starter.StatusOK
+	case errors.As(err, &asked):
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return starter.StatusUsage
+	}
+	fmt.Fprintln(os.Stderr, "bench:", err)
+	return starter.StatusFailed
+}
