Test the scheduler's policy, failures and exchange between zones

Random walks find broken invariants but not a missing mechanism that only costs fairness or time, such as the lift, the bound of debt or a wake-up after probation; each of those gets a test that tells its symptom and cause.

--- /dev/null
+++ b/lib/scheduler/bitset.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"encoding/binary"
+	"math/bits"
+)
+
+// bitset is a set of endpoints by their index at the pool.
+type bitset []uint64
+
+const wordBits = 64
+
+func (b *bitset) add(index int) {
+	for len(*b) <= index/wordBits {
+		*b = append(*b, 0)
+	}
+	(*b)[index/wordBits] |= 1 << (index % wordBits)
+}
+
+func (b *bitset) remove(index int) {
+	if index/wordBits < len(*b) {
+		(*b)[index/wordBits] &^= 1 << (index % wordBits)
+	}
+}
+
+func (b *bitset) put(index int, member bool) {
+	if member {
+		b.add(index)
+		return
+	}
+	b.remove(index)
+}
+
+func (b bitset) empty() bool {
+	for _, word := range b {
+		if word != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (b bitset) intersects(other bitset) bool {
+	for i := range min(len(b), len(other)) {
+		if b[i]&other[i] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// each calls visit with every member of both sets, in rising order.
+func (b bitset) each(other bitset, visit func(index int)) {
+	for i := range min(len(b), len(other)) {
+		for word := b[i] & other[i]; word != 0; word &= word - 1 {
+			visit(i*wordBits + bits.TrailingZeros64(word))
+		}
+	}
+}
+
+// key returns a form that is equal for equal sets.
+func (b bitset) key() string {
+	last := len(b)
+	for last > 0 && b[last-1] == 0 {
+		last--
+	}
+	text := make([]byte, 0, last*8)
+	for _, word := range b[:last] {
+		text = binary.LittleEndian.AppendUint64(text, word)
+	}
+	return string(text)
+}
--- /dev/null
+++ b/lib/scheduler/exchange.go
@@ -0,0 +1,299 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"shallotkeel.example/lib/accountant"
+)
+
+// Limits of what one exchange carries. What is left out waits for the next.
+const (
+	maxDemandRows = 64
+	maxDemand     = 32 // tickets per row
+)
+
+// Times of the exchange between zones.
+const (
+	// demandMemory is how long demand counts after it was last told.
+	demandMemory = 2 * time.Second
+	// returnRepeat is how long the end of a loan is told again and again,
+	// because the message may be lost.
+	returnRepeat = 2 * time.Second
+	intervalGain = 1.0 / 4
+)
+
+// zone is what another zone's scheduler of this service has told.
+type zone struct {
+	name  string
+	heard time.Time
+	every time.Duration // mean time between its exchanges
+	idle  int
+	holds []hold
+}
+
+func (p *Pool) zone(name string) *zone {
+	if known, found := p.zones[name]; found {
+		return known
+	}
+	added := &zone{name: name}
+	p.zones[name] = added
+	p.zoneList = append(p.zoneList, added)
+	return added
+}
+
+func (z *zone) hear(now time.Time) {
+	if !z.heard.IsZero() {
+		passed := min(max(now.Sub(z.heard), 0), demandMemory)
+		if z.every == 0 {
+			z.every = passed
+		}
+		z.every += time.Duration(intervalGain * float64(passed-z.every))
+	}
+	z.heard = now
+}
+
+// compared takes in what another zone told and answers it with loans.
+func (p *Pool) compared(now time.Time, c Compared) {
+	if c.Zone == "" || c.Zone == p.options.Zone {
+		return
+	}
+	p.merge(now, c.Origin, c.Totals)
+	from := p.zone(c.Zone)
+	from.hear(now)
+	from.idle = c.Idle
+	p.wake(now.Add(demandMemory))
+	p.endLoans(now, from, c.Returned)
+	p.renewLoans(now, from, c.Renewed)
+	p.demand(now, from, c.Demand)
+	p.answer(now, from)
+}
+
+// merge takes an origin's totals in and bounds the debt that they make.
+func (p *Pool) merge(now time.Time, origin uint64, totals []Total) {
+	if origin == p.options.Origin {
+		return
+	}
+	entries := make([]accountant.Entry, 0, len(totals))
+	for _, total := range totals {
+		entries = append(entries, total.entry())
+	}
+	for _, change := range p.ledger.Merge(now, origin, entries) {
+		w := p.workspaces[change.Account.Workspace]
+		if w == nil {
+			w = p.workspace(change.Account.Workspace)
+		}
+		p.moved(w, change.Jump)
+	}
+}
+
+func (p *Pool) moved(w *workspace, jump float64) {
+	if jump > jumpShare*p.debt() {
+		w.lead = max(w.lead, w.account.Counter()-jump-p.standing(w), 0)
+		w.jumped = true
+	} else {
+		p.peakJump = max(p.peakJump, jump)
+	}
+	if w.waiting > 0 {
+		p.forgive(w)
+	}
+	p.reprice(w)
+}
+
+func (t Total) entry() accountant.Entry {
+	return accountant.Entry{
+		Workspace: t.Workspace,
+		Row:       accountant.Row{Charged: t.Charged, Lifted: t.Lifted, Forgiven: t.Forgiven},
+	}
+}
+
+func totals(entries []accountant.Entry) []Total {
+	rows := make([]Total, 0, len(entries))
+	for _, e := range entries {
+		rows = append(rows, Total{Workspace: e.Workspace, Charged: e.Charged, Lifted: e.Lifted, Forgiven: e.Forgiven})
+	}
+	return rows
+}
+
+// join takes a peer's collapsed history in. What it says of workspaces without
+// work is older than what it says of the others, so a workspace that comes next
+// is lifted to the highest counter less the bound of debt.
+func (p *Pool) join(history History) {
+	entries := make([]accountant.Entry, 0, len(history.Totals))
+	for _, total := range history.Totals {
+		entries = append(entries, total.entry())
+	}
+	p.ledger.Join(entries)
+	highest := 0.0
+	for _, account := range p.ledger.Accounts() {
+		highest = max(highest, account.Counter())
+	}
+	p.level = max(p.level, highest-p.debt())
+	for _, e := range p.seats {
+		if e != nil {
+			e.level = max(e.level, p.level)
+		}
+	}
+	for _, w := range p.order {
+		p.reprice(w)
+	}
+}
+
+// demand replaces what the zone would like to run here.
+func (p *Pool) demand(now time.Time, from *zone, rows []Demand) {
+	p.margin = p.localAdvantage()
+	listed := make(map[*lane]bool, len(rows))
+	for _, row := range rows {
+		if row.Waiting <= 0 {
+			continue
+		}
+		l := p.lane(p.workspace(row.Workspace), laneKey{model: row.Model, zone: from.name}, nil)
+		l.count = min(row.Waiting, maxDemand)
+		listed[l] = true
+		p.admitDemand(now, l)
+	}
+	for _, w := range p.order {
+		for _, l := range slices.Clone(w.active) {
+			if l.key.zone == from.name && !listed[l] {
+				p.dropDemand(l)
+			}
+		}
+		p.reprice(w)
+	}
+}
+
+// admitDemand lets demand compete. One that is new here has had no work in the
+// fleet, or comes back after a cut: it may bring credit up to the bound of debt.
+func (p *Pool) admitDemand(now time.Time, l *lane) {
+	w := l.workspace
+	if now.Sub(l.demanded) > demandMemory && w.waiting == 0 {
+		w.account.LiftTo(p.standing(w) - p.debt())
+		p.forgive(w)
+	}
+	l.demanded = now
+	p.activate(now, l)
+	l.settle()
+}
+
+func (p *Pool) dropDemand(l *lane) {
+	l.count = 0
+	l.settle()
+	p.retire(l)
+}
+
+// localAdvantage is by how much local work is preferred to another zone's. The
+// other zone's work in flight is not known here, so as much is assumed as local
+// workspaces have; and crossing has to be worth one request at least. Without
+// it, zones that are equally busy would swap half of their work for nothing.
+func (p *Pool) localAdvantage() float64 {
+	sum, waiting := 0.0, 0
+	for _, w := range p.order {
+		if w.waiting > 0 {
+			sum += w.reservedByWeight()
+			waiting++
+		}
+	}
+	return sum/float64(max(1, waiting)) + p.estimator.Mean()
+}
+
+func (p *Pool) expireZones(now time.Time) {
+	for _, z := range p.zoneList {
+		silent := z.heard.Add(demandMemory)
+		if now.Before(silent) {
+			p.wake(silent)
+			continue
+		}
+		z.idle = 0
+		p.releaseHolds(now, z)
+		for _, w := range p.order {
+			for _, l := range slices.Clone(w.active) {
+				if l.key.zone == z.name {
+					p.dropDemand(l)
+				}
+			}
+		}
+	}
+}
+
+// Offer returns what the host sends to the same service's schedulers of the
+// other zones, the same to each: own totals that are due, what waits here, the
+// loans that are over and those still in use, and the free slots. Totals are
+// due once, so an offer is made once per round and sent to every zone.
+func (p *Pool) Offer(now time.Time) (rows []Total, demand []Demand, returned, renewed []uint64, idle int) {
+	rows = totals(p.ledger.Due(now))
+	demand = p.unmet()
+	p.over = slices.DeleteFunc(p.over, func(b *borrowing) bool { return now.Sub(b.ended) > returnRepeat })
+	for _, b := range p.over {
+		returned = append(returned, b.id)
+	}
+	for id := range p.borrowings {
+		renewed = append(renewed, id)
+	}
+	slices.Sort(renewed)
+	for _, e := range p.seats {
+		if e != nil {
+			idle += max(0, e.room(now))
+		}
+	}
+	return rows, demand, returned, renewed, idle
+}
+
+// unmet lists what waits here and may run elsewhere, smallest price first.
+func (p *Pool) unmet() []Demand {
+	var rows []Demand
+	var prices []float64
+	for _, w := range p.order {
+		if w.waiting == 0 {
+			continue
+		}
+		from := len(rows)
+		for _, l := range w.active {
+			if p.mayCross(l) {
+				rows = addDemand(rows, from, l)
+			}
+		}
+		for range rows[from:] {
+			prices = append(prices, w.price())
+		}
+	}
+	order := make([]int, len(rows))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(prices[a], prices[b]) })
+	sorted := make([]Demand, 0, min(len(order), maxDemandRows))
+	for _, i := range order[:min(len(order), maxDemandRows)] {
+		sorted = append(sorted, rows[i])
+	}
+	return sorted
+}
+
+// mayCross tells whether another zone may run a lane's tickets. Suspects stay,
+// because only this pool can keep them apart, and so does what failed elsewhere.
+func (p *Pool) mayCross(l *lane) bool {
+	if l.remote() || l.key.alone || l.count == 0 {
+		return false
+	}
+	for _, id := range l.avoid {
+		if p.endpoints[id] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func addDemand(rows []Demand, from int, l *lane) []Demand {
+	for i := from; i < len(rows); i++ {
+		if rows[i].Model == l.key.model {
+			rows[i].Waiting = min(rows[i].Waiting+l.count, maxDemand)
+			return rows
+		}
+	}
+	return append(rows, Demand{Workspace: l.workspace.name, Model: l.key.model, Waiting: min(l.count, maxDemand)})
+}
+
+// History returns the collapsed totals for another zone's scheduler that joins.
+func (p *Pool) History() []Total {
+	return totals(p.ledger.Collapse())
+}
--- /dev/null
+++ b/lib/scheduler/exchange_test.go
@@ -0,0 +1,129 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/scheduler"
+)
+
+// pair is two zones' pools of one service.
+type pair struct{ near, far *model }
+
+func newPair(t *testing.T) pair {
+	p := pair{near: newModel(t, scheduler.Options{Origin: 1}), far: newModel(t, scheduler.Options{Origin: 2})}
+	p.far.pool = scheduler.New(scheduler.Options{Zone: "verona-b", Service: "modelli", Origin: 2})
+	p.far.apply(scheduler.Configured{Rules: rules{}})
+	return p
+}
+
+// compare carries one exchange from one pool to the other and back.
+func compare(from, to *model) []scheduler.Loan {
+	totals, demand, returned, renewed, idle := from.pool.Offer(from.now)
+	actions := to.apply(scheduler.Compared{
+		Zone: from.pool.Stats(from.now).Zone, Origin: from.pool.Stats(from.now).Origin,
+		Totals: totals, Demand: demand, Returned: returned, Renewed: renewed, Idle: idle,
+	})
+	var loans []scheduler.Loan
+	for _, action := range actions {
+		if lend, ok := action.(scheduler.Lend); ok {
+			loans = append(loans, lend.Loans...)
+		}
+	}
+	return loans
+}
+
+// take gives loans to the borrowing pool; its grants name foreign endpoints.
+func take(to *model, loans []scheduler.Loan) []scheduler.Action {
+	return to.pool.Apply(to.now, scheduler.Lent{Zone: "verona-b", Origin: 2, Loans: loans})
+}
+
+func TestIdleSlotsAreLentAndReturned(t *testing.T) {
+	p := newPair(t)
+	p.near.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	p.near.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
+	loans := compare(p.near, p.far)
+	require.Len(t, loans, 1)
+	require.Equal(t, 1, p.far.pool.Stats(p.far.now).Lent)
+	actions := take(p.near, loans)
+	require.Len(t, actions, 1)
+	require.Equal(t, "b", actions[0].(scheduler.Grant).Endpoint)
+	require.Empty(t, take(p.near, loans), "a repeated answer changes nothing")
+	require.Empty(t, compare(p.near, p.far))
+	require.Equal(t, 1, p.far.pool.Stats(p.far.now).Lent, "renewed")
+	p.near.finish(request(2), scheduler.Done, 30)
+	compare(p.near, p.far)
+	compare(p.near, p.far)
+	require.Zero(t, p.far.pool.Stats(p.far.now).Lent)
+	stats := p.far.pool.Stats(p.far.now)
+	require.Zero(t, stats.Workspaces[0].Charged, "the borrower charges")
+}
+
+// Symptom: a slot stays lent for ever. Sequence: the borrower's zone is cut off
+// or its scheduler restarts. Cause: only the borrower ends the loan.
+func TestLoanEndsUnlessRenewed(t *testing.T) {
+	p := newPair(t)
+	p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	p.near.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	require.Len(t, compare(p.near, p.far), 1)
+	p.far.now = p.far.now.Add(scheduler.DefaultLease - time.Millisecond)
+	p.far.apply(scheduler.Tick{})
+	require.Equal(t, 1, p.far.pool.Stats(p.far.now).Lent)
+	p.far.now = p.far.now.Add(time.Millisecond)
+	p.far.apply(scheduler.Tick{})
+	require.Zero(t, p.far.pool.Stats(p.far.now).Lent)
+}
+
+// A loan that no ticket can use any more goes back at once.
+func TestUselessLoanIsReturned(t *testing.T) {
+	p := newPair(t)
+	p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	p.near.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	loans := compare(p.near, p.far)
+	p.near.finish(request(1), scheduler.Cancelled, 0)
+	require.Empty(t, take(p.near, loans))
+	compare(p.near, p.far)
+	require.Zero(t, p.far.pool.Stats(p.far.now).Lent)
+}
+
+// Symptom: after a cut a workspace that both halves served waits until all
+// others have caught up. Sequence: one is served in the far zone during the
+// cut, then rejoins a near zone where two waits. Cause: its whole lead counts.
+func TestDebtIsBoundedAtRejoin(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1, Debt: 500})
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	far := func(charged uint64) scheduler.Compared {
+		return scheduler.Compared{Zone: "verona-b", Origin: 2, Totals: []scheduler.Total{{Workspace: "one", Charged: charged}}}
+	}
+	m.apply(far(1000))
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "two"}, scheduler.Ticket{Seq: 2, Workspace: "two"},
+		scheduler.Ticket{Seq: 3, Workspace: "one"})
+	m.apply(far(1000 + 100_000))
+	m.apply(far(1000 + 100_000)) // repeated
+	m.apply(far(900))            // late
+	stats := m.pool.Stats(m.now)
+	require.Equal(t, "one", stats.Workspaces[0].Workspace)
+	require.InDelta(t, 500, stats.Workspaces[0].Counter, 1)
+	rows, _, _, _, _ := m.pool.Offer(m.now)
+	require.Contains(t, rows, scheduler.Total{Workspace: "one", Forgiven: 99_500})
+}
+
+// Symptom: the service of a scheduler's whole life counts twice. Sequence: a
+// scheduler restarts without memory, gets the collapsed history from a peer, and
+// then the peer's own rows, which that history contains. Cause: both are added.
+func TestJoiningCountsNothingTwice(t *testing.T) {
+	p := newPair(t)
+	p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	p.far.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	p.far.progress(request(1), 5000)
+	p.near.apply(scheduler.History{Totals: p.far.pool.History()})
+	compare(p.far, p.near)
+	require.EqualValues(t, 5000, p.near.pool.History()[0].Charged)
+	p.far.progress(request(1), 5300)
+	p.far.now = p.far.now.Add(time.Second)
+	compare(p.far, p.near)
+	require.EqualValues(t, 5300, p.near.pool.History()[0].Charged)
+}
--- /dev/null
+++ b/lib/scheduler/failure_test.go
@@ -0,0 +1,152 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/scheduler"
+)
+
+// Symptom: every request of a pool fails. Sequence: an endpoint dies but its
+// lease lasts on; connections to it fail at once. Cause: an endpoint that fails
+// at once always has room and draws all work.
+func TestUnreachableEndpointIsLeftAloneLongerEachTime(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1})
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 4, TTL: time.Hour})
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	waits := []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
+	for i, wait := range waits {
+		seq := uint64(i + 1)
+		require.Equal(t, "a", m.requests[request(seq)].endpoint)
+		m.finish(request(seq), scheduler.Unreachable, 0)
+		m.enrol(router1, scheduler.Ticket{Seq: seq + 1, Workspace: "one"})
+		require.Equal(t, m.now.Add(wait), m.pool.Next(m.now))
+		require.Empty(t, m.requests[request(seq+1)].endpoint)
+		m.now = m.now.Add(wait)
+		m.apply(scheduler.Tick{})
+	}
+	m.enrol(router1, scheduler.Ticket{Seq: 9, Workspace: "one"})
+	require.Empty(t, m.requests[request(9)].endpoint, "one request at a time until one succeeds")
+	m.finish(request(5), scheduler.Done, 10)
+	m.enrol(router1, scheduler.Ticket{Seq: 10, Workspace: "one"})
+	require.Equal(t, "a", m.requests[request(10)].endpoint)
+}
+
+// Symptom: requests pile up at an endpoint that answers nothing. Sequence: it
+// takes a request and shows no progress, while it goes on announcing itself.
+// Cause: only its announcements are believed.
+func TestHungEndpointGetsNoWorkUntilItMoves(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1})
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 4, TTL: time.Hour})
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	require.Equal(t, zero.Add(scheduler.DefaultHungAfter), m.pool.Next(m.now))
+	m.now = m.pool.Next(m.now)
+	m.apply(scheduler.Tick{})
+	m.enrol(router1, scheduler.Ticket{Seq: 2, Workspace: "one"})
+	require.Empty(t, m.requests[request(2)].endpoint)
+	m.progress(request(1), 1)
+	require.Equal(t, "a", m.requests[request(2)].endpoint)
+}
+
+// Symptom: slots of a restarted endpoint stay taken. Sequence: an endpoint
+// restarts under its old address, by its own id or a new one, while requests
+// run there. Cause: only their endings free the slots of its former life.
+func TestRestartedEndpointHasAllItsSlots(t *testing.T) {
+	tests := map[string]scheduler.Announced{
+		"same id":  {ID: "a", Incarnation: 2, Slots: 1},
+		"other id": {ID: "b", Incarnation: 1, Slots: 1},
+	}
+	for name, again := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(t, scheduler.Options{Origin: 1})
+			m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 1})
+			m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
+			again.Address = m.endpoints["a"].Address
+			m.announce(again)
+			require.Equal(t, again.ID, m.requests[request(2)].endpoint)
+			m.finish(request(1), scheduler.Failed, 5)
+			require.Equal(t, 1, m.pool.Stats(m.now).Endpoints[0].Busy)
+		})
+	}
+}
+
+// Symptom: a request waits for ever. Sequence: its grant is lost on the way;
+// its router goes on listing it as waiting. Cause: the pool thinks that it runs.
+func TestLostGrantIsGivenAgain(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1})
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 1, TTL: time.Hour})
+	ticket := scheduler.Ticket{Seq: 1, Workspace: "one", Model: "draft"}
+	m.enrol(router1, ticket)
+	again := scheduler.Report{Router: router1, Full: true, Tickets: []scheduler.Ticket{ticket}}
+	require.Empty(t, m.apply(again), "the grant may still be on its way")
+	m.now = m.now.Add(2 * time.Second)
+	m.requests[request(1)].endpoint = ""
+	require.Len(t, m.apply(again), 1)
+}
+
+// Symptom: a slot stays taken. Sequence: the message with a request's ending is
+// lost; the router's next full report does not list it. Cause: the report only
+// adds to what the pool knows.
+func TestFullReportReplacesWhatWasKnown(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1})
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 1})
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
+	require.False(t, m.pool.Knows(router1))
+	delete(m.requests, request(1))
+	m.apply(scheduler.Report{Router: router1, Full: true, Tickets: []scheduler.Ticket{m.requests[request(2)].ticket}})
+	require.True(t, m.pool.Knows(router1))
+	require.Equal(t, "a", m.requests[request(2)].endpoint)
+	require.Equal(t, 1, m.pool.Stats(m.now).Running)
+}
+
+// Symptom: after a handover engines get twice the requests that they have slots
+// for. Sequence: a new scheduler hears of an endpoint, then of the requests
+// that run there, from routers in any order. Cause: it takes the endpoint for idle.
+func TestNewSchedulerLearnsWhatRuns(t *testing.T) {
+	running := scheduler.Report{Router: router1, Full: true, Running: []scheduler.Running{
+		{Seq: 1, Workspace: "one", Model: "draft", Endpoint: "a", Charged: 40},
+		{Seq: 2, Workspace: "one", Model: "draft", Endpoint: "a", Charged: 10},
+	}}
+	for name, endpointFirst := range map[string]bool{"endpoint first": true, "router first": false} {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(t, scheduler.Options{Origin: 2})
+			endpoint := scheduler.Announced{ID: "a", Incarnation: 1, Slots: 3, Load: 2}
+			if endpointFirst {
+				m.announce(endpoint)
+			}
+			m.apply(running)
+			if !endpointFirst {
+				m.announce(endpoint)
+			}
+			router2 := scheduler.RouterID{Name: "router-2", Incarnation: 1}
+			m.enrol(router2, scheduler.Ticket{Seq: 1, Workspace: "two"}, scheduler.Ticket{Seq: 2, Workspace: "two"})
+			require.Equal(t, 1, m.waiting(), "one slot was free")
+			require.Equal(t, 3, m.pool.Stats(m.now).Running)
+			m.apply(scheduler.Report{Router: router1, Finished: []scheduler.Finish{{Seq: 1, Charged: 50, Ending: scheduler.Done}}})
+			require.Zero(t, m.waiting())
+			require.EqualValues(t, 10, m.pool.Stats(m.now).Workspaces[0].Charged, "the rest was charged before")
+		})
+	}
+}
+
+// Symptom: two schedulers overfill an endpoint. Sequence: during a handover the
+// other scheduler still grants; the endpoint reports more than this pool sent.
+// Cause: this pool counts only its own.
+func TestReportedLoadOfOthersCounts(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 2})
+	e := scheduler.Announced{ID: "a", Incarnation: 1, Slots: 4}
+	m.announce(e)
+	e.Load = 3
+	m.announce(e)
+	require.Zero(t, m.pool.Stats(m.now).Endpoints[0].Foreign, "one report may be a lag")
+	m.announce(e)
+	m.announce(e)
+	require.Equal(t, 3, m.pool.Stats(m.now).Endpoints[0].Foreign)
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
+	require.Equal(t, 1, m.waiting())
+	e.Load = 1
+	m.announce(e)
+	require.Zero(t, m.waiting())
+}
--- a/lib/scheduler/pool.go
+++ b/lib/scheduler/pool.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"shallotkeel.example/lib/accountant"
+	"shallotkeel.example/lib/estimator"
+)
 
 // Options say which pool this is. The zero value of every field but Zone,
 // Service and Origin stands for its default.
@@ -33,51 +38,170 @@
 	DefaultMaxWaiting      = 1 << 17
 )
 
+func (o Options) withDefaults() Options {
+	if o.Lease <= 0 {
+		o.Lease = DefaultLease
+	}
+	if o.HungAfter <= 0 {
+		o.HungAfter = DefaultHungAfter
+	}
+	if o.NoEndpointAfter <= 0 {
+		o.NoEndpointAfter = DefaultNoEndpointAfter
+	}
+	if o.MaxWaiting <= 0 {
+		o.MaxWaiting = DefaultMaxWaiting
+	}
+	return o
+}
+
 // Pool schedules one service in one availability zone. It is not safe for
 // concurrent use: the host applies events from one goroutine.
 type Pool struct {
-	options Options
+	options   Options
+	rules     Rules
+	ledger    accountant.Ledger
+	estimator estimator.Estimator
+
+	workspaces map[string]*workspace
+	order      []*workspace // by creation
+	routers    map[string]*router
+	endpoints  map[string]*endpoint
+	seats      []*endpoint // by index, nil where free
+	unplaced   map[string][]*request
+	groups     map[groupKey]*group
+	groupList  []*group // by creation
+	zones      map[string]*zone
+	zoneList   []*zone // by creation
+	loans      map[uint64]*loan
+	loanList   []*loan // by creation
+	borrowings map[uint64]*borrowing
+	over       []*borrowing // ended, still told to their lenders
+
+	alive     bitset // endpoints that may get work, now or once recovered
+	open      bitset // endpoints with room
+	openAlone bitset // endpoints with room and no suspect
+	regroup   bool   // lanes have to be put into groups again
+
+	started      time.Time
+	last         time.Time
+	due          time.Time // no deadline is earlier; zero if there is none
+	aged         time.Time
+	arrivals     uint64
+	lanes        uint64
+	reports      uint64
+	loanNumber   uint64
+	waiting      int
+	running      int
+	held         int
+	busy         int
+	usable       int
+	busyTime     time.Duration
+	usableTime   time.Duration
+	peakInFlight float64 // most estimated and uncharged of one workspace, by weight
+	peakRunning  float64 // most requests of one workspace at once, by weight
+	peakJump     float64 // most that one merge brought, by weight
+	largest      float64 // cost of one request, units
+	margin       float64
+	level        float64 // standing at endpoints that have served nobody yet
+	answering    *zone   // whose exchange is being answered
+	lending      []Loan
+	generation   uint64 // of the groups
+	actions      []Action
 }
 
 // New returns an empty pool. It grants nothing before the first Configured
 // event, because without rules it cannot know what is allowed.
 func New(options Options) *Pool {
-	return &Pool{options: options}
+	return &Pool{
+		options:    options.withDefaults(),
+		workspaces: make(map[string]*workspace),
+		routers:    make(map[string]*router),
+		endpoints:  make(map[string]*endpoint),
+		unplaced:   make(map[string][]*request),
+		groups:     make(map[groupKey]*group),
+		zones:      make(map[string]*zone),
+		loans:      make(map[uint64]*loan),
+		borrowings: make(map[uint64]*borrowing),
+	}
 }
 
 // Apply takes one event and returns what the host has to do, in order.
 func (p *Pool) Apply(now time.Time, event Event) []Action {
-	_, _ = now, event
-	return nil
+	p.actions = nil
+	p.pass(now)
+	switch e := event.(type) {
+	case Report:
+		p.report(now, e)
+	case RouterGone:
+		p.routerGone(now, e.Router)
+	case Announced:
+		p.announced(now, e)
+	case Compared:
+		p.compared(now, e)
+	case Lent:
+		p.lent(now, e)
+	case History:
+		p.join(e)
+	case Declinations:
+		p.declined(now, e)
+	case Configured:
+		p.configured(now, e.Rules)
+	case Tick:
+	}
+	p.dispatch(now)
+	return p.actions
 }
 
-// Next returns when the next Tick is needed, the zero time if none is.
-func (p *Pool) Next(now time.Time) time.Time {
-	return now.Add(time.Second)
+func (p *Pool) act(action Action) {
+	p.actions = append(p.actions, action)
 }
 
-// Knows tells whether this life of a router has sent a full report. A host
-// asks a router that it does not know for everything it has.
-func (p *Pool) Knows(router RouterID) bool {
-	_ = router
-	return false
+// pass lets time go on to now.
+func (p *Pool) pass(now time.Time) {
+	if p.started.IsZero() {
+		p.started, p.last, p.aged = now, now, now
+	}
+	if passed := now.Sub(p.last); passed > 0 {
+		p.busyTime += passed * time.Duration(p.busy)
+		p.usableTime += passed * time.Duration(p.usable)
+		p.last = now
+	}
+	if !p.due.IsZero() && !now.Before(p.due) {
+		p.expire(now)
+	}
+}
+
+// wake makes sure that time passes at the deadline.
+func (p *Pool) wake(at time.Time) {
+	if p.due.IsZero() || at.Before(p.due) {
+		p.due = at
+	}
 }
 
-// Offer returns what the host sends to the same service's schedulers of the
-// other zones, the same to each: own totals that changed, what waits here, the
-// loans that are over and those still in use, and the free slots.
-func (p *Pool) Offer(now time.Time) (totals []Total, demand []Demand, returned, renewed []uint64, idle int) {
-	_ = now
-	return nil, nil, nil, nil, 0
+// Next returns when the next Tick is needed, the zero time if none is. It may
+// be in the past: then a Tick is due now.
+func (p *Pool) Next(_ time.Time) time.Time {
+	return p.due
 }
 
-// History returns the collapsed totals for another zone's scheduler that joins.
-func (p *Pool) History() []Total {
-	return nil
+// Knows tells whether this life of a router has sent a full report. A host
+// asks a router that it does not know for everything it has.
+func (p *Pool) Knows(id RouterID) bool {
+	known := p.routers[id.Name]
+	return known != nil && known.id == id && known.known && !known.gone
 }
 
-// Stats describes the pool.
-func (p *Pool) Stats(now time.Time) Stats {
-	_ = now
-	return Stats{Zone: p.options.Zone, Service: p.options.Service, Origin: p.options.Origin}
+func (p *Pool) configured(now time.Time, rules Rules) {
+	p.rules = rules
+	for _, w := range p.order {
+		p.bind(w)
+		p.reprice(w)
+	}
+	for _, e := range p.seats {
+		if e != nil {
+			e.draining = rules != nil && rules.Draining(e.id, e.labels)
+			p.count(now, e)
+		}
+	}
+	p.regroup = true
 }
--- /dev/null
+++ b/lib/scheduler/probation.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import "time"
+
+// Limits of probation.
+const (
+	probationFirst = 250 * time.Millisecond
+	probationMost  = 30 * time.Second
+	// cutsInRow and refusalsInRow are how many such endings without a success
+	// between them put an endpoint on probation. One cut may be the fault of
+	// the request.
+	cutsInRow     = 3
+	refusalsInRow = 2
+)
+
+// probation keeps work from an endpoint that fails: none for a time that
+// doubles with each failure, then one request at a time until one succeeds.
+// Without it, an endpoint that fails at once looks idle and draws every request
+// of the pool into failing.
+type probation struct {
+	failures int
+	until    time.Time
+	probing  bool
+	cuts     int
+	refusals int
+}
+
+// fail counts a failure. Those that arrive while the endpoint is already kept
+// free of work were sent before, and say nothing new.
+func (p *probation) fail(now time.Time) {
+	if now.Before(p.until) {
+		return
+	}
+	wait := probationMost
+	if p.failures < 7 {
+		wait = min(wait, probationFirst<<p.failures)
+	}
+	p.failures++
+	p.until = now.Add(wait)
+	p.probing = true
+}
+
+func (p *probation) succeed() {
+	*p = probation{}
+}
+
+// closed tells whether the endpoint gets no request at all.
+func (p *probation) closed(now time.Time) bool {
+	return now.Before(p.until)
+}
+
+// end takes in how a request ended there.
+func (p *probation) end(now time.Time, ending Ending) {
+	switch ending {
+	case Done:
+		p.succeed()
+	case Unreachable:
+		p.fail(now)
+	case Refused:
+		p.refusals++
+		if p.probing || p.refusals >= refusalsInRow {
+			p.fail(now)
+		}
+	case Failed:
+		p.cuts++
+		if p.probing || p.cuts >= cutsInRow {
+			p.fail(now)
+		}
+	case Cancelled, Declined:
+	}
+}
--- a/lib/scheduler/stats.go
+++ b/lib/scheduler/stats.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Stats is what a pool tells status pages and explanations.
 type Stats struct {
@@ -54,6 +58,7 @@
 	Incarnation uint64
 	Slots       int // announced
 	Window      int // requests allowed at once, at most Slots
+	Limit       int // requests allowed now: Window, less while it fails or leaves
 	Busy        int // own requests, loans and holds
 	Foreign     int // requests there that this pool did not send, by report
 	Draining    bool
@@ -62,3 +67,103 @@
 	// Probation is how long the endpoint gets no request after failures.
 	Probation time.Duration
 }
+
+// Stats describes the pool. It walks everything and is meant for status pages.
+func (p *Pool) Stats(now time.Time) Stats {
+	stats := Stats{
+		Zone: p.options.Zone, Service: p.options.Service, Origin: p.options.Origin,
+		Waiting: p.waiting, Running: p.running,
+		Gap: p.gap(), Bound: p.bound(),
+		Busy: p.busyTime, Usable: p.usableTime,
+		Lent: len(p.loanList), Borrowed: len(p.borrowings), Held: p.held,
+	}
+	if p.usable > 0 {
+		stats.Utilisation = float64(p.busy) / float64(p.usable)
+	}
+	for _, w := range p.order {
+		stats.Workspaces = append(stats.Workspaces, w.stats(now))
+	}
+	for _, e := range p.seats {
+		if e != nil {
+			stats.Endpoints = append(stats.Endpoints, e.stats(now))
+		}
+	}
+	slices.SortFunc(stats.Workspaces, func(a, b WorkspaceStats) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(stats.Endpoints, func(a, b EndpointStats) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return stats
+}
+
+func (w *workspace) stats(now time.Time) WorkspaceStats {
+	stats := WorkspaceStats{
+		Workspace: w.name, Weight: w.account.Weight(), Waiting: w.waiting, Running: w.running,
+		Charged: w.account.Own().Charged, Counter: w.account.Counter(), Reserved: w.reserved,
+	}
+	for _, l := range w.active {
+		if l.first != nil {
+			stats.Oldest = max(stats.Oldest, now.Sub(l.first.arrived))
+		}
+	}
+	return stats
+}
+
+func (e *endpoint) stats(now time.Time) EndpointStats {
+	return EndpointStats{
+		Endpoint: e.id, Incarnation: e.incarnation,
+		Slots: e.throttle.Slots(), Window: e.throttle.Window(), Limit: e.limit(now), Busy: e.busy(), Foreign: e.foreign,
+		Draining: e.draining, Leaving: e.leaving, Hung: e.hung,
+		Probation: max(0, e.probation.until.Sub(now)),
+	}
+}
+
+// span is the smallest and the largest counter of a group's workspaces.
+type span struct {
+	group       *group
+	least, most float64
+	some        bool
+}
+
+// gap returns the largest difference of counters between two workspaces that
+// both wait and whose endpoints have one in common.
+func (p *Pool) gap() float64 {
+	spans := p.spans()
+	largest := 0.0
+	for i, a := range spans {
+		for _, b := range spans[i:] {
+			if a.group.set.intersects(b.group.set) {
+				largest = max(largest, a.most-b.least, b.most-a.least)
+			}
+		}
+	}
+	return largest
+}
+
+func (p *Pool) spans() []span {
+	var spans []span
+	for _, g := range p.groupList {
+		s := span{group: g}
+		for _, l := range g.lanes {
+			if l.remote() {
+				continue
+			}
+			counter := l.workspace.account.Counter()
+			if !s.some || counter < s.least {
+				s.least = counter
+			}
+			if !s.some || counter > s.most {
+				s.most = counter
+			}
+			s.some = true
+		}
+		if s.some {
+			spans = append(spans, s)
+		}
+	}
+	return spans
+}
+
+// bound is the formula of docs/FAIRNESS.md with what was seen lately: the
+// estimates that one workspace had in flight, the most that its requests in
+// flight can still cost, and what one exchange between zones brings.
+func (p *Pool) bound() float64 {
+	return p.peakInFlight + p.peakRunning*p.largest + p.peakJump
+}
