Send like the platform's balancer when a router is gone

Cause: a caller behind the balancer never meets a router that takes no connection; counting those calls as lost would hide the calls that really were.

--- a/bench/internal/inspector/inspector.go
+++ b/bench/internal/inspector/inspector.go
@@ -118,6 +118,7 @@
 	Unknown     int `json:"unknown"`
 	Cut         int `json:"cut"`     // visibly cut short
 	Lost        int `json:"lost"`    // the connection failed before an answer
+	Unsent      int `json:"unsent"`  // no router took a connection
 	Invalid     int `json:"invalid"` // refused for what the request is
 	Wrong       int `json:"wrong"`   // ended cleanly and is not whole or not the request's own
 	Missing     int `json:"missing"`
@@ -153,7 +154,7 @@
 func (v *Verdict) count(ending caller.Ending) {
 	counters := map[caller.Ending]*int{
 		caller.Answered: &v.Answered, caller.NotRun: &v.NotRun, caller.Unknown: &v.Unknown, caller.Cut: &v.Cut,
-		caller.Lost: &v.Lost, caller.Invalid: &v.Invalid, caller.Wrong: &v.Wrong, caller.Missing: &v.Missing,
+		caller.Lost: &v.Lost, caller.Unsent: &v.Unsent, caller.Invalid: &v.Invalid, caller.Wrong: &v.Wrong, caller.Missing: &v.Missing,
 	}
 	*counters[ending]++
 }
--- a/bench/internal/launcher/fleet.go
+++ b/bench/internal/launcher/fleet.go
@@ -215,6 +215,7 @@
 	for _, keeper := range f.Of(Keeper) {
 		keepers[keeper.Name] = keeper.controlled
 	}
+	keepers[node.Name] = node.Control
 	return &keeperSettings{
 		Name: node.Name, Zone: node.Zone, Listen: node.Listen, Control: node.Control, Keepers: keepers,
 		Data: f.DataOf(node), Secret: fleetSecret,
--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,7 @@
 	Invalid  Ending = "invalid"  // refused for what the request itself is
 	Lost     Ending = "lost"     // the connection failed before any answer began
 	Missing  Ending = "missing"  // no final answer within the caller's patience
+	Unsent   Ending = "unsent"   // no connection was made, so nothing was sent
 )
 
 // maxAnswer bounds what is read of an answer.
@@ -73,7 +75,7 @@
 	}
 	response, err := c.Client.Do(q.WithContext(bounded))
 	if err != nil {
-		result.end(c.Clock, failed(bounded, Lost), err)
+		result.end(c.Clock, failed(bounded, broken(err)), err)
 		return result
 	}
 	defer response.Body.Close()
@@ -86,6 +88,15 @@
 	return result
 }
 
+// broken tells a connection that was never made from one that broke.
+func broken(err error) Ending {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return Unsent
+	}
+	return Lost
+}
+
 // failed tells a connection that broke from a caller that lost patience.
 func failed(ctx context.Context, broken Ending) Ending {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/lib/caller/caller_test.go
+++ b/lib/caller/caller_test.go
@@ -90,6 +90,7 @@
 			request: plain, want: caller.Missing,
 			handler: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 		},
+		"nobody listens": {request: plain, want: caller.Unsent},
 		"connection that breaks before an answer": {
 			request: plain, want: caller.Lost,
 			handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
@@ -99,6 +100,9 @@
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(test.handler)
 			defer server.Close()
+			if test.handler == nil {
+				server.Close()
+			}
 			c := caller.Caller{Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Clock: clockwork.NewRealClock(), Patience: time.Second}
 			result := c.Call(t.Context(), server.URL, test.request)
 			require.Equal(t, test.want, result.Ending, result.Error)
@@ -182,3 +186,41 @@
 	require.Equal(t, int64(3), calls.Load())
 	require.Equal(t, map[caller.Ending]int{caller.NotRun: 3}, recorder.Summary().Endings)
 }
+
+// A router that has gone takes no connection. The platform's balancer then
+// sends to the next one, and the request must not count as lost.
+func TestDriverTriesTheNextTargetOnlyWhenNothingWasSent(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answered(answerer.Plain(r.Method, strings.TrimPrefix(r.URL.RequestURI(), "/v1/services/s"), nil))(w, r)
+	}))
+	defer good.Close()
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer broken.Close()
+	tests := map[string]struct {
+		targets []string
+		ready   func(string) bool
+		want    caller.Ending
+	}{
+		"gone, then good":       {targets: []string{gone.URL, good.URL}, want: caller.Answered},
+		"all gone":              {targets: []string{gone.URL}, want: caller.Unsent},
+		"broken, good is ready": {targets: []string{broken.URL, good.URL}, ready: func(t string) bool { return t == good.URL }, want: caller.Answered},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			recorder := &caller.Recorder{}
+			d := caller.Driver{
+				Caller:  &caller.Caller{Client: caller.NewClient(), Clock: clockwork.NewRealClock(), Patience: time.Second},
+				Targets: test.targets, Ready: test.ready, Recorder: recorder, MaxOutstanding: 100,
+				Loads: []caller.Load{{Workspace: "w", PerSecond: 100, Mix: caller.Mix{Plain: 1, Service: "s"}}},
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			d.Run(ctx)
+			summary := recorder.Summary()
+			require.Positive(t, summary.Requests)
+			require.Equal(t, map[caller.Ending]int{test.want: summary.Requests}, summary.Endings)
+		})
+	}
+}
--- a/lib/caller/driver.go
+++ b/lib/caller/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// MaxOutstanding bounds open-loop requests in flight. An arrival beyond it
 	// is counted as dropped by the driver and not sent.
 	MaxOutstanding int
+	// Ready tells whether the platform's balancer would send to a target now;
+	// nil sends to every target.
+	Ready func(target string) bool
 
 	room    chan struct{}
 	waiting sync.WaitGroup
@@ -87,12 +91,44 @@
 		if !sleep(ctx, clock, next.Sub(clock.Now())) {
 			return
 		}
-		target := load.Targets[random.IntN(len(load.Targets))]
-		d.send(ctx, target, planner.Next())
+		d.send(ctx, d.rotation(load.Targets, random.IntN(len(load.Targets))), planner.Next())
 	}
 }
 
-func (d *Driver) send(ctx context.Context, target string, request Request) {
+// rotation returns the targets in the order in which a balancer would try
+// them: the drawn one first, those that are ready before those that are not.
+func (d *Driver) rotation(targets []string, first int) []string {
+	rotated := append(slices.Clone(targets[first:]), targets[:first]...)
+	if d.Ready == nil {
+		return rotated
+	}
+	slices.SortStableFunc(rotated, func(a, b string) int {
+		return order(d.Ready(b)) - order(d.Ready(a))
+	})
+	return rotated
+}
+
+func order(ready bool) int {
+	if ready {
+		return 1
+	}
+	return 0
+}
+
+// call tries the next target only when no connection was made, because then
+// nothing was sent.
+func (d *Driver) call(ctx context.Context, targets []string, request Request) Result {
+	var result Result
+	for _, target := range targets {
+		result = d.Caller.Call(ctx, target, request)
+		if result.Ending != Unsent {
+			return result
+		}
+	}
+	return result
+}
+
+func (d *Driver) send(ctx context.Context, targets []string, request Request) {
 	select {
 	case d.room <- struct{}{}:
 	default:
@@ -103,7 +139,7 @@
 	}
 	d.waiting.Go(func() {
 		defer func() { <-d.room }()
-		d.Recorder.Add(d.Caller.Call(context.WithoutCancel(ctx), target, request))
+		d.Recorder.Add(d.call(context.WithoutCancel(ctx), targets, request))
 	})
 }
 
@@ -113,11 +149,11 @@
 	for ctx.Err() == nil {
 		request := planner.Next()
 		for attempt := 1; ctx.Err() == nil; attempt++ {
-			target := load.Targets[(i+attempt)%len(load.Targets)]
-			result := d.Caller.Call(context.WithoutCancel(ctx), target, request)
+			targets := d.rotation(load.Targets, (i+attempt)%len(load.Targets))
+			result := d.call(context.WithoutCancel(ctx), targets, request)
 			result.Attempted = attempt
 			d.Recorder.Add(result)
-			if result.Ending != NotRun {
+			if result.Ending != NotRun && result.Ending != Unsent {
 				break
 			}
 			sleep(ctx, d.Caller.Clock, max(result.Retry, minRetry))
--- a/lib/caller/recorder.go
+++ b/lib/caller/recorder.go
@@ -134,7 +134,10 @@
 		r.overflow = true
 		return
 	}
-	result.Request.Prompt, result.Request.Body = "", ""
+	if !result.Request.Once {
+		// What may be sent again is kept whole.
+		result.Request.Prompt, result.Request.Body = "", ""
+	}
 	r.kept = append(r.kept, result)
 }
 
--- a/load/internal/runner/runner.go
+++ b/load/internal/runner/runner.go
@@ -169,7 +169,7 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(table, "requests\t%d\n", summary.Requests)
 	for _, ending := range []caller.Ending{
-		caller.Answered, caller.NotRun, caller.Invalid, caller.Unknown, caller.Wrong, caller.Cut, caller.Lost, caller.Missing,
+		caller.Answered, caller.NotRun, caller.Invalid, caller.Unknown, caller.Wrong, caller.Cut, caller.Lost, caller.Unsent, caller.Missing,
 	} {
 		fmt.Fprintf(table, "%s\t%d\n", ending, summary.Endings[ending])
 	}
