--- a/lib/scheduler/exchange_test.go
+++ b/lib/scheduler/exchange_test.go
@@ -68,7 +68,12 @@
 	p := newPair(t)
 	p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
 	p.near.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
-	require.Len(t, compare(p.near, p.far), 1)
+	take(p.near, compare(p.near, p.far))
+	for range 4 {
+		p.far.now = p.far.now.Add(scheduler.DefaultLease / 2)
+		compare(p.near, p.far)
+		require.Equal(t, 1, p.far.pool.Stats(p.far.now).Lent)
+	}
 	p.far.now = p.far.now.Add(scheduler.DefaultLease - time.Millisecond)
 	p.far.apply(scheduler.Tick{})
 	require.Equal(t, 1, p.far.pool.Stats(p.far.now).Lent)
@@ -107,8 +112,7 @@
 	stats := m.pool.Stats(m.now)
 	require.Equal(t, "one", stats.Workspaces[0].Workspace)
 	require.InDelta(t, 500, stats.Workspaces[0].Counter, 1)
-	rows, _, _, _, _ := m.pool.Offer(m.now)
-	require.Contains(t, rows, scheduler.Total{Workspace: "one", Forgiven: 99_500})
+	require.Contains(t, m.pool.History(), scheduler.Total{Workspace: "one", Charged: 100_000, Forgiven: 99_500})
 }
 
 // Symptom: the service of a scheduler's whole life counts twice. Sequence: a
--- a/lib/scheduler/failure_test.go
+++ b/lib/scheduler/failure_test.go
@@ -16,15 +16,21 @@
 	m := newModel(t, scheduler.Options{Origin: 1})
 	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 4, TTL: time.Hour})
 	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	m.rules.denied = map[string]bool{"one/z": true}
+	m.apply(scheduler.Configured{Rules: m.rules})
 	waits := []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
 	for i, wait := range waits {
 		seq := uint64(i + 1)
 		require.Equal(t, "a", m.requests[request(seq)].endpoint)
 		m.finish(request(seq), scheduler.Unreachable, 0)
 		m.enrol(router1, scheduler.Ticket{Seq: seq + 1, Workspace: "one"})
-		require.Equal(t, m.now.Add(wait), m.pool.Next(m.now))
+		m.announce(scheduler.Announced{ID: "z", Incarnation: seq, Slots: 1, TTL: time.Millisecond})
+		again := m.now.Add(wait)
+		m.now = m.pool.Next(m.now) // something else is due before
+		m.apply(scheduler.Tick{})
+		require.Equal(t, again, m.pool.Next(m.now))
 		require.Empty(t, m.requests[request(seq+1)].endpoint)
-		m.now = m.now.Add(wait)
+		m.now = again
 		m.apply(scheduler.Tick{})
 	}
 	m.enrol(router1, scheduler.Ticket{Seq: 9, Workspace: "one"})
@@ -131,6 +137,17 @@
 	}
 }
 
+// Symptom: as above, but for the time until the routers have reported. Cause: a
+// new scheduler believes what it knows, nothing, more than the endpoint's report.
+func TestNewSchedulerBelievesTheFirstReportedLoad(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 2})
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 2, Load: 2})
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	require.Equal(t, 1, m.waiting())
+	m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 2, Load: 1})
+	require.Zero(t, m.waiting())
+}
+
 // Symptom: two schedulers overfill an endpoint. Sequence: during a handover the
 // other scheduler still grants; the endpoint reports more than this pool sent.
 // Cause: this pool counts only its own.
