Keep the replicated state: agreement, disk, changes, claims, thin

Cause: routers need a keeper to code against: three processes that elect a leader, sync before they acknowledge, and serve Keeping and Replication. A replica is named by its disk's identity, so a wiped disk is another member by construction. Tried by hand with three processes: apply, resend, claim, watch, kill of the leader with its disk, rejoin and promotion.

--- /dev/null
+++ b/keeper/internal/server/handlers.go
@@ -0,0 +1,59 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"shallotkeel.example/lib/messenger"
+)
+
+// maxControlBody bounds a call from another process: a snapshot is the largest.
+const maxControlBody = 256 << 20
+
+func (s *Server) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	keeper := messenger.NewKeepingServer(keeping{s})
+	mux.Handle(keeper.PathPrefix(), markForwarded(keeper))
+	agreement := messenger.NewReplicationServer(replication{s})
+	mux.Handle(agreement.PathPrefix(), agreement)
+	return http.MaxBytesHandler(mux, maxControlBody)
+}
+
+func (s *Server) publicHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.healthz)
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// healthz tells that the control loop is alive.
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-s.stopped:
+		http.Error(w, "the control loop has ended; restart the keeper", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ok")
+	}
+}
+
+// readyz tells that this keeper reaches a quorum and is not being stopped.
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-s.stopping:
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	default:
+	}
+	now := s.view.Load()
+	switch {
+	case now.full:
+		http.Error(w, "the disk is full; free space on it", http.StatusServiceUnavailable)
+	case !now.status.Quorum:
+		http.Error(w, "no contact with a quorum of keepers; check the network and the other keepers", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ok")
+	}
+}
--- /dev/null
+++ b/keeper/internal/server/metrics.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"shallotkeel.example/lib/replicator"
+)
+
+// metrics reads what the control loop published; nothing is counted twice.
+type metrics struct {
+	registry *prometheus.Registry
+}
+
+func newMetrics(s *Server) *metrics {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	gauge := func(name, help string, read func(*view) float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Namespace: "keeper", Name: name, Help: help},
+			func() float64 { return read(s.view.Load()) }))
+	}
+	counter := func(name, help string, read func(*view) float64) {
+		registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "keeper", Name: name, Help: help},
+			func() float64 { return read(s.view.Load()) }))
+	}
+	gauge("leader", "1 while this keeper leads.", func(v *view) float64 { return truth(v.status.State == replicator.Leader) })
+	gauge("quorum", "1 while this keeper has contact with a quorum.", func(v *view) float64 { return truth(v.status.Quorum) })
+	gauge("disk_full", "1 while a full disk keeps this keeper out of the group.", func(v *view) float64 { return truth(v.full) })
+	gauge("term", "Term of the agreement.", func(v *view) float64 { return float64(v.status.Term) })
+	gauge("commit_index", "Highest log entry known to be committed.", func(v *view) float64 { return float64(v.status.Commit) })
+	gauge("applied_index", "Highest log entry applied.", func(v *view) float64 { return float64(v.applied) })
+	gauge("revision", "Revision of the configuration.", func(v *view) float64 { return float64(v.revision) })
+	gauge("claims", "Idempotency keys remembered.", func(v *view) float64 { return float64(v.claims) })
+	gauge("log_bytes", "Size of the log on disk.", func(v *view) float64 { return float64(v.diskBytes) })
+	counter("syncs_total", "Batches made durable.", func(v *view) float64 { return float64(v.counters.Syncs) })
+	counter("entries_total", "Log entries made durable.", func(v *view) float64 { return float64(v.counters.Entries) })
+	counter("commands_total", "Commands applied.", func(v *view) float64 { return float64(v.counters.Applied) })
+	counter("snapshots_total", "Snapshots taken.", func(v *view) float64 { return float64(v.counters.Snapshots) })
+	counter("messages_dropped_total", "Messages of the agreement that were not delivered.", func(v *view) float64 { return float64(v.dropped) })
+	counter("control_sent_bytes_total", "Bytes sent on control connections.", func(*view) float64 { return float64(s.bytes.Sent.Load()) })
+	counter("control_received_bytes_total", "Bytes received on control connections.", func(*view) float64 { return float64(s.bytes.Received.Load()) })
+	return &metrics{registry: registry}
+}
+
+func truth(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/keeper/internal/settings/settings.go
@@ -0,0 +1,87 @@
+// Package settings is the settings file of a keeper.
+package settings
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"shallotkeel.example/lib/labeler"
+	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/replicator"
+)
+
+// Settings is a keeper's settings file; docs/INTERFACES.md shows one.
+type Settings struct {
+	Name    string         `json:"name"`
+	Zone    string         `json:"zone"`
+	Listen  netip.AddrPort `json:"listen"`
+	Control netip.AddrPort `json:"control"`
+	Data    string         `json:"data"`
+	// Keepers are the control addresses by name, this keeper's own included.
+	Keepers map[string]netip.AddrPort `json:"keepers"`
+	// Join keeps this keeper from founding a group.
+	Join   bool   `json:"join"`
+	Secret string `json:"secret"`
+	Timing Timing `json:"timing"`
+}
+
+// Timing is the pace of the agreement.
+type Timing struct {
+	Heartbeat loader.Duration `json:"heartbeat"`
+	Election  loader.Duration `json:"election"`
+}
+
+// leastHeartbeats is how many heartbeats must fit into an election timeout, so
+// that a single lost message does not depose a leader.
+const leastHeartbeats = 3
+
+const leastHeartbeat = 5 * time.Millisecond
+
+// Check lists what is wrong with the settings.
+func (s *Settings) Check() []loader.Problem {
+	var problems []loader.Problem
+	problem := func(key, message, remedy string) {
+		problems = append(problems, loader.Problem{Key: key, Message: message, Remedy: remedy})
+	}
+	if s.Name == "" || labeler.Check("name", s.Name) != nil {
+		problem("name", "the name is missing or malformed", "set a name of letters, digits and dashes that no other keeper has")
+	}
+	if s.Zone == "" || labeler.Check("zone", s.Zone) != nil {
+		problem("zone", "the availability zone is missing or malformed", "set the zone that this instance is in")
+	}
+	if !s.Listen.IsValid() {
+		problem("listen", "the address is missing", "set an IP number and port for health checks and metrics")
+	}
+	if !s.Control.IsValid() {
+		problem("control", "the address is missing", "set an IP number and port for the other processes")
+	}
+	if s.Data == "" {
+		problem("data", "the data folder is missing", "set a folder on a disk that survives a restart")
+	}
+	if s.Secret == "" {
+		problem("secret", "the secret is missing", "set the fleet's secret, the same in all processes")
+	}
+	if own, found := s.Keepers[s.Name]; !found || own != s.Control {
+		problem("keepers", "this keeper itself is missing or has another address", "list every keeper of the group with its control address")
+	}
+	timing := s.Agreement()
+	if timing.Heartbeat < leastHeartbeat || timing.Election < leastHeartbeats*timing.Heartbeat {
+		problem("election", "the election timeout is too short for the heartbeat", "set it to at least three heartbeats of at least 5ms")
+	}
+	return problems
+}
+
+// Agreement returns the pace with defaults filled in.
+func (s *Settings) Agreement() replicator.Timing {
+	return replicator.Timing{
+		Heartbeat: s.Timing.Heartbeat.Or(replicator.DefaultHeartbeat),
+		Election:  s.Timing.Election.Or(replicator.DefaultElection),
+	}
+}
+
+// Names lists the keepers by name.
+func (s *Settings) Names() []string {
+	return slices.Sorted(maps.Keys(s.Keepers))
+}
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -1,4 +1,33 @@
-// Package main is the keeper program of shallotkeel.
+// Package main is the keeper program of shallotkeel: one of the few instances
+// with a disk that hold the state that must survive.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"shallotkeel.example/keeper/internal/server"
+	"shallotkeel.example/keeper/internal/settings"
+	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/starter"
+)
+
+const purpose = "Holds the replicated configuration, claims of idempotency keys and quarantined requests."
+
+func main() {
+	os.Exit(starter.Main("keeper", purpose, os.Args[1:], run))
+}
+
+func run(ctx context.Context, options starter.Options, log zerolog.Logger) error {
+	var read settings.Settings
+	if err := loader.Load(options.Settings, &read); err != nil {
+		return err
+	}
+	if options.Check {
+		return nil
+	}
+	return server.Run(ctx, &read, log, clockwork.NewRealClock())
+}
--- /dev/null
+++ b/lib/replicator/membership.go
@@ -0,0 +1,177 @@
+package replicator
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// MaxReplicas bounds the group, voters and learners together.
+const MaxReplicas = 64
+
+// Join adds a replica: as a learner that stays one if its role is Learner,
+// otherwise as one that is promoted as soon as it has caught up. If another
+// disk of the same name is a member, it is removed before the promotion: the
+// name's new disk shows that the old one is gone. Joining twice does nothing.
+// It returns where the change stands in the log.
+func (n *Node) Join(now time.Time, replica Replica) (Position, error) {
+	if err := n.changeable(); err != nil {
+		return Position{}, err
+	}
+	known, found := n.Group().Find(replica.ID)
+	if found && known.Address == replica.Address {
+		return n.journal.last(), nil
+	}
+	if len(n.Group()) >= MaxReplicas {
+		return Position{}, merry.Errorf("%w: %d members are the most; remove one first", ErrMembership, MaxReplicas)
+	}
+	if replica.ID == 0 {
+		return Position{}, merry.Errorf("%w: the replica has no disk identity; start it first", ErrMembership)
+	}
+	switch {
+	case found:
+		replica.Role = known.Role
+	case replica.Role != Learner:
+		replica.Role = Joining
+	}
+	return n.regroup(now, n.Group().with(replica)), nil
+}
+
+// Remove takes a replica out of the group. It returns where the change stands
+// in the log.
+func (n *Node) Remove(now time.Time, id ID) (Position, error) {
+	if err := n.changeable(); err != nil {
+		return Position{}, err
+	}
+	if _, found := n.Group().Find(id); !found {
+		return Position{}, merry.Errorf("%w: there is no such member; look at the status for their names", ErrMembership)
+	}
+	changed := n.Group().without(id)
+	if changed.voters() == 0 {
+		return Position{}, merry.Errorf("%w: the last voter cannot be removed; add another first", ErrMembership)
+	}
+	return n.regroup(now, changed), nil
+}
+
+// changeable tells whether the membership may change now: one change at a time,
+// and not before this leader has committed an entry of its own term. Without
+// the second rule two leaders could each commit a change with majorities that
+// do not overlap (D. Ongaro, "bug in single-server membership changes", 2015).
+func (n *Node) changeable() error {
+	if n.state != Leader || n.transfer.to != 0 {
+		return merry.Errorf("%w; ask the leader", ErrNotLeader)
+	}
+	if term, _ := n.journal.term(n.commit); term != n.ballot.Term {
+		return merry.Errorf("%w: the leader is new; ask again", ErrMembership)
+	}
+	if n.groups[len(n.groups)-1].index > n.commit {
+		return merry.Errorf("%w: another change is under way; ask again", ErrMembership)
+	}
+	return nil
+}
+
+func (n *Node) regroup(now time.Time, group Group) Position {
+	n.push(Entry{
+		Index: n.journal.last().Index + 1, Term: n.ballot.Term,
+		Kind: Membership, Data: EncodeGroup(group),
+	})
+	n.syncPeers(now)
+	return n.journal.last()
+}
+
+// manage carries running changes on: it promotes what has caught up, and steps
+// down when this leader itself has been removed.
+func (n *Node) manage(now time.Time) {
+	if n.state != Leader || n.changeable() != nil {
+		return
+	}
+	if _, member := n.Group().Find(n.id); !member {
+		n.becomeFollower(now, n.ballot.Term, 0)
+		return
+	}
+	for _, replica := range n.Group() {
+		if replica.Role == Joining && n.caughtUp(now, replica.ID) {
+			n.promote(now, replica)
+			return
+		}
+	}
+}
+
+// caughtUp asks for everything that is committed: a voter that lacks it would
+// count for majorities while only the others hold the entries, and the loss of
+// a second disk right after the repair would lose them.
+func (n *Node) caughtUp(now time.Time, id ID) bool {
+	p, found := n.peers[id]
+	return found && p.match >= n.commit && now.Sub(p.seen) < n.timing.Election
+}
+
+// promote makes a replica a voter. The old disk of its name goes first, in a
+// change of its own, because two changes at once need not share a majority.
+func (n *Node) promote(now time.Time, replica Replica) {
+	for _, other := range n.Group().Named(replica.Name) {
+		if other.ID != replica.ID {
+			_, _ = n.Remove(now, other.ID) // only refused while another change is under way; tried again then
+			return
+		}
+	}
+	replica.Role = Voter
+	n.regroup(now, n.Group().with(replica))
+}
+
+// transfer is a handover of leadership under way.
+type transfer struct {
+	to       ID
+	deadline time.Time
+	sent     bool
+}
+
+// Transfer hands leadership to the voter that is furthest, so that a planned
+// stop costs one round trip and no election timeout. It returns false if this
+// node is not leader or there is no one to hand over to.
+func (n *Node) Transfer(now time.Time) bool {
+	if n.state != Leader {
+		return false
+	}
+	best := ID(0)
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
+		if !n.Group().votes(id) || now.Sub(p.seen) > n.timing.Election {
+			continue
+		}
+		if best == 0 || p.match > n.peers[best].match {
+			best = id
+		}
+	}
+	if best == 0 {
+		return false
+	}
+	n.transfer = transfer{to: best, deadline: now.Add(n.timing.Election)}
+	n.handOver()
+	return true
+}
+
+// handOver tells the chosen successor to campaign once it has the whole log.
+// From then on the lease is given up.
+func (n *Node) handOver() {
+	if n.transfer.to == 0 || n.transfer.sent {
+		return
+	}
+	p, found := n.peers[n.transfer.to]
+	if !found || p.match < n.journal.last().Index {
+		return
+	}
+	n.transfer.sent = true
+	n.send(Message{Kind: TimeoutNow, To: n.transfer.to, Term: n.ballot.Term})
+}
+
+// abandonTransfer ends a handover that took too long. Once the successor has
+// been told, the message may still arrive and start an election that followers
+// answer in spite of this leader's lease. The lease can't be taken up again in
+// this term, so the node steps down.
+func (n *Node) abandonTransfer(now time.Time) {
+	if n.transfer.sent {
+		n.becomeFollower(now, n.ballot.Term, 0)
+		return
+	}
+	n.transfer = transfer{}
+}
