Describe the fault cells as code

Cause: each promise has to be seen to hold against real processes under each fault, and under each pair. Not run yet, since routers have no main: the cells show nothing until they have been.

--- a/bench/internal/demo/trace.go
+++ b/bench/internal/demo/trace.go
@@ -68,7 +68,7 @@
 func (d *run) spans(id string) ([]span, error) {
 	var spans []span
 	for _, router := range d.fleet.Of(launcher.Router) {
-		text, err := os.ReadFile(router.Log)
+		text, err := os.ReadFile(router.Process().Log)
 		if err != nil {
 			return nil, merry.Errorf("%w: %v", ErrDemo, err)
 		}
--- /dev/null
+++ b/bench/internal/faults/network.go
@@ -0,0 +1,103 @@
+package faults
+
+import (
+	"time"
+
+	"shallotkeel.example/bench/internal/launcher"
+	"shallotkeel.example/lib/caller"
+)
+
+// cutTime is longer than every lease of the system.
+const cutTime = 5 * time.Second
+
+func networkCells() []cell {
+	relays := shape{relays: true}
+	return []cell{
+		{fault: "zone cut off", step: "under load, then rejoins", shape: relays, run: cutZone},
+		{fault: "one-way cut", step: "a zone's messages to the others are lost", shape: relays, run: func(b *bed) error { return cutOneWay(b, true) }},
+		{fault: "one-way cut", step: "the others' messages to a zone are lost", shape: relays, run: func(b *bed) error { return cutOneWay(b, false) }},
+		{fault: "keeper leader cut silently", step: "claims and changes under way", shape: relays, run: cutLeader},
+		{fault: "router cut from its zone", step: "the scheduler, under load", shape: relays, run: cutScheduler},
+	}
+}
+
+// cutZone: each side goes on serving what it can. The zone without quorum
+// refuses what may not repeat as not run, and serves the rest.
+func cutZone(b *bed) error {
+	b.send(b.everyone(usualRate, b.mix()), 2*usualTime)
+	b.sleep(2 * time.Second)
+	b.cutZone(zoneA)
+	b.sleep(cutTime)
+	for _, zone := range []string{zoneA, zoneB} {
+		took, err := b.answers(zone, recoverLimit)
+		if err != nil {
+			return err
+		}
+		b.note("%s answers during the cut after %v", zone, took.Round(time.Millisecond))
+	}
+	b.network.Mend()
+	_, err := b.judge()
+	return err
+}
+
+// cutOneWay: what one side sends is lost, and it hears the other.
+func cutOneWay(b *bed, outward bool) error {
+	b.send(b.everyone(usualRate, b.mix()), 2*usualTime)
+	b.sleep(2 * time.Second)
+	b.cut(func(from, to *launcher.Node) bool {
+		if outward {
+			return from.Zone == zoneA && to.Zone != zoneA
+		}
+		return from.Zone != zoneA && to.Zone == zoneA
+	})
+	b.sleep(cutTime)
+	for _, zone := range []string{zoneA, zoneB} {
+		if _, err := b.answers(zone, recoverLimit); err != nil {
+			return err
+		}
+	}
+	b.network.Mend()
+	_, err := b.judge()
+	return err
+}
+
+// cutLeader: the leader loses everyone without a sign. It steps down within
+// its lease; the others go on; what it had not committed is not in force.
+func cutLeader(b *bed) error {
+	leader, err := b.leader()
+	if err != nil {
+		return err
+	}
+	b.send(b.everyone(usualRate, b.onceMix()), 2*usualTime)
+	err = b.changing(func() error {
+		b.cut(func(from, to *launcher.Node) bool { return from == leader || to == leader })
+		b.sleep(cutTime)
+		b.network.Mend()
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	_, err = b.judge()
+	return err
+}
+
+// cutScheduler: the scheduler's router reaches nobody of the fleet, though its
+// callers reach it. The zone gets another scheduler; its own callers get an
+// answer or are refused as not run.
+func cutScheduler(b *bed) error {
+	victim, err := b.scheduler(zoneA, b.deployment.Model)
+	if err != nil {
+		return err
+	}
+	b.send(b.everyone(usualRate, b.mix()), 2*usualTime)
+	b.sleep(warmUp)
+	b.cut(func(from, to *launcher.Node) bool {
+		// Endpoints stay reachable: it is the system's own network that is cut.
+		return (from == victim && to.Role != launcher.Standin) || (to == victim && from.Role != launcher.Standin)
+	})
+	b.sleep(cutTime)
+	b.network.Mend()
+	_, err = b.judge(caller.Unknown)
+	return err
+}
--- a/bench/internal/inspector/inspector.go
+++ b/bench/internal/inspector/inspector.go
@@ -36,7 +36,8 @@
 
 // The verbs that are looked at.
 const (
-	verbStarted = "started"
+	verbReceived = "received"
+	verbStarted  = "started"
 )
 
 // Executions is what all stand-ins executed.
@@ -163,3 +164,19 @@
 func (v Verdict) Broken() int {
 	return v.Wrong + v.Missing + v.Double + v.FalseNotRun + v.Phantom
 }
+
+// LastWork returns how many requests a stand-in received before a moment, and
+// how long after it the last one came.
+func (e Executions) LastWork(standin string, moment time.Time) (before int, after time.Duration) {
+	for _, entry := range e.Entries {
+		if entry.Standin != standin || entry.Verb != verbReceived {
+			continue
+		}
+		if entry.At.Before(moment) {
+			before++
+			continue
+		}
+		after = max(after, entry.At.Sub(moment))
+	}
+	return before, after
+}
--- a/bench/internal/launcher/fleet.go
+++ b/bench/internal/launcher/fleet.go
@@ -9,6 +9,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -68,7 +70,6 @@
 
 // Node is one process's place in the fleet. The process can be started again.
 type Node struct {
-	*Process
 	Name    string
 	Role    Role
 	Zone    string
@@ -80,6 +81,17 @@
 	Standin    StandinSettings // of a stand-in
 	settings   any
 	fleet      *Fleet
+	process    atomic.Pointer[Process]
+}
+
+// Process returns the node's process, which is replaced when it is started
+// again, and nil before the first start.
+func (n *Node) Process() *Process { return n.process.Load() }
+
+// Running tells whether the node has a process that has not ended.
+func (n *Node) Running() bool {
+	process := n.Process()
+	return process != nil && process.Running()
 }
 
 // URL returns the base URL of the public listener.
@@ -289,7 +301,7 @@
 	if err != nil {
 		return err
 	}
-	n.Process = process
+	n.process.Store(process)
 	return nil
 }
 
@@ -326,8 +338,9 @@
 		select {
 		case <-ctx.Done():
 			return merry.Errorf("%w: %s is not ready: %s; its log ends: %s", ErrFleet, n.Name, told, n.Tail())
-		case <-n.Ended():
-			return merry.Errorf("%w: %s has ended with status %d; its log ends: %s", ErrFleet, n.Name, n.Status(), n.Tail())
+		case <-n.Process().Ended():
+			return merry.Errorf("%w: %s has ended with status %d; its log ends: %s",
+				ErrFleet, n.Name, n.Process().Status(), n.Tail())
 		case <-time.After(readyPause):
 		}
 	}
@@ -351,7 +364,7 @@
 
 // Tail returns the end of the process's log.
 func (n *Node) Tail() string {
-	text, err := os.ReadFile(n.Log)
+	text, err := os.ReadFile(n.Process().Log)
 	if err != nil {
 		return err.Error()
 	}
@@ -362,24 +375,12 @@
 // fails for want of those that it depends on.
 func (f *Fleet) Close() {
 	for _, role := range []Role{Router, Standin, Keeper} {
-		nodes := f.Of(role)
-		for _, node := range nodes {
-			if node.Process != nil {
-				node.Resume()
-				node.Terminate()
-			}
-		}
-		deadline := time.After(endGrace)
-		for _, node := range nodes {
-			if node.Process == nil {
-				continue
-			}
-			select {
-			case <-node.Ended():
-			case <-deadline:
-				node.Kill()
-				deadline = time.After(0)
+		var ending sync.WaitGroup
+		for _, node := range f.Of(role) {
+			if node.Running() {
+				ending.Go(func() { node.Process().End(endGrace) })
 			}
 		}
+		ending.Wait()
 	}
 }
--- a/bench/main.go
+++ b/bench/main.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"shallotkeel.example/bench/internal/demo"
+	"shallotkeel.example/bench/internal/faults"
 	"shallotkeel.example/lib/starter"
 )
 
@@ -50,6 +51,26 @@
 	return nil
 }
 
+// faultsCommand runs the fault cells.
+type faultsCommand struct {
+	common
+	Example string `long:"example" default:"examples/scambiocasa" value-name:"FOLDER" description:"deployment whose configuration is applied"`
+	Only    string `long:"only" value-name:"TEXT" description:"run only the cells whose name contains this"`
+	List    bool   `long:"list" description:"list the cells and run none"`
+}
+
+// Execute is called by the parser.
+func (c *faultsCommand) Execute([]string) error {
+	programs, err := c.programs()
+	if err != nil {
+		return err
+	}
+	if !faults.Run(faults.Options{Programs: programs, Example: c.Example, Only: c.Only, List: c.List}, os.Stdout) {
+		return failed{}
+	}
+	return nil
+}
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -61,9 +82,17 @@
 	}
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Run shallotkeel's processes on this machine: the demo, the fault cells, the measurements."
-	if _, err := parser.AddCommand("demo", "run a small deployment and check it", "", &demoCommand{}); err != nil {
-		fmt.Fprintln(os.Stderr, "bench:", err)
-		return starter.StatusUsage
+	for _, command := range []struct {
+		name, short string
+		run         flags.Commander
+	}{
+		{"demo", "run a small deployment and check it", &demoCommand{}},
+		{"faults", "cause every fault of the matrix under load and count what must never happen", &faultsCommand{}},
+	} {
+		if _, err := parser.AddCommand(command.name, command.short, "", command.run); err != nil {
+			fmt.Fprintln(os.Stderr, "bench:", err)
+			return starter.StatusUsage
+		}
 	}
 	_, err := parser.ParseArgs(arguments)
 	return status(err)
