Run a router: membership, scheduling, configuration, claims, wiring

The thin whole path between real processes: a control goroutine owns all control state and drives the pure machines; a follower keeps the configuration in force; claims go to the keepers in batches.

--- a/lib/detector/detector.go
+++ b/lib/detector/detector.go
@@ -124,12 +124,19 @@
 	return d.self
 }
 
-// Leave announces that this router is about to stop.
-func (d *Detector) Leave() {
-	if !d.self.Leaving {
-		d.self.Leaving = true
-		d.refresh()
+// Leave announces that this router is about to stop, and returns heartbeats
+// that tell every member of the zone at once.
+func (d *Detector) Leave() []Beat {
+	d.self.Leaving = true
+	d.self.Beat++
+	d.refresh()
+	var beats []Beat
+	for _, m := range d.live {
+		if m.Name != d.self.Name {
+			beats = append(beats, d.beatTo(m.Address))
+		}
 	}
+	return beats
 }
 
 // Live returns the live members of the own zone, this router included, sorted
--- a/lib/detector/member.go
+++ b/lib/detector/member.go
@@ -84,12 +84,13 @@
 // Owner returns the member that schedules a zone's pool of a service: the one
 // with the highest hash of pool and name (rendezvous hashing), so that a
 // member that comes or goes moves only its own share of the pools. Leaving
-// members are passed over.
+// members are passed over while there are others.
 func Owner(members []Member, zone, service string) (Member, bool) {
 	best, found, highest := Member{}, false, uint64(0)
 	for _, m := range members {
 		score := xxhash.Sum64String(zone + "\x00" + service + "\x00" + m.Name)
-		if !m.Leaving && (!found || score > highest) {
+		stays := best.Leaving && !m.Leaving
+		if !found || stays || (m.Leaving == best.Leaving && score > highest) {
 			best, found, highest = m, true, score
 		}
 	}
--- /dev/null
+++ b/lib/enlister/names.go
@@ -0,0 +1,118 @@
+package enlister
+
+import (
+	"time"
+
+	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/scheduler"
+)
+
+// maxNames bounds a session's table of names. A router starts a new session
+// before its table outgrows it; names are bounded to 128 bytes each.
+const maxNames = 4096
+
+// writer numbers the names of one direction of a session, so that each is sent
+// once.
+type writer struct {
+	index map[string]uint32
+	fresh []string // since the last batch
+}
+
+func (w *writer) put(name string) uint32 {
+	if at, known := w.index[name]; known {
+		return at
+	}
+	if w.index == nil {
+		w.index = make(map[string]uint32)
+	}
+	at := uint32(len(w.index))
+	w.index[name] = at
+	w.fresh = append(w.fresh, name)
+	return at
+}
+
+// take returns the names that the batch has to bring.
+func (w *writer) take() []string {
+	fresh := w.fresh
+	w.fresh = nil
+	return fresh
+}
+
+// reader is the other end of a writer.
+type reader struct{ names []string }
+
+func (r *reader) extend(names []string) {
+	r.names = append(r.names, names[:min(len(names), maxNames-len(r.names))]...)
+}
+
+func (r *reader) get(at uint32) string {
+	if int(at) >= len(r.names) {
+		return ""
+	}
+	return r.names[at]
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), 1<<31))
+}
+
+func duration(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+func encodeTicket(w *writer, t *scheduler.Ticket, waited time.Duration) *messenger.Ticket {
+	encoded := &messenger.Ticket{
+		Seq: t.Seq, Workspace: w.put(t.Workspace), Model: w.put(t.Model), Hint: t.Hint,
+		Prefix: t.Prefix, Prompt: t.Prompt, WaitedMs: milliseconds(waited), Alone: t.Alone,
+	}
+	for _, endpoint := range t.Avoid {
+		encoded.Avoid = append(encoded.Avoid, w.put(endpoint))
+	}
+	return encoded
+}
+
+func decodeTicket(r *reader, t *messenger.Ticket) scheduler.Ticket {
+	decoded := scheduler.Ticket{
+		Seq: t.GetSeq(), Workspace: r.get(t.GetWorkspace()), Model: r.get(t.GetModel()), Hint: t.GetHint(),
+		Prefix: t.GetPrefix(), Prompt: t.GetPrompt(), Waited: duration(t.GetWaitedMs()), Alone: t.GetAlone(),
+	}
+	for _, endpoint := range t.GetAvoid() {
+		decoded.Avoid = append(decoded.Avoid, r.get(endpoint))
+	}
+	return decoded
+}
+
+func encodeFinish(f scheduler.Finish) *messenger.Finish {
+	return &messenger.Finish{
+		Seq: f.Seq, Charged: f.Charged, Ending: messenger.Ending(f.Ending),
+		FirstMs: milliseconds(f.First), TookMs: milliseconds(f.Took),
+	}
+}
+
+func decodeFinish(f *messenger.Finish) scheduler.Finish {
+	return scheduler.Finish{
+		Seq: f.GetSeq(), Charged: f.GetCharged(), Ending: scheduler.Ending(f.GetEnding()),
+		First: duration(f.GetFirstMs()), Took: duration(f.GetTookMs()),
+	}
+}
+
+// report is a batch as the pool understands it.
+func report(r *reader, router scheduler.RouterID, request *messenger.ExchangeRequest) scheduler.Report {
+	decoded := scheduler.Report{Router: router, Full: request.GetFull()}
+	for _, t := range request.GetTickets() {
+		decoded.Tickets = append(decoded.Tickets, decodeTicket(r, t))
+	}
+	for _, running := range request.GetRunning() {
+		decoded.Running = append(decoded.Running, scheduler.Running{
+			Seq: running.GetSeq(), Workspace: r.get(running.GetWorkspace()), Model: r.get(running.GetModel()),
+			Endpoint: r.get(running.GetEndpoint()), Charged: running.GetCharged(),
+		})
+	}
+	for _, p := range request.GetProgress() {
+		decoded.Progress = append(decoded.Progress, scheduler.Progress{Seq: p.GetSeq(), Charged: p.GetCharged()})
+	}
+	for _, f := range request.GetFinished() {
+		decoded.Finished = append(decoded.Finished, decodeFinish(f))
+	}
+	return decoded
+}
--- /dev/null
+++ b/router/internal/assembler/assembler.go
@@ -0,0 +1,226 @@
+// Package assembler builds a router out of its settings, runs it, and stops it.
+//
+// A planned stop goes in this order: the router says that it is not ready, so
+// that the balancer takes it out; it tells the other routers that it is
+// leaving and hands its pools over; it takes no new connections and finishes
+// the requests in progress; it records their outcomes and reports their
+// endings; then it ends. Nothing is cut off before the stop timeout.
+//
+// Invariants: a router that cannot serve says so on /readyz before it refuses
+// anything; a stop that is asked for twice is the same stop.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"shallotkeel.example/lib/dialer"
+	"shallotkeel.example/lib/tracer"
+	"shallotkeel.example/router/internal/administrator"
+	"shallotkeel.example/router/internal/claimant"
+	"shallotkeel.example/router/internal/conductor"
+	"shallotkeel.example/router/internal/enroller"
+	"shallotkeel.example/router/internal/follower"
+	"shallotkeel.example/router/internal/registrar"
+	"shallotkeel.example/router/internal/relayer"
+	"shallotkeel.example/router/internal/rotator"
+)
+
+// ErrListen is the kind of the error when an address cannot be listened on.
+var ErrListen = merry.Sentinel("cannot listen")
+
+const (
+	// balancerPause is how long the router goes on taking requests after it has
+	// said that it is not ready, so that the balancer can notice first.
+	balancerPause = 500 * time.Millisecond
+	// settlePause bounds the reports that follow the last request.
+	settlePause   = 2 * time.Second
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeaders    = 64 << 10
+)
+
+// Router is a router process.
+type Router struct {
+	settings  Settings
+	log       zerolog.Logger
+	clock     clockwork.Clock
+	registry  *prometheus.Registry
+	counter   *dialer.Counter
+	tracer    *tracer.Tracer
+	conductor *conductor.Conductor
+	follower  *follower.Follower
+	claimant  *claimant.Claimant
+	relayer   *relayer.Relayer
+	public    *http.Server
+	control   *http.Server
+	stopping  atomic.Bool
+}
+
+// New builds a router.
+func New(ctx context.Context, settings Settings, log zerolog.Logger, clock clockwork.Clock) (*Router, error) {
+	r := &Router{
+		settings: settings,
+		log:      log.With().Str("router", settings.Name).Str("zone", settings.Zone).Logger(),
+		clock:    clock,
+		registry: prometheus.NewRegistry(),
+		counter:  &dialer.Counter{},
+	}
+	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	conductor.CountBytes(r.registry, r.counter)
+	traces, err := tracer.New(ctx, settings.Trace, settings.Name, settings.Zone, r.log)
+	if err != nil {
+		return nil, err
+	}
+	r.tracer = traces
+	// A restart is a new incarnation, so it must rise from one life to the next.
+	r.build(uint64(clock.Now().UnixMilli()))
+	return r, nil
+}
+
+func (r *Router) build(incarnation uint64) {
+	s := r.settings
+	client := dialer.Client(s.Secret, r.counter)
+	keepers := rotator.New(client, s.Keepers)
+	r.conductor = conductor.New(conductor.Options{
+		Name: s.Name, Zone: s.Zone, Incarnation: incarnation, Address: s.Control, Seeds: s.Peers,
+		Alone:     s.Scheduling == SchedulingAlone,
+		Heartbeat: s.Timing.Heartbeat.Duration, SuspectAfter: s.Timing.SuspectAfter.Duration,
+		Compare: s.Timing.Compare.Duration,
+		Client:  client, Clock: r.clock, Log: r.log, Registry: r.registry,
+	})
+	r.follower = follower.New(follower.Options{
+		Name: s.Name, Zone: s.Zone, Keepers: keepers.Keepers(), Publisher: keepers,
+		Peer: r.conductor.Peer, Peers: r.conductor.Peers, Changed: r.conductor.Configured,
+		Clock: r.clock, Log: r.log, Registry: r.registry,
+	})
+	r.claimant = claimant.New(claimant.Options{
+		Keeping: keepers, Name: s.Name, Incarnation: incarnation, Clock: r.clock, Registry: r.registry,
+	})
+	r.relayer = relayer.New(relayer.Options{
+		Enroller: &enroller.Enroller{Conductor: r.conductor, Clock: r.clock},
+		Ruler:    r.follower, Claimer: r.claimant, Quarantine: r.follower,
+		Tracer: r.tracer, Clock: r.clock, Log: r.log, Registry: r.registry, Zone: s.Zone, Name: s.Name,
+		Limits: relayer.Limits{
+			BodyBytes: s.Limits.BodyBytes, Waiting: s.Limits.Waiting, RequestTimeout: s.Limits.RequestTimeout.Duration,
+		},
+	})
+	r.public = &http.Server{
+		Handler: r.publicHandler(keepers), ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders,
+	}
+	controlMux := http.NewServeMux()
+	r.conductor.Register(controlMux, r.follower)
+	r.control = dialer.Server(s.Secret, controlMux)
+}
+
+func (r *Router) publicHandler(keepers *rotator.Rotator) http.Handler {
+	mux := http.NewServeMux()
+	r.relayer.Register(mux)
+	registrar.New(registrar.Options{
+		Announcer: r.conductor, Token: r.settings.EndpointToken, Zone: r.settings.Zone,
+		Clock: r.clock, Log: r.log, Registry: r.registry,
+	}).Register(mux)
+	administrator.New(administrator.Options{
+		Keeping: keepers, Reporter: &status{router: r, keepers: keepers}, Explainer: explainer(r.relayer),
+		Token: r.settings.OperatorToken, Log: r.log,
+	}).Register(mux)
+	mux.HandleFunc("GET /healthz", r.healthz)
+	mux.HandleFunc("GET /readyz", r.readyz)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// Run serves until the context ends, and then stops as described above.
+func (r *Router) Run(ctx context.Context) error {
+	public, control, err := r.listen()
+	if err != nil {
+		return err
+	}
+	control = dialer.Listener(control, r.counter)
+	failed := make(chan error, 2)
+	go func() { failed <- r.public.Serve(public) }()
+	go func() { failed <- r.control.Serve(control) }()
+	// The machinery outlives ctx: it finishes what is in progress.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { r.conductor.Run(work) })
+	group.Go(func() { r.follower.Run(work) })
+	r.log.Info().Stringer("listen", public.Addr()).Stringer("control", control.Addr()).Msg("serving")
+	select {
+	case err = <-failed:
+		err = merry.Errorf("%w: %v; restart the router", ErrListen, err)
+	case <-ctx.Done():
+		err = r.stop(context.WithoutCancel(ctx))
+	}
+	cancel()
+	_ = r.control.Close()
+	_ = r.public.Close()
+	group.Wait()
+	return err
+}
+
+func (r *Router) listen() (public, control net.Listener, err error) {
+	const remedy = "free the address, or set another in the settings"
+	if public, err = net.Listen("tcp", r.settings.Listen.String()); err != nil {
+		return nil, nil, merry.Errorf("%w: listen: %v; %s", ErrListen, err, remedy)
+	}
+	if control, err = net.Listen("tcp", r.settings.Control.String()); err != nil {
+		public.Close()
+		return nil, nil, merry.Errorf("%w: control: %v; %s", ErrListen, err, remedy)
+	}
+	return public, control, nil
+}
+
+// stop is the planned stop.
+func (r *Router) stop(ctx context.Context) error {
+	r.log.Info().Msg("stopping")
+	r.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Limits.StopTimeout.Or(defaultStopTimeout))
+	defer cancel()
+	r.conductor.Leave(ctx)
+	r.sleep(ctx, balancerPause)
+	if d, drains := any(r.relayer).(drainer); drains {
+		if err := d.Drain(ctx); err != nil {
+			r.log.Warn().Err(err).Msg("requests were still in progress at the stop timeout")
+		}
+	}
+	err := r.public.Shutdown(ctx)
+	settle, done := context.WithTimeout(context.WithoutCancel(ctx), settlePause)
+	defer done()
+	if recorded := r.claimant.Drain(settle); recorded != nil {
+		r.log.Warn().Err(recorded).Msg("outcomes are lost")
+	}
+	r.conductor.Flush(settle)
+	_ = r.tracer.Shutdown(settle) // spans are lost if their collector is gone
+	if errors.Is(err, context.DeadlineExceeded) {
+		return merry.Errorf("requests were cut off at the stop timeout; raise limits.stop_timeout")
+	}
+	r.log.Info().Msg("stopped")
+	return err
+}
+
+// drainer is a relayer that can wait for its requests.
+type drainer interface {
+	Drain(ctx context.Context) error
+}
+
+func (r *Router) sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(pause):
+	}
+}
--- /dev/null
+++ b/router/internal/conductor/peers.go
@@ -0,0 +1,66 @@
+package conductor
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"shallotkeel.example/lib/messenger"
+)
+
+// peer is the clients of one other router.
+type peer struct {
+	scheduling messenger.Scheduling
+	granting   messenger.Granting
+	membership messenger.Membership
+}
+
+// maxPeers bounds the clients that are kept; connections of forgotten ones
+// close when they are idle.
+const maxPeers = 1024
+
+// peers keeps the clients by control address.
+type peers struct {
+	client *http.Client
+	mutex  sync.Mutex
+	known  map[netip.AddrPort]*peer
+}
+
+func newPeers(client *http.Client) *peers {
+	return &peers{client: client, known: make(map[netip.AddrPort]*peer)}
+}
+
+func (p *peers) get(address netip.AddrPort) *peer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if found := p.known[address]; found != nil {
+		return found
+	}
+	if len(p.known) >= maxPeers {
+		clear(p.known)
+	}
+	url := "http://" + address.String()
+	made := &peer{
+		scheduling: messenger.NewSchedulingProtobufClient(url, p.client),
+		granting:   messenger.NewGrantingProtobufClient(url, p.client),
+		membership: messenger.NewMembershipProtobufClient(url, p.client),
+	}
+	p.known[address] = made
+	return made
+}
+
+// call runs a call to another router in a goroutine of its own and sends the
+// result to the control goroutine.
+func call[Q, A any](c *Conductor, kind string, method func(context.Context, *Q) (*A, error), request *Q, finish func(*A, error)) {
+	c.metrics.messages.WithLabelValues(kind).Inc()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		answer, err := method(ctx, request)
+		if err != nil {
+			c.metrics.failures.WithLabelValues(kind).Inc()
+		}
+		c.post(func() { finish(answer, err) })
+	}()
+}
--- /dev/null
+++ b/router/internal/conductor/server.go
@@ -0,0 +1,85 @@
+package conductor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"shallotkeel.example/lib/messenger"
+)
+
+// Snapshots gives the configuration in force, for routers that reach no keeper.
+type Snapshots interface {
+	Snapshot(ctx context.Context, request *messenger.WatchRequest) (*messenger.WatchResponse, error)
+}
+
+// server answers the calls of other routers.
+type server struct {
+	conductor *Conductor
+	snapshots Snapshots
+}
+
+// Register serves Scheduling, Granting and Membership.
+func (c *Conductor) Register(mux *http.ServeMux, snapshots Snapshots) {
+	s := &server{conductor: c, snapshots: snapshots}
+	scheduling := messenger.NewSchedulingServer(s)
+	granting := messenger.NewGrantingServer(s)
+	membership := messenger.NewMembershipServer(s)
+	mux.Handle(scheduling.PathPrefix(), scheduling)
+	mux.Handle(granting.PathPrefix(), granting)
+	mux.Handle(membership.PathPrefix(), membership)
+}
+
+// serve runs an answer on the control goroutine.
+func serve[Q, A any](ctx context.Context, s *server, request *Q, answer func(time.Time, *Q) *A) (*A, error) {
+	var result *A
+	c := s.conductor
+	if !c.do(ctx, func() { result = answer(c.clock.Now(), request) }) {
+		return nil, twirp.NewError(twirp.Unavailable, "this router is stopping; call its successor")
+	}
+	return result, nil
+}
+
+// Exchange takes a router's batch.
+func (s *server) Exchange(ctx context.Context, q *messenger.ExchangeRequest) (*messenger.ExchangeResponse, error) {
+	return serve(ctx, s, q, s.conductor.receive)
+}
+
+// Announce takes an endpoint's announcement.
+func (s *server) Announce(ctx context.Context, q *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+	return serve(ctx, s, q, s.conductor.receiveAnnouncement)
+}
+
+// Compare takes another zone's offer.
+func (s *server) Compare(ctx context.Context, q *messenger.CompareRequest) (*messenger.CompareResponse, error) {
+	return serve(ctx, s, q, s.conductor.receiveCompare)
+}
+
+// Handover takes a pool's counters.
+func (s *server) Handover(ctx context.Context, q *messenger.HandoverRequest) (*messenger.HandoverResponse, error) {
+	return serve(ctx, s, q, s.conductor.takeOver)
+}
+
+// Grant takes a scheduler's grants.
+func (s *server) Grant(ctx context.Context, q *messenger.GrantRequest) (*messenger.GrantResponse, error) {
+	return serve(ctx, s, q, func(_ time.Time, q *messenger.GrantRequest) *messenger.GrantResponse {
+		return s.conductor.grant(q)
+	})
+}
+
+// Heartbeat answers another router's heartbeat.
+func (s *server) Heartbeat(ctx context.Context, q *messenger.HeartbeatRequest) (*messenger.HeartbeatResponse, error) {
+	return serve(ctx, s, q, func(now time.Time, q *messenger.HeartbeatRequest) *messenger.HeartbeatResponse {
+		return s.conductor.detector.Receive(now, q)
+	})
+}
+
+// Snapshot gives the configuration in force here.
+func (s *server) Snapshot(ctx context.Context, q *messenger.WatchRequest) (*messenger.WatchResponse, error) {
+	if s.snapshots == nil {
+		return &messenger.WatchResponse{}, nil
+	}
+	return s.snapshots.Snapshot(ctx, q)
+}
--- /dev/null
+++ b/router/internal/enroller/enroller.go
@@ -0,0 +1,102 @@
+// Package enroller gets slots for the relayer from the pools' schedulers.
+//
+// Invariants: a request that is withdrawn while its grant arrives gives the
+// slot back; a slot is given back once; progress reaches the control goroutine
+// at most once in a while, however many tokens stream.
+package enroller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"shallotkeel.example/lib/enlister"
+	"shallotkeel.example/lib/scheduler"
+	"shallotkeel.example/router/internal/conductor"
+	"shallotkeel.example/router/internal/relayer"
+)
+
+// ErrStopped is the kind of the error after the control goroutine has ended.
+var ErrStopped = merry.Sentinel("this router has stopped")
+
+// progressEvery is how often a slot passes progress on. The scheduler is told
+// about once a second; a token a call would cost more than the token.
+const progressEvery = 200 * time.Millisecond
+
+// Enroller implements relayer.Enroller.
+type Enroller struct {
+	Conductor *conductor.Conductor
+	Clock     clockwork.Clock
+}
+
+// Enrol waits for a slot until the context ends.
+func (e *Enroller) Enrol(ctx context.Context, waiting relayer.Waiting) (relayer.Slot, error) {
+	waiter := e.Conductor.Enrol(ctx, waiting.Service, scheduler.Ticket{
+		Workspace: waiting.Workspace, Model: waiting.Model, Hint: waiting.Hint, Prompt: waiting.Prompt,
+		Prefix: waiting.Prefix, Waited: waiting.Waited, Avoid: waiting.Avoid, Alone: waiting.Alone,
+	})
+	if waiter == nil {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		return nil, merry.Errorf("%w; send the request to another router", ErrStopped)
+	}
+	select {
+	case outcome := <-waiter.Outcome:
+		return e.answer(waiter, outcome)
+	case <-ctx.Done():
+		// If the grant is on its way, this gives its slot back unused.
+		waiter.Finish(scheduler.Finish{Ending: scheduler.Cancelled})
+		return nil, ctx.Err()
+	}
+}
+
+func (e *Enroller) answer(waiter *conductor.Waiter, outcome enlister.Outcome) (relayer.Slot, error) {
+	switch o := outcome.(type) {
+	case enlister.Granted:
+		return &slot{waiter: waiter, granted: o, clock: e.Clock}, nil
+	case enlister.Refused:
+		return nil, &relayer.Refused{Code: o.Reason, Retry: o.Retry}
+	default:
+		return nil, merry.Errorf("%w; send the request to another router", ErrStopped)
+	}
+}
+
+// slot implements relayer.Slot.
+type slot struct {
+	waiter  *conductor.Waiter
+	granted enlister.Granted
+	clock   clockwork.Clock
+	told    time.Time
+	once    sync.Once
+}
+
+// Endpoint is the id of the endpoint to send to.
+func (s *slot) Endpoint() string { return s.granted.Endpoint }
+
+// Incarnation is the endpoint's incarnation.
+func (s *slot) Incarnation() uint64 { return s.granted.Incarnation }
+
+// Address is where the endpoint listens.
+func (s *slot) Address() netip.AddrPort { return s.granted.Address }
+
+// Progress tells the units used in all so far.
+func (s *slot) Progress(charged uint32) {
+	now := s.clock.Now()
+	if now.Sub(s.told) < progressEvery {
+		return
+	}
+	s.told = now
+	s.waiter.Progress(charged)
+}
+
+// Finish gives the slot back.
+func (s *slot) Finish(charged uint32, ending scheduler.Ending, first, took time.Duration) {
+	s.once.Do(func() {
+		s.waiter.Finish(scheduler.Finish{Charged: charged, Ending: ending, First: first, Took: took})
+	})
+}
--- a/router/main.go
+++ b/router/main.go
@@ -1,4 +1,37 @@
-// Package main is the router program of shallotkeel.
+// Package main is the router program of shallotkeel: it takes callers'
+// requests, endpoints' announcements and operators' changes, and schedules
+// some pools of its availability zone.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/starter"
+	"shallotkeel.example/router/internal/assembler"
+)
+
+const purpose = "Routes requests of workspaces to model engines and plain services, in fair shares."
+
+func main() {
+	os.Exit(starter.Main("router", purpose, os.Args[1:], run))
+}
+
+func run(ctx context.Context, options starter.Options, log zerolog.Logger) error {
+	var settings assembler.Settings
+	if err := loader.Load(options.Settings, &settings); err != nil {
+		return err
+	}
+	if options.Check {
+		return nil
+	}
+	router, err := assembler.New(ctx, settings, log, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	return router.Run(ctx)
+}
