Report pools, endpoints, routers and keepers to operators

A router that starts before any configuration was accepted asked its keeper to wait for news for twenty seconds and was not ready meanwhile; it now asks without waiting until something is known.

--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -134,7 +134,7 @@
 		Clock: r.clock, Log: r.log, Registry: r.registry,
 	}).Register(mux)
 	administrator.New(administrator.Options{
-		Keeping: keepers, Reporter: &status{router: r, keepers: keepers}, Explainer: explainer(r.relayer),
+		Keeping: keepers, Reporter: &status{router: r, keepers: keepers.Keepers()}, Explainer: explainer(r.relayer),
 		Token: r.settings.OperatorToken, Log: r.log,
 	}).Register(mux)
 	mux.HandleFunc("GET /healthz", r.healthz)
--- a/router/internal/assembler/status.go
+++ b/router/internal/assembler/status.go
@@ -1,44 +1,159 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
 
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/reporter"
 	"shallotkeel.example/router/internal/administrator"
 	"shallotkeel.example/router/internal/relayer"
-	"shallotkeel.example/router/internal/rotator"
+)
+
+const (
+	// statusTimeout bounds the question to one keeper.
+	statusTimeout = time.Second
+	// staleRouter is how long after its last poll a router counts as not heard:
+	// a poll takes up to twenty seconds.
+	staleRouter     = 30 * time.Second
+	roleLeader      = "leader"
+	roleVoter       = "voter"
+	roleLearner     = "learner"
+	roleUnreachable = "unreachable"
 )
 
 // status implements administrator.Reporter.
 type status struct {
 	router  *Router
-	keepers *rotator.Rotator
+	keepers []messenger.Keeping
 }
 
-// Status gathers what this router and the keepers know.
+// Status gathers what the routers and the keepers know. It answers with what
+// it got: an operator needs it most when parts of the fleet do not answer.
 func (s *status) Status(ctx context.Context) (reporter.Status, error) {
-	answer := reporter.Status{
-		Warnings: []string{}, Revision: s.router.follower.Rules().Revision, Stale: s.router.follower.Stale(),
-	}
-	if seen, err := s.keepers.Status(ctx, &messenger.KeeperStatusRequest{}); err != nil {
-		answer.Warnings = append(answer.Warnings, "no keeper answers: "+err.Error())
-	} else {
-		answer.Routers = routersSeen(seen)
+	answers := s.askKeepers(ctx)
+	answer, silent := s.router.conductor.Report(ctx)
+	rules := s.router.follower.Rules()
+	answer.Warnings = []string{}
+	answer.Revision, answer.Stale = rules.Revision, s.router.follower.Stale()
+	answer.Keepers = s.keepersOf(answers)
+	for _, keeper := range answer.Keepers {
+		answer.Revision = max(answer.Revision, keeper.Revision)
 	}
+	answer.Routers = mergeRouters(answer.Routers, answers)
+	s.warn(&answer, silent)
 	return answer, nil
 }
 
-func routersSeen(seen *messenger.KeeperStatusResponse) []reporter.Router {
-	var routers []reporter.Router
-	for _, router := range seen.GetRouters() {
-		routers = append(routers, reporter.Router{
-			Name: router.GetRouter(), Zone: router.GetZone(), InForce: router.GetInForce(), AgeMS: int64(router.GetAgeMs()),
+func (s *status) askKeepers(ctx context.Context) []*messenger.KeeperStatusResponse {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	answers := make([]*messenger.KeeperStatusResponse, len(s.keepers))
+	var group sync.WaitGroup
+	for at, keeper := range s.keepers {
+		group.Go(func() {
+			// A keeper that does not answer is listed as unreachable.
+			answers[at], _ = keeper.Status(ctx, &messenger.KeeperStatusRequest{Local: true})
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+func (s *status) keepersOf(answers []*messenger.KeeperStatusResponse) []reporter.Keeper {
+	var keepers []reporter.Keeper
+	for at, answer := range answers {
+		if answer == nil {
+			keepers = append(keepers, reporter.Keeper{Name: s.router.settings.Keepers[at].String(), Role: roleUnreachable})
+			continue
+		}
+		keepers = append(keepers, reporter.Keeper{
+			Name: answer.GetName(), Zone: answer.GetZone(), Role: roleOf(answer), Term: answer.GetTerm(),
+			Applied: answer.GetApplied(), Revision: answer.GetRevision(), Quorum: answer.GetQuorum(),
 		})
 	}
+	return keepers
+}
+
+func roleOf(answer *messenger.KeeperStatusResponse) string {
+	if answer.GetLeader() == answer.GetName() && answer.GetQuorum() {
+		return roleLeader
+	}
+	for _, keeper := range answer.GetKeepers() {
+		if keeper.GetName() == answer.GetName() && keeper.GetRole() == messenger.Role_ROLE_VOTER {
+			return roleVoter
+		}
+	}
+	return roleLearner
+}
+
+// mergeRouters lays what the keepers have seen beside what the routers said of
+// themselves, which is newer.
+func mergeRouters(told []reporter.Router, answers []*messenger.KeeperStatusResponse) []reporter.Router {
+	merged := make(map[string]reporter.Router)
+	for _, answer := range answers {
+		for _, seen := range answer.GetRouters() {
+			router := reporter.Router{
+				Name: seen.GetRouter(), Zone: seen.GetZone(), InForce: seen.GetInForce(), AgeMS: int64(seen.GetAgeMs()),
+			}
+			if known, found := merged[router.Name]; !found || router.AgeMS < known.AgeMS {
+				merged[router.Name] = router
+			}
+		}
+	}
+	for _, router := range told {
+		merged[router.Name] = router
+	}
+	routers := make([]reporter.Router, 0, len(merged))
+	for _, router := range merged {
+		routers = append(routers, router)
+	}
+	slices.SortFunc(routers, func(a, b reporter.Router) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Name, b.Name))
+	})
 	return routers
 }
 
+// warn lists what an operator should look at.
+func (s *status) warn(answer *reporter.Status, silent []string) {
+	warn := func(format string, values ...any) {
+		answer.Warnings = append(answer.Warnings, fmt.Sprintf(format, values...))
+	}
+	if answer.Stale {
+		warn("the configuration at this router may be stale: no quorum of keepers answers it; check the keepers")
+	}
+	for _, keeper := range answer.Keepers {
+		if keeper.Role == roleUnreachable {
+			warn("keeper %s does not answer; start it or check the network", keeper.Name)
+		} else if !keeper.Quorum {
+			warn("keeper %s has no contact with a quorum; check the other keepers", keeper.Name)
+		}
+	}
+	if len(silent) > 0 {
+		warn("routers %s do not answer; start them or check the network", strings.Join(silent, ", "))
+	}
+	for _, router := range answer.Routers {
+		if router.InForce < answer.Revision && router.AgeMS < staleRouter.Milliseconds() {
+			warn("router %s has revision %d in force, %d is the newest", router.Name, router.InForce, answer.Revision)
+		}
+	}
+	for _, pool := range answer.Pools {
+		if pool.Waiting > 0 && pool.Slots == 0 {
+			warn("%d requests wait for service %s in %s, which has no endpoint there", pool.Waiting, pool.Service, pool.Zone)
+		}
+	}
+	for _, endpoint := range answer.Endpoints {
+		if endpoint.State == "suspect" {
+			warn("endpoint %s fails or shows no progress; look at its own log", endpoint.ID)
+		}
+	}
+}
+
 // unexplained is for a relayer that keeps no explanations.
 type unexplained struct{}
 
--- a/router/internal/follower/follower.go
+++ b/router/internal/follower/follower.go
@@ -190,14 +190,17 @@
 // not answer, has no quorum, or is behind this router.
 func (f *Follower) poll(ctx context.Context) {
 	f.mutex.Lock()
-	after, stale, at := f.state.snapshot.Revision, f.state.stale, f.keeper
+	after, stale, known, at := f.state.snapshot.Revision, f.state.stale, f.state.known, f.keeper
 	f.mutex.Unlock()
 	if len(f.options.Keepers) == 0 {
 		f.pause(ctx)
 		return
 	}
 	wait := pollWait
-	if stale {
+	switch {
+	case !known:
+		wait = 0 // a fleet without any configuration has no news to wait for
+	case stale:
 		wait = staleWait
 	}
 	answer, err := f.watch(ctx, f.options.Keepers[at%len(f.options.Keepers)], after, wait)
