--- a/lib/scheduler/exchange.go
+++ b/lib/scheduler/exchange.go
@@ -61,6 +61,9 @@
 	}
 	p.merge(now, c.Origin, c.Totals)
 	from := p.zone(c.Zone)
+	if now.Sub(from.heard) > demandMemory {
+		p.ledger.ResendAll()
+	}
 	from.hear(now)
 	from.idle = c.Idle
 	p.wake(now.Add(demandMemory))
@@ -84,18 +87,19 @@
 		if w == nil {
 			w = p.workspace(change.Account.Workspace)
 		}
-		p.moved(w, change.Jump)
+		p.moved(w, change)
 	}
 }
 
-func (p *Pool) moved(w *workspace, jump float64) {
-	if jump > jumpShare*p.debt() {
-		w.lead = max(w.lead, w.account.Counter()-jump-p.standing(w), 0)
+func (p *Pool) moved(w *workspace, change accountant.Change) {
+	switch {
+	case change.Rejoined && !w.jumped:
 		w.jumped = true
-	} else {
-		p.peakJump = max(p.peakJump, jump)
+		w.lead = max(0, w.account.Counter()-change.Jump-p.standing(w))
+	case !change.Rejoined:
+		p.peakJump = max(p.peakJump, change.Jump)
 	}
-	if w.waiting > 0 {
+	if len(w.active) > 0 {
 		p.forgive(w)
 	}
 	p.reprice(w)
@@ -161,21 +165,28 @@
 		}
 		p.reprice(w)
 	}
+	p.noteAbroad()
 }
 
-// admitDemand lets demand compete. One that is new here has had no work in the
-// fleet, or comes back after a cut: it may bring credit up to the bound of debt.
+// admitDemand lets demand compete. Its own zone has lifted it when it came up.
 func (p *Pool) admitDemand(now time.Time, l *lane) {
-	w := l.workspace
-	if now.Sub(l.demanded) > demandMemory && w.waiting == 0 {
-		w.account.LiftTo(p.standing(w) - p.debt())
-		p.forgive(w)
-	}
-	l.demanded = now
+	p.forgive(l.workspace)
 	p.activate(now, l)
 	l.settle()
 }
 
+// noteAbroad remembers the smallest counter that waits in other zones.
+func (p *Pool) noteAbroad() {
+	p.abroad = 0
+	for _, w := range p.order {
+		for _, l := range w.active {
+			if counter := w.account.Counter(); l.remote() && (p.abroad == 0 || counter < p.abroad) {
+				p.abroad = counter
+			}
+		}
+	}
+}
+
 func (p *Pool) dropDemand(l *lane) {
 	l.count = 0
 	l.settle()
@@ -205,6 +216,7 @@
 			continue
 		}
 		z.idle = 0
+		p.abroad = 0
 		p.releaseHolds(now, z)
 		for _, w := range p.order {
 			for _, l := range slices.Clone(w.active) {
--- a/lib/scheduler/exchange_test.go
+++ b/lib/scheduler/exchange_test.go
@@ -106,6 +106,7 @@
 	m.apply(far(1000))
 	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "two"}, scheduler.Ticket{Seq: 2, Workspace: "two"},
 		scheduler.Ticket{Seq: 3, Workspace: "one"})
+	m.now = m.now.Add(time.Minute)
 	m.apply(far(1000 + 100_000))
 	m.apply(far(1000 + 100_000)) // repeated
 	m.apply(far(900))            // late
@@ -131,3 +132,17 @@
 	compare(p.far, p.near)
 	require.EqualValues(t, 5300, p.near.pool.History()[0].Charged)
 }
+
+// Symptom: a workspace that was idle in the whole fleet takes all of another
+// zone's slots. Sequence: its zone has had no work for long, and no slots; far
+// workspaces wait at high counters. Cause: it is lifted only to what its own
+// zone has seen.
+func TestNewcomerIsLiftedToThoseThatWaitAbroad(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1})
+	m.apply(scheduler.History{Totals: []scheduler.Total{{Workspace: "two", Charged: 9000}}})
+	m.apply(scheduler.Compared{Zone: "verona-b", Origin: 2, Demand: []scheduler.Demand{{Workspace: "two", Model: "draft", Waiting: 3}}})
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	for _, w := range m.pool.Stats(m.now).Workspaces {
+		require.InDelta(t, 9000, w.Counter, 1, w.Workspace)
+	}
+}
--- a/lib/scheduler/expire.go
+++ b/lib/scheduler/expire.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// peakAge is how long a peak of work in flight takes to lose half.
-	peakAge = 10 * time.Second
+	// peakAge is how long a remembered peak takes to fall to the share peakHalf.
+	peakAge  = 10 * time.Second
+	peakHalf = 0.5
 	// routerMemory is how long the incarnation of a router that is gone is
 	// remembered, so that a late report of that life is not taken for news.
 	routerMemory = 10 * time.Minute
--- a/lib/scheduler/lane.go
+++ b/lib/scheduler/lane.go
@@ -33,7 +33,6 @@
 	counter   float64 // key in the heap
 	created   uint64
 	stranded  time.Time // since when set is empty, zero if it is not
-	demanded  time.Time // when its zone last told demand
 }
 
 func (l *lane) remote() bool {
--- a/lib/scheduler/pool.go
+++ b/lib/scheduler/pool.go
@@ -18,7 +18,7 @@
 	// Plain says that units are milliseconds of busy time, not tokens.
 	Plain bool
 	// Debt bounds what a workspace that is ahead has to wait for the others,
-	// in units by weight. By default it follows the work in flight.
+	// in units by weight. By default it is some requests of the mean cost.
 	Debt float64
 	// Lease is how long a loan lasts without being renewed.
 	Lease time.Duration
@@ -103,6 +103,7 @@
 	largest      float64 // cost of one request, units
 	margin       float64
 	level        float64 // standing at endpoints that have served nobody yet
+	abroad       float64 // smallest counter that waits in other zones, 0 if none
 	answering    *zone   // whose exchange is being answered
 	lending      []Loan
 	generation   uint64 // of the groups
--- a/lib/scheduler/workspace.go
+++ b/lib/scheduler/workspace.go
@@ -12,8 +12,8 @@
 	waiting  int     // tickets
 	running  int
 	reserved uint64 // units estimated for running requests and not yet charged
-	// jumped says that a merge moved the counter far at once, as after a cut;
-	// lead is how far ahead the workspace was before.
+	// jumped says that a merge brought what happened during a cut; lead is how
+	// far ahead the workspace was before.
 	jumped bool
 	lead   float64
 }
@@ -90,40 +90,42 @@
 }
 
 // lift raises the counter of a workspace that becomes backlogged, so that the
-// time it had no work banks no credit against those that had.
+// time it had no work banks no credit against those that had. Where nobody waits
+// here, its rivals are those who wait in other zones.
 func (p *Pool) lift(w *workspace) {
-	w.account.LiftTo(p.standing(w))
+	counter := p.standing(w)
+	if p.waiting == 0 {
+		counter = max(counter, p.abroad)
+	}
+	w.account.LiftTo(counter)
 }
 
-// forgive writes off what a workspace owes beyond the bound after a merge moved
-// its counter far at once. Without it, a workspace served in both halves of a
-// cut would wait, when they rejoin, until all others have caught up.
+// forgive writes off what a workspace owes beyond the bound after a cut. Without
+// it, a workspace served in both halves, or in the richer one, would wait, when
+// they rejoin, until all others have caught up. Those behind are not lifted
+// besides: the two together would turn the debt around.
 func (p *Pool) forgive(w *workspace) {
 	if !w.jumped {
 		return
 	}
 	w.jumped = false
-	w.account.ForgiveTo(p.standing(w) + max(p.debt(), w.lead))
+	lead := w.lead
+	w.lead = 0
+	w.account.ForgiveTo(p.standing(w) + max(p.debt(), lead))
 }
 
-// Constants of the default bound of debt.
+// Limits of the default bound of debt.
 const (
-	debtFactor = 2
-	leastDebt  = 1024 // units by weight
-	// jumpShare of the debt is the least move of a counter in one merge that
-	// counts as the end of a cut. What one exchange brings is smaller.
-	jumpShare = 0.25
-	// peakHalf is how much of the peak in flight is left after a peakAge.
-	peakHalf = 0.5
+	debtRequests = 8 // requests of the mean cost
+	leastDebt    = 1024
 )
 
-// debt is how far ahead a workspace may be after a cut. It exceeds what work in
-// flight accounts for, so that ordinary differences are never written off.
+// debt is how far ahead a workspace may be after a cut, in units by weight.
 func (p *Pool) debt() float64 {
 	if p.options.Debt > 0 {
 		return p.options.Debt
 	}
-	return max(leastDebt, debtFactor*(p.peakInFlight+p.estimator.Mean()))
+	return max(leastDebt, debtRequests*p.estimator.Mean())
 }
 
 // notePeak remembers the most that one workspace had in flight lately.
