Stop the routers of a zone in turn, under more load

Cause: the second planned stop hit the same router, because rendezvous hashing had handed the pools back to it.

--- a/bench/internal/faults/routers.go
+++ b/bench/internal/faults/routers.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	usualRate = 60.0 // requests a second over all routers
+	usualRate = 120.0 // requests a second over all routers
 	usualTime = 6 * time.Second
 	// freezeTime is longer than every lease of the system.
 	freezeTime = 5 * time.Second
@@ -28,7 +28,7 @@
 		{fault: "kill -9 router", step: "under load, the scheduler", run: func(b *bed) error { return killRouter(b, b.scheduler) }},
 		{fault: "SIGTERM router", step: "long streams, not the scheduler", run: func(b *bed) error { return stopRouter(b, b.bystander) }},
 		{fault: "SIGTERM router", step: "long streams, the scheduler", run: func(b *bed) error { return stopRouter(b, b.scheduler) }},
-		{fault: "SIGTERM router", step: "twice in a row, the scheduler", run: stopTwice},
+		{fault: "SIGTERM router", step: "one after the other, the scheduler first", run: stopInTurn},
 		{fault: "restart router", step: "with no memory, under load", run: restartRouter},
 		{fault: "freeze router", step: "the scheduler, longer than the lease", run: freezeScheduler},
 	}
@@ -44,6 +44,7 @@
 		return err
 	}
 	b.send(b.everyone(usualRate, b.mix()), usualTime)
+	b.streams(victim, 6)
 	b.sleep(usualTime / 3)
 	victim.Process().Kill()
 	took, err := b.answers(zoneA, recoverLimit)
@@ -123,16 +124,22 @@
 	return nil
 }
 
-// stopTwice: the router that takes the pools over is stopped in its turn, as
-// in a rolling restart.
-func stopTwice(b *bed) error {
+// stopInTurn: every router of the zone is stopped and started again, as in a
+// rolling restart; the one that has just taken the pools over is next.
+func stopInTurn(b *bed) error {
+	scheduler, err := b.scheduler(zoneA, b.deployment.Model)
+	if err != nil {
+		return err
+	}
+	other, err := b.bystander(zoneA, b.deployment.Model)
+	if err != nil {
+		return err
+	}
 	b.send(b.everyone(usualRate, b.mix()), 2*usualTime)
-	for range 2 {
+	for _, victim := range []*launcher.Node{scheduler, other} {
 		b.sleep(warmUp)
-		victim, err := b.scheduler(zoneA, b.deployment.Model)
-		if err != nil {
-			return err
-		}
+		b.streams(victim, 6)
+		b.sleep(warmUp / 2)
 		if err := b.stopped(victim); err != nil {
 			return err
 		}
@@ -140,7 +147,7 @@
 			return err
 		}
 	}
-	_, err := b.judge()
+	_, err = b.judge()
 	return err
 }
 
