--- a/lib/enlister/desk.go
+++ b/lib/enlister/desk.go
@@ -19,6 +19,10 @@
 	numbers  uint32
 }
 
+// SilentAfter is how long a router may say nothing while the desk holds
+// requests of its. Routers with requests speak every second.
+const SilentAfter = 5 * time.Second
+
 // session is one enrolment of a router.
 type session struct {
 	id     uint32
@@ -27,6 +31,8 @@
 	number uint64 // of the last batch that was applied
 	reply  *messenger.ExchangeResponse
 	names  reader
+	heard  time.Time
+	held   map[uint64]bool // requests that the pool knows of
 
 	pending []scheduler.Action // grants and refusals not yet in a message
 	answers writer
@@ -127,30 +133,31 @@
 			return &messenger.ExchangeResponse{NotHere: true}
 		case old.router == router && request.GetNumber() <= old.number:
 			return d.repeat(old, request.GetNumber())
-		case old.router != router:
-			d.Gone(now, old.router)
 		}
 	}
 	if d.sessions == nil {
 		d.sessions = make(map[string]*session)
 	}
 	d.numbers++
-	s := &session{id: d.numbers, router: router, full: request.GetNumber()}
+	s := &session{id: d.numbers, router: router, full: request.GetNumber(), held: make(map[uint64]bool)}
 	d.sessions[router.Name] = s
 	return d.apply(now, s, request)
 }
 
 func (d *Desk) apply(now time.Time, s *session, request *messenger.ExchangeRequest) *messenger.ExchangeResponse {
 	s.number = request.GetNumber()
+	s.heard = now
 	s.names.extend(request.GetNames())
+	s.hold(request)
 	news := report(&s.names, s.router, request)
 	if news.Full {
 		var seqs []uint64
 		for _, t := range news.Tickets {
 			seqs = append(seqs, t.Seq)
 		}
+		// A slot that this frees may go to another ticket of this router at once;
+		// that grant belongs to the new session.
 		d.Apply(now, scheduler.Declinations{Router: s.router, Seqs: seqs})
-		s.pending = nil
 	}
 	d.Apply(now, news)
 	s.reply = &messenger.ExchangeResponse{Scheduler: d.Incarnation}
@@ -159,10 +166,30 @@
 	}
 	s.reply.Grants, s.reply.Refusals = encodeActions(&s.answers, s.pending)
 	s.reply.Names = s.answers.take()
+	s.settle(s.reply.GetRefusals())
 	s.pending = nil
 	return s.reply
 }
 
+// settle forgets requests that need nothing more.
+func (s *session) settle(refusals []*messenger.Refusal) {
+	for _, refusal := range refusals {
+		delete(s.held, refusal.GetSeq())
+	}
+}
+
+func (s *session) hold(request *messenger.ExchangeRequest) {
+	for _, t := range request.GetTickets() {
+		s.held[t.GetSeq()] = true
+	}
+	for _, r := range request.GetRunning() {
+		s.held[r.GetSeq()] = true
+	}
+	for _, f := range request.GetFinished() {
+		delete(s.held, f.GetSeq())
+	}
+}
+
 func encodeActions(w *writer, actions []scheduler.Action) (grants []*messenger.Grant, refusals []*messenger.Refusal) {
 	for _, action := range actions {
 		switch a := action.(type) {
@@ -240,6 +267,10 @@
 		d.Failed(now, call)
 		return
 	}
+	s.settle(s.call.GetRefusals())
+	for _, seq := range response.GetDeclined() {
+		delete(s.held, seq)
+	}
 	s.call, s.calling, s.pause = nil, false, 0
 	if len(response.GetDeclined()) > 0 {
 		d.Apply(now, scheduler.Declinations{Router: s.router, Seqs: response.GetDeclined()})
@@ -266,6 +297,19 @@
 	d.Apply(now, scheduler.RouterGone{Router: router})
 }
 
+// Expire ends the sessions of routers that have been silent although the desk
+// holds requests of theirs. Such a router lives in some other
+// session, or has none of these requests any more: a full batch that arrived
+// late began a session that its router knows nothing of. If it does live here
+// after all, it is asked for everything with its next word.
+func (d *Desk) Expire(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(d.sessions)) {
+		if s := d.sessions[name]; len(s.held) > 0 && now.Sub(s.heard) > SilentAfter {
+			d.Gone(now, s.router)
+		}
+	}
+}
+
 // Routers lists the routers that are enrolled, by name.
 func (d *Desk) Routers() []scheduler.RouterID {
 	var routers []scheduler.RouterID
--- a/router/internal/conductor/hosted.go
+++ b/router/internal/conductor/hosted.go
@@ -142,6 +142,7 @@
 // heartbeats have not got here yet has the suspect time to appear.
 func (c *Conductor) checkRouters(now time.Time) {
 	for _, h := range c.pools {
+		h.desk.Expire(now)
 		for _, router := range h.desk.Routers() {
 			known := h.seen[router]
 			_, live := c.addressOf(router)
