Run each request through its state machine

Cause: outcomes, retries, claims, isolation, the planned stop, explanations and metrics hang together; the handlers now only carry out what the tracker decides. Decisions: slots are given back before the end of an answer is written, so that a slow caller holds nothing; a caller that takes no byte for 20 s counts as gone; a model engine that sends nothing for 10 s is left and its stream resumed, because a frozen process sends no reset; requests that may not repeat use a connection once; a body that a caller sends slowly is awaited before a slot is asked for. Callers that have gone get a code of their own in counters, told to nobody.

--- a/lib/tracker/event.go
+++ b/lib/tracker/event.go
@@ -35,7 +35,7 @@
 // Event is something that happened to a request.
 type Event struct {
 	Kind  EventKind
-	Code  Code          // of Refused and Rejected
+	Code  Code          // of Refused and Rejected; of Broken where no other endpoint would do better
 	Retry time.Duration // when to come back, where the event knows it
 }
 
@@ -109,4 +109,5 @@
 	CodeKeySpent       Code = "key_spent"
 	CodeEndpointFailed Code = "endpoint_failed"
 	CodeTimedOut       Code = "timed_out"
+	CodeCallerGone     Code = "caller_gone" // told to nobody, for counters and explanations
 )
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -194,7 +194,7 @@
 	case Whole:
 		return t.whole()
 	case Broken:
-		return t.broken(now)
+		return t.broken(now, event.Code)
 	}
 	if t.state != Sent {
 		return Action{}
@@ -226,9 +226,9 @@
 	return action
 }
 
-func (t *Tracker) broken(now time.Time) Action {
+func (t *Tracker) broken(now time.Time, final Code) Action {
 	resumable := t.nature.Resumable || !t.begun
-	if t.nature.Repeatable && t.nature.Replayable && resumable {
+	if t.nature.Repeatable && t.nature.Replayable && resumable && final == "" {
 		t.ran = true
 		return t.again(now, scheduler.Failed, CodeEndpointFailed)
 	}
@@ -283,7 +283,7 @@
 		return Action{Step: Detach}
 	}
 	t.detached = true
-	return t.giveUp(CodeTimedOut, 0)
+	return t.giveUp(CodeCallerGone, 0)
 }
 
 // end is the final answer of a request that is not answered.
@@ -308,8 +308,10 @@
 // afterRunning is the code for a request that may have run: reasons that would
 // refuse a request say nothing true about one that was sent already.
 func afterRunning(code Code) Code {
-	if code == CodeTimedOut || code == CodeStopping {
+	switch code {
+	case CodeTimedOut, CodeStopping, CodeCallerGone:
 		return code
+	default:
+		return CodeEndpointFailed
 	}
-	return CodeEndpointFailed
 }
--- a/router/internal/relayer/chat.go
+++ b/router/internal/relayer/chat.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"shallotkeel.example/lib/answerer"
+	"shallotkeel.example/lib/tracker"
 )
 
 // bytesPerToken turns a prompt's size into units before a model has counted it.
@@ -43,21 +44,21 @@
 
 // decodeChat reads a body and prepares the one for the engine. The failure
 // says what is wrong with the body.
-func decodeChat(text []byte) (*chat, *failure) {
+func decodeChat(text []byte) (*chat, *problem) {
 	var body chatBody
 	if err := json.Unmarshal(text, &body); err != nil {
-		return nil, invalid(CodeBadBody, "the body is not a JSON object of a chat completion")
+		return nil, badBody("the body is not a JSON object of a chat completion")
 	}
 	if problem := body.check(); problem != "" {
-		return nil, invalid(CodeBadBody, problem)
+		return nil, badBody(problem)
 	}
 	messages, ok := joinable(body.Messages)
 	if !ok {
-		return nil, invalid(CodeBadBody, "content must be a text or a list of parts with a text")
+		return nil, badBody("content must be a text or a list of parts with a text")
 	}
 	forwarded, err := forwardedBody(text)
 	if err != nil {
-		return nil, invalid(CodeBadBody, "the body is not a JSON object of a chat completion")
+		return nil, badBody("the body is not a JSON object of a chat completion")
 	}
 	prompt := answerer.Prompt(messages)
 	return &chat{
@@ -70,6 +71,10 @@
 	}, nil
 }
 
+func badBody(reason string) *problem {
+	return &problem{tracker.CodeBadBody, reason}
+}
+
 // check returns what is wrong, or nothing.
 func (b *chatBody) check() string {
 	switch {
--- a/router/internal/relayer/endpoint.go
+++ b/router/internal/relayer/endpoint.go
@@ -56,8 +56,3 @@
 func (opaque) Close() error {
 	return nil
 }
-
-// notStarted tells whether the endpoint says that it did not start the request.
-func notStarted(response *http.Response) bool {
-	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerStarted) == "no"
-}
--- a/router/internal/relayer/options.go
+++ b/router/internal/relayer/options.go
@@ -53,6 +53,10 @@
 	StallTimeout time.Duration
 	// DialTimeout bounds the connection to an endpoint; 1 second.
 	DialTimeout time.Duration
+	// EndpointStall is how long a model engine may send nothing, before its
+	// first event or between two, before its answer is resumed elsewhere; 10
+	// seconds. Plain services may take the whole RequestTimeout.
+	EndpointStall time.Duration
 	// Attempts is how many endpoints a request is sent to at most; 4.
 	Attempts int
 	// Explained is how many recent requests can be explained; 1024.
@@ -69,6 +73,7 @@
 	defaultRequestTimeout = 2 * time.Minute
 	defaultStallTimeout   = 20 * time.Second
 	defaultDialTimeout    = time.Second
+	defaultEndpointStall  = 10 * time.Second
 	defaultAttempts       = 4
 	defaultExplained      = 1024
 )
@@ -91,6 +96,7 @@
 		RequestTimeout: orDefault(l.RequestTimeout, defaultRequestTimeout),
 		StallTimeout:   orDefault(l.StallTimeout, defaultStallTimeout),
 		DialTimeout:    orDefault(l.DialTimeout, defaultDialTimeout),
+		EndpointStall:  orDefault(l.EndpointStall, defaultEndpointStall),
 		Attempts:       orDefault(l.Attempts, defaultAttempts),
 		Explained:      orDefault(l.Explained, defaultExplained),
 	}
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -1,170 +1,260 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
-	"net/http"
+	"strconv"
 	"time"
 
+	"shallotkeel.example/lib/isolator"
+	"shallotkeel.example/lib/retrier"
 	"shallotkeel.example/lib/scheduler"
-	"shallotkeel.example/lib/tracer"
+	"shallotkeel.example/lib/tracker"
 )
 
+// run carries out what the tracker decides until the request has its ending.
+func (r *Relayer) run(ctx context.Context, q *request) tracker.Action {
+	action := r.apply(q, tracker.Event{Kind: tracker.Admitted})
+	for {
+		r.settle(q, action)
+		var event tracker.Event
+		switch action.Step {
+		case tracker.Enrol:
+			event = r.enrol(ctx, q)
+		case tracker.Claim:
+			event = r.claimKey(ctx, q)
+		case tracker.Send:
+			event = r.send(ctx, q)
+		case tracker.Replay:
+			return r.replay(q, action)
+		case tracker.Complete:
+			return r.complete(q, action)
+		case tracker.Tell, tracker.Abort, tracker.Vanish:
+			return action
+		default:
+			// An event that does not fit the state is a fault of this package. The
+			// request still gets an ending, and a true one.
+			r.options.Log.Error().Str("id", q.id).Uint8("state", uint8(q.tracker.State())).Msg("request is stuck; ending it")
+			event = tracker.Event{Kind: tracker.Stopped, Retry: retrySoon}
+		}
+		action = r.apply(q, event)
+	}
+}
+
+// apply tells the tracker what happened.
+func (r *Relayer) apply(q *request, event tracker.Event) tracker.Action {
+	return q.tracker.Apply(r.options.Clock.Now(), event)
+}
+
 // enrol waits for a slot.
-func (r *Relayer) enrol(ctx context.Context, waiting Waiting) (Slot, *failure) {
-	slot, err := r.enroller.Enrol(ctx, waiting)
-	var refused *Refused
-	switch {
-	case err == nil:
-		return slot, nil
-	case errors.As(err, &refused):
-		return nil, notRun(Code(refused.Code), refused.Retry)
-	default:
-		return nil, notRun(CodeTimedOut, time.Second)
+func (r *Relayer) enrol(ctx context.Context, q *request) tracker.Event {
+	q.detachable(false)
+	if q.tracker.Attempts() == 0 {
+		return r.enrolFirst(ctx, q)
+	}
+	pause := retrier.Pause(q.tracker.Attempts())
+	r.note(q, "retry", "after "+pause.String(), "it is sent to another endpoint, because the last one failed it")
+	if !r.pause(ctx, pause) {
+		return interruption(ctx)
 	}
+	return r.takeSlot(ctx, q)
 }
 
-func (r *Relayer) runChat(ctx context.Context, q *request, body *chat) *failure {
-	slot, failed := r.enrol(ctx, Waiting{
-		ID: q.id, Service: q.service.Name, Workspace: q.workspace.Name, Model: body.Model,
-		Hint: body.Hint, Prompt: body.Prompt, Prefix: body.Prefix,
-	})
-	if failed != nil {
-		return failed
+// enrolFirst waits in the waiting room. Later attempts wait outside of it: they
+// are bounded by the slots that they came from, and a retry that is refused for
+// a full queue would turn a lost endpoint into a failed request.
+func (r *Relayer) enrolFirst(ctx context.Context, q *request) tracker.Event {
+	now := r.options.Clock.Now
+	retry, entered := r.queue.enter(now(), q.workspace.Name, q.workspace.Queue)
+	if !entered {
+		r.note(q, "refused", "queue full", "too many requests of its workspace waited at this router")
+		return tracker.Event{Kind: tracker.Refused, Code: tracker.CodeQueueFull, Retry: retry}
 	}
-	started := r.options.Clock.Now()
-	order := &sequence{id: q.id}
-	ending, failed := r.chatAttempt(ctx, q, body, slot, order)
-	slot.Finish(uint32(order.next), ending, 0, r.options.Clock.Since(started))
-	return failed
+	r.note(q, "queued", "", "it waits for a slot: other workspaces or its own earlier requests are ahead, or no endpoint that its workspace may use is free")
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(r.drain.closing, func() { cancel(errStopping) })()
+	event := r.takeSlot(waiting, q)
+	r.queue.leave(now(), q.workspace.Name, event.Kind == tracker.SlotGranted)
+	return event
 }
 
-func (r *Relayer) chatAttempt(ctx context.Context, q *request, body *chat, slot Slot, order *sequence) (scheduler.Ending, *failure) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	target := "http://" + slot.Address().String() + "/v1/chat/completions"
-	out, err := http.NewRequestWithContext(ctx, http.MethodPost, target, opaque{bytes.NewReader(body.Body)})
-	if err != nil {
-		return scheduler.Refused, notRun(CodeNoEndpoint, time.Second)
+func (r *Relayer) pause(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-r.options.Clock.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	out.ContentLength = int64(len(body.Body))
-	out.Header.Set("Content-Type", "application/json")
-	r.identify(ctx, q, out)
-	response, err := r.repeatable.RoundTrip(out)
-	if errors.Is(err, errUnreachable) {
-		return scheduler.Unreachable, notRun(CodeNoEndpoint, time.Second)
+}
+
+// takeSlot asks the pool's scheduler, unless the request is quarantined.
+func (r *Relayer) takeSlot(ctx context.Context, q *request) tracker.Event {
+	if event, admitted := r.isolate(ctx, q); !admitted {
+		return event
 	}
-	if err != nil {
-		return scheduler.Failed, unknown(CodeEndpointFailed, 0)
+	ctx, span := r.options.Tracer.Start(ctx, "wait")
+	slot, err := r.askScheduler(ctx, q)
+	if err == nil {
+		span.End("")
+		q.slot = slot
+		q.spent = attempt{began: r.options.Clock.Now()}
+		q.run = r.guard.start(q.spent.began, q, slot)
+		r.note(q, "granted", slot.Endpoint(), "its pool's scheduler chose endpoint "+slot.Endpoint())
+		return tracker.Event{Kind: tracker.SlotGranted}
 	}
-	defer response.Body.Close()
-	if notStarted(response) {
-		return scheduler.Refused, notRun(CodeNoEndpoint, time.Second)
+	span.End(err.Error())
+	if q.trial {
+		q.trial = false
+		r.guard.release(q.fingerprint)
 	}
-	if response.StatusCode != http.StatusOK {
-		return scheduler.Failed, unknown(CodeEndpointFailed, 0)
+	return r.refusal(ctx, q, err)
+}
+
+func (r *Relayer) refusal(ctx context.Context, q *request, err error) tracker.Event {
+	if ctx.Err() != nil {
+		r.note(q, "withdrawn", context.Cause(ctx).Error(), "")
+		return interruption(ctx)
 	}
-	var out2 sink = &wholeSink{caller: q.caller, model: body.Model, limit: r.limits.AnswerBytes}
-	if body.Stream {
-		out2 = &streamSink{caller: q.caller}
+	refused := &Refused{Code: string(tracker.CodeStopping), Retry: retrySoon}
+	errors.As(err, &refused)
+	code := tracker.Code(refused.Code)
+	if _, known := meanings[code]; !known {
+		code = tracker.CodeNoEndpoint
 	}
-	return relayEvents(response.Body, order, out2, slot)
+	r.note(q, "refused", string(code), "its pool's scheduler refused it: "+refused.Code)
+	return tracker.Event{Kind: tracker.Refused, Code: code, Retry: max(refused.Retry, retrySoon)}
 }
 
-func relayEvents(body io.Reader, order *sequence, to sink, slot Slot) (scheduler.Ending, *failure) {
-	from := newEvents(body)
-	for {
-		data, err := from.next()
-		if err != nil {
-			return scheduler.Failed, unknown(CodeEndpointFailed, 0)
-		}
-		if string(data) == streamDone {
-			break
-		}
-		event, verdict := order.judge(data)
-		if verdict.broken != "" {
-			return scheduler.Failed, unknown(CodeEndpointFailed, 0)
-		}
-		if !verdict.relay {
-			continue
-		}
-		if err := to.event(data, event); err != nil {
-			return scheduler.Cancelled, unknown(CodeEndpointFailed, 0)
-		}
-		slot.Progress(uint32(order.next))
+// askScheduler enrols the request. Endpoints that failed it are avoided, unless
+// there is no other: the same one may have come back.
+func (r *Relayer) askScheduler(ctx context.Context, q *request) (Slot, error) {
+	slot, err := r.options.Enroller.Enrol(ctx, r.waiting(q))
+	var refused *Refused
+	if len(q.avoid) > 0 && errors.As(err, &refused) && refused.Code == string(tracker.CodeNoEndpoint) {
+		q.avoid = nil
+		return r.options.Enroller.Enrol(ctx, r.waiting(q))
 	}
-	if !order.finished {
-		return scheduler.Failed, unknown(CodeEndpointFailed, 0)
+	return slot, err
+}
+
+func (r *Relayer) waiting(q *request) Waiting {
+	waiting := Waiting{
+		ID: q.id, Service: q.service.Name, Workspace: q.workspace.Name,
+		Waited: r.options.Clock.Since(q.received), Avoid: q.avoid, Alone: q.trial,
 	}
-	if err := to.end(order); err != nil {
-		return scheduler.Cancelled, unknown(CodeEndpointFailed, 0)
+	if q.chat != nil {
+		waiting.Model, waiting.Hint = q.chat.Model, q.chat.Hint
+		waiting.Prompt, waiting.Prefix = q.chat.Prompt, q.chat.Prefix
 	}
-	return scheduler.Done, nil
+	return waiting
 }
 
-// identify adds the headers by which an endpoint knows the request.
-func (r *Relayer) identify(ctx context.Context, q *request, out *http.Request) {
-	out.Header.Set(headerRequestID, q.id)
-	out.Header.Set(headerWorkspace, q.workspace.Name)
-	if key := q.http.Header.Get(headerKey); key != "" {
-		out.Header.Set(headerKey, key)
+// isolate keeps quarantined requests away from endpoints and begins the trial
+// of suspects.
+func (r *Relayer) isolate(ctx context.Context, q *request) (tracker.Event, bool) {
+	left, quarantined := r.options.Quarantine.Quarantined(q.fingerprint)
+	verdict := isolator.Quarantined
+	if !quarantined {
+		var err error
+		verdict, left, err = r.guard.admit(ctx, r.options.Clock.Now, q.fingerprint)
+		if err != nil {
+			return interruption(ctx), false
+		}
+	}
+	switch verdict {
+	case isolator.Quarantined:
+		r.note(q, "refused", "quarantined", "requests like it crashed the endpoints that ran them")
+		return tracker.Event{Kind: tracker.Refused, Code: tracker.CodeQuarantined, Retry: left}, false
+	case isolator.Alone:
+		q.trial = true
+		r.note(q, "suspect", "", "an endpoint crashed while it ran there; it is tried where no other suspect runs")
 	}
-	tracer.Inject(ctx, out.Header)
+	return tracker.Event{}, true
 }
 
-func (r *Relayer) runPlain(ctx context.Context, q *request) *failure {
-	slot, failed := r.enrol(ctx, Waiting{ID: q.id, Service: q.service.Name, Workspace: q.workspace.Name})
-	if failed != nil {
-		return failed
+// settle gives the slot back and settles the claim, as the action says.
+func (r *Relayer) settle(q *request, action tracker.Action) {
+	if action.Slot != 0 && q.slot != nil {
+		r.giveBack(q, action.Slot)
+	}
+	switch action.Claim {
+	case tracker.Free:
+		r.record(q, q.keep.notRun())
+	case tracker.RecordAnswer:
+		r.record(q, q.keep.answer(&q.order))
+	}
+	if action.Step == tracker.Enrol && action.Slot != 0 {
+		r.countRetry(q, action.Slot)
 	}
-	started := r.options.Clock.Now()
-	ending, failed := r.plainAttempt(ctx, q, slot)
-	took := r.options.Clock.Since(started)
-	slot.Finish(sinceMS(took), ending, 0, took)
-	return failed
 }
 
-func (r *Relayer) plainAttempt(ctx context.Context, q *request, slot Slot) (scheduler.Ending, *failure) {
-	target := "http://" + slot.Address().String() + "/" + q.http.PathValue("path")
-	if q.http.URL.RawQuery != "" {
-		target += "?" + q.http.URL.RawQuery
+func (r *Relayer) giveBack(q *request, ending scheduler.Ending) {
+	now := r.options.Clock.Now()
+	took := now.Sub(q.spent.began)
+	units := q.spent.units
+	if q.chat == nil && q.spent.connected {
+		units = uint32(max(took.Milliseconds(), 1))
+	}
+	q.slot.Finish(units, ending, q.spent.first, took)
+	for _, digest := range r.guard.end(now, q, q.spent.verdict(ending)) {
+		r.metrics.quarantine.Inc()
+		r.options.Log.Warn().Uint64("fingerprint", digest).Msg("quarantined a request that crashes endpoints")
+		r.options.Quarantine.Publish(digest)
+	}
+	switch ending {
+	case scheduler.Failed, scheduler.Unreachable, scheduler.Refused:
+		q.avoid = append(q.avoid, q.slot.Endpoint())
 	}
-	body := http.MaxBytesReader(q.caller.writer, q.http.Body, r.limits.BodyBytes)
-	out, err := http.NewRequestWithContext(ctx, q.http.Method, target, opaque{body})
-	if err != nil {
-		return scheduler.Refused, invalid(CodeBadBody, "the path is malformed")
+	r.note(q, "given back", endings[ending]+" after "+strconv.Itoa(int(units))+" units", "")
+	q.slot, q.run, q.trial = nil, nil, false
+}
+
+// endings are the words for how an attempt ended.
+var endings = map[scheduler.Ending]string{
+	scheduler.Done: "whole", scheduler.Cancelled: "cancelled", scheduler.Refused: "not started",
+	scheduler.Failed: "failed", scheduler.Unreachable: "unreachable", scheduler.Declined: "not used",
+}
+
+// verdict is what an attempt's ending says about the request's guilt.
+func (a *attempt) verdict(ending scheduler.Ending) isolator.Ending {
+	switch {
+	case ending == scheduler.Done:
+		return isolator.Whole
+	case !a.connected || ending == scheduler.Refused:
+		return isolator.Unrun
+	case a.crashed:
+		return isolator.Crashed
+	default:
+		return isolator.GivenUp
 	}
-	out.ContentLength = q.http.ContentLength
-	out.Header.Set("Content-Type", q.http.Header.Get("Content-Type"))
-	r.identify(ctx, q, out)
-	response, err := r.once.RoundTrip(out)
-	if errors.Is(err, errUnreachable) {
-		return scheduler.Unreachable, notRun(CodeNoEndpoint, time.Second)
+}
+
+func (r *Relayer) countRetry(q *request, ending scheduler.Ending) {
+	reason := retryBroken
+	switch ending {
+	case scheduler.Unreachable:
+		reason = retryUnreachable
+	case scheduler.Refused:
+		reason = retryNotStarted
 	}
-	if err != nil {
-		return scheduler.Failed, unknown(CodeEndpointFailed, 0)
+	r.metrics.retries.WithLabelValues(reason).Inc()
+	if q.order.next > 0 {
+		r.metrics.resumes.Inc()
 	}
-	defer response.Body.Close()
-	if notStarted(response) {
-		return scheduler.Refused, notRun(CodeNoEndpoint, time.Second)
+}
+
+// complete sends the end of an answer whose slot has been given back already,
+// so that a caller that is slow to take it holds nothing.
+func (r *Relayer) complete(q *request, action tracker.Action) tracker.Action {
+	if q.chat == nil || q.spent.passed {
+		return action
 	}
-	q.caller.writer.Header().Set("Content-Type", response.Header.Get("Content-Type"))
-	q.caller.begin(response.StatusCode)
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := response.Body.Read(buffer)
-		if n > 0 {
-			if lost := q.caller.write(buffer[:n]); lost != nil {
-				return scheduler.Cancelled, unknown(CodeEndpointFailed, 0)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return scheduler.Done, nil
-		}
-		if err != nil {
-			return scheduler.Failed, unknown(CodeEndpointFailed, 0)
-		}
+	if err := q.sink.end(&q.order); err != nil {
+		return tracker.Action{Step: tracker.Vanish, Outcome: tracker.OutcomeUnknown, Code: tracker.CodeCallerGone}
 	}
+	return action
 }
