--- a/keeper/internal/driver/driver.go
+++ b/keeper/internal/driver/driver.go
@@ -240,12 +240,12 @@
 }
 
 // Join adds a keeper to the group. Done is told when the change is committed.
-func (d *Driver) Join(now time.Time, replica replicator.Replica, done Done) {
+func (d *Driver) Join(replica replicator.Replica, done Done) {
 	if d.full {
 		done(noResult, merry.Errorf("%w; ask another keeper", replicator.ErrNotLeader))
 		return
 	}
-	position, err := d.node.Join(now, replica)
+	position, err := d.node.Join(replica)
 	d.await(position, err, done)
 }
 
--- a/keeper/internal/server/keeping.go
+++ b/keeper/internal/server/keeping.go
@@ -144,7 +144,7 @@
 		if add.GetRole() == messenger.Role_ROLE_LEARNER {
 			role = replicator.Learner
 		}
-		d.Join(now, replicator.Replica{
+		d.Join(replicator.Replica{
 			ID: replicator.ID(add.GetDisk()), Name: add.GetName(), Address: add.GetAddress(), Role: role,
 		}, done)
 		return
@@ -266,7 +266,7 @@
 		Quorum: now.status.Quorum, Full: now.full, Claims: uint64(now.claims),
 		DiskBytes: uint64(now.diskBytes), Routers: k.routers.list(k.clock.Now()),
 	}
-	for _, replica := range now.status.Group {
+	for _, replica := range now.status.Known() {
 		response.Keepers = append(response.Keepers, keeperToWire(replica))
 	}
 	if !request.GetLocal() {
--- a/keeper/internal/server/maintaining.go
+++ b/keeper/internal/server/maintaining.go
@@ -50,14 +50,14 @@
 	switch {
 	case status.ID == 0:
 		return nil
+	case status.Newcomer:
+		s.foundOrJoin(ctx, status, m)
 	case member && self.Address != s.settings.Control.String():
 		s.join(ctx, status, s.others(ctx))
 	case member && now.Sub(m.quorumAt) < silentElections*s.timing.Election:
 		return nil
-	case len(status.Group) > 0:
-		return s.checkRemoved(status, s.others(ctx))
 	default:
-		s.foundOrJoin(ctx, status, m)
+		return s.checkRemoved(status, s.others(ctx))
 	}
 	return nil
 }
@@ -79,11 +79,11 @@
 	return answers
 }
 
-// foundOrJoin brings a blank keeper into a group. Any keeper that is in one
-// shows that the group exists, and then a blank disk has lost what it held.
+// foundOrJoin brings a newcomer into a group. Any keeper that has heard of one
+// shows that the group exists, and then a blank disk may have lost what it held.
 func (s *Server) foundOrJoin(ctx context.Context, status replicator.Status, m *maintenance) {
 	answers := s.others(ctx)
-	blank := len(answers) == len(s.settings.Keepers)-1
+	blank := len(status.Group) == 0 && len(answers) == len(s.settings.Keepers)-1
 	for _, answer := range answers {
 		if len(answer.GetKeepers()) > 0 {
 			m.blankSince = time.Time{}
@@ -153,10 +153,11 @@
 }
 
 // checkRemoved stops a keeper whose disk the group no longer counts. Only a
-// keeper in contact with a quorum is believed, because others may know less.
+// leader in contact with a quorum is believed, because others may know less.
 func (s *Server) checkRemoved(status replicator.Status, answers map[string]*messenger.KeeperStatusResponse) error {
 	for _, answer := range answers {
-		if !answer.GetQuorum() || len(answer.GetKeepers()) == 0 || answer.GetCommit() < status.Commit {
+		leads := answer.GetQuorum() && answer.GetLeader() == answer.GetName()
+		if !leads || len(answer.GetKeepers()) == 0 || answer.GetCommit() < status.Commit {
 			continue
 		}
 		if !listed(answer, status.ID) {
--- a/lib/replicator/election.go
+++ b/lib/replicator/election.go
@@ -29,6 +29,20 @@
 	n.transfer = transfer{}
 }
 
+// mayCampaign tells whether this replica is a voter, or was one in the
+// membership before, because the last one may not be committed. A leader that
+// has removed itself and lost contact may hold the only copy of that entry:
+// without its candidacy the others, whose logs are shorter, could never win
+// against its refusal (section 4.2.2 of the thesis).
+func (n *Node) mayCampaign() bool {
+	for _, at := range n.groups[max(0, len(n.groups)-2):] {
+		if at.group.votes(n.id) {
+			return true
+		}
+	}
+	return false
+}
+
 // preCampaign asks whether an election could be won, without a new term: a
 // replica behind a one-way cut would otherwise raise its term for ever and
 // depose the leader at its return (section 9.6 of the thesis).
@@ -138,7 +152,7 @@
 
 // takeOver starts an election at the leader's wish.
 func (n *Node) takeOver(now time.Time, m Message) {
-	if m.Term == n.ballot.Term && n.state == Follower && m.From == n.leader && n.Group().votes(n.id) {
+	if m.Term == n.ballot.Term && n.state == Follower && m.From == n.leader && n.mayCampaign() {
 		n.campaign(now, true)
 	}
 }
--- a/lib/replicator/group.go
+++ b/lib/replicator/group.go
@@ -53,19 +53,20 @@
 	return found && replica.Role == Voter
 }
 
-func (g Group) voters() int {
-	count := 0
+// Voters returns the members that vote.
+func (g Group) Voters() []Replica {
+	var voters []Replica
 	for _, replica := range g {
 		if replica.Role == Voter {
-			count++
+			voters = append(voters, replica)
 		}
 	}
-	return count
+	return voters
 }
 
 // quorum is the least number of voters that is a majority.
 func (g Group) quorum() int {
-	return g.voters()/2 + 1
+	return len(g.Voters())/2 + 1
 }
 
 // with returns a group in which the replica is set.
--- a/lib/replicator/leader.go
+++ b/lib/replicator/leader.go
@@ -38,7 +38,7 @@
 	n.transfer = transfer{}
 	n.pending = 0
 	n.peers = make(map[ID]*peer)
-	n.syncPeers(now)
+	n.syncPeers()
 	// A leader may only commit entries of its own term by counting replicas
 	// (section 5.4.2 of the paper), so it needs one at once.
 	n.push(Entry{Index: n.journal.last().Index + 1, Term: n.ballot.Term, Kind: Empty})
@@ -46,7 +46,7 @@
 }
 
 // syncPeers follows the membership in force.
-func (n *Node) syncPeers(now time.Time) {
+func (n *Node) syncPeers() {
 	group := n.Group()
 	for id := range n.peers {
 		if _, found := group.Find(id); !found {
@@ -55,7 +55,7 @@
 	}
 	for _, replica := range group {
 		if _, found := n.peers[replica.ID]; !found && replica.ID != n.id {
-			n.peers[replica.ID] = &peer{next: n.journal.last().Index + 1, seen: now}
+			n.peers[replica.ID] = &peer{next: n.journal.last().Index + 1}
 		}
 	}
 }
--- a/lib/replicator/membership.go
+++ b/lib/replicator/membership.go
@@ -11,10 +11,10 @@
 
 // Join adds a replica: as a learner that stays one if its role is Learner,
 // otherwise as one that is promoted as soon as it has caught up. If another
-// disk of the same name is a member, it is removed before the promotion: the
-// name's new disk shows that the old one is gone. Joining twice does nothing.
-// It returns where the change stands in the log.
-func (n *Node) Join(now time.Time, replica Replica) (Position, error) {
+// disk of the same name is a member, the new one inherits its part and replaces
+// it once it has caught up: the name's new disk shows that the old one is gone.
+// Joining twice does nothing. It returns where the change stands in the log.
+func (n *Node) Join(replica Replica) (Position, error) {
 	if err := n.changeable(); err != nil {
 		return Position{}, err
 	}
@@ -28,13 +28,22 @@
 	if replica.ID == 0 {
 		return Position{}, merry.Errorf("%w: the replica has no disk identity; start it first", ErrMembership)
 	}
-	switch {
-	case found:
+	if found {
 		replica.Role = known.Role
-	case replica.Role != Learner:
-		replica.Role = Joining
+	} else {
+		replica.Role = n.joiningRole(replica)
 	}
-	return n.regroup(now, n.Group().with(replica)), nil
+	return n.regroup(n.Group().with(replica)), nil
+}
+
+func (n *Node) joiningRole(replica Replica) Role {
+	if old := n.Group().Named(replica.Name); len(old) > 0 {
+		replica.Role = old[0].Role
+	}
+	if replica.Role == Learner {
+		return Learner
+	}
+	return Joining
 }
 
 // Remove takes a replica out of the group. It returns where the change stands
@@ -47,10 +56,33 @@
 		return Position{}, merry.Errorf("%w: there is no such member; look at the status for their names", ErrMembership)
 	}
 	changed := n.Group().without(id)
-	if changed.voters() == 0 {
+	if len(changed.Voters()) == 0 {
 		return Position{}, merry.Errorf("%w: the last voter cannot be removed; add another first", ErrMembership)
 	}
-	return n.regroup(now, changed), nil
+	if !n.reaches(now, changed) {
+		return Position{}, merry.Errorf("%w: too few of the remaining voters answer; start them first", ErrMembership)
+	}
+	return n.regroup(changed), nil
+}
+
+// reaches tells whether a majority of a group's voters has answered of late. A
+// smaller group of which too many are down could neither commit its own
+// membership nor go back.
+func (n *Node) reaches(now time.Time, group Group) bool {
+	return n.answering(now, group) >= group.quorum()
+}
+
+// answering counts the voters that have answered of late.
+func (n *Node) answering(now time.Time, group Group) int {
+	count := 0
+	for _, replica := range group {
+		p, found := n.peers[replica.ID]
+		answers := replica.ID == n.id || (found && now.Sub(p.seen) < n.timing.Election)
+		if replica.Role == Voter && answers {
+			count++
+		}
+	}
+	return count
 }
 
 // changeable tells whether the membership may change now: one change at a time,
@@ -70,12 +102,12 @@
 	return nil
 }
 
-func (n *Node) regroup(now time.Time, group Group) Position {
+func (n *Node) regroup(group Group) Position {
 	n.push(Entry{
 		Index: n.journal.last().Index + 1, Term: n.ballot.Term,
 		Kind: Membership, Data: EncodeGroup(group),
 	})
-	n.syncPeers(now)
+	n.syncPeers()
 	return n.journal.last()
 }
 
@@ -90,13 +122,30 @@
 		return
 	}
 	for _, replica := range n.Group() {
-		if replica.Role == Joining && n.caughtUp(now, replica.ID) {
-			n.promote(now, replica)
+		if replica.Role != Voter && n.caughtUp(now, replica.ID) && n.settleIn(now, replica) {
 			return
 		}
 	}
 }
 
+// settleIn lets a replica that has caught up take its place, and tells whether
+// there was something to do. The old disk of its name goes first, in a change
+// of its own, because two changes at once need not share a majority.
+func (n *Node) settleIn(now time.Time, replica Replica) bool {
+	for _, other := range n.Group().Named(replica.Name) {
+		if other.ID != replica.ID {
+			_, err := n.Remove(now, other.ID)
+			return err == nil
+		}
+	}
+	if replica.Role != Joining || !n.standsWithout(now, replica) {
+		return false
+	}
+	replica.Role = Voter
+	n.regroup(n.Group().with(replica))
+	return true
+}
+
 // caughtUp asks for everything that is committed: a voter that lacks it would
 // count for majorities while only the others hold the entries, and the loss of
 // a second disk right after the repair would lose them.
@@ -105,17 +154,18 @@
 	return found && p.match >= n.commit && now.Sub(p.seen) < n.timing.Election
 }
 
-// promote makes a replica a voter. The old disk of its name goes first, in a
-// change of its own, because two changes at once need not share a majority.
-func (n *Node) promote(now time.Time, replica Replica) {
-	for _, other := range n.Group().Named(replica.Name) {
-		if other.ID != replica.ID {
-			_, _ = n.Remove(now, other.ID) // only refused while another change is under way; tried again then
-			return
-		}
-	}
-	replica.Role = Voter
-	n.regroup(now, n.Group().with(replica))
+// standsWithout tells whether the group would still have a majority if the
+// newcomer were lost right after its promotion. Otherwise, as in a group of
+// three with one dead, a fourth voter would make things worse: three of four
+// would be needed, all that is alive. A lone voter can only grow by depending on
+// its second.
+func (n *Node) standsWithout(now time.Time, newcomer Replica) bool {
+	if len(n.Group().Voters()) == 1 {
+		return true
+	}
+	newcomer.Role = Voter
+	needed := n.Group().with(newcomer).quorum()
+	return n.answering(now, n.Group().without(newcomer.ID)) >= needed
 }
 
 // transfer is a handover of leadership under way.
--- a/lib/replicator/node.go
+++ b/lib/replicator/node.go
@@ -159,14 +159,29 @@
 	// Quorum tells whether this node is a leader with a valid lease, or has heard
 	// such a leader within the election timeout.
 	Quorum bool
-	Group  Group
+	// Group is the membership in force, Settled the last one known to be committed.
+	Group   Group
+	Settled Group
+	// Newcomer tells that this replica was never a committed member.
+	Newcomer bool
+}
+
+// Known returns the members of either membership: while a change is not
+// committed, it is not known which of the two will last.
+func (s Status) Known() Group {
+	known := s.Settled
+	for _, replica := range s.Group {
+		known = known.with(replica)
+	}
+	return known
 }
 
 // Status returns the node's view of itself.
 func (n *Node) Status(now time.Time) Status {
 	return Status{
 		ID: n.id, State: n.state, Leader: n.leader, Term: n.ballot.Term,
-		Commit: n.commit, Last: n.journal.last(), Quorum: n.contact(now), Group: n.Group(),
+		Commit: n.commit, Last: n.journal.last(), Quorum: n.contact(now),
+		Group: n.Group(), Settled: n.GroupAt(n.commit), Newcomer: n.Newcomer(),
 	}
 }
 
@@ -182,7 +197,18 @@
 	return n.ballot
 }
 
-// Blank tells whether this replica has never been part of a group.
+// Newcomer tells whether this replica has never been a committed member of the
+// group, though it may have heard of one. It then has to ask to join.
+func (n *Node) Newcomer() bool {
+	for _, at := range n.groups {
+		if _, member := at.group.Find(n.id); member && at.index <= n.commit {
+			return false
+		}
+	}
+	return true
+}
+
+// Blank tells whether this replica has never heard of a group.
 func (n *Node) Blank() bool {
 	return len(n.groups) == 0
 }
@@ -202,7 +228,7 @@
 		return
 	}
 	n.restartTimer(now)
-	if n.Group().votes(n.id) {
+	if n.mayCampaign() {
 		n.preCampaign(now)
 	}
 }
