--- a/lib/recorder/restore.go
+++ b/lib/recorder/restore.go
@@ -95,10 +95,11 @@
 			return restored, err
 		}
 	}
-	restored.Entries, err = replay.behind(snapshot.Position)
+	entries, joined, err := replay.behind(snapshot.Position)
 	if err != nil {
 		return restored, err
 	}
+	restored.Entries = entries
 	restored.Ballot = replay.ballot
 	restored.Commit = replay.commit
 	r.ballot = replay.ballot
@@ -107,7 +108,10 @@
 	if len(restored.Entries) > 0 {
 		r.last = restored.Entries[len(restored.Entries)-1].Index
 	}
-	return restored, r.resume()
+	if err := r.resume(); err != nil || joined {
+		return restored, err
+	}
+	return restored, r.Restart(snapshot.Position)
 }
 
 // resume opens the last segment for appending, or begins the first.
@@ -225,23 +229,29 @@
 	return nil
 }
 
-// behind returns the entries that follow the snapshot. If the entry at the
-// snapshot's position is another one, the snapshot came from a leader and
-// replaced the log, and a crash came before the log was begun anew.
-func (p *replay) behind(snapshot replicator.Position) ([]replicator.Entry, error) {
+// behind returns the entries that follow the snapshot, and whether the log joins
+// it. If the log ends before the snapshot, or another entry stands at its
+// position, the snapshot came from a leader and replaced the log, and a crash
+// came before the log was begun anew: the next entry would leave a gap.
+func (p *replay) behind(snapshot replicator.Position) (entries []replicator.Entry, joined bool, err error) {
 	last := p.base.Index + uint64(len(p.entries))
 	switch {
-	case p.first || last <= snapshot.Index:
-		return nil, nil
+	case p.first:
+		return nil, true, nil
+	case last < snapshot.Index:
+		return nil, false, nil
 	case p.base.Index > snapshot.Index:
-		return nil, merry.Errorf("%w: the log begins at entry %d and the snapshot ends at %d; %s",
+		return nil, false, merry.Errorf("%w: the log begins at entry %d and the snapshot ends at %d; %s",
 			ErrDamaged, p.base.Index+1, snapshot.Index, remedyJoin)
 	case p.base.Index == snapshot.Index:
-		return p.entries, nil
+		return p.entries, true, nil
 	}
 	at := snapshot.Index - p.base.Index
 	if p.entries[at-1].Term != snapshot.Term {
-		return nil, nil
+		return nil, false, nil
+	}
+	if len(p.entries[at:]) == 0 {
+		return nil, true, nil
 	}
-	return slices.Clip(p.entries[at:]), nil
+	return slices.Clip(p.entries[at:]), true, nil
 }
