Advertise a control address, retry handovers on the control goroutine

The fault cells put a relay before the control listener, so the address that others are told differs from the one listened on. Handovers were retried by a timer of their own, outside the steps that tests can drive.

--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -95,7 +95,7 @@
 	client := dialer.Client(s.Secret, r.counter)
 	keepers := rotator.New(client, s.Keepers)
 	r.conductor = conductor.New(conductor.Options{
-		Name: s.Name, Zone: s.Zone, Incarnation: incarnation, Address: s.Control, Seeds: s.Peers,
+		Name: s.Name, Zone: s.Zone, Incarnation: incarnation, Address: s.address(), Seeds: s.seeds(),
 		Alone:     s.Scheduling == SchedulingAlone,
 		Heartbeat: s.Timing.Heartbeat.Duration, SuspectAfter: s.Timing.SuspectAfter.Duration,
 		Compare: s.Timing.Compare.Duration,
--- a/router/internal/assembler/settings.go
+++ b/router/internal/assembler/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"shallotkeel.example/lib/detector"
@@ -17,13 +18,15 @@
 
 // Settings is a router's settings file; docs/INTERFACES.md shows one.
 type Settings struct {
-	Name    string           `json:"name"`
-	Zone    string           `json:"zone"`
-	Listen  netip.AddrPort   `json:"listen"`
-	Control netip.AddrPort   `json:"control"`
-	Peers   []netip.AddrPort `json:"peers"`
-	Keepers []netip.AddrPort `json:"keepers"`
-	Secret  string           `json:"secret"`
+	Name    string         `json:"name"`
+	Zone    string         `json:"zone"`
+	Listen  netip.AddrPort `json:"listen"`
+	Control netip.AddrPort `json:"control"`
+	// Advertise is the control address told to others, where it is not Control.
+	Advertise netip.AddrPort   `json:"advertise"`
+	Peers     []netip.AddrPort `json:"peers"`
+	Keepers   []netip.AddrPort `json:"keepers"`
+	Secret    string           `json:"secret"`
 	// EndpointToken and OperatorToken open /v1/endpoints/ and /admin/.
 	EndpointToken string `json:"endpoint_token"`
 	OperatorToken string `json:"operator_token"`
@@ -55,6 +58,21 @@
 	leastBeats = 3
 )
 
+// address is the control address that other routers are told.
+func (s *Settings) address() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Control
+}
+
+// seeds are the peers without this router itself, so that one list serves all.
+func (s *Settings) seeds() []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(s.Peers), func(peer netip.AddrPort) bool {
+		return peer == s.Control || peer == s.Advertise
+	})
+}
+
 // Check lists what is wrong with the settings.
 func (s *Settings) Check() []loader.Problem {
 	problems := append(s.checkNames(), s.checkAddresses()...)
@@ -96,6 +114,12 @@
 			Remedy: "set the IP number and port at which the other processes reach this one",
 		})
 	}
+	if s.Advertise.IsValid() && (s.Advertise.Port() == 0 || s.Advertise.Addr().IsUnspecified()) {
+		problems = append(problems, loader.Problem{
+			Key: "advertise", Message: "the address cannot be reached by others",
+			Remedy: "set an IP number and port, or leave it out where it is the same as control",
+		})
+	}
 	if len(s.Keepers) == 0 {
 		problems = append(problems, loader.Problem{
 			Key: "keepers", Message: "there is no keeper", Remedy: "list the control addresses of the keepers, this zone's first",
--- a/router/internal/conductor/announced.go
+++ b/router/internal/conductor/announced.go
@@ -191,8 +191,3 @@
 		}
 	}
 }
-
-// stepAnnounced has nothing of its own to do yet.
-func (c *Conductor) stepAnnounced(_ time.Time) time.Time {
-	return time.Time{}
-}
--- a/router/internal/conductor/conductor.go
+++ b/router/internal/conductor/conductor.go
@@ -69,6 +69,7 @@
 	metrics *metrics
 	peers   *peers
 	events  chan func()
+	launch  func(func()) // runs a call beside the control goroutine
 	done    chan struct{}
 	contact atomic.Bool
 	// others are the control addresses of the zone's other live routers.
@@ -89,6 +90,7 @@
 	roundAt  time.Time
 	rounds   uint32
 	announce announced
+	passing  []passing // handovers to try again
 }
 
 // New returns a conductor; Run makes it work.
@@ -104,6 +106,7 @@
 		metrics: newMetrics(options.Registry),
 		peers:   newPeers(options.Client),
 		events:  make(chan func(), queueLength),
+		launch:  func(work func()) { go work() },
 		done:    make(chan struct{}),
 		self:    scheduler.RouterID{Name: options.Name, Incarnation: options.Incarnation},
 		detector: detector.New(now, detector.Options{
@@ -205,7 +208,7 @@
 	next := earliest(c.beatAt, c.roundAt)
 	next = earliest(next, c.stepPools(now))
 	next = earliest(next, c.stepLines(now))
-	return earliest(next, c.stepAnnounced(now))
+	return earliest(next, c.stepPassing(now))
 }
 
 // earliest ignores zero times, which mean never.
--- a/router/internal/conductor/hosted.go
+++ b/router/internal/conductor/hosted.go
@@ -157,34 +157,60 @@
 	}
 }
 
+// passing is a pool on its way to its new scheduler.
+type passing struct {
+	request *messenger.HandoverRequest
+	owner   detector.Member
+	tries   int
+	due     time.Time
+}
+
+// handoverTries is how often a handover is tried. The new scheduler may learn
+// of its duty only with its next heartbeat; without the counters it starts
+// from those that the other zones know.
+const handoverTries = 4
+
 // handOver gives a pool's service counters to its new scheduler and forgets
 // the pool. Routers and endpoints find the new scheduler by themselves.
-func (c *Conductor) handOver(_ time.Time, h *hosted, owner detector.Member) {
+func (c *Conductor) handOver(now time.Time, h *hosted, owner detector.Member) {
 	delete(c.pools, h.service)
 	c.metrics.pools.Set(float64(len(c.pools)))
 	request := &messenger.HandoverRequest{
 		Pool:   &messenger.Pool{Zone: c.options.Zone, Service: h.service},
 		Origin: h.desk.Incarnation,
 	}
-	var names names
-	request.History = names.totals(h.desk.Pool.History())
-	request.Names = names.list
-	c.tryHandOver(owner, request, handoverTries)
+	var table names
+	request.History = table.totals(h.desk.Pool.History())
+	request.Names = table.list
+	c.pass(passing{request: request, owner: owner, tries: handoverTries, due: now})
 }
 
-const handoverTries = 3
-
-func (c *Conductor) tryHandOver(owner detector.Member, request *messenger.HandoverRequest, tries int) {
-	method := c.peers.get(owner.Address).scheduling.Handover
-	call(c, kindHandover, method, request, func(answer *messenger.HandoverResponse, err error) {
-		if (err != nil || answer.GetNotHere()) && tries > 1 {
-			c.clock.AfterFunc(c.options.Heartbeat, func() {
-				c.post(func() { c.tryHandOver(owner, request, tries-1) })
-			})
+func (c *Conductor) pass(p passing) {
+	p.tries--
+	method := c.peers.get(p.owner.Address).scheduling.Handover
+	call(c, kindHandover, method, p.request, func(answer *messenger.HandoverResponse, err error) {
+		if (err != nil || answer.GetNotHere()) && p.tries > 0 {
+			p.due = c.clock.Now().Add(c.options.Heartbeat)
+			c.passing = append(c.passing, p)
 		}
 	})
 }
 
+// stepPassing tries handovers again.
+func (c *Conductor) stepPassing(now time.Time) (next time.Time) {
+	waiting := c.passing
+	c.passing = nil
+	for _, p := range waiting {
+		if now.Before(p.due) {
+			c.passing = append(c.passing, p)
+			next = earliest(next, p.due)
+			continue
+		}
+		c.pass(p)
+	}
+	return next
+}
+
 // takeOver takes the counters of a pool's last scheduler in.
 func (c *Conductor) takeOver(now time.Time, request *messenger.HandoverRequest) *messenger.HandoverResponse {
 	if request.GetPool().GetZone() != c.options.Zone {
--- a/router/internal/conductor/peers.go
+++ b/router/internal/conductor/peers.go
@@ -22,13 +22,21 @@
 
 // peers keeps the clients by control address.
 type peers struct {
-	client *http.Client
-	mutex  sync.Mutex
-	known  map[netip.AddrPort]*peer
+	dial  func(netip.AddrPort) *peer
+	mutex sync.Mutex
+	known map[netip.AddrPort]*peer
 }
 
 func newPeers(client *http.Client) *peers {
-	return &peers{client: client, known: make(map[netip.AddrPort]*peer)}
+	dial := func(address netip.AddrPort) *peer {
+		url := "http://" + address.String()
+		return &peer{
+			scheduling: messenger.NewSchedulingProtobufClient(url, client),
+			granting:   messenger.NewGrantingProtobufClient(url, client),
+			membership: messenger.NewMembershipProtobufClient(url, client),
+		}
+	}
+	return &peers{dial: dial, known: make(map[netip.AddrPort]*peer)}
 }
 
 func (p *peers) get(address netip.AddrPort) *peer {
@@ -40,12 +48,7 @@
 	if len(p.known) >= maxPeers {
 		clear(p.known)
 	}
-	url := "http://" + address.String()
-	made := &peer{
-		scheduling: messenger.NewSchedulingProtobufClient(url, p.client),
-		granting:   messenger.NewGrantingProtobufClient(url, p.client),
-		membership: messenger.NewMembershipProtobufClient(url, p.client),
-	}
+	made := p.dial(address)
 	p.known[address] = made
 	return made
 }
@@ -54,7 +57,7 @@
 // result to the control goroutine.
 func call[Q, A any](c *Conductor, kind string, method func(context.Context, *Q) (*A, error), request *Q, finish func(*A, error)) {
 	c.metrics.messages.WithLabelValues(kind).Inc()
-	go func() {
+	c.launch(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		answer, err := method(ctx, request)
@@ -62,5 +65,5 @@
 			c.metrics.failures.WithLabelValues(kind).Inc()
 		}
 		c.post(func() { finish(answer, err) })
-	}()
+	})
 }
