--- a/lib/accountant/accountant.go
+++ b/lib/accountant/accountant.go
@@ -8,11 +8,13 @@
 //
 // A workspace's counter is
 //
-//	base + sum of charged/weight over origins + max lifted - max forgiven
+//	base + sum of charged/weight over origins + max lifted - max forgiven - absorbed
 //
 // where base is the collapsed history with which an origin joined. Lifting and
 // forgiving take the maximum, not the sum, because two origins that cannot see
-// one another lift the same workspace for the same reason.
+// one another lift the same workspace for the same reason. Absorbed is what the
+// maxima held when this ledger first saw them, and what it does not let count:
+// they are measured from the base of whoever lifted, which may be another one.
 //
 // Invariants: charges count with the weight in force when they are learned, so
 // that a change of weight never rewrites the past; an origin's row counts once.
@@ -83,6 +85,7 @@
 	own       Row
 	lifted    uint64 // maximum over origins
 	forgiven  uint64
+	absorbed  float64 // of lifted, less that of forgiven
 	resend    resend
 }
 
@@ -140,7 +143,18 @@
 
 // Counter returns the service that the workspace has had, in units by weight.
 func (a *Account) Counter() float64 {
-	return a.served + float64(a.lifted) - float64(a.forgiven)
+	return a.served + a.moved()
+}
+
+// moved is what lifting and forgiving have added in all.
+func (a *Account) moved() float64 {
+	return float64(a.lifted) - float64(a.forgiven) - a.absorbed
+}
+
+// Absorb lets units by weight, by which other origins lifted the workspace, not
+// count here.
+func (a *Account) Absorb(units float64) {
+	a.absorbed += units
 }
 
 // Own returns the own row.
@@ -176,6 +190,7 @@
 type Change struct {
 	Account *Account
 	Jump    float64 // units by weight
+	Lift    float64 // the part of Jump that other origins lifted
 	// Rejoined says that the origin had been silent for so long that the jump is
 	// what happened during a cut, and not between two exchanges.
 	Rejoined bool
@@ -210,12 +225,25 @@
 	merged := before.max(entry.Row)
 	from.rows[entry.Workspace] = merged
 	counter := account.Counter()
+	lift := account.raise(merged)
 	if seen || from.contact >= absorbContact {
 		account.count(merged.Charged - before.Charged)
+	} else {
+		account.Absorb(lift)
+		lift = 0
 	}
-	account.lifted = max(account.lifted, merged.Lifted)
-	account.forgiven = max(account.forgiven, merged.Forgiven)
-	return Change{Account: account, Jump: account.Counter() - counter}
+	return Change{Account: account, Jump: account.Counter() - counter, Lift: lift}
+}
+
+// raise takes the maxima of lifted and forgiven in and returns what they add. The
+// own row carries them on, or a scheduler that was elected after their origin's
+// end would never hear of them; they travel when the row is sent for its charges.
+func (a *Account) raise(row Row) float64 {
+	before := a.moved()
+	a.lifted = max(a.lifted, row.Lifted)
+	a.forgiven = max(a.forgiven, row.Forgiven)
+	a.own.Lifted, a.own.Forgiven = a.lifted, a.forgiven
+	return a.moved() - before
 }
 
 func (r Row) max(other Row) Row {
@@ -269,8 +297,8 @@
 		account := l.Account(entry.Workspace)
 		merged := account.base.max(entry.Row)
 		account.count(merged.Charged - account.base.Charged)
-		account.lifted = max(account.lifted, merged.Lifted)
-		account.forgiven = max(account.forgiven, merged.Forgiven)
+		account.lifted += merged.Lifted - account.base.Lifted
+		account.forgiven += merged.Forgiven - account.base.Forgiven
 		account.base = merged
 	}
 }
@@ -280,7 +308,12 @@
 func (l *Ledger) Collapse() []Entry {
 	entries := make([]Entry, 0, len(l.order))
 	for _, account := range l.order {
-		row := Row{Charged: account.total, Lifted: account.lifted, Forgiven: account.forgiven}
+		row := Row{Charged: account.total}
+		if moved := account.moved(); moved >= 0 {
+			row.Lifted = uint64(moved)
+		} else {
+			row.Forgiven = uint64(-moved)
+		}
 		if row != (Row{}) {
 			entries = append(entries, Entry{Workspace: account.Workspace, Row: row})
 		}
--- a/lib/scheduler/event.go
+++ b/lib/scheduler/event.go
@@ -142,6 +142,9 @@
 	Loans  []Loan
 	Totals []Total
 	Idle   int
+	// Asked is when the exchange that this answers was sent: the leases run from
+	// then at the latest. Zero stands for now.
+	Asked time.Time
 }
 
 // History is the collapsed totals with which a pool joins a running fleet.
--- a/lib/scheduler/exchange.go
+++ b/lib/scheduler/exchange.go
@@ -92,12 +92,16 @@
 }
 
 func (p *Pool) moved(w *workspace, change accountant.Change) {
+	before := w.account.Counter() - change.Jump
+	if !change.Rejoined {
+		p.boundLift(w, change)
+	}
 	switch {
 	case change.Rejoined && !w.jumped:
 		w.jumped = true
-		w.lead = max(0, w.account.Counter()-change.Jump-p.standing(w))
+		w.lead = max(0, before-p.standing(w))
 	case !change.Rejoined:
-		p.peakJump = max(p.peakJump, change.Jump)
+		p.peakJump = max(p.peakJump, w.account.Counter()-before)
 	}
 	if len(w.active) > 0 {
 		p.forgive(w)
@@ -105,6 +109,22 @@
 	p.reprice(w)
 }
 
+// boundLift bounds what it counts here that another zone lifted or forgave a
+// workspace. That zone measures from what it serves itself; where one of the two
+// joined without its history, that lies a whole past away from all counters here.
+// One notices a workspace that waits alone with a counter far above the rest, and
+// starves, or far below, and starves the rest. So neither leads further away from
+// what is served here than the bound of debt.
+func (p *Pool) boundLift(w *workspace, change accountant.Change) {
+	ahead := w.account.Counter() - p.standing(w)
+	switch {
+	case change.Lift > 0 && ahead > p.debt():
+		w.account.Absorb(min(ahead-p.debt(), change.Lift))
+	case change.Lift < 0 && ahead < -p.debt():
+		w.account.Absorb(max(ahead+p.debt(), change.Lift))
+	}
+}
+
 func (t Total) entry() accountant.Entry {
 	return accountant.Entry{
 		Workspace: t.Workspace,
@@ -235,9 +255,14 @@
 func (p *Pool) Offer(now time.Time) (rows []Total, demand []Demand, returned, renewed []uint64, idle int) {
 	rows = totals(p.ledger.Due(now))
 	demand = p.unmet()
-	p.over = slices.DeleteFunc(p.over, func(b *borrowing) bool { return now.Sub(b.ended) > returnRepeat })
+	// An answer may be repeated for as long as its loans' lease. Whoever forgets a
+	// loan sooner uses it a second time.
+	forget := max(returnRepeat, p.options.Lease)
+	p.over = slices.DeleteFunc(p.over, func(b *borrowing) bool { return now.Sub(b.ended) > forget })
 	for _, b := range p.over {
-		returned = append(returned, b.id)
+		if now.Sub(b.ended) <= returnRepeat {
+			returned = append(returned, b.id)
+		}
 	}
 	for id := range p.borrowings {
 		renewed = append(renewed, id)
--- a/lib/scheduler/exchange_test.go
+++ b/lib/scheduler/exchange_test.go
@@ -146,3 +146,61 @@
 		require.InDelta(t, 9000, w.Counter, 1, w.Workspace)
 	}
 }
+
+// Symptom: a workspace starves in one zone, or starves all others there. Sequence:
+// a zone's scheduler is replaced and gets no history, so that all its counters
+// start at zero; another zone, which remembers a whole past, lifts a workspace to
+// its level or forgives it. Cause: lifts and forgiveness are told as sums, and
+// count although they are measured from another base.
+func TestLiftsOfALongerPastAreBounded(t *testing.T) {
+	const past = 1_000_000
+	tests := map[string]struct {
+		totals []scheduler.Total
+		least  float64
+		most   float64
+	}{
+		"lifted before it was seen":   {totals: []scheduler.Total{{Workspace: "one", Lifted: past}}},
+		"lifted since":                {totals: []scheduler.Total{{Workspace: "one"}, {Workspace: "one", Lifted: past}}, least: 500, most: 500},
+		"forgiven before it was seen": {totals: []scheduler.Total{{Workspace: "one", Forgiven: past}}},
+		"forgiven since":              {totals: []scheduler.Total{{Workspace: "one"}, {Workspace: "one", Forgiven: past}}, least: -500, most: -500},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(t, scheduler.Options{Origin: 1, Debt: 500})
+			m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 1, TTL: time.Hour})
+			m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "two"}, scheduler.Ticket{Seq: 2, Workspace: "two"},
+				scheduler.Ticket{Seq: 3, Workspace: "one"})
+			for _, total := range test.totals {
+				m.apply(scheduler.Compared{Zone: "verona-b", Origin: 2, Totals: []scheduler.Total{total}})
+			}
+			counter := m.pool.Stats(m.now).Workspaces[0].Counter
+			require.GreaterOrEqual(t, counter, test.least)
+			require.LessOrEqual(t, counter, test.most)
+		})
+	}
+}
+
+// Symptom: an engine runs more requests than it has slots. Sequence: the answer
+// with a loan is repeated or late, and arrives when the loan has been given back
+// or has lapsed at its lender. Cause: the borrower uses it all the same.
+func TestLateAnswersLendNothing(t *testing.T) {
+	const late = scheduler.DefaultLease - time.Millisecond
+	for name, used := range map[string]bool{"used and given back": true, "lapsed": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
+			p.near.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
+			answer := scheduler.Lent{Zone: "verona-b", Origin: 2, Loans: compare(p.near, p.far), Asked: p.near.now}
+			p.near.now = p.near.now.Add(time.Millisecond)
+			if used {
+				require.Len(t, p.near.pool.Apply(p.near.now, answer), 1)
+				p.near.finish(request(1), scheduler.Failed, 0)
+				p.near.now = p.near.now.Add(late - time.Millisecond)
+				p.near.pool.Offer(p.near.now)
+				require.Empty(t, p.near.pool.Apply(p.near.now, answer))
+			}
+			p.near.now = zero.Add(scheduler.DefaultLease)
+			require.Empty(t, p.near.pool.Apply(p.near.now, answer))
+		})
+	}
+}
--- a/lib/scheduler/loan.go
+++ b/lib/scheduler/loan.go
@@ -184,12 +184,20 @@
 		p.zone(l.Zone).idle = l.Idle
 	}
 	for _, offered := range l.Loans {
-		if !p.borrowed(offered.ID) {
+		if !p.borrowed(offered.ID) && !l.lapsed(now, offered) {
 			p.borrow(now, offered)
 		}
 	}
 }
 
+// lapsed tells whether an offered loan may have ended at its lender, who counts
+// the lease from making it. An answer that was late on its way would otherwise
+// put a second request into a slot that was lent or granted again. One notices
+// an engine with more requests than slots after a pause of the network.
+func (l Lent) lapsed(now time.Time, offered Loan) bool {
+	return !l.Asked.IsZero() && now.Sub(l.Asked) >= offered.Lease
+}
+
 // borrowed tells whether a loan has been taken before: answers may be repeated.
 func (p *Pool) borrowed(id uint64) bool {
 	if _, used := p.borrowings[id]; used {
--- a/lib/scheduler/property_test.go
+++ b/lib/scheduler/property_test.go
@@ -67,9 +67,33 @@
 func (w *walk) progressOne(t *rapid.T) {
 	if id, found := w.pick(t, true); found {
 		w.progress(id, w.requests[id].charged+rapid.Uint32Range(1, 300).Draw(t, "units"))
+		w.former = append(w.former, scheduler.Report{
+			Router: id.Router, Progress: []scheduler.Progress{{Seq: id.Seq, Charged: w.requests[id].charged}},
+		})
 	}
 }
 
+// stray applies a message that nothing here is an answer to: of requests and
+// routers that are not there, of another zone, of a former life.
+func (w *walk) stray(t *rapid.T) {
+	seq := w.seq + rapid.Uint64Range(1, 1000).Draw(t, "seq")
+	unknown := scheduler.RouterID{Name: "router-9", Incarnation: 1}
+	w.apply(rapid.SampledFrom([]scheduler.Event{
+		scheduler.Report{Router: w.router(t), Progress: []scheduler.Progress{{Seq: seq, Charged: 1 << 30}}},
+		scheduler.Report{Router: w.router(t), Finished: []scheduler.Finish{{Seq: seq, Charged: 1 << 30, Ending: scheduler.Done}}},
+		scheduler.RouterGone{Router: unknown},
+		scheduler.Declinations{Router: unknown, Seqs: []uint64{seq}},
+		scheduler.Declinations{Router: w.router(t), Seqs: []uint64{seq}},
+		scheduler.Compared{Zone: "verona-b", Origin: 7, Returned: []uint64{seq}, Renewed: []uint64{seq, 0}, Idle: -1},
+		scheduler.Compared{Zone: "trento-a", Origin: 7, Demand: []scheduler.Demand{{Workspace: "alpha", Model: "draft", Waiting: 9}}},
+		scheduler.Compared{Zone: "verona-b", Origin: 7, Demand: []scheduler.Demand{{Workspace: "alpha", Model: "absent", Waiting: -9}}},
+		scheduler.Lent{Zone: "verona-b", Origin: 7, Loans: []scheduler.Loan{{ID: seq, Workspace: "absent", Endpoint: "far", Lease: time.Second}}},
+		scheduler.History{},
+		scheduler.Announced{ID: "worker-1", Incarnation: 0, Slots: 1000},
+		scheduler.Announced{ID: "worker-9", Incarnation: 1, Slots: 1000, Leaving: true},
+	}).Draw(t, "stray"))
+}
+
 func (w *walk) finishOne(t *rapid.T) {
 	id, found := w.pick(t, true)
 	if !found {
@@ -148,8 +172,10 @@
 		return
 	}
 	w.routers[id.Name]++
+	late := scheduler.Report{Router: id, Full: true, Tickets: []scheduler.Ticket{w.ticket(t)}}
 	id.Incarnation++
 	w.apply(scheduler.Report{Router: id, Full: true})
+	w.apply(late) // of the former life
 }
 
 func (w *walk) dropLife(id scheduler.RouterID) {
@@ -203,6 +229,7 @@
 			"finish":   w.finishOne,
 			"finish2":  w.finishOne,
 			"repeat":   w.repeatFormer,
+			"stray":    w.stray,
 			"give up":  w.giveUp,
 			"decline":  w.decline,
 			"announce": w.announceOne,
