--- /dev/null
+++ b/lib/claimer/claimer_test.go
@@ -0,0 +1,221 @@
+package claimer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"shallotkeel.example/lib/claimer"
+	"shallotkeel.example/lib/messenger"
+)
+
+const (
+	granted  = messenger.ClaimOutcome_CLAIM_GRANTED
+	spent    = messenger.ClaimOutcome_CLAIM_SPENT
+	recorded = messenger.ClaimOutcome_CLAIM_RECORDED
+	mismatch = messenger.ClaimOutcome_CLAIM_MISMATCH
+	full     = messenger.ClaimOutcome_CLAIM_FULL
+)
+
+func entry(key, owner string) *messenger.ClaimEntry {
+	return &messenger.ClaimEntry{Workspace: "club", Key: key, Digest: 7, Owner: owner}
+}
+
+func claim(m *claimer.Machine, now time.Duration, entry *messenger.ClaimEntry) *messenger.ClaimResult {
+	return m.Claim(now, claimer.Policy{}, []*messenger.ClaimEntry{entry})[0]
+}
+
+func record(m *claimer.Machine, now time.Duration, key, owner string, answer *messenger.Answer) {
+	m.Record(now, claimer.Policy{}, []*messenger.RecordEntry{
+		{Workspace: "club", Key: key, Digest: 7, Owner: owner, Answer: answer},
+	})
+}
+
+func TestClaims(t *testing.T) {
+	t.Parallel()
+	answer := &messenger.Answer{Status: 200, Body: []byte("booked")}
+	notRun := &messenger.Answer{NotRun: true}
+	tests := map[string]struct {
+		before func(m *claimer.Machine)
+		entry  *messenger.ClaimEntry
+		want   messenger.ClaimOutcome
+	}{
+		"the first is granted": {func(*claimer.Machine) {}, entry("k", "one"), granted},
+		"another owner finds it spent": {
+			func(m *claimer.Machine) { claim(m, 0, entry("k", "one")) }, entry("k", "two"), spent,
+		},
+		"a repeat by its owner is granted again": {
+			func(m *claimer.Machine) { claim(m, 0, entry("k", "one")) }, entry("k", "one"), granted,
+		},
+		"another request with the same key is told so": {
+			func(m *claimer.Machine) { claim(m, 0, entry("k", "one")) },
+			&messenger.ClaimEntry{Workspace: "club", Key: "k", Digest: 8, Owner: "one"}, mismatch,
+		},
+		"another workspace has its own keys": {
+			func(m *claimer.Machine) { claim(m, 0, entry("k", "one")) },
+			&messenger.ClaimEntry{Workspace: "house", Key: "k", Digest: 8, Owner: "two"}, granted,
+		},
+		"an answer is told again": {
+			func(m *claimer.Machine) {
+				claim(m, 0, entry("k", "one"))
+				record(m, 0, "k", "one", answer)
+			}, entry("k", "two"), recorded,
+		},
+		"the first answer stays": {
+			func(m *claimer.Machine) {
+				claim(m, 0, entry("k", "one"))
+				record(m, 0, "k", "one", answer)
+				record(m, 0, "k", "one", notRun)
+			}, entry("k", "two"), recorded,
+		},
+		"one that was not run is free again": {
+			func(m *claimer.Machine) {
+				claim(m, 0, entry("k", "one"))
+				record(m, 0, "k", "one", notRun)
+			}, entry("k", "two"), granted,
+		},
+		"a record of another owner changes nothing": {
+			func(m *claimer.Machine) {
+				claim(m, 0, entry("k", "one"))
+				record(m, 0, "k", "two", notRun)
+			}, entry("k", "two"), spent,
+		},
+		"it is free again after the window": {
+			func(m *claimer.Machine) {
+				claim(m, -claimer.DefaultWindow, entry("k", "one"))
+			}, entry("k", "two"), granted,
+		},
+		"and not before": {
+			func(m *claimer.Machine) {
+				claim(m, -claimer.DefaultWindow+time.Millisecond, entry("k", "one"))
+			}, entry("k", "two"), spent,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := &claimer.Machine{}
+			test.before(m)
+			result := claim(m, 0, test.entry)
+			require.Equal(t, test.want.String(), result.GetOutcome().String())
+			if test.want == recorded {
+				var told messenger.Answer
+				require.NoError(t, proto.Unmarshal(result.GetRecorded(), &told))
+				require.Equal(t, "booked", string(told.GetBody()))
+			}
+		})
+	}
+}
+
+// Symptom: a booking is made twice. Sequence: the endpoint did not start a
+// request, its router reports so, the answer to the report is lost, a resend
+// through another router claims the key and runs, and then the first router
+// reports again.
+func TestLateReportFreesNoOtherClaim(t *testing.T) {
+	t.Parallel()
+	m := &claimer.Machine{}
+	notRun := &messenger.Answer{NotRun: true}
+	claim(m, 0, entry("k", "one"))
+	record(m, 0, "k", "one", notRun)
+	require.Equal(t, granted, claim(m, 0, entry("k", "two")).GetOutcome())
+	record(m, 0, "k", "one", notRun)
+	require.Equal(t, spent, claim(m, 0, entry("k", "three")).GetOutcome())
+}
+
+// Symptom: one workspace's claims fill the keepers' memory, or cost others theirs.
+func TestFloodIsBounded(t *testing.T) {
+	t.Parallel()
+	m := &claimer.Machine{}
+	policy := claimer.Policy{PerWorkspace: 3, InAll: 5}
+	flood := func(workspace string) []string {
+		var outcomes []string
+		for i := range 4 {
+			result := m.Claim(0, policy, []*messenger.ClaimEntry{{Workspace: workspace, Key: fmt.Sprint(i)}})[0]
+			outcomes = append(outcomes, result.GetOutcome().String())
+		}
+		return outcomes
+	}
+	require.Equal(t, []string{granted.String(), granted.String(), granted.String(), full.String()}, flood("one"))
+	require.Equal(t, []string{granted.String(), granted.String(), full.String(), full.String()}, flood("two"))
+	m.Claim(claimer.DefaultWindow, policy, nil)
+	require.Zero(t, m.Len())
+	require.Equal(t, granted.String(), flood("three")[0])
+}
+
+func TestAnswersAreBoundedButNotThatTheyRan(t *testing.T) {
+	t.Parallel()
+	m := &claimer.Machine{}
+	policy := claimer.Policy{AnswerBytes: 100, WorkspaceBytes: 150, AllBytes: 200}
+	run := func(workspace, key string, size int) {
+		m.Claim(0, policy, []*messenger.ClaimEntry{{Workspace: workspace, Key: key}})
+		m.Record(0, policy, []*messenger.RecordEntry{{
+			Workspace: workspace, Key: key, Answer: &messenger.Answer{Status: 200, Body: []byte(strings.Repeat("x", size))},
+		}})
+	}
+	omitted := func(workspace, key string) bool {
+		result := m.Claim(0, policy, []*messenger.ClaimEntry{{Workspace: workspace, Key: key, Owner: "resend"}})[0]
+		require.Equal(t, recorded, result.GetOutcome())
+		var told messenger.Answer
+		require.NoError(t, proto.Unmarshal(result.GetRecorded(), &told))
+		require.EqualValues(t, 200, told.GetStatus())
+		return told.GetOmitted()
+	}
+	run("one", "large", 101)
+	run("one", "a", 60)
+	run("one", "b", 60)
+	run("one", "c", 60)
+	run("two", "d", 60)
+	require.True(t, omitted("one", "large"))
+	require.True(t, omitted("one", "a"), "the oldest of the workspace that has too many")
+	require.False(t, omitted("one", "b"))
+	run("three", "e", 60)
+	require.True(t, omitted("one", "b"), "the oldest of all")
+	require.False(t, omitted("two", "d"))
+}
+
+// TestAnySequence compares random claims, records and restarts with a model
+// that is a plain map, and checks that a replica that started from a snapshot
+// goes on exactly as one that did not.
+func TestAnySequence(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		policy := claimer.Policy{Window: 20 * time.Millisecond, PerWorkspace: 4, WorkspaceBytes: 60, AllBytes: 80}
+		m, restarted := &claimer.Machine{}, &claimer.Machine{}
+		owners := make(map[string]string) // of the running claim, by key
+		until := make(map[string]time.Duration)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 5).Draw(t, "ms")) * time.Millisecond
+			key := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "key")
+			owner := rapid.SampledFrom([]string{"one", "two", "three"}).Draw(t, "owner")
+			if rapid.Bool().Draw(t, "record") {
+				answer := &messenger.Answer{NotRun: rapid.Bool().Draw(t, "not run"), Body: make([]byte, 30)}
+				entries := []*messenger.RecordEntry{{Workspace: "club", Key: key, Owner: owner, Answer: answer}}
+				m.Record(now, policy, entries)
+				restarted.Record(now, policy, entries)
+				if owners[key] == owner && answer.GetNotRun() {
+					delete(owners, key)
+				}
+			} else {
+				entries := []*messenger.ClaimEntry{{Workspace: "club", Key: key, Owner: owner}}
+				result := m.Claim(now, policy, entries)[0]
+				require.True(t, proto.Equal(result, restarted.Claim(now, policy, entries)[0]))
+				if result.GetOutcome() == granted {
+					holder, held := owners[key]
+					require.True(t, !held || holder == owner || until[key] <= now, "%s is held by %s", key, holder)
+					if !held || until[key] <= now {
+						until[key] = now + policy.Window
+					}
+					owners[key] = owner
+				}
+			}
+			restarted = claimer.Decode(restarted.Encode())
+			require.LessOrEqual(t, m.Len(), policy.PerWorkspace)
+		}
+	})
+}
