Keep pools served while their scheduler crashes, stops, freezes or doubles

Found and mended: after a planned stop the new scheduler had no endpoint until the next announcement (half a second of idle capacity; announcements are now told again until it takes them), and grants made by a router's own news waited for the next event. Announcements that change nothing but the load are renewed in batches.

--- a/router/internal/conductor/announced.go
+++ b/router/internal/conductor/announced.go
@@ -2,37 +2,52 @@
 
 import (
 	"context"
-	"net/netip"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
-	"shallotkeel.example/lib/describer"
 	"shallotkeel.example/lib/detector"
-	"shallotkeel.example/lib/labeler"
 	"shallotkeel.example/lib/messenger"
-	"shallotkeel.example/lib/scheduler"
 )
 
 // ErrNoScheduler is the kind of the error when an announcement reaches nobody.
 var ErrNoScheduler = merry.Sentinel("no scheduler took the announcement")
 
-// maxAnnounced bounds the endpoints that one router remembers.
-const maxAnnounced = 16384
+const (
+	// maxAnnounced bounds the endpoints that one router remembers.
+	maxAnnounced = 16384
+	// renewEvery is how long renewals are collected, so that the endpoints of a
+	// pool share one call. It is a small part of any sensible time to live.
+	renewEvery = 200 * time.Millisecond
+	// announcePause is the time before an announcement that the scheduler did
+	// not take is told again. A new scheduler learns of its duty a little later
+	// than others, and endpoints speak only every third of their time to live.
+	announcePause = 50 * time.Millisecond
+)
 
 // announcement is an endpoint that announced itself at this router.
 type announcement struct {
 	message *messenger.Announcement
 	expires time.Time
+	told    detector.Member // the scheduler that knows it in full
+	calling bool
+	due     time.Time // when to tell it in full, zero if it need not be told
+	renew   bool
+	waiting func(error) // the endpoint's own call
 }
 
 // announced remembers the endpoints that announce themselves at this router,
 // so that a new scheduler of their pool hears of them at once.
 type announced struct {
-	known map[string]announcement
+	known   map[string]*announcement
+	flushed time.Time
 }
 
-// Announce passes an endpoint's announcement on to its pool's scheduler.
+// Announce passes an endpoint's announcement on to its pool's scheduler. One
+// that changes nothing but the load is renewed with the next batch.
 func (c *Conductor) Announce(ctx context.Context, message *messenger.Announcement) error {
 	result := make(chan error, 1)
 	c.post(func() { c.take(message, func(err error) { result <- err }) })
@@ -48,146 +63,175 @@
 
 func (c *Conductor) take(message *messenger.Announcement, finish func(error)) {
 	now := c.clock.Now()
-	c.remember(now, message)
-	if c.options.Alone {
-		for _, m := range c.detector.Live() {
-			if m.Name != c.self.Name {
-				c.forward(m, message, func(error) {})
-			}
-		}
+	if c.announce.known == nil {
+		c.announce.known = make(map[string]*announcement)
 	}
-	owner, found := c.owner(message.GetService())
-	if !found {
-		finish(merry.Errorf("%w: the zone has no router; announce again", ErrNoScheduler))
+	known := c.announce.known[message.GetId()]
+	if known == nil && len(c.announce.known) >= maxAnnounced {
+		finish(merry.Errorf("%w: this router knows too many endpoints; announce to another router", ErrNoScheduler))
 		return
 	}
-	if owner.Name == c.self.Name {
-		c.applyAnnouncement(now, message)
+	if known == nil || known.message.GetIncarnation() < message.GetIncarnation() {
+		known = &announcement{}
+		c.announce.known[message.GetId()] = known
+	} else if known.message.GetIncarnation() > message.GetIncarnation() {
+		finish(nil) // news of a former life
+		return
+	}
+	same := known.message != nil && sameButLoad(known.message, message)
+	known.message = message
+	known.expires = now.Add(time.Duration(message.GetTtlMs()) * time.Millisecond)
+	owner, found := c.owner(message.GetService())
+	if same && found && known.due.IsZero() && sameLife(known.told, owner) && !c.options.Alone {
+		known.renew = true
 		finish(nil)
 		return
 	}
-	c.forward(owner, message, finish)
+	known.due, known.waiting = now, finish
+	c.stepAnnounced(now)
 }
 
-func (c *Conductor) remember(now time.Time, message *messenger.Announcement) {
-	if c.announce.known == nil {
-		c.announce.known = make(map[string]announcement)
-	}
-	old, known := c.announce.known[message.GetId()]
-	if (!known && len(c.announce.known) >= maxAnnounced) || old.message.GetIncarnation() > message.GetIncarnation() {
-		return
+func sameLife(a, b detector.Member) bool {
+	return a.Name == b.Name && a.Incarnation == b.Incarnation
+}
+
+// sameButLoad tells whether a renewal says as much as the whole announcement.
+func sameButLoad(old, message *messenger.Announcement) bool {
+	if len(message.GetCached())+len(message.GetEvicted())+len(old.GetCached())+len(old.GetEvicted()) > 0 {
+		return false
 	}
-	ttl := time.Duration(message.GetTtlMs()) * time.Millisecond
-	c.announce.known[message.GetId()] = announcement{message: message, expires: now.Add(ttl)}
+	load := old.GetLoad()
+	old.Load = message.GetLoad()
+	same := proto.Equal(old, message)
+	old.Load = load
+	return same
 }
 
-func (c *Conductor) forward(to detector.Member, message *messenger.Announcement, finish func(error)) {
-	method := c.peers.get(to.Address).scheduling.Announce
-	request := &messenger.AnnounceRequest{Announcement: message}
-	call(c, kindAnnounce, method, request, func(answer *messenger.AnnounceResponse, err error) {
-		switch {
-		case err != nil:
-			finish(merry.Errorf("%w: %v; announce again", ErrNoScheduler, err))
-		case answer.GetNotHere():
-			finish(merry.Errorf("%w: the pool's scheduler is changing; announce again", ErrNoScheduler))
-		default:
-			finish(nil)
+// reannounce marks what has to be told to new schedulers.
+func (c *Conductor) reannounce(now time.Time) {
+	for _, a := range c.announce.known {
+		if owner, found := c.owner(a.message.GetService()); found && !sameLife(owner, a.told) {
+			a.due = now
 		}
-	})
+	}
 }
 
-// receiveAnnouncement takes what another router passed on.
-func (c *Conductor) receiveAnnouncement(now time.Time, request *messenger.AnnounceRequest) *messenger.AnnounceResponse {
-	message := request.GetAnnouncement()
-	if message.GetZone() != c.options.Zone || !c.applyAnnouncement(now, message) {
-		return &messenger.AnnounceResponse{NotHere: true}
+// reannounceTo tells everything of a service again.
+func (c *Conductor) reannounceTo(now time.Time, service string) {
+	for _, a := range c.announce.known {
+		if a.message.GetService() == service {
+			a.due = now
+		}
 	}
-	return &messenger.AnnounceResponse{}
 }
 
-func (c *Conductor) applyAnnouncement(now time.Time, message *messenger.Announcement) bool {
-	h := c.pool(now, message.GetService())
-	address, err := netip.ParseAddrPort(message.GetAddress())
-	if h == nil || err != nil {
-		return false
+// stepAnnounced tells what is due.
+func (c *Conductor) stepAnnounced(now time.Time) (next time.Time) {
+	for id, a := range c.announce.known {
+		switch {
+		case !now.Before(a.expires):
+			delete(c.announce.known, id)
+		case a.due.IsZero() || a.calling:
+		case now.Before(a.due):
+			next = earliest(next, a.due)
+		default:
+			c.tellScheduler(now, a)
+		}
+	}
+	if now.Sub(c.announce.flushed) >= renewEvery {
+		c.announce.flushed = now
+		c.renewAll(now)
 	}
-	old := h.endpoints[message.GetId()]
-	if old.GetIncarnation() > message.GetIncarnation() || (old == nil && len(h.endpoints) >= maxAnnounced) {
-		return true // news of a former life changes nothing
-	}
-	ttl := time.Duration(message.GetTtlMs()) * time.Millisecond
-	h.endpoints[message.GetId()] = message
-	h.expires[message.GetId()] = now.Add(ttl)
-	h.desk.Apply(now, scheduler.Announced{
-		ID: message.GetId(), Incarnation: message.GetIncarnation(), Address: address,
-		Labels: labelsOf(message), Models: message.GetModels(), Slots: c.slots(message), TTL: ttl,
-		Leaving: message.GetLeaving(), Load: int(message.GetLoad()),
-		Cached: message.GetCached(), Evicted: message.GetEvicted(),
-	})
-	return true
+	return earliest(next, c.announce.flushed.Add(renewEvery))
 }
 
-// slots is how many requests this router's pool may run at an endpoint. Alone,
-// every router takes an equal part and at least one.
-func (c *Conductor) slots(message *messenger.Announcement) int {
-	slots := int(message.GetSlots())
-	if !c.options.Alone {
-		return slots
+func (c *Conductor) tellScheduler(now time.Time, a *announcement) {
+	message := a.message
+	owner, found := c.owner(message.GetService())
+	if c.options.Alone {
+		c.copyToAll(message)
+	}
+	switch {
+	case !found:
+		a.due = now.Add(announcePause)
+	case owner.Name == c.self.Name:
+		c.applyAnnouncement(now, message)
+		c.settle(a, owner)
+	default:
+		a.calling = true
+		method := c.peers.get(owner.Address).scheduling.Announce
+		request := &messenger.AnnounceRequest{Announcement: message}
+		call(c, kindAnnounce, method, request, func(answer *messenger.AnnounceResponse, err error) {
+			a.calling = false
+			if err != nil || answer.GetNotHere() {
+				a.due = c.clock.Now().Add(announcePause)
+			} else if a.message == message {
+				c.settle(a, owner)
+			}
+		})
 	}
-	return max(1, slots/len(c.detector.Live()))
 }
 
-// rescale applies announcements again when the number of live routers changes
-// what each may use of an endpoint.
-func (c *Conductor) rescale(now time.Time) {
-	if !c.options.Alone {
-		return
+// settle notes that a scheduler knows the endpoint.
+func (c *Conductor) settle(a *announcement, owner detector.Member) {
+	a.told, a.due, a.renew = owner, time.Time{}, false
+	// Cache events are news once; telling them again would not be wrong, but long.
+	if len(a.message.GetCached())+len(a.message.GetEvicted()) > 0 {
+		a.message = proto.Clone(a.message).(*messenger.Announcement)
+		a.message.Cached, a.message.Evicted = nil, nil
 	}
-	for _, h := range c.pools {
-		for id, message := range h.endpoints {
-			if now.Before(h.expires[id]) {
-				c.applyAnnouncement(now, message)
-			}
-		}
+	if a.waiting != nil {
+		a.waiting(nil)
+		a.waiting = nil
 	}
 }
 
-func labelsOf(message *messenger.Announcement) labeler.Labels {
-	labels := make(labeler.Labels, len(message.GetLabels())+3)
-	for key, value := range message.GetLabels() {
-		labels[key] = value
+// copyToAll is for the baseline, where every router schedules for itself.
+func (c *Conductor) copyToAll(message *messenger.Announcement) {
+	for _, m := range c.detector.Live() {
+		if m.Name != c.self.Name {
+			method := c.peers.get(m.Address).scheduling.Announce
+			request := &messenger.AnnounceRequest{Announcement: message}
+			// A lost copy is made up for by the next announcement.
+			call(c, kindAnnounce, method, request, func(*messenger.AnnounceResponse, error) {})
+		}
 	}
-	labels[describer.LabelZone] = message.GetZone()
-	labels[describer.LabelService] = message.GetService()
-	labels[describer.LabelEndpoint] = message.GetId()
-	return labels
 }
 
-// reannounce tells the schedulers of all pools what this router knows.
-func (c *Conductor) reannounce(now time.Time) {
-	services := make(map[string]bool)
+// renewAll sends the collected renewals, one call for each pool.
+func (c *Conductor) renewAll(now time.Time) {
+	pools := make(map[string][]*announcement)
 	for _, a := range c.announce.known {
-		services[a.message.GetService()] = true
+		if a.renew {
+			a.renew = false
+			pools[a.message.GetService()] = append(pools[a.message.GetService()], a)
+		}
 	}
-	for service := range services {
-		c.reannounceTo(now, service)
+	for _, service := range slices.Sorted(maps.Keys(pools)) {
+		c.renew(now, service, pools[service])
 	}
 }
 
-func (c *Conductor) reannounceTo(now time.Time, service string) {
-	owner, found := c.owner(service)
-	if !found {
-		return
-	}
-	for id, a := range c.announce.known {
-		switch {
-		case !now.Before(a.expires):
-			delete(c.announce.known, id)
-		case a.message.GetService() != service:
-		case owner.Name == c.self.Name:
-			c.applyAnnouncement(now, a.message)
-		default:
-			c.forward(owner, a.message, func(error) {})
+func (c *Conductor) renew(now time.Time, service string, endpoints []*announcement) {
+	request := &messenger.AnnounceRequest{Pool: &messenger.Pool{Zone: c.options.Zone, Service: service}}
+	for _, a := range endpoints {
+		request.Renewals = append(request.Renewals, &messenger.Renewal{
+			Id: a.message.GetId(), Incarnation: a.message.GetIncarnation(), Load: a.message.GetLoad(),
+		})
+	}
+	finish := func(answer *messenger.AnnounceResponse, err error) {
+		for _, a := range endpoints {
+			if err != nil || answer.GetNotHere() || slices.Contains(answer.GetUnknown(), a.message.GetId()) {
+				a.due = c.clock.Now()
+			}
 		}
 	}
+	owner, found := c.owner(service)
+	switch {
+	case !found:
+	case owner.Name == c.self.Name:
+		finish(c.receiveAnnouncement(now, request), nil)
+	default:
+		call(c, kindAnnounce, c.peers.get(owner.Address).scheduling.Announce, request, finish)
+	}
 }
--- a/router/internal/conductor/compare.go
+++ b/router/internal/conductor/compare.go
@@ -74,6 +74,7 @@
 // other zones.
 func (c *Conductor) compare(now time.Time) {
 	c.checkRouters(now)
+	c.forgetEndpoints(now)
 	if c.options.Alone || len(c.detector.Zones()) == 0 {
 		return
 	}
--- a/router/internal/conductor/conductor.go
+++ b/router/internal/conductor/conductor.go
@@ -206,9 +206,11 @@
 		c.compare(now)
 	}
 	next := earliest(c.beatAt, c.roundAt)
-	next = earliest(next, c.stepPools(now))
+	next = earliest(next, c.stepAnnounced(now))
+	next = earliest(next, c.stepPassing(now))
 	next = earliest(next, c.stepLines(now))
-	return earliest(next, c.stepPassing(now))
+	// Pools come last: whatever the others brought may have made grants.
+	return earliest(next, c.stepPools(now))
 }
 
 // earliest ignores zero times, which mean never.
--- /dev/null
+++ b/router/internal/conductor/endpoints.go
@@ -0,0 +1,129 @@
+package conductor
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"shallotkeel.example/lib/describer"
+	"shallotkeel.example/lib/labeler"
+	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/scheduler"
+)
+
+// receiveAnnouncement takes what a router passed on: an announcement, or
+// renewals of a pool.
+func (c *Conductor) receiveAnnouncement(now time.Time, request *messenger.AnnounceRequest) *messenger.AnnounceResponse {
+	if message := request.GetAnnouncement(); message != nil {
+		if message.GetZone() != c.options.Zone || !c.applyAnnouncement(now, message) {
+			return &messenger.AnnounceResponse{NotHere: true}
+		}
+		return &messenger.AnnounceResponse{}
+	}
+	if request.GetPool().GetZone() != c.options.Zone {
+		return &messenger.AnnounceResponse{NotHere: true}
+	}
+	h := c.pool(now, request.GetPool().GetService())
+	if h == nil {
+		return &messenger.AnnounceResponse{NotHere: true}
+	}
+	response := &messenger.AnnounceResponse{}
+	for _, renewal := range request.GetRenewals() {
+		if !c.applyRenewal(now, h, renewal) {
+			response.Unknown = append(response.Unknown, renewal.GetId())
+		}
+	}
+	return response
+}
+
+func (c *Conductor) applyRenewal(now time.Time, h *hosted, renewal *messenger.Renewal) bool {
+	known := h.endpoints[renewal.GetId()]
+	if known == nil || known.GetIncarnation() != renewal.GetIncarnation() {
+		return false
+	}
+	renewed := known
+	if known.GetLoad() != renewal.GetLoad() {
+		renewed = proto.Clone(known).(*messenger.Announcement)
+		renewed.Load = renewal.GetLoad()
+	}
+	return c.applyAnnouncement(now, renewed)
+}
+
+func (c *Conductor) applyAnnouncement(now time.Time, message *messenger.Announcement) bool {
+	h := c.pool(now, message.GetService())
+	address, err := netip.ParseAddrPort(message.GetAddress())
+	if h == nil || err != nil {
+		return false
+	}
+	old := h.endpoints[message.GetId()]
+	if old.GetIncarnation() > message.GetIncarnation() || (old == nil && len(h.endpoints) >= maxAnnounced) {
+		return true // news of a former life changes nothing
+	}
+	ttl := time.Duration(message.GetTtlMs()) * time.Millisecond
+	h.expires[message.GetId()] = now.Add(ttl)
+	h.desk.Apply(now, scheduler.Announced{
+		ID: message.GetId(), Incarnation: message.GetIncarnation(), Address: address,
+		Labels: labelsOf(message), Models: message.GetModels(), Slots: c.slots(message), TTL: ttl,
+		Leaving: message.GetLeaving(), Load: int(message.GetLoad()),
+		Cached: message.GetCached(), Evicted: message.GetEvicted(),
+	})
+	if len(message.GetCached())+len(message.GetEvicted()) > 0 {
+		// Cache events are applied once, not with every renewal.
+		message = proto.Clone(message).(*messenger.Announcement)
+		message.Cached, message.Evicted = nil, nil
+	}
+	h.endpoints[message.GetId()] = message
+	return true
+}
+
+// forgetEndpoints drops the announcements of endpoints that have been silent.
+func (c *Conductor) forgetEndpoints(now time.Time) {
+	for _, h := range c.pools {
+		for id, expires := range h.expires {
+			if now.Sub(expires) > endpointMemory {
+				delete(h.expires, id)
+				delete(h.endpoints, id)
+			}
+		}
+	}
+}
+
+// endpointMemory is how long a silent endpoint is remembered for the status.
+const endpointMemory = time.Minute
+
+// slots is how many requests this router's pool may run at an endpoint. Alone,
+// every router takes an equal part and at least one.
+func (c *Conductor) slots(message *messenger.Announcement) int {
+	slots := int(message.GetSlots())
+	if !c.options.Alone {
+		return slots
+	}
+	return max(1, slots/len(c.detector.Live()))
+}
+
+// rescale applies announcements again when the number of live routers changes
+// what each may use of an endpoint.
+func (c *Conductor) rescale(now time.Time) {
+	if !c.options.Alone {
+		return
+	}
+	for _, h := range c.pools {
+		for id, message := range h.endpoints {
+			if now.Before(h.expires[id]) {
+				c.applyAnnouncement(now, message)
+			}
+		}
+	}
+}
+
+func labelsOf(message *messenger.Announcement) labeler.Labels {
+	labels := make(labeler.Labels, len(message.GetLabels())+3)
+	for key, value := range message.GetLabels() {
+		labels[key] = value
+	}
+	labels[describer.LabelZone] = message.GetZone()
+	labels[describer.LabelService] = message.GetService()
+	labels[describer.LabelEndpoint] = message.GetId()
+	return labels
+}
--- a/router/internal/conductor/hosted.go
+++ b/router/internal/conductor/hosted.go
@@ -15,7 +15,7 @@
 	service   string
 	plain     bool
 	desk      *enlister.Desk
-	endpoints map[string]*messenger.Announcement // last announcement, for Alone and for status
+	endpoints map[string]*messenger.Announcement // last announcements, for renewals and status
 	expires   map[string]time.Time
 	seen      map[scheduler.RouterID]presence
 	ticked    time.Time
