Prove what callers are told, fault by fault

Cause: each promise to callers needs a test that causes the fault it guards against. Found and mended while writing them: a read that timed out cancelled the request and spoiled the writing of its refusal; a refusal waited for the rest of a body that never came; the record of an outcome came after the slot was given back.

--- a/router/internal/relayer/body.go
+++ b/router/internal/relayer/body.go
@@ -113,9 +113,18 @@
 func (p *patient) Read(buffer []byte) (int, error) {
 	// The deadline is the operating system's, so it is in real time.
 	_ = p.caller.control.SetReadDeadline(time.Now().Add(p.caller.stall))
+	p.caller.wait(true)
+	defer p.caller.wait(false)
+	if err := p.caller.ended.Err(); err != nil {
+		return 0, err
+	}
 	n, err := p.body.Read(buffer)
-	// A deadline that stays would later look like a caller who has gone.
-	_ = p.caller.control.SetReadDeadline(time.Time{})
+	if err == nil || errors.Is(err, io.EOF) {
+		// A deadline that stays would later look like a caller who has gone. After
+		// an error it stays, because the server reads what is left of a body before
+		// it sends an answer.
+		_ = p.caller.control.SetReadDeadline(time.Time{})
+	}
 	return n, err
 }
 
@@ -140,10 +149,10 @@
 }
 
 func unreadable(ctx context.Context, err error) *problem {
-	switch {
-	case ctx.Err() != nil && interruption(ctx).Kind == tracker.Stopped:
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStopping):
 		return &problem{tracker.CodeStopping, ""}
-	case ctx.Err() != nil:
+	case errors.Is(cause, errTimedOut):
 		return &problem{tracker.CodeTimedOut, ""}
 	case errors.Is(err, errHeld):
 		return &problem{tracker.CodeQueueFull, "the bodies of waiting requests take all the memory they may"}
--- a/router/internal/relayer/caller.go
+++ b/router/internal/relayer/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -37,8 +38,12 @@
 	control *http.ResponseController
 	stall   time.Duration
 	ended   context.Context // the request's, after which nothing is written but its ending
-	begun   bool            // a byte of the answer has been handed to the connection
-	discard bool            // the caller has gone; what follows is thrown away
+
+	lock    sync.Mutex
+	waiting bool // for a read or write, which expire may cut short
+
+	begun   bool // a byte of the answer has been handed to the connection
+	discard bool // the caller has gone; what follows is thrown away
 }
 
 func newCaller(w http.ResponseWriter, stall time.Duration) *caller {
@@ -61,8 +66,9 @@
 		return nil
 	}
 	c.extend()
-	// The deadline comes first: if the request ends after this check, expire
-	// moves the deadline that was set here.
+	c.wait(true)
+	defer c.wait(false)
+	// If the request ends after this check, expire moves the deadline.
 	if err := c.ended.Err(); err != nil {
 		return merry.Errorf("%w: %w", errCaller, err)
 	}
@@ -80,12 +86,25 @@
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.stall))
 }
 
-// expire ends a read or write that waits for the caller. Any goroutine may call it.
+// expire cuts a read or write short that waits for the caller, because the
+// request has ended. Any goroutine may call it. While nothing waits it does
+// nothing: it would spoil the writing of the final answer.
 func (c *caller) expire() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if !c.waiting {
+		return
+	}
 	_ = c.control.SetReadDeadline(time.Now())
 	_ = c.control.SetWriteDeadline(time.Now())
 }
 
+func (c *caller) wait(waiting bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.waiting = waiting
+}
+
 // release leaves the connection to the next request without a deadline.
 func (c *caller) release() {
 	_ = c.control.SetWriteDeadline(time.Time{})
--- a/router/internal/relayer/failure.go
+++ b/router/internal/relayer/failure.go
@@ -113,6 +113,8 @@
 		headers.Set("Retry-After", wholeSeconds(action.Retry))
 	}
 	c.extend()
+	// The server reads the rest of a body first, from a caller that may stall.
+	_ = c.control.SetReadDeadline(time.Now().Add(c.stall))
 	refuser.Write(c.writer, means.status, body)
 }
 
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -66,7 +66,7 @@
 func startFleet(t *testing.T, clock clockwork.Clock, limits relayer.Limits, endpoints ...endpoint) *fleet {
 	f := &fleet{
 		T: t, quarantine: make(map[uint64]bool), registry: prometheus.NewRegistry(),
-		enroller: &enroller{}, claimer: &claimer{claims: make(map[string]*claim)},
+		enroller: &enroller{suspects: make(map[string]bool), changed: make(chan struct{})}, claimer: &claimer{claims: make(map[string]*claim)},
 	}
 	for _, script := range endpoints {
 		f.enroller.addresses = append(f.enroller.addresses, f.serve(script))
@@ -120,6 +120,8 @@
 		{Kind: describer.Workspace, Name: "house", Labels: map[string]string{"token": matcher.Digest("house-token"), "tier": "house"}},
 		{Kind: describer.Service, Name: "modelli", Labels: map[string]string{"type": "model", "model.draft-7b": "yes"}},
 		{Kind: describer.Service, Name: "app", Labels: map[string]string{"type": "plain"}},
+		{Kind: describer.Service, Name: "safe", Labels: map[string]string{"type": "plain", "repeat": "safe"}},
+		{Kind: describer.Service, Name: "strict", Labels: map[string]string{"type": "plain", "repeat": "never"}},
 		{Kind: describer.Service, Name: "desk", Labels: map[string]string{"type": "plain"}, Selector: "tier=house"},
 	} {
 		objects[object.Key()] = object
@@ -135,31 +137,53 @@
 	closed    bool
 	waiting   []relayer.Waiting
 	finished  []string // "endpoint ending units"
+	suspects  map[string]bool
 	changed   chan struct{}
 }
 
 func (e *enroller) Enrol(ctx context.Context, waiting relayer.Waiting) (relayer.Slot, error) {
 	e.lock.Lock()
+	defer e.lock.Unlock()
 	e.waiting = append(e.waiting, waiting)
-	closed := e.closed
 	e.signal()
-	e.lock.Unlock()
-	for n, address := range e.addresses {
-		if id := strconv.Itoa(n + 1); !closed && !slices.Contains(waiting.Avoid, id) {
-			return &slot{enroller: e, id: id, address: address}, nil
+	if len(waiting.Avoid) >= len(e.addresses) && !e.closed {
+		return nil, &relayer.Refused{Code: "no_endpoint", Retry: 3 * time.Second}
+	}
+	for {
+		if slot := e.choose(waiting); slot != nil {
+			return slot, nil
+		}
+		changed := e.changed
+		e.lock.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		e.lock.Lock()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
 	}
-	if !closed {
-		return nil, &relayer.Refused{Code: "no_endpoint", Retry: 3 * time.Second}
+}
+
+// choose returns the first endpoint that is not avoided and, for a suspect, runs
+// no other suspect.
+func (e *enroller) choose(waiting relayer.Waiting) relayer.Slot {
+	for n, address := range e.addresses {
+		id := strconv.Itoa(n + 1)
+		if e.closed || slices.Contains(waiting.Avoid, id) || waiting.Alone && e.suspects[id] {
+			continue
+		}
+		if waiting.Alone {
+			e.suspects[id] = true
+		}
+		return &slot{enroller: e, id: id, address: address, alone: waiting.Alone}
 	}
-	<-ctx.Done()
-	return nil, ctx.Err()
+	return nil
 }
 
 func (e *enroller) signal() {
-	if e.changed != nil {
-		close(e.changed)
-	}
+	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
@@ -168,9 +192,6 @@
 	timeout := time.After(patience)
 	for {
 		e.lock.Lock()
-		if e.changed == nil {
-			e.changed = make(chan struct{})
-		}
 		done, changed := wanted(), e.changed
 		e.lock.Unlock()
 		if done {
@@ -196,6 +217,7 @@
 	enroller *enroller
 	id       string
 	address  netip.AddrPort
+	alone    bool
 }
 
 func (s *slot) Endpoint() string        { return s.id }
@@ -205,6 +227,9 @@
 func (s *slot) Finish(charged uint32, ending scheduler.Ending, _, _ time.Duration) {
 	s.enroller.lock.Lock()
 	defer s.enroller.lock.Unlock()
+	if s.alone {
+		delete(s.enroller.suspects, s.id)
+	}
 	s.enroller.finished = append(s.enroller.finished, fmt.Sprintf("%s %s %d", s.id, words[ending], charged))
 	s.enroller.signal()
 }
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -176,17 +176,17 @@
 	return tracker.Event{}, true
 }
 
-// settle gives the slot back and settles the claim, as the action says.
+// settle settles the claim and gives the slot back, as the action says.
 func (r *Relayer) settle(q *request, action tracker.Action) {
-	if action.Slot != 0 && q.slot != nil {
-		r.giveBack(q, action.Slot)
-	}
 	switch action.Claim {
 	case tracker.Free:
 		r.record(q, q.keep.notRun())
 	case tracker.RecordAnswer:
 		r.record(q, q.keep.answer(&q.order))
 	}
+	if action.Slot != 0 && q.slot != nil {
+		r.giveBack(q, action.Slot)
+	}
 	if action.Step == tracker.Enrol && action.Slot != 0 {
 		r.countRetry(q, action.Slot)
 	}
