--- a/bench/internal/faults/bed.go
+++ b/bench/internal/faults/bed.go
@@ -104,7 +104,9 @@
 
 func (b *bed) plan(options Options, how shape) launcher.Plan {
 	engine := func(name string) launcher.StandinSettings {
-		return launcher.Model(name, b.deployment.Model, b.deployment.Models)
+		settings := launcher.Model(name, b.deployment.Model, b.deployment.Models)
+		settings.CrashOn = poison
+		return settings
 	}
 	plain := func(name string) launcher.StandinSettings { return launcher.PlainService(name, b.deployment.Plain) }
 	plan := launcher.Plan{
@@ -292,6 +294,9 @@
 		return merry.Errorf("%w: double %d, false not-run %d, wrong %d, missing %d, answered without being run %d", ErrCell,
 			verdict.Double, verdict.FalseNotRun, verdict.Wrong, verdict.Missing, verdict.Phantom)
 	}
+	if b.ctx.Err() != nil {
+		return merry.Errorf("%w: it took longer than %v", ErrCell, cellLimit)
+	}
 	if verdict.Answered == 0 {
 		return merry.Errorf("%w: nothing was answered", ErrCell)
 	}
--- a/bench/internal/faults/changes.go
+++ b/bench/internal/faults/changes.go
@@ -206,6 +206,7 @@
 	object := func(value string) describer.Object {
 		return describer.Object{Kind: describer.Workspace, Name: "club-gara", Labels: labeler.Labels{"round": value}}
 	}
+	var version uint64 // that both operators have seen; 0 says that there is no such object
 	for i := range races {
 		var edits sync.WaitGroup
 		statuses := make([]int, 2)
@@ -213,32 +214,35 @@
 		for j := range 2 {
 			edits.Go(func() {
 				change := describer.Change{ID: fmt.Sprintf("race-%d-%d", i, j), Edits: []describer.Edit{
-					{Object: object(fmt.Sprintf("v%d-%d", i, j)), Check: true, Version: uint64(i)},
+					{Object: object(fmt.Sprintf("v%d-%d", i, j)), Check: true, Version: version},
 				}}
 				statuses[j], answers[j], _ = routers[(i+j)%len(routers)].Change(b.ctx, change)
 			})
 		}
 		edits.Wait()
-		if err := oneWinner(i, statuses, answers); err != nil {
+		winner, err := oneWinner(i, statuses, answers)
+		if err != nil {
 			return err
 		}
+		version = winner.Version
 	}
 	b.note("%d races, one winner each", races)
 	return nil
 }
 
-func oneWinner(round int, statuses []int, answers []reporter.Applied) error {
+// oneWinner returns the winner as the loser was shown it.
+func oneWinner(round int, statuses []int, answers []reporter.Applied) (describer.Object, error) {
 	winner := slices.Index(statuses, http.StatusOK)
 	loser := slices.Index(statuses, http.StatusConflict)
 	if winner < 0 || loser < 0 {
-		return merry.Errorf("%w: race %d ended with statuses %v", ErrCell, round, statuses)
+		return describer.Object{}, merry.Errorf("%w: race %d ended with statuses %v", ErrCell, round, statuses)
 	}
 	want := fmt.Sprintf("v%d-%d", round, winner)
 	winners := answers[loser].Winners
 	if len(winners) != 1 || winners[0].Labels["round"] != want {
-		return merry.Errorf("%w: race %d: the loser was shown %v and not %s", ErrCell, round, winners, want)
+		return describer.Object{}, merry.Errorf("%w: race %d: the loser was shown %v and not %s", ErrCell, round, winners, want)
 	}
-	return nil
+	return winners[0], nil
 }
 
 // resentChange: the answer to a change is lost, and the operator sends it
--- a/bench/internal/faults/pairs.go
+++ b/bench/internal/faults/pairs.go
@@ -100,9 +100,6 @@
 }
 
 func disturbByPoison(b *bed) (func() error, error) {
-	if err := b.poisonable(); err != nil {
-		return nil, err
-	}
 	_, stop := b.platform()
 	bad := b.planner(1, caller.Mix{Stream: 1, Models: b.deployment.Models, Bound: 16, Prompt: 100}).Next()
 	bad.Prompt = poison
--- a/bench/internal/faults/poison.go
+++ b/bench/internal/faults/poison.go
@@ -15,6 +15,9 @@
 	poison     = "veleno-veleno"
 	poisonTime = 12 * time.Second
 	resends    = 12
+	// resendPause is far less than callers are told to wait: this caller does
+	// not listen.
+	resendPause = 300 * time.Millisecond
 	// mostCrashes is what one request that crashes endpoints may cost: two,
 	// after which its fingerprint is in quarantine, and two more for resends
 	// that meet before the fleet knows.
@@ -41,9 +44,6 @@
 func poisoned(b *bed, between func() error) error {
 	crashes, stop := b.platform()
 	defer stop()
-	if err := b.poisonable(); err != nil {
-		return err
-	}
 	b.send(b.everyone(usualRate/2, caller.Mix{Stream: 2, Whole: 1, Models: b.deployment.Models, Bound: 48, Prompt: 600}), poisonTime)
 	b.sleep(warmUp)
 	bad := b.planner(0, caller.Mix{Stream: 1, Models: b.deployment.Models, Bound: 16, Prompt: 100}).Next()
@@ -58,7 +58,7 @@
 				return err
 			}
 		}
-		b.sleep(max(result.Retry/4, 100*time.Millisecond))
+		b.sleep(resendPause)
 	}
 	allowed := []caller.Ending{}
 	if between != nil {
@@ -75,21 +75,8 @@
 	return nil
 }
 
-// poisonable makes every running engine crash on the poison.
-func (b *bed) poisonable() error {
-	for _, standin := range b.fleet.Of(launcher.Standin) {
-		if standin.Standin.Type != "model" {
-			continue
-		}
-		if err := b.fault(standin, map[string]any{"crash_on": poison}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// platform starts crashed engines again, as the platform does, with the fault
-// in place, and counts the crashes.
+// platform starts crashed engines again, as the platform does, and counts the
+// crashes.
 func (b *bed) platform() (*atomic.Int64, func()) {
 	crashes := &atomic.Int64{}
 	ctx, cancel := context.WithCancel(b.ctx)
@@ -109,9 +96,6 @@
 				if ctx.Err() != nil || standin.Start() != nil {
 					return
 				}
-				_, _ = b.await(startLimit, "the engine's return", func() bool {
-					return b.fault(standin, map[string]any{"crash_on": poison}) == nil
-				})
 			}
 		})
 	}
--- a/bench/internal/launcher/settings.go
+++ b/bench/internal/launcher/settings.go
@@ -69,6 +69,7 @@
 	LoadLag       loader.Duration   `json:"load_lag"`
 	Fenced        bool              `json:"fenced"`
 	Seed          uint64            `json:"seed"`
+	CrashOn       string            `json:"crash_on"`
 	Journal       string            `json:"journal"`
 }
 
--- a/bench/internal/policy/engine.go
+++ b/bench/internal/policy/engine.go
@@ -8,12 +8,37 @@
 	"shallotkeel.example/lib/scheduler"
 )
 
-// Speeds of every engine.
-const (
-	prefill  = 50 * time.Millisecond
-	perUnit  = 20 * time.Millisecond
-	leaseTTL = 3 * time.Second
-)
+const leaseTTL = 3 * time.Second
+
+// work is what the requests of a plan are like.
+type work struct {
+	plain   bool
+	prefill time.Duration
+	perUnit time.Duration
+	cost    []uint32 // mean units, by workspace
+	hop     time.Duration
+	zoneHop time.Duration
+}
+
+// tokens are streamed by model engines.
+func tokens() work {
+	return work{
+		prefill: 50 * time.Millisecond, perUnit: 20 * time.Millisecond, cost: costs(),
+		hop: time.Millisecond, zoneHop: 5 * time.Millisecond,
+	}
+}
+
+// calls of a plain service take 5 to 49 ms, and their units are milliseconds. The
+// zones are as close as those of the brief.
+func calls() work {
+	all := make([]uint32, workspaces)
+	for i := range all {
+		all[i] = []uint32{20, 22, 25, 28}[i%4]
+	}
+	return work{
+		plain: true, perUnit: time.Millisecond, cost: all, hop: 200 * time.Microsecond, zoneHop: time.Millisecond,
+	}
+}
 
 // engine is a stand-in for a model engine: a batch of slots, and a queue in
 // order of arrival for what is sent beyond them.
@@ -49,11 +74,11 @@
 	if !j.running {
 		return 0
 	}
-	generating := now.Sub(j.started) - prefill
+	generating := now.Sub(j.started) - j.router.zone.fleet.prefill
 	if generating <= 0 {
 		return 0
 	}
-	return min(uint32(generating/perUnit), j.cost)
+	return min(uint32(generating/j.router.zone.fleet.perUnit), j.cost)
 }
 
 func (e *engine) submit(j *job) {
@@ -70,7 +95,7 @@
 		j.running = true
 		j.started = e.fleet.now
 		e.batch = append(e.batch, j)
-		e.fleet.after(prefill+time.Duration(j.cost)*perUnit, func() {
+		e.fleet.after(e.fleet.prefill+time.Duration(j.cost)*e.fleet.perUnit, func() {
 			if !j.over {
 				e.end(j, scheduler.Done)
 			}
--- a/bench/internal/policy/fleet.go
+++ b/bench/internal/policy/fleet.go
@@ -12,8 +12,6 @@
 
 // Times of the simulated fleet.
 const (
-	hop           = time.Millisecond
-	zoneHop       = 5 * time.Millisecond
 	progressEvery = 250 * time.Millisecond
 	compareEvery  = 200 * time.Millisecond
 	detection     = time.Second // until a lost scheduler is replaced
@@ -35,8 +33,8 @@
 	// place says at which router a workspace's n-th request arrives.
 	place func(workspace, n, routers int) int
 	depth int // waiting requests of each workspace
-	cost  []uint32
-	liar  int // workspace whose hints are ten times too low, -1 for none
+	work
+	liar int // workspace whose hints are ten times too low, -1 for none
 }
 
 // fleet is zones of routers, engines and schedulers under simulated time.
@@ -165,7 +163,7 @@
 		hint /= 10
 	}
 	r := f.routers[f.place(workspace, n, len(f.routers))]
-	f.after(hop, func() { r.receive(workspace, max(cost, 1), max(hint, 1)) })
+	f.after(f.hop, func() { r.receive(workspace, max(cost, 1), max(hint, 1)) })
 }
 
 func (z *zone) begin() {
@@ -181,7 +179,7 @@
 func (z *zone) elect() {
 	z.fleet.origins++
 	z.origin = z.fleet.origins
-	z.pool = scheduler.New(scheduler.Options{Zone: z.name, Service: "modelli", Origin: z.origin})
+	z.pool = scheduler.New(scheduler.Options{Zone: z.name, Service: "modelli", Origin: z.origin, Plain: z.fleet.plain})
 	z.ticking = time.Time{}
 	z.apply(z.pool, scheduler.Configured{Rules: z.fleet})
 	for _, other := range z.fleet.zones {
@@ -270,7 +268,7 @@
 	for _, r := range z.routers {
 		if r.name == grant.Request.Router.Name {
 			to := z.fleet.engines[grant.Endpoint]
-			z.fleet.after(hop, func() { r.granted(grant.Request.Router.Incarnation, grant.Request.Seq, to) })
+			z.fleet.after(z.fleet.hop, func() { r.granted(grant.Request.Router.Incarnation, grant.Request.Seq, to) })
 		}
 	}
 }
@@ -287,7 +285,7 @@
 	}
 	for _, other := range z.fleet.zones {
 		if other != z && !z.fleet.cutBetween(z, other) {
-			z.fleet.after(zoneHop, func() { other.answer(z, pool, offer) })
+			z.fleet.after(z.fleet.zoneHop, func() { other.answer(z, pool, offer) })
 		}
 	}
 }
@@ -305,7 +303,7 @@
 			continue
 		}
 		answer := scheduler.Lent{Zone: z.name, Origin: z.origin, Loans: lend.Loans}
-		z.fleet.after(zoneHop, func() { from.apply(borrower, answer) })
+		z.fleet.after(z.fleet.zoneHop, func() { from.apply(borrower, answer) })
 	}
 }
 
@@ -339,7 +337,7 @@
 				units := float64(j.units(f.now))
 				s.served[j.workspace] += units
 				// What has been generated and not yet reported is not charged either.
-				unreported := min(units, float64(progressEvery/perUnit))
+				unreported := min(units, float64(progressEvery/f.perUnit))
 				remaining[j.workspace] += float64(j.cost) - units + unreported
 			}
 			for _, j := range e.queue {
--- a/bench/internal/policy/measure.go
+++ b/bench/internal/policy/measure.go
@@ -66,7 +66,7 @@
 		cost += weight
 	}
 	usual := cost / share
-	return passed.Seconds() / (prefill.Seconds() + usual*perUnit.Seconds()) * usual
+	return passed.Seconds() / (f.prefill.Seconds() + usual*f.perUnit.Seconds()) * usual
 }
 
 // bound is the formula of docs/FAIRNESS.md for the gap over an interval: twice
@@ -86,8 +86,8 @@
 	for _, weight := range f.weights {
 		least = min(least, weight)
 	}
-	delay := compareEvery + zoneHop + progressEvery
-	return slots * delay.Seconds() / perUnit.Seconds() / least
+	delay := compareEvery + f.zoneHop + progressEvery
+	return slots * delay.Seconds() / f.perUnit.Seconds() / least
 }
 
 // within returns how long after a time it takes until, from then to the end,
--- a/bench/internal/policy/policy.go
+++ b/bench/internal/policy/policy.go
@@ -44,10 +44,12 @@
 
 // Times of every scenario, after the start.
 const (
-	warm    = 60 * time.Second
-	length  = 300 * time.Second
-	faultAt = 120 * time.Second
-	healAt  = 160 * time.Second
+	warm   = 60 * time.Second
+	length = 300 * time.Second
+	// plainLength is shorter, for plain calls are a hundred times as many.
+	plainLength = 120 * time.Second
+	faultAt     = 120 * time.Second
+	healAt      = 160 * time.Second
 	// busyLevel is the utilisation that counts as having recovered.
 	busyLevel = 0.97
 	// atOnce is how many scenarios run at the same time; each is a world of its own.
@@ -101,10 +103,16 @@
 func newPlan(routers, zones int, place func(workspace, n, routers int) int) plan {
 	return plan{
 		zones: zones, routers: routers, engines: engines, slots: slots, weights: weights(),
-		place: place, depth: depth * routers, cost: costs(), liar: liar,
+		place: place, depth: depth * routers, work: tokens(), liar: liar,
 	}
 }
 
+func newPlainPlan(routers, zones int, place func(workspace, n, routers int) int) plan {
+	p := newPlan(routers, zones, place)
+	p.engines, p.work = engines/2, calls()
+	return p
+}
+
 // scenario is one comparison.
 type scenario struct {
 	name  string
@@ -113,6 +121,15 @@
 	// from is when measuring begins, warm by default. While zones are cut from
 	// each other each is fair by itself, so that fleet-wide figures begin after.
 	from time.Duration
+	// until is when measuring ends, length by default.
+	until time.Duration
+}
+
+func (s scenario) end() time.Duration {
+	if s.until > 0 {
+		return s.until
+	}
+	return length
 }
 
 func scenarios() []scenario {
@@ -125,6 +142,7 @@
 	}
 	return append(all,
 		scenario{name: "three zones, uneven, 12 routers", plan: newPlan(12, 3, uneven)},
+		scenario{name: "three zones, uneven, 12 routers, plain calls", plan: newPlainPlan(12, 3, uneven), until: plainLength},
 		scenario{name: "scheduler lost, 16 routers", plan: newPlan(16, 1, uneven), fault: (*fleet).loseScheduler},
 		scenario{name: "two schedulers for 3 s, 16 routers", plan: newPlan(16, 1, uneven), fault: (*fleet).twoSchedulers},
 		scenario{name: "router frozen for 5 s, 16 routers", plan: newPlan(16, 1, uneven), fault: (*fleet).freezeRouter},
@@ -165,7 +183,7 @@
 	if s.fault != nil {
 		s.fault(f)
 	}
-	f.until(f.now.Add(length))
+	f.until(f.now.Add(s.end()))
 	return f
 }
 
@@ -187,7 +205,7 @@
 
 func (s scenario) figures(pool, alone *fleet) []Figure {
 	from := max(warm, s.from)
-	poolWindow, aloneWindow := pool.window(from, length), alone.window(from, length)
+	poolWindow, aloneWindow := pool.window(from, s.end()), alone.window(from, s.end())
 	bound := pool.bound()
 	figures := []Figure{
 		compare(s.name, "fairness gap", "units by weight", gap(poolWindow), gap(aloneWindow)).within(bound),
@@ -206,7 +224,7 @@
 // recovery is how long after a fault, or the end of a cut, gap and utilisation
 // are back.
 func (s scenario) recovery(pool *fleet) Figure {
-	back := pool.within(max(faultAt, s.from), length, busyLevel)
+	back := pool.within(max(faultAt, s.from), s.end(), busyLevel)
 	return Figure{Scenario: s.name, Name: "time until gap and utilisation are back", Unit: "seconds", Pool: back.Seconds()}
 }
 
--- a/bench/internal/policy/router.go
+++ b/bench/internal/policy/router.go
@@ -48,7 +48,7 @@
 		pool = r.zone.former
 	}
 	if !r.frozen {
-		r.zone.fleet.after(hop, func() { r.zone.apply(pool, report) })
+		r.zone.fleet.after(r.zone.fleet.hop, func() { r.zone.apply(pool, report) })
 	}
 }
 
@@ -94,13 +94,13 @@
 		return
 	}
 	r.report(scheduler.Report{Router: r.id(), Finished: []scheduler.Finish{{
-		Seq: j.seq, Charged: charged, Ending: ending, First: j.started.Sub(j.sent) + prefill, Took: r.zone.fleet.now.Sub(j.sent),
+		Seq: j.seq, Charged: charged, Ending: ending, First: j.started.Sub(j.sent) + r.zone.fleet.prefill, Took: r.zone.fleet.now.Sub(j.sent),
 	}}})
 }
 
 // progress tells how far the running jobs are.
 func (r *router) progress() {
-	if r.alone != nil || len(r.order) == 0 {
+	if r.alone != nil || len(r.order) == 0 || r.zone.fleet.plain {
 		return
 	}
 	report := scheduler.Report{Router: r.id()}
--- a/standin/internal/runner/runner.go
+++ b/standin/internal/runner/runner.go
@@ -82,6 +82,7 @@
 			random: rand.New(rand.NewPCG(settings.Seed, 0)),
 		},
 	}
+	s.failer.Set(failer.Faults{CrashOn: settings.CrashOn})
 	listener, err := net.Listen("tcp", settings.Listen.String())
 	if err != nil {
 		return merry.Errorf("%w: %v; set a free address in \"listen\"", ErrStandin, err)
--- a/standin/internal/runner/settings.go
+++ b/standin/internal/runner/settings.go
@@ -40,6 +40,7 @@
 	LoadLag       loader.Duration   `json:"load_lag"`
 	Fenced        bool              `json:"fenced"`
 	Seed          uint64            `json:"seed"`
+	CrashOn       string            `json:"crash_on"` // the fault of that name, in force from the start
 	Journal       string            `json:"journal"` // file that every execution is appended to, or empty
 	StopTimeout   loader.Duration   `json:"stop_timeout"`
 }
