--- a/keeper/internal/driver/driver.go
+++ b/keeper/internal/driver/driver.go
@@ -327,7 +327,11 @@
 // error means that the keeper must stop.
 func (d *Driver) Flush(now time.Time) error {
 	if d.full {
-		return d.resume(now)
+		// Once there is room, everything known to be committed is applied again
+		// before anyone can look at the state.
+		if err := d.resume(now); err != nil || d.full {
+			return err
+		}
 	}
 	for {
 		actions := d.node.Actions(now)
--- a/lib/replicator/leader.go
+++ b/lib/replicator/leader.go
@@ -234,14 +234,16 @@
 	n.manage(now)
 }
 
-// rejected steps back to where the logs may agree. An answer that is older
-// than what the follower has acknowledged says nothing new.
+// rejected steps back to where the logs may agree, but not behind what the
+// follower has acknowledged: its answer skips a whole term, of which it may have
+// acknowledged a part.
 func (n *Node) rejected(now time.Time, m Message, p *peer) {
-	if m.Position.Index < p.match || m.Position.Index+1 >= p.next {
+	next := max(m.Position.Index, p.match) + 1
+	if next >= p.next {
 		return
 	}
 	p.streaming = false
-	p.next = m.Position.Index + 1
+	p.next = next
 	if !p.asked {
 		p.asked = true
 		n.sendTo(now, m.From, p, true)
--- a/lib/replicator/node_test.go
+++ b/lib/replicator/node_test.go
@@ -296,6 +296,24 @@
 	require.Equal(t, replicator.Leader, node.Status(now).State)
 }
 
+// TestSeeds walks the seeds in which the walk once found a fault.
+func TestSeeds(t *testing.T) {
+	t.Parallel()
+	tests := map[string]uint64{
+		// Symptom: a follower never catches up. Sequence: it acknowledges a part of a
+		// term, then rejects what follows with the start of that term, which the
+		// leader takes for old news.
+		"a rejection that skips behind the acknowledged": 18823,
+	}
+	for name, seed := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, err := walk(seed)
+			require.NoError(t, err)
+		})
+	}
+}
+
 // Symptom: the memory of a leader without quorum grows until it is killed.
 func TestProposalsAreBounded(t *testing.T) {
 	t.Parallel()
