Name the line of a bad address or duration in settings

Types that read themselves give errors without a position, so that the last line of the file was named. Keys are decoded one at a time to find the one that fails.

--- a/lib/loader/loader.go
+++ b/lib/loader/loader.go
@@ -75,7 +75,7 @@
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		return merry.Errorf("%w: %s:%d: %v; correct or remove that key (see docs/OPERATING.md)",
-			ErrJSON, name, lineOf(text, err, decoder), err)
+			ErrJSON, name, lineOf(text, standard, into, err, decoder), err)
 	}
 	return nil
 }
@@ -84,14 +84,14 @@
 
 // lineOf finds the line of a decoding error. The decoder reports an unknown
 // field without a position, so that one is searched for by its name.
-func lineOf(text []byte, err error, decoder *json.Decoder) int {
+func lineOf(text, standard []byte, into any, err error, decoder *json.Decoder) int {
 	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
 		return lineAt(text, int64(bytes.Index(text, []byte(`"`+found[1]+`"`))))
 	}
-	return lineAt(text, offsetOf(err, decoder))
+	return lineAt(text, offsetOf(standard, into, err, decoder))
 }
 
-func offsetOf(err error, decoder *json.Decoder) int64 {
+func offsetOf(standard []byte, into any, err error, decoder *json.Decoder) int64 {
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
 		return syntax.Offset
@@ -100,6 +100,9 @@
 	if errors.As(err, &kind) {
 		return kind.Offset
 	}
+	if offset := locate(standard, into); offset >= 0 {
+		return offset
+	}
 	return decoder.InputOffset()
 }
 
