--- /dev/null
+++ b/router/internal/follower/follower_test.go
@@ -0,0 +1,192 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"shallotkeel.example/lib/describer"
+	"shallotkeel.example/lib/matcher"
+	"shallotkeel.example/lib/messenger"
+)
+
+func object(name, weight string) *messenger.Object {
+	return &messenger.Object{Kind: string(describer.Workspace), Name: name, Labels: map[string]string{"weight": weight}}
+}
+
+// Symptom: an accepted change reverts at a router.
+// Sequence: answers of keepers that are behind, repeated and reordered.
+// Cause: an answer is applied because it came last, not because it is newer.
+func TestRevisionNeverDecreases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s state
+		now := time.Unix(0, 0)
+		for range rapid.IntRange(1, 50).Draw(t, "answers") {
+			before := s.snapshot
+			after := rapid.SampledFrom([]uint64{before.Revision, 0, 3}).Draw(t, "after")
+			answer := &messenger.WatchResponse{
+				Revision: rapid.Uint64Range(0, 20).Draw(t, "revision"),
+				Full:     rapid.Bool().Draw(t, "full"),
+			}
+			brought := s.apply(now, after, answer)
+			require.GreaterOrEqual(t, s.snapshot.Revision, before.Revision)
+			if brought != newer {
+				require.Equal(t, before.Revision, s.snapshot.Revision)
+			}
+		}
+	})
+}
+
+func TestApply(t *testing.T) {
+	start := func() *state {
+		s := &state{}
+		s.apply(time.Unix(0, 0), 0, &messenger.WatchResponse{
+			Revision: 5, Full: true, Objects: []*messenger.Object{object("a", "1"), object("b", "1")},
+		})
+		return s
+	}
+	for name, test := range map[string]struct {
+		after   uint64
+		answer  *messenger.WatchResponse
+		verdict verdict
+		objects int
+	}{
+		"difference": {
+			after: 5, verdict: newer, objects: 2,
+			answer: &messenger.WatchResponse{
+				Revision: 6, Objects: []*messenger.Object{object("c", "1")},
+				Deletions: []*messenger.Deletion{{Kind: "workspace", Name: "a"}},
+			},
+		},
+		"difference from another revision": {after: 3, answer: &messenger.WatchResponse{Revision: 6}, verdict: gap, objects: 2},
+		"whole": {
+			after: 0, answer: &messenger.WatchResponse{Revision: 9, Full: true, Objects: []*messenger.Object{object("z", "1")}},
+			verdict: newer, objects: 1,
+		},
+		"older":     {after: 5, answer: &messenger.WatchResponse{Revision: 4, Full: true}, verdict: older, objects: 2},
+		"unchanged": {after: 5, answer: &messenger.WatchResponse{Revision: 5, Stale: true}, verdict: unchanged, objects: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start()
+			require.Equal(t, test.verdict, s.apply(time.Unix(0, 0), test.after, test.answer))
+			require.Len(t, s.snapshot.Objects, test.objects)
+			require.Equal(t, test.answer.GetStale(), s.stale)
+		})
+	}
+}
+
+// keeper answers from a script, and then holds the poll.
+type keeper struct {
+	messenger.Keeping
+	mutex   sync.Mutex
+	answers []*messenger.WatchResponse
+	seen    []*messenger.WatchRequest
+}
+
+var errCut = errors.New("cut")
+
+func (k *keeper) Watch(ctx context.Context, q *messenger.WatchRequest) (*messenger.WatchResponse, error) {
+	k.mutex.Lock()
+	k.seen = append(k.seen, q)
+	if len(k.answers) > 0 {
+		answer := k.answers[0]
+		k.answers = k.answers[1:]
+		k.mutex.Unlock()
+		return answer, nil
+	}
+	k.mutex.Unlock()
+	<-ctx.Done()
+	return nil, errCut
+}
+
+type member struct {
+	messenger.Membership
+	answer *messenger.WatchResponse
+}
+
+func (m *member) Snapshot(context.Context, *messenger.WatchRequest) (*messenger.WatchResponse, error) {
+	return m.answer, nil
+}
+
+func follow(t *testing.T, keepers []messenger.Keeping, peer *messenger.WatchResponse) (*Follower, chan uint64) {
+	revisions := make(chan uint64, 16)
+	f := New(Options{
+		Name: "router-a1", Zone: "trento-a", Keepers: keepers, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+		Peers:   func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")} },
+		Peer:    func(netip.AddrPort) messenger.Membership { return &member{answer: peer} },
+		Changed: func(rules *matcher.Rules) { revisions <- rules.Revision },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	return f, revisions
+}
+
+// Symptom: a router that starts in a cut-off zone serves nothing, or an old
+// configuration without saying so.
+// Sequence: the zone's keeper has no quorum and is behind; another router of
+// the zone has a newer revision.
+// Cause: the first answer is taken for the best one.
+func TestStartsWithTheHighestRevisionReachable(t *testing.T) {
+	behind := &keeper{answers: []*messenger.WatchResponse{{Revision: 3, Full: true, Stale: true}}}
+	f, revisions := follow(t, []messenger.Keeping{behind}, &messenger.WatchResponse{Revision: 7, Full: true, Stale: true})
+	for revision := range revisions {
+		if revision == 7 {
+			break
+		}
+	}
+	require.True(t, f.Stale())
+	require.Equal(t, uint64(7), f.Rules().Revision)
+}
+
+// Symptom: `skctl apply --wait` never returns.
+// Sequence: a change is accepted; the router follows by long poll.
+// Cause: the router does not tell which revision it has in force.
+func TestAcknowledgesTheRevisionInForce(t *testing.T) {
+	k := &keeper{answers: []*messenger.WatchResponse{
+		{Revision: 1, Full: true}, {Revision: 2, Objects: []*messenger.Object{object("a", "2")}},
+	}}
+	f, revisions := follow(t, []messenger.Keeping{k}, &messenger.WatchResponse{})
+	require.Equal(t, uint64(1), <-revisions)
+	require.Equal(t, uint64(2), <-revisions)
+	require.Eventually(t, func() bool {
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
+		return k.seen[len(k.seen)-1].GetInForce() == 2
+	}, 5*time.Second, time.Millisecond)
+	require.False(t, f.Stale())
+	require.InDelta(t, 2, f.Rules().Weight("a"), 0)
+}
+
+func TestQuarantineHoldsHereAtOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := New(Options{Clock: clock, Log: zerolog.Nop(), Publisher: publisher{}})
+	f.Publish(7)
+	left, quarantined := f.Quarantined(7)
+	require.True(t, quarantined)
+	require.Equal(t, quarantineFor, left)
+	f.take(0, &messenger.WatchResponse{QuarantineRevision: 1, Quarantined: []*messenger.Fingerprint{{Digest: 8, LeftMs: 1000}}})
+	_, quarantined = f.Quarantined(8)
+	require.True(t, quarantined)
+	clock.Advance(2 * time.Second)
+	_, quarantined = f.Quarantined(8)
+	require.False(t, quarantined)
+}
+
+type publisher struct{}
+
+func (publisher) Quarantine(context.Context, *messenger.QuarantineRequest) (*messenger.QuarantineResponse, error) {
+	return &messenger.QuarantineResponse{}, nil
+}
--- /dev/null
+++ b/router/internal/rotator/rotator_test.go
@@ -0,0 +1,64 @@
+package rotator
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	"shallotkeel.example/lib/messenger"
+)
+
+type keeper struct {
+	messenger.Keeping
+	err   error
+	calls int
+}
+
+func (k *keeper) Apply(context.Context, *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+	k.calls++
+	return &messenger.ApplyResponse{}, k.err
+}
+
+func TestTurnsToTheNextKeeper(t *testing.T) {
+	down := twirp.NewError(twirp.Unavailable, "no quorum")
+	wrong := twirp.InvalidArgumentError("edits", "are malformed")
+	for name, test := range map[string]struct {
+		errs  []error
+		calls []int
+		fails bool
+		kind  error
+	}{
+		"first answers":      {errs: []error{nil, nil}, calls: []int{1, 0}},
+		"first is down":      {errs: []error{down, nil}, calls: []int{1, 1}},
+		"all are down":       {errs: []error{down, down}, calls: []int{1, 1}, fails: true, kind: ErrNoQuorum},
+		"request is wrong":   {errs: []error{wrong, nil}, calls: []int{1, 0}, fails: true, kind: wrong},
+		"no keeper is known": {fails: true, kind: ErrNoQuorum},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Rotator{}
+			for _, err := range test.errs {
+				r.keepers = append(r.keepers, &keeper{err: err})
+			}
+			_, err := r.Apply(t.Context(), &messenger.ApplyRequest{})
+			require.Equal(t, test.fails, err != nil)
+			require.ErrorIs(t, err, test.kind)
+			for i, calls := range test.calls {
+				require.Equal(t, calls, r.keepers[i].(*keeper).calls)
+			}
+		})
+	}
+}
+
+func TestRemembersWhoAnswered(t *testing.T) {
+	first := &keeper{err: twirp.NewError(twirp.Unavailable, "no quorum")}
+	second := &keeper{}
+	r := &Rotator{keepers: []messenger.Keeping{first, second}}
+	for range 3 {
+		_, err := r.Apply(t.Context(), &messenger.ApplyRequest{})
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, first.calls)
+	require.Equal(t, 3, second.calls)
+}
