--- a/keeper/internal/driver/walk_test.go
+++ b/keeper/internal/driver/walk_test.go
@@ -49,24 +49,23 @@
 
 // fleet is a group of keepers, its network and its clients, driven by one seed.
 type fleet struct {
-	random  *rand.Rand
-	now     time.Time
-	keepers []*keeper
-	network []packet
-	lossy   bool
-	nextID  replicator.ID
-	next    int
-	problem error
-	refused map[error]int // stops, by kind
-
+	random   *rand.Rand
+	now      time.Time
+	keepers  []*keeper
+	network  []packet
+	lossy    bool
+	nextID   replicator.ID
+	next     int
+	problem  error
 	granted  map[string]string // owner by key
 	accepted map[string]uint64 // revision by change id
+	highest  uint64            // of the accepted revisions
 }
 
 func newFleet(seed uint64, size int) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), lossy: true,
-		granted: make(map[string]string), accepted: make(map[string]uint64), refused: make(map[error]int),
+		granted: make(map[string]string), accepted: make(map[string]uint64),
 	}
 	var group replicator.Group
 	for i := range size {
@@ -244,10 +243,16 @@
 	id := fmt.Sprint("change-", f.random.IntN(1+f.next/2))
 	change := describer.Change{ID: id, Edits: []describer.Edit{{
 		Object: describer.Object{Kind: describer.Endpoint, Name: fmt.Sprint("endpoint-", f.random.IntN(5))},
+		Check:  f.random.IntN(3) == 0, Version: 1 << 40, // which no object has
 	}}}
+	known := f.highest
 	k.driver.Change(f.now, change, false, func(result configurer.Result, err error) {
-		if err == nil && result.Outcome == configurer.Accepted {
+		switch {
+		case err != nil:
+		case result.Outcome == configurer.Accepted:
 			f.accept(id, result)
+		case result.Revision < known:
+			f.fail("a conflict was found on revision %d although %d had been accepted", result.Revision, known)
 		}
 	})
 }
@@ -264,6 +269,7 @@
 		f.fail("change %s was accepted as revision %d and as %d", id, revision, result.Revision)
 	}
 	f.accepted[id] = result.Revision
+	f.highest = max(f.highest, result.Revision)
 }
 
 func (f *fleet) leader() *keeper {
