Stop as planned: leave, drain, finish, record, report, end

Answers given while stopping close their connections, so that no caller sends on a connection that is about to be reset.

--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -118,7 +118,7 @@
 		},
 	})
 	r.public = &http.Server{
-		Handler: r.publicHandler(keepers), ReadHeaderTimeout: headerTimeout,
+		Handler: r.leaving(r.publicHandler(keepers)), ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders,
 	}
 	controlMux := http.NewServeMux()
@@ -134,7 +134,7 @@
 		Clock: r.clock, Log: r.log, Registry: r.registry,
 	}).Register(mux)
 	administrator.New(administrator.Options{
-		Keeping: keepers, Reporter: &status{router: r, keepers: keepers.Keepers()}, Explainer: explainer(r.relayer),
+		Keeping: keepers, Reporter: &status{router: r, keepers: keepers.Keepers()}, Explainer: r.relayer,
 		Token: r.settings.OperatorToken, Log: r.log,
 	}).Register(mux)
 	mux.HandleFunc("GET /healthz", r.healthz)
@@ -143,6 +143,19 @@
 	return mux
 }
 
+// leaving ends callers' connections with their next answer while the router
+// stops. A connection that is still kept when the listener closes may be reset
+// just as its caller sends the next request, and that caller would not know
+// whether it ran.
+func (r *Router) leaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		if r.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, h)
+	})
+}
+
 // Run serves until the context ends, and then stops as described above.
 func (r *Router) Run(ctx context.Context) error {
 	public, control, err := r.listen()
@@ -193,11 +206,7 @@
 	defer cancel()
 	r.conductor.Leave(ctx)
 	r.sleep(ctx, balancerPause)
-	if d, drains := any(r.relayer).(drainer); drains {
-		if err := d.Drain(ctx); err != nil {
-			r.log.Warn().Err(err).Msg("requests were still in progress at the stop timeout")
-		}
-	}
+	cut := r.relayer.Drain(ctx)
 	err := r.public.Shutdown(ctx)
 	settle, done := context.WithTimeout(context.WithoutCancel(ctx), settlePause)
 	defer done()
@@ -206,16 +215,11 @@
 	}
 	r.conductor.Flush(settle)
 	_ = r.tracer.Shutdown(settle) // spans are lost if their collector is gone
-	if errors.Is(err, context.DeadlineExceeded) {
-		return merry.Errorf("requests were cut off at the stop timeout; raise limits.stop_timeout")
+	if err = errors.Join(cut, err); err != nil {
+		return err
 	}
 	r.log.Info().Msg("stopped")
-	return err
-}
-
-// drainer is a relayer that can wait for its requests.
-type drainer interface {
-	Drain(ctx context.Context) error
+	return nil
 }
 
 func (r *Router) sleep(ctx context.Context, pause time.Duration) {
--- /dev/null
+++ b/router/internal/assembler/assembler_test.go
@@ -0,0 +1,182 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/dialer"
+	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/matcher"
+	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/reporter"
+)
+
+const patience = 10 * time.Second
+
+// keeper serves one configuration.
+type keeper struct {
+	messenger.Keeping
+}
+
+func (keeper) Watch(ctx context.Context, q *messenger.WatchRequest) (*messenger.WatchResponse, error) {
+	if q.GetAfter() > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &messenger.WatchResponse{Revision: 1, Full: true, Objects: []*messenger.Object{
+		{Kind: "workspace", Name: "club", Labels: map[string]string{"token": matcher.Digest("club-token")}},
+		{Kind: "service", Name: "app", Labels: map[string]string{"type": "plain", "repeat": "safe"}},
+	}}, nil
+}
+
+func (keeper) Status(context.Context, *messenger.KeeperStatusRequest) (*messenger.KeeperStatusResponse, error) {
+	return &messenger.KeeperStatusResponse{Name: "keeper-1", Leader: "keeper-1", Quorum: true, Revision: 1}, nil
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// process is a running router with one endpoint that answers when it is let.
+type process struct {
+	t       *testing.T
+	base    string
+	release chan struct{}
+	once    sync.Once
+	began   chan struct{}
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func start(t *testing.T) *process {
+	keeping := messenger.NewKeepingServer(keeper{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := dialer.Server("secret", keeping)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+
+	p := &process{t: t, release: make(chan struct{}), began: make(chan struct{}, 1), ended: make(chan error, 1)}
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		w.Header().Set("X-Request-Id", h.Header.Get("X-Request-Id"))
+		p.began <- struct{}{}
+		<-p.release
+		fmt.Fprint(w, "whole")
+	}))
+	t.Cleanup(endpoint.Close)
+	t.Cleanup(p.let) // or Close would wait for a handler that a failed test left behind
+	settings := Settings{
+		Name: "router-a1", Zone: "trento-a", Listen: freeAddress(t), Control: freeAddress(t),
+		Keepers: []netip.AddrPort{netip.MustParseAddrPort(listener.Addr().String())},
+		Secret:  "secret", EndpointToken: "endpoint", OperatorToken: "operator",
+		Limits: Limits{StopTimeout: loader.Duration{Duration: patience}},
+		Timing: Timing{Heartbeat: loader.Duration{Duration: 20 * time.Millisecond}},
+	}
+	p.base = "http://" + settings.Listen.String()
+	router, err := New(t.Context(), settings, zerolog.Nop(), clockwork.NewRealClock())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	p.stop = cancel
+	go func() { p.ended <- router.Run(ctx) }()
+	require.Eventually(t, func() bool { return p.status("/readyz") == http.StatusOK }, patience, 5*time.Millisecond)
+	body := fmt.Sprintf(`{"incarnation":1,"service":"app","address":%q,"slots":4,"ttl_ms":60000}`, endpoint.Listener.Addr())
+	require.Equal(t, http.StatusNoContent, p.call(http.MethodPost, "/v1/endpoints/app-1", "endpoint", body).status)
+	return p
+}
+
+// let lets the endpoint answer.
+func (p *process) let() {
+	p.once.Do(func() { close(p.release) })
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+}
+
+func (p *process) call(method, path, token, body string) answer {
+	request, err := http.NewRequestWithContext(p.t.Context(), method, p.base+path, strings.NewReader(body))
+	require.NoError(p.t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(p.t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(p.t, err)
+	return answer{status: response.StatusCode, body: string(text)}
+}
+
+func (p *process) status(path string) int {
+	response, err := http.Get(p.base + path)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// Symptom: a planned stop cuts a request off, or the balancer sends requests
+// to a router that is about to close.
+// Sequence: SIGTERM while a request is in progress.
+// Cause: the process ends, or says so too late.
+func TestPlannedStopFinishesWhatRuns(t *testing.T) {
+	p := start(t)
+	require.Equal(t, http.StatusOK, p.status("/healthz"))
+	answered := make(chan answer, 1)
+	go func() { answered <- p.call(http.MethodGet, "/v1/services/app/slow", "club-token", "") }()
+	<-p.began
+	p.stop()
+	require.Eventually(t, func() bool { return p.status("/readyz") == http.StatusServiceUnavailable }, patience, time.Millisecond)
+	require.Equal(t, http.StatusOK, p.status("/healthz"), "it still serves while the balancer notices")
+	select {
+	case err := <-p.ended:
+		require.Fail(t, "it ended with a request in progress", "%v", err)
+	case <-time.After(2 * balancerPause):
+	}
+	p.let()
+	require.Equal(t, answer{status: http.StatusOK, body: "whole"}, <-answered)
+	require.NoError(t, <-p.ended)
+}
+
+func TestStatusAndMetrics(t *testing.T) {
+	p := start(t)
+	p.let()
+	require.Equal(t, http.StatusOK, p.call(http.MethodGet, "/v1/services/app/x", "club-token", "").status)
+	var status reporter.Status
+	require.NoError(t, json.Unmarshal([]byte(p.call(http.MethodGet, "/admin/status", "operator", "").body), &status))
+	require.Empty(t, status.Warnings)
+	require.Equal(t, uint64(1), status.Revision)
+	require.Equal(t, "leader", status.Keepers[0].Role)
+	require.Equal(t, uint64(1), status.Routers[0].InForce)
+	require.Equal(t, "app-1", status.Endpoints[0].ID)
+	require.Equal(t, "trento-a", status.Endpoints[0].Labels["zone"])
+	require.Equal(t, "router-a1", status.Pools[0].Scheduler)
+	require.Equal(t, 4, status.Pools[0].Slots)
+	metrics := p.call(http.MethodGet, "/metrics", "", "").body
+	for _, name := range []string{
+		"shallotkeel_control_sent_bytes_total", "shallotkeel_control_received_bytes_total",
+		"shallotkeel_revision_in_force 1", "shallotkeel_live_routers 1", "shallotkeel_grants_total 1",
+	} {
+		require.Contains(t, metrics, name)
+	}
+	p.stop()
+	require.NoError(t, <-p.ended)
+}
--- a/router/internal/assembler/status.go
+++ b/router/internal/assembler/status.go
@@ -11,8 +11,6 @@
 
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/reporter"
-	"shallotkeel.example/router/internal/administrator"
-	"shallotkeel.example/router/internal/relayer"
 )
 
 const (
@@ -153,18 +151,3 @@
 		}
 	}
 }
-
-// unexplained is for a relayer that keeps no explanations.
-type unexplained struct{}
-
-// Explain knows of no request.
-func (unexplained) Explain(string) (reporter.Explanation, bool) {
-	return reporter.Explanation{}, false
-}
-
-func explainer(r *relayer.Relayer) administrator.Explainer {
-	if known, explains := any(r).(administrator.Explainer); explains {
-		return known
-	}
-	return unexplained{}
-}
