Let a keeper advertise a control address other than the one it listens on

Cause: a keeper told the others the address that it binds, so that keepers behind relays talked past them: the cells that cut the network cut nothing between keepers and passed. Found by asking the cut zone's routers whether they know that they have no quorum; they did not. As strict as before: the own entry in keepers must be the address that is told.

--- a/bench/internal/launcher/fleet.go
+++ b/bench/internal/launcher/fleet.go
@@ -227,11 +227,14 @@
 	for _, keeper := range f.Of(Keeper) {
 		keepers[keeper.Name] = keeper.controlled
 	}
-	keepers[node.Name] = node.Control
-	return &keeperSettings{
+	settings := &keeperSettings{
 		Name: node.Name, Zone: node.Zone, Listen: node.Listen, Control: node.Control, Keepers: keepers,
 		Data: f.DataOf(node), Secret: FleetSecret,
 	}
+	if node.controlled != node.Control {
+		settings.Advertise = node.controlled.String()
+	}
+	return settings
 }
 
 // DataOf returns a keeper's data folder.
--- a/bench/internal/launcher/settings.go
+++ b/bench/internal/launcher/settings.go
@@ -36,14 +36,15 @@
 
 // keeperSettings are the settings of a keeper.
 type keeperSettings struct {
-	Name    string                    `json:"name"`
-	Zone    string                    `json:"zone"`
-	Listen  netip.AddrPort            `json:"listen"`
-	Control netip.AddrPort            `json:"control"`
-	Data    string                    `json:"data"`
-	Keepers map[string]netip.AddrPort `json:"keepers"`
-	Join    bool                      `json:"join"`
-	Secret  string                    `json:"secret"`
+	Name      string                    `json:"name"`
+	Zone      string                    `json:"zone"`
+	Listen    netip.AddrPort            `json:"listen"`
+	Control   netip.AddrPort            `json:"control"`
+	Advertise string                    `json:"advertise,omitempty"`
+	Data      string                    `json:"data"`
+	Keepers   map[string]netip.AddrPort `json:"keepers"`
+	Join      bool                      `json:"join"`
+	Secret    string                    `json:"secret"`
 }
 
 // StandinSettings are the settings of a stand-in that a plan may choose.
--- a/keeper/internal/server/maintaining.go
+++ b/keeper/internal/server/maintaining.go
@@ -52,7 +52,7 @@
 		return nil
 	case status.Newcomer:
 		s.foundOrJoin(ctx, status, m)
-	case member && self.Address != s.settings.Control.String():
+	case member && self.Address != s.settings.Address().String():
 		s.join(ctx, status, s.others(ctx))
 	case member && now.Sub(m.quorumAt) < silentElections*s.timing.Election:
 		return nil
@@ -109,7 +109,7 @@
 // still under way has arrived.
 func (s *Server) found(ctx context.Context, status replicator.Status, answers map[string]*messenger.KeeperStatusResponse) {
 	group := replicator.Group{{
-		ID: status.ID, Name: s.settings.Name, Address: s.settings.Control.String(), Role: replicator.Voter,
+		ID: status.ID, Name: s.settings.Name, Address: s.settings.Address().String(), Role: replicator.Voter,
 	}}
 	for _, name := range s.settings.Names() {
 		if answer, found := answers[name]; found {
@@ -134,7 +134,7 @@
 // voter once it has caught up.
 func (s *Server) join(ctx context.Context, status replicator.Status, answers map[string]*messenger.KeeperStatusResponse) {
 	request := &messenger.AlterRequest{Add: &messenger.Keeper{
-		Name: s.settings.Name, Address: s.settings.Control.String(),
+		Name: s.settings.Name, Address: s.settings.Address().String(),
 		Role: messenger.Role_ROLE_VOTER, Disk: uint64(status.ID),
 	}}
 	for _, name := range s.settings.Names() {
--- a/keeper/internal/settings/settings.go
+++ b/keeper/internal/settings/settings.go
@@ -18,7 +18,9 @@
 	Zone    string         `json:"zone"`
 	Listen  netip.AddrPort `json:"listen"`
 	Control netip.AddrPort `json:"control"`
-	Data    string         `json:"data"`
+	// Advertise is the control address told to others, where it is not Control.
+	Advertise netip.AddrPort `json:"advertise"`
+	Data      string         `json:"data"`
 	// Keepers are the control addresses by name, this keeper's own included.
 	Keepers map[string]netip.AddrPort `json:"keepers"`
 	// Join keeps this keeper from founding a group.
@@ -39,6 +41,14 @@
 
 const leastHeartbeat = 5 * time.Millisecond
 
+// Address is the control address that others are told.
+func (s *Settings) Address() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Control
+}
+
 // Check lists what is wrong with the settings.
 func (s *Settings) Check() []loader.Problem {
 	var problems []loader.Problem
@@ -63,7 +73,7 @@
 	if s.Secret == "" {
 		problem("secret", "the secret is missing", "set the fleet's secret, the same in all processes")
 	}
-	if own, found := s.Keepers[s.Name]; !found || own != s.Control {
+	if own, found := s.Keepers[s.Name]; !found || own != s.Address() {
 		problem("keepers", "this keeper itself is missing or has another address", "list every keeper of the group with its control address")
 	}
 	timing := s.Agreement()
