Stay with one contact in each other zone

Asking all members of all zones in turn kept a connection to each alive, whose pings every two seconds cost more than the questions: at 64 routers in 4 zones a router sent 3.4 KB a second when idle, against 2.0 KB at 16 in 2. Ruled out: a fanout of two instead of three.

--- a/lib/detector/detector.go
+++ b/lib/detector/detector.go
@@ -284,7 +284,9 @@
 	return Beat{To: address, Request: request}
 }
 
-// beatOther asks one member of one other zone, zones and members in turn.
+// beatOther asks one member of one other zone, zones in turn. It stays with a
+// member that answers: connections to all members of all zones would be kept
+// alive for nothing.
 func (d *Detector) beatOther() []Beat {
 	names := d.Zones()
 	if len(names) == 0 {
@@ -295,8 +297,11 @@
 		return nil
 	}
 	offset := xxhash.Sum64String(d.self.Name) % MaxMembers
+	if z.asked {
+		z.cursor++ // the last one did not answer
+	}
+	z.asked = true
 	to := z.members[(z.cursor+int(offset))%len(z.members)]
-	z.cursor++
 	return []Beat{d.ask(to.Address, z.digest)}
 }
 
--- a/lib/detector/exchange.go
+++ b/lib/detector/exchange.go
@@ -81,7 +81,7 @@
 	}
 	if from == nil {
 		if z := d.zones[d.places[to]]; z != nil {
-			z.heard = now
+			z.heard, z.asked = now, false
 			return nil
 		}
 	}
@@ -109,7 +109,7 @@
 	if z == nil {
 		return
 	}
-	z.heard = now
+	z.heard, z.asked = now, false
 	if z.digest == response.GetDigest() {
 		return
 	}
--- a/lib/detector/member.go
+++ b/lib/detector/member.go
@@ -35,6 +35,7 @@
 	digest  uint64
 	heard   time.Time
 	cursor  int
+	asked   bool // and not yet answered
 }
 
 func encode(m Member) *messenger.Member {
