Lend a slot for a term, so that short requests cross between zones

A loan was one slot for one request, and a slot was held for another zone only where requests last ten exchange intervals.

A slot is now lent for a term of four intervals, in which the borrower begins one request of the workspace after another; the lender reserves what the slot yields in the term, so that lending competes by the same prices as granting; and near its end the term is extended unless another lane is next in line by more than a margin. Terms end within the lease, so a borrower that is cut off begins nothing in a slot that the lender has taken back. Long requests gain as well: their slots idled from the end of each loan until the next exchange, and again until the next.

Seen failing with the mechanism off: use again, giving back after a failure, no extension, extension of any loan, use after the term. The walk over zones requires besides that a request begins only in a slot that the lender still keeps.

--- a/bench/internal/policy/policy_test.go
+++ b/bench/internal/policy/policy_test.go
@@ -33,7 +33,7 @@
 		case "utilisation over ideal":
 			require.GreaterOrEqual(t, f.Pool, leastUtilisation, name)
 		case "fairness gap":
-			if strings.HasPrefix(f.Scenario, "uneven") {
+			if strings.HasPrefix(f.Scenario, "uneven") || strings.HasPrefix(f.Scenario, "three zones") {
 				require.GreaterOrEqual(t, *f.Ratio, float64(leastImprovement), name)
 			}
 		case "longest time without service":
--- a/lib/scheduler/bitset.go
+++ b/lib/scheduler/bitset.go
@@ -31,6 +31,10 @@
 	b.remove(index)
 }
 
+func (b bitset) has(index int) bool {
+	return index/wordBits < len(b) && b[index/wordBits]&(1<<(index%wordBits)) != 0
+}
+
 func (b bitset) empty() bool {
 	for _, word := range b {
 		if word != 0 {
--- a/lib/scheduler/dispatch.go
+++ b/lib/scheduler/dispatch.go
@@ -157,7 +157,7 @@
 	for !p.open.empty() {
 		next := p.pick()
 		if next == nil {
-			return
+			break
 		}
 		if next.remote() {
 			p.lendTo(now, next)
@@ -165,6 +165,7 @@
 		}
 		p.grant(now, next)
 	}
+	p.reuse(now)
 }
 
 // pick returns the lane with the smallest price that an open endpoint may serve.
--- a/lib/scheduler/event.go
+++ b/lib/scheduler/event.go
@@ -186,7 +186,9 @@
 	Waiting   int
 }
 
-// Loan is one slot lent to another zone for one request of a workspace.
+// Loan is one slot lent to another zone for requests of one workspace, one after
+// the other. A loan with the id of a former one extends it, and then only ID,
+// Lease and Term count.
 type Loan struct {
 	ID          uint64
 	Workspace   string
@@ -194,7 +196,12 @@
 	Endpoint    string
 	Incarnation uint64
 	Address     netip.AddrPort
-	Lease       time.Duration
+	// Lease is how long the lender keeps the slot without hearing that the loan is
+	// still in use.
+	Lease time.Duration
+	// Term is how long further requests may begin in the slot, at most the lease;
+	// with 0 it is for one request.
+	Term time.Duration
 }
 
 // Grant tells a router to send a request to an endpoint now.
--- a/lib/scheduler/exchange.go
+++ b/lib/scheduler/exchange.go
@@ -70,7 +70,7 @@
 	p.endLoans(now, from, c.Returned)
 	p.renewLoans(now, from, c.Renewed)
 	p.demand(now, from, c.Demand)
-	p.answer(now, from)
+	p.answer(now, from, c.Renewed)
 }
 
 // merge takes an origin's totals in and bounds the debt that they make.
@@ -166,7 +166,7 @@
 
 // demand replaces what the zone would like to run here.
 func (p *Pool) demand(now time.Time, from *zone, rows []Demand) {
-	p.margin = p.localAdvantage()
+	p.margin = p.localAdvantage() + termMargin*p.yield(p.term(from))
 	listed := make(map[*lane]bool, len(rows))
 	for _, row := range rows {
 		if row.Waiting <= 0 {
@@ -228,6 +228,22 @@
 	return sum/float64(max(1, waiting)) + p.estimator.Mean()
 }
 
+// termMargin is the part of a term's worth of work by which local work is preferred
+// besides: lending for less makes slots go back and forth.
+const termMargin = 0.5
+
+// yield is the mean of the units that a slot yields in a time.
+func (p *Pool) yield(term time.Duration) float64 {
+	sum, known := 0.0, 0
+	for _, e := range p.seats {
+		if e != nil && e.pace > 0 {
+			sum += float64(term) / e.pace
+			known++
+		}
+	}
+	return sum / float64(max(1, known))
+}
+
 func (p *Pool) expireZones(now time.Time) {
 	for _, z := range p.zoneList {
 		silent := z.heard.Add(demandMemory)
@@ -257,11 +273,12 @@
 	demand = p.unmet()
 	// An answer may be repeated for as long as its loans' lease. Whoever forgets a
 	// loan sooner uses it a second time.
+	p.giveBackIdle(now)
 	forget := max(returnRepeat, p.options.Lease)
 	p.over = slices.DeleteFunc(p.over, func(b *borrowing) bool { return now.Sub(b.ended) > forget })
 	for _, b := range p.over {
 		if now.Sub(b.ended) <= returnRepeat {
-			returned = append(returned, b.id)
+			returned = append(returned, b.ID)
 		}
 	}
 	for id := range p.borrowings {
--- a/lib/scheduler/pool.go
+++ b/lib/scheduler/pool.go
@@ -75,6 +75,7 @@
 	loans      map[uint64]*loan
 	loanList   []*loan // by creation
 	borrowings map[uint64]*borrowing
+	idle       []*borrowing // those that no request uses now
 	over       []*borrowing // ended, still told to their lenders
 
 	alive     bitset // endpoints that may get work, now or once recovered
--- a/lib/scheduler/report.go
+++ b/lib/scheduler/report.go
@@ -266,6 +266,7 @@
 	}
 	p.charge(now, r, finish.Charged)
 	p.learn(now, r, finish)
+	r.well = finish.Ending == Done || finish.Ending == Cancelled
 	p.release(now, r)
 }
 
@@ -322,7 +323,7 @@
 	p.running--
 	r.running = false
 	if r.loan != nil {
-		p.giveBack(now, r.loan)
+		p.leave(now, r.loan, r.well)
 		r.loan = nil
 	}
 	if e := r.endpoint; e != nil {
--- a/lib/scheduler/request.go
+++ b/lib/scheduler/request.go
@@ -22,6 +22,7 @@
 	endpoint *endpoint // nil with a loan, or while the endpoint is not known
 	target   string    // endpoint id
 	loan     *borrowing
+	well     bool   // it ended so that its borrowed slot may be used again
 	estimate uint64 // units reserved at dispatch, prompt included
 	used     uint64 // units charged so far, prompt included
 	baseline uint64 // units that another scheduler charged
--- a/lib/scheduler/world_test.go
+++ b/lib/scheduler/world_test.go
@@ -170,7 +170,25 @@
 	a.router.grants = append(a.router.grants, g)
 	if a.at.site == s {
 		w.checkRoom(a.at, g.Incarnation)
+		return
+	}
+	require.True(w.t, w.keeps(a), "%v begins at %s under a loan that has lapsed", g.Request, g.Endpoint)
+}
+
+// keeps tells whether the lender keeps a slot for a request that begins there. A
+// scheduler that replaced the lender knows of no loan, and nothing begins at a
+// former life of an endpoint.
+func (w *world) keeps(a *attempt) bool {
+	if a.life != a.at.incarnation {
+		return true
 	}
+	for _, l := range w.loans {
+		same := l.worker == a.at && l.life == a.life && l.borrower == a.router.site.name && l.arrived && !l.returned
+		if same && (!l.over || (l.lender != a.at.site.pool && w.now.Before(l.expires))) {
+			return true
+		}
+	}
+	return false
 }
 
 // checkRoom requires, after a grant or a loan, that the pool has given no more
@@ -211,13 +229,17 @@
 
 func (w *world) lend(s *site, answer parcel, lend scheduler.Lend) {
 	for _, l := range lend.Loans {
+		if known := w.loans[l.ID]; known != nil && l.Endpoint == "" {
+			require.True(w.t, known.lender == s.pool && !known.over, "a loan that is over is extended")
+			continue
+		}
 		require.NotContains(w.t, w.loans, l.ID, "a loan's id is used twice")
 		w.loans[l.ID] = &lentSlot{
 			lender: s.pool, borrower: lend.Zone, worker: w.worker(l.Endpoint), life: l.Incarnation, expires: w.now.Add(l.Lease),
 		}
 	}
 	for _, l := range lend.Loans {
-		w.checkRoom(w.worker(l.Endpoint), l.Incarnation)
+		w.checkRoom(w.loans[l.ID].worker, w.loans[l.ID].life)
 	}
 	w.mail = append(w.mail, parcel{
 		from: s, to: answer.from, life: answer.asker, asked: answer.asked,
