--- a/router/internal/conductor/compare.go
+++ b/router/internal/conductor/compare.go
@@ -132,19 +132,25 @@
 func decodeLoans(answer *messenger.CompareResponse) []scheduler.Loan {
 	loans := make([]scheduler.Loan, 0, len(answer.GetLoans()))
 	for _, l := range answer.GetLoans() {
-		address, err := netip.ParseAddrPort(nameAt(answer.GetNames(), l.GetAddress()))
-		if err != nil {
-			continue
-		}
+		// A loan that is extended comes without the address that is known.
+		address, _ := netip.ParseAddrPort(nameAt(answer.GetNames(), l.GetAddress()))
 		loans = append(loans, scheduler.Loan{
 			ID: l.GetId(), Workspace: nameAt(answer.GetNames(), l.GetWorkspace()),
 			Model: nameAt(answer.GetNames(), l.GetModel()), Endpoint: nameAt(answer.GetNames(), l.GetEndpoint()),
-			Incarnation: l.GetIncarnation(), Address: address, Lease: time.Duration(l.GetLeaseMs()) * time.Millisecond,
+			Incarnation: l.GetIncarnation(), Address: address,
+			Lease: time.Duration(l.GetLeaseMs()) * time.Millisecond, Term: time.Duration(l.GetTermMs()) * time.Millisecond,
 		})
 	}
 	return loans
 }
 
+func addressText(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
 // receiveCompare answers another zone's scheduler.
 func (c *Conductor) receiveCompare(now time.Time, request *messenger.CompareRequest) *messenger.CompareResponse {
 	from := request.GetFrom()
@@ -175,7 +181,8 @@
 	for _, l := range loans {
 		response.Loans = append(response.Loans, &messenger.Loan{
 			Id: l.ID, Workspace: table.put(l.Workspace), Model: table.put(l.Model), Endpoint: table.put(l.Endpoint),
-			Address: table.put(l.Address.String()), Incarnation: l.Incarnation, LeaseMs: uint32(l.Lease.Milliseconds()),
+			Address: table.put(addressText(l.Address)), Incarnation: l.Incarnation,
+			LeaseMs: uint32(l.Lease.Milliseconds()), TermMs: uint32(l.Term.Milliseconds()),
 		})
 	}
 	if joining && !h.joining {
