--- a/keeper/internal/driver/walk_test.go
+++ b/keeper/internal/driver/walk_test.go
@@ -249,6 +249,8 @@
 	k.driver.Change(f.now, change, false, func(result configurer.Result, err error) {
 		switch {
 		case err != nil:
+		case result.Outcome == configurer.Moved:
+			f.fail("change %s has no answer", id)
 		case result.Outcome == configurer.Accepted:
 			f.accept(id, result)
 		case result.Revision < known:
--- /dev/null
+++ b/keeper/internal/server/server_test.go
@@ -0,0 +1,416 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/keeper/internal/settings"
+	"shallotkeel.example/lib/dialer"
+	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/messenger"
+)
+
+const (
+	secret = "secret"
+	// patience is how long a condition may take to come true before a test
+	// fails; no test passes by waiting.
+	patience = 20 * time.Second
+)
+
+// process is one keeper that runs in this process on loopback.
+type process struct {
+	settings settings.Settings
+	cancel   context.CancelFunc
+	ended    chan error
+	client   messenger.Keeping
+}
+
+// group is a group of keepers on loopback.
+type group struct {
+	t         testing.TB
+	processes []*process
+}
+
+// freeAddress returns an address that nothing listens on at the moment.
+func freeAddress(t testing.TB) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func startGroup(t testing.TB, size int) *group {
+	t.Helper()
+	g := &group{t: t}
+	addresses := make(map[string]netip.AddrPort)
+	for i := range size {
+		addresses[fmt.Sprint("keeper-", i+1)] = freeAddress(t)
+	}
+	for i := range size {
+		name := fmt.Sprint("keeper-", i+1)
+		p := &process{settings: settings.Settings{
+			Name: name, Zone: fmt.Sprint("zone-", i+1), Listen: freeAddress(t), Control: addresses[name],
+			Data: t.TempDir(), Keepers: addresses, Secret: secret,
+			Timing: settings.Timing{
+				Heartbeat: loader.Duration{Duration: 20 * time.Millisecond},
+				Election:  loader.Duration{Duration: 200 * time.Millisecond},
+			},
+		}}
+		p.client = messenger.NewKeepingProtobufClient("http://"+p.settings.Control.String(), dialer.Client(secret, &dialer.Counter{}))
+		g.processes = append(g.processes, p)
+		g.start(p)
+	}
+	t.Cleanup(func() {
+		for _, p := range g.processes {
+			g.stop(p)
+		}
+	})
+	return g
+}
+
+func (g *group) start(p *process) {
+	g.t.Helper()
+	require.Empty(g.t, p.settings.Check())
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel, p.ended = cancel, make(chan error, 1)
+	ended := p.ended
+	go func() { ended <- Run(ctx, &p.settings, zerolog.Nop(), clockwork.NewRealClock()) }()
+}
+
+// stop stops a keeper gracefully.
+func (g *group) stop(p *process) {
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.cancel = nil
+	require.NoError(g.t, <-p.ended)
+}
+
+// eventually waits for something that the processes do by themselves.
+func (g *group) eventually(condition func() bool, message string) {
+	g.t.Helper()
+	require.Eventually(g.t, condition, patience, 5*time.Millisecond, message)
+}
+
+func (g *group) status(p *process) *messenger.KeeperStatusResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	status, err := p.client.Status(ctx, &messenger.KeeperStatusRequest{})
+	if err != nil {
+		return &messenger.KeeperStatusResponse{}
+	}
+	return status
+}
+
+func (g *group) ready() {
+	g.t.Helper()
+	g.eventually(func() bool {
+		for _, p := range g.processes {
+			status := g.status(p)
+			if !status.GetQuorum() || len(status.GetKeepers()) != len(g.processes) {
+				return false
+			}
+			for _, keeper := range status.GetKeepers() {
+				if keeper.GetRole() != messenger.Role_ROLE_VOTER {
+					return false
+				}
+			}
+		}
+		return true
+	}, "all keepers are voters with a quorum")
+}
+
+func (g *group) leader() *process {
+	var leader *process
+	g.eventually(func() bool {
+		for _, p := range g.processes {
+			if status := g.status(p); status.GetQuorum() && status.GetLeader() == p.settings.Name {
+				leader = p
+				return true
+			}
+		}
+		return false
+	}, "there is a leader")
+	return leader
+}
+
+func (g *group) follower() *process {
+	leader := g.leader()
+	for _, p := range g.processes {
+		if p != leader && p.cancel != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+func (g *group) apply(p *process, id string) *messenger.ApplyResponse {
+	g.t.Helper()
+	response, err := p.client.Apply(context.Background(), &messenger.ApplyRequest{Change: id, Edits: []*messenger.Edit{
+		{Object: &messenger.Object{Kind: "endpoint", Name: id}},
+	}})
+	require.NoError(g.t, err)
+	require.Equal(g.t, messenger.ApplyOutcome_APPLY_ACCEPTED, response.GetOutcome())
+	return response
+}
+
+func TestAnyKeeperAnswers(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	for i, p := range g.processes {
+		require.EqualValues(t, i+1, g.apply(p, fmt.Sprint("change-", i)).GetRevision())
+	}
+	require.True(t, g.apply(g.processes[0], "change-2").GetResent())
+
+	claim := &messenger.ClaimRequest{Claims: []*messenger.ClaimEntry{{Workspace: "club", Key: "k", Digest: 7, Owner: "one"}}}
+	response, err := g.processes[0].client.Claim(context.Background(), claim)
+	require.NoError(t, err)
+	require.Equal(t, messenger.ClaimOutcome_CLAIM_GRANTED, response.GetResults()[0].GetOutcome())
+	_, err = g.processes[1].client.Record(context.Background(), &messenger.RecordRequest{Entries: []*messenger.RecordEntry{
+		{Workspace: "club", Key: "k", Digest: 7, Owner: "one", Answer: &messenger.Answer{Status: 201}},
+	}})
+	require.NoError(t, err)
+	claim.Claims[0].Owner = "two"
+	response, err = g.processes[2].client.Claim(context.Background(), claim)
+	require.NoError(t, err)
+	require.Equal(t, messenger.ClaimOutcome_CLAIM_RECORDED, response.GetResults()[0].GetOutcome())
+
+	history, err := g.leader().client.History(context.Background(), &messenger.HistoryRequest{At: 1})
+	require.NoError(t, err)
+	require.Len(t, history.GetObjects(), 1)
+	history, err = g.leader().client.History(context.Background(), &messenger.HistoryRequest{Limit: 2})
+	require.NoError(t, err)
+	require.EqualValues(t, 3, history.GetRevisions()[0].GetRevision())
+	require.Len(t, history.GetRevisions(), 2)
+}
+
+// Symptom: a router has a change long after it was accepted. Cause: the poll is
+// not woken, on the keeper that the router happens to ask.
+func TestWatchWakesAtEveryKeeper(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	var group sync.WaitGroup
+	for _, p := range g.processes {
+		group.Go(func() {
+			response, err := p.client.Watch(context.Background(), &messenger.WatchRequest{
+				WaitMs: uint32(patience.Milliseconds()), Router: "router-at-" + p.settings.Name, Zone: "z",
+			})
+			if err != nil || response.GetRevision() != 1 || len(response.GetObjects()) != 1 || response.GetStale() {
+				t.Errorf("watch at %s: %v, %v", p.settings.Name, response, err)
+			}
+		})
+	}
+	g.apply(g.follower(), "change")
+	group.Wait()
+
+	status := g.status(g.processes[0])
+	require.Len(t, status.GetRouters(), 3, "one keeper names the routers of all")
+	require.Zero(t, status.GetRouters()[0].GetInForce())
+	_, err := g.processes[1].client.Watch(context.Background(), &messenger.WatchRequest{
+		After: 1, Router: "router-at-keeper-1", Zone: "z", InForce: 1,
+	})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, g.status(g.processes[2]).GetRouters()[0].GetInForce(), "the newest row of a router that changed keepers")
+}
+
+// Symptom: a request that crashes endpoints is let through again by a router
+// that waits for configuration only.
+func TestWatchTellsOfQuarantineOnce(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 1)
+	g.ready()
+	p := g.processes[0]
+	_, err := p.client.Quarantine(context.Background(), &messenger.QuarantineRequest{
+		Fingerprints: []*messenger.Fingerprint{{Digest: 7, LeftMs: 60_000}},
+	})
+	require.NoError(t, err)
+	watch := func(wait time.Duration) *messenger.WatchResponse {
+		response, err := p.client.Watch(context.Background(), &messenger.WatchRequest{Router: "router", WaitMs: uint32(wait.Milliseconds())})
+		require.NoError(t, err)
+		return response
+	}
+	start := time.Now()
+	require.EqualValues(t, 7, watch(patience).GetQuarantined()[0].GetDigest())
+	require.Less(t, time.Since(start), patience/2, "it did not wait")
+	start = time.Now()
+	require.Len(t, watch(50*time.Millisecond).GetQuarantined(), 1, "later answers have the list too")
+	require.GreaterOrEqual(t, time.Since(start), 50*time.Millisecond, "but are not hurried by it")
+}
+
+// Symptom: nothing can be changed while one keeper is down, or what was accepted
+// is gone when it is back.
+func TestAChangeSurvivesItsLeader(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	g.apply(g.processes[0], "before")
+	old := g.leader()
+	g.stop(old)
+	require.EqualValues(t, 2, g.apply(g.follower(), "meanwhile").GetRevision())
+	g.start(old)
+	g.ready()
+	g.eventually(func() bool { return g.status(old).GetRevision() == 2 }, "it has what it missed")
+}
+
+// Symptom: a planned stop costs everyone an election timeout. The leader hands
+// over, so a change that comes during the stop goes through at once.
+func TestPlannedStopHandsOver(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	old := g.leader()
+	term := g.status(old).GetTerm()
+	g.stop(old)
+	next := g.leader()
+	require.Equal(t, term+1, g.status(next).GetTerm(), "one election, and it was won at once")
+}
+
+// Symptom: an accepted change is gone after a disk was replaced. Sequence: a
+// keeper starts with an empty folder and the same settings, while the first of
+// the settings, and founds a group of its own.
+func TestWipedFounderJoins(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	g.apply(g.processes[1], "before")
+	founder := g.processes[0]
+	disk := g.status(founder).GetDisk()
+	g.stop(founder)
+	require.NoError(t, os.RemoveAll(founder.settings.Data))
+	g.start(founder)
+	g.ready()
+	g.eventually(func() bool { return g.status(founder).GetRevision() == 1 }, "it has what was accepted")
+	require.NotEqual(t, disk, g.status(founder).GetDisk())
+	for _, keeper := range g.status(g.leader()).GetKeepers() {
+		require.NotEqual(t, disk, keeper.GetDisk(), "the old disk is no member")
+	}
+}
+
+// Symptom: a cut-off zone's routers have no configuration at all. A keeper
+// without a quorum answers what it has and says that it may be stale, and
+// refuses what it cannot decide.
+func TestKeeperWithoutQuorum(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	g.apply(g.processes[0], "before")
+	alone := g.processes[2]
+	g.eventually(func() bool { return g.status(alone).GetRevision() == 1 }, "it has the change")
+	g.stop(g.processes[0])
+	g.stop(g.processes[1])
+	g.eventually(func() bool { return !g.status(alone).GetQuorum() }, "it notices")
+	response, err := alone.client.Watch(context.Background(), &messenger.WatchRequest{})
+	require.NoError(t, err)
+	require.True(t, response.GetStale())
+	require.Len(t, response.GetObjects(), 1)
+	_, err = alone.client.Claim(context.Background(), &messenger.ClaimRequest{Claims: []*messenger.ClaimEntry{
+		{Workspace: "club", Key: "k", Owner: "one"},
+	}})
+	require.ErrorContains(t, err, "quorum")
+
+	code, text := get(t, "http://"+alone.settings.Listen.String()+"/readyz")
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Contains(t, text, "quorum")
+	code, _ = get(t, "http://"+alone.settings.Listen.String()+"/healthz")
+	require.Equal(t, http.StatusOK, code)
+	require.Zero(t, metric(t, alone, "keeper_quorum"))
+	require.EqualValues(t, 1, metric(t, alone, "keeper_revision"))
+}
+
+func get(t testing.TB, url string) (int, string) {
+	t.Helper()
+	response, err := http.Get(url)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+// metric reads one of a keeper's metrics.
+func metric(t testing.TB, p *process, name string) float64 {
+	t.Helper()
+	_, text := get(t, "http://"+p.settings.Listen.String()+"/metrics")
+	for line := range strings.Lines(text) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			number, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			require.NoError(t, err)
+			return number
+		}
+	}
+	require.Fail(t, "no metric "+name)
+	return 0
+}
+
+// Symptom: a removed keeper goes on as if it counted, or joins again by itself.
+func TestRemovedKeeperStops(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 3)
+	g.ready()
+	gone := g.follower()
+	g.eventually(func() bool {
+		response, err := g.leader().client.Alter(context.Background(), &messenger.AlterRequest{Remove: gone.settings.Name})
+		return err == nil && response.GetError() == ""
+	}, "it is removed")
+	select {
+	case err := <-gone.ended:
+		require.ErrorIs(t, err, ErrRemoved)
+	case <-time.After(patience):
+		t.Fatal("it did not stop")
+	}
+	gone.cancel = nil
+	require.Len(t, g.status(g.leader()).GetKeepers(), 2)
+	g.apply(g.leader(), "afterwards")
+}
+
+func TestCallersAreChecked(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 1)
+	g.ready()
+	p := g.processes[0]
+	stranger := messenger.NewKeepingProtobufClient("http://"+p.settings.Control.String(), dialer.Client("wrong", &dialer.Counter{}))
+	_, err := stranger.Status(context.Background(), &messenger.KeeperStatusRequest{})
+	require.Error(t, err)
+	tests := map[string]func() error{
+		"a claim without key": func() error {
+			_, err := p.client.Claim(context.Background(), &messenger.ClaimRequest{Claims: []*messenger.ClaimEntry{{}}})
+			return err
+		},
+		"too many claims": func() error {
+			_, err := p.client.Claim(context.Background(), &messenger.ClaimRequest{Claims: make([]*messenger.ClaimEntry, maxBatch+1)})
+			return err
+		},
+		"an edit of nothing": func() error {
+			_, err := p.client.Apply(context.Background(), &messenger.ApplyRequest{Change: "c", Edits: []*messenger.Edit{{}}})
+			return err
+		},
+		"an unknown revision": func() error {
+			_, err := p.client.History(context.Background(), &messenger.HistoryRequest{At: 99})
+			return err
+		},
+	}
+	for name, call := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			require.Error(t, call())
+		})
+	}
+}
