--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -303,6 +303,8 @@
 }
 
 func (f *fleet) callAs(ctx context.Context, token, method, path, body string, headers ...string) answer {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader(body))
 	require.NoError(f, err)
 	request.Header.Set("Authorization", "Bearer "+token)
--- a/router/internal/relayer/retry_test.go
+++ b/router/internal/relayer/retry_test.go
@@ -58,6 +58,7 @@
 				require.Equal(t, whole, f.chat(streamed).text(t))
 				require.Equal(t, test.endings, f.endings(2))
 				require.Equal(t, test.resumes, f.metric("shallotkeel_resumes_total{}"))
+				require.Zero(t, f.metric("shallotkeel_events_dropped_total{reason=repeated}"), "resumed, not started again")
 				require.Equal(t, []string{"1"}, f.enroller.waiting[1].Avoid)
 			})
 		}
