Refuse claims at once while no quorum is reached

Cause: in a zone that is cut off each claim waited up to 8 s for the call before it and 8 s for its own, and held a slot of the service meanwhile, so that calls which may repeat waited as well. A call for claims now lasts 2 s; while the last one found no quorum only one call at a time asks, and the claims beside and behind it are refused. Ruled out: shortening the call alone. Both tests seen failing without the mechanism.

--- a/bench/internal/faults/network.go
+++ b/bench/internal/faults/network.go
@@ -3,13 +3,23 @@
 import (
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"shallotkeel.example/bench/internal/launcher"
 	"shallotkeel.example/lib/caller"
 	"shallotkeel.example/lib/reporter"
 )
 
-// cutTime is longer than every lease of the system.
-const cutTime = 5 * time.Second
+const (
+	// cutTime is longer than every lease of the system.
+	cutTime = 5 * time.Second
+	// longCut is longer than the routers wait for a quorum.
+	longCut = 12 * time.Second
+	// refusalLimit is how soon a request that may not repeat has its final
+	// answer in a zone without a quorum: longer than an election, and short
+	// enough for its caller to go elsewhere.
+	refusalLimit = 5 * time.Second
+)
 
 func networkCells() []cell {
 	relays := shape{relays: true}
@@ -25,7 +35,7 @@
 // cutZone: each side goes on serving what it can. The zone without quorum
 // refuses what may not repeat as not run, and serves the rest.
 func cutZone(b *bed) error {
-	b.send(b.everyone(usualRate, b.mix()), 2*usualTime)
+	b.send(b.everyone(usualRate, b.mix()), longCut+usualTime)
 	b.sleep(2 * time.Second)
 	b.cutZone(zoneA)
 	took, err := b.await(cutTime, "the cut zone's notice that it has no quorum", func() bool { return b.stale(zoneA) })
@@ -33,7 +43,7 @@
 		return err
 	}
 	b.note("%s knows that it may be stale after %v", zoneA, took.Round(time.Millisecond))
-	b.sleep(cutTime)
+	b.sleep(longCut)
 	for _, zone := range []string{zoneA, zoneB} {
 		took, err := b.answers(zone, recoverLimit)
 		if err != nil {
@@ -42,8 +52,30 @@
 		b.note("%s answers during the cut after %v", zone, took.Round(time.Millisecond))
 	}
 	b.network.Mend()
-	_, err = b.judge()
-	return err
+	if _, err = b.judge(); err != nil {
+		return err
+	}
+	return b.refusedWithoutQuorum()
+}
+
+// refusedWithoutQuorum checks that what may not repeat was refused where no
+// quorum was reached, and how soon. Without a refusal the cut was none.
+func (b *bed) refusedWithoutQuorum() error {
+	results, _ := b.recorder.Results()
+	refused, longest := 0, time.Duration(0)
+	for _, result := range results {
+		if result.Code == "no_quorum" {
+			refused++
+		}
+		if result.Request.Once {
+			longest = max(longest, result.Took)
+		}
+	}
+	b.note("%d refused for want of a quorum; what may not repeat waited at most %v", refused, longest.Round(time.Millisecond))
+	if refused == 0 || longest > refusalLimit {
+		return merry.Errorf("%w: %d refused for want of a quorum, and the longest wait was %v, limit %v", ErrCell, refused, longest, refusalLimit)
+	}
+	return nil
 }
 
 // stale tells whether every router of the zone says that its configuration may
--- a/router/internal/claimant/claimant.go
+++ b/router/internal/claimant/claimant.go
@@ -36,7 +36,10 @@
 	// recordWindow is how long a record is tried; the keepers forget the claim
 	// after an hour.
 	recordWindow = time.Hour
-	callTimeout  = 8 * time.Second
+	// callTimeout bounds one call to the keepers. Claims are sent one batch at
+	// a time, so a request in a zone without a quorum waits for at most two of
+	// them before it is refused; an election takes a fraction of one.
+	callTimeout = 2 * time.Second
 )
 
 // Keeping is the part of messenger.Keeping that claims need.
@@ -64,6 +67,7 @@
 	mutex       sync.Mutex
 	waiting     []*claim
 	calling     bool
+	lost        bool // the last call reached no quorum
 	records     []record
 	recordBytes int
 	recording   bool
@@ -79,6 +83,7 @@
 type result struct {
 	answer *messenger.ClaimResult
 	err    error
+	unsent bool // no call carried the claim
 }
 
 type record struct {
@@ -112,6 +117,13 @@
 	}
 	waiting := &claim{entry: entry, result: make(chan result, 1)}
 	c.mutex.Lock()
+	if c.lost && c.calling {
+		// One call at a time finds out whether a quorum is back. Waiting for it
+		// would hold this request's slot, and with the slots of all of them the
+		// whole service would stop in a zone that is cut off.
+		c.mutex.Unlock()
+		return nil, merry.Errorf("%w: no quorum of keepers was reached; send the request again with the same key", ErrNoQuorum)
+	}
 	c.waiting = append(c.waiting, waiting)
 	if !c.calling {
 		c.calling = true
@@ -166,6 +178,7 @@
 	if err == nil && len(response.GetResults()) != len(batch) {
 		err = merry.Errorf("the keeper answered %d of %d claims", len(response.GetResults()), len(batch))
 	}
+	c.noteContact(err == nil)
 	for i, waiting := range batch {
 		if err != nil {
 			c.settle(waiting, result{err: merry.Errorf("%w: %v; send the request again with the same key", ErrNoQuorum, err)})
@@ -175,6 +188,23 @@
 	}
 }
 
+// noteContact remembers whether a quorum was reached. When it was not, the
+// claims that wait for the next call are refused with this one: they were not
+// sent, and would wait for as long again.
+func (c *Claimant) noteContact(reached bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lost = !reached
+	if reached {
+		return
+	}
+	for _, waiting := range c.waiting {
+		waiting.result <- result{unsent: true, err: merry.Errorf(
+			"%w: no quorum of keepers was reached; send the request again with the same key", ErrNoQuorum)}
+	}
+	c.waiting = nil
+}
+
 func (c *Claimant) settle(waiting *claim, answered result) {
 	c.mutex.Lock()
 	gone := waiting.gone
@@ -191,7 +221,7 @@
 // the caller's resend would be told that the request may have run. A call
 // without an answer may have claimed the key as well.
 func (c *Claimant) free(waiting *claim, answered result) {
-	if answered.err == nil && answered.answer.GetOutcome() != messenger.ClaimOutcome_CLAIM_GRANTED {
+	if answered.unsent || answered.err == nil && answered.answer.GetOutcome() != messenger.ClaimOutcome_CLAIM_GRANTED {
 		return
 	}
 	entry := waiting.entry
--- a/router/internal/claimant/claimant_test.go
+++ b/router/internal/claimant/claimant_test.go
@@ -156,3 +156,43 @@
 	require.LessOrEqual(t, len(c.records), maxRecords+maxBatch)
 	require.LessOrEqual(t, c.recordBytes, maxRecordBytes+maxBatch*16<<10)
 }
+
+// Symptom: in a zone that is cut off, calls that may be repeated wait for
+// seconds beside calls that may not.
+// Sequence: each claim waits for a call's timeout, the claims behind it for the
+// next one, and each holds a slot of the service meanwhile.
+// Cause: claims were kept waiting although the last call had found no quorum.
+func TestClaimsAreRefusedAtOnceWhileNoQuorumIsReached(t *testing.T) {
+	k := &keepers{hold: make(chan struct{}), called: make(chan struct{}, 8), fail: 1}
+	c := newClaimant(k)
+	entry := func(key string) *messenger.ClaimEntry { return &messenger.ClaimEntry{Workspace: "w", Key: key} }
+	ended := make(chan error, 2)
+	claim := func(key string) {
+		go func() {
+			_, err := c.Claim(t.Context(), entry(key))
+			ended <- err
+		}()
+	}
+	claim("first")
+	<-k.called
+	claim("behind")
+	require.Eventually(t, func() bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return len(c.waiting) == 1
+	}, 5*time.Second, time.Millisecond)
+	k.hold <- struct{}{}
+	require.ErrorIs(t, <-ended, ErrNoQuorum)
+	require.ErrorIs(t, <-ended, ErrNoQuorum, "a claim behind a call that found no quorum is refused with it")
+	require.Equal(t, []int{1}, k.sizes)
+
+	claim("probe")
+	<-k.called
+	_, err := c.Claim(t.Context(), entry("beside the probe"))
+	require.ErrorIs(t, err, ErrNoQuorum)
+	close(k.hold)
+	require.NoError(t, <-ended)
+	_, err = c.Claim(t.Context(), entry("after"))
+	require.NoError(t, err)
+	require.Equal(t, []int{1, 1, 1}, k.sizes)
+}
--- a/router/internal/rotator/rotator.go
+++ b/router/internal/rotator/rotator.go
@@ -26,6 +26,12 @@
 // attempt bounds one call; a keeper gives up a proposal after three seconds.
 const attempt = 3500 * time.Millisecond
 
+// claimAttempt bounds one call for claims, which hold slots while they wait: a
+// keeper that is frozen accepts connections and answers nothing, and the next
+// one must be asked before the claims' own time is over. An election takes a
+// fraction of it.
+const claimAttempt = 800 * time.Millisecond
+
 // Rotator calls keepers in turn. It is safe for concurrent use.
 type Rotator struct {
 	keepers []messenger.Keeping
@@ -63,7 +69,7 @@
 
 // Claim takes idempotency keys.
 func (r *Rotator) Claim(ctx context.Context, q *messenger.ClaimRequest) (*messenger.ClaimResponse, error) {
-	return try(ctx, r, q, messenger.Keeping.Claim)
+	return tryFor(ctx, claimAttempt, r, q, messenger.Keeping.Claim)
 }
 
 // Record stores outcomes.
@@ -83,12 +89,16 @@
 
 // try asks every keeper once.
 func try[Q, A any](ctx context.Context, r *Rotator, request *Q, method func(messenger.Keeping, context.Context, *Q) (*A, error)) (*A, error) {
+	return tryFor(ctx, attempt, r, request, method)
+}
+
+func tryFor[Q, A any](ctx context.Context, limit time.Duration, r *Rotator, request *Q, method func(messenger.Keeping, context.Context, *Q) (*A, error)) (*A, error) {
 	err := merry.Errorf("the settings name no keeper")
 	first := int(r.last.Load())
 	for i := range r.keepers {
 		at := (first + i) % len(r.keepers)
 		var answer *A
-		answer, err = once(ctx, r.keepers[at], request, method)
+		answer, err = once(ctx, limit, r.keepers[at], request, method)
 		if err == nil || final(err) {
 			r.last.Store(int64(at))
 			return answer, err
@@ -100,8 +110,8 @@
 	return nil, merry.Errorf("%w: %v; check that most of the keepers run and reach each other", ErrNoQuorum, err)
 }
 
-func once[Q, A any](ctx context.Context, k messenger.Keeping, request *Q, method func(messenger.Keeping, context.Context, *Q) (*A, error)) (*A, error) {
-	ctx, cancel := context.WithTimeout(ctx, attempt)
+func once[Q, A any](ctx context.Context, limit time.Duration, k messenger.Keeping, request *Q, method func(messenger.Keeping, context.Context, *Q) (*A, error)) (*A, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return method(k, ctx, request)
 }
--- a/router/internal/rotator/rotator_test.go
+++ b/router/internal/rotator/rotator_test.go
@@ -62,3 +62,35 @@
 	require.Equal(t, 1, first.calls)
 	require.Equal(t, 3, second.calls)
 }
+
+// frozen is a keeper whose process is stopped: calls hang.
+type frozen struct {
+	messenger.Keeping
+}
+
+func (frozen) Claim(ctx context.Context, _ *messenger.ClaimRequest) (*messenger.ClaimResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (k *keeper) Claim(context.Context, *messenger.ClaimRequest) (*messenger.ClaimResponse, error) {
+	k.calls++
+	return &messenger.ClaimResponse{}, k.err
+}
+
+// Symptom: requests that may not repeat are refused for seconds although two of
+// three keepers work.
+// Sequence: the keeper that answered last is frozen; each call waits for it
+// until the claims' own time is over, and starts with it again.
+// Cause: one attempt took as long as a whole call of claims.
+func TestFrozenKeeperLeavesTimeForTheNext(t *testing.T) {
+	alive := &keeper{}
+	r := &Rotator{keepers: []messenger.Keeping{frozen{}, alive}}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*claimAttempt)
+	defer cancel()
+	_, err := r.Claim(ctx, &messenger.ClaimRequest{})
+	require.NoError(t, err)
+	_, err = r.Claim(ctx, &messenger.ClaimRequest{})
+	require.NoError(t, err)
+	require.Equal(t, 2, alive.calls, "the keeper that answered last is asked first")
+}
