Wait for every timer before the stop's test moves its clock

Cause: the planned stop's test failed once in 25 runs, because it advanced the clock before the half-way timer was set; it waited for four timers of five.

--- a/router/internal/relayer/admission.go
+++ b/router/internal/relayer/admission.go
@@ -120,6 +120,7 @@
 		}
 		q.keep.limit = r.limits.RecordBytes
 	}
+	q.rules = nil // a request that waits must not keep a revision in memory that is no longer in force
 	nature.Attempts = r.limits.Attempts
 	q.tracker = tracker.New(nature, budget{queue: &r.queue, workspace: q.workspace.Name})
 	r.explainer.begin(q)
--- a/router/internal/relayer/drain_test.go
+++ b/router/internal/relayer/drain_test.go
@@ -83,7 +83,7 @@
 	f.enroller.await(t, "waiting", func() bool { return len(f.enroller.waiting) == 2 })
 	stopped := f.stop()
 
-	require.NoError(t, f.clock.BlockUntilContext(t.Context(), 4)) // half of the limit, the limit, two request times
+	require.NoError(t, f.clock.BlockUntilContext(t.Context(), 5)) // half of the limit, the limit, two request times, a stall
 	f.clock.Advance(5 * time.Second)
 	got := receive(t, waiting)
 	require.Equal(t, "stopping", got.failure.Code, "it would have been cut if it were granted now")
--- a/router/internal/relayer/outcome_test.go
+++ b/router/internal/relayer/outcome_test.go
@@ -89,7 +89,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			started := make(chan struct{}, 1)
-			f := frozenFleet(t, relayer.Limits{EndpointStall: time.Hour}, func(w http.ResponseWriter, r *http.Request, n int) {
+			f := frozenFleet(t, relayer.Limits{EndpointStall: time.Hour}, func(w http.ResponseWriter, r *http.Request, _ int) {
 				stream(w, r, test.tokens)
 				started <- struct{}{}
 				<-r.Context().Done()
--- a/router/internal/relayer/retry_test.go
+++ b/router/internal/relayer/retry_test.go
@@ -113,7 +113,7 @@
 // breaks and no endpoint can go on with it. Cause: a connection that is closed
 // as if the answer had ended.
 func TestCutAnswerIsVisiblyCut(t *testing.T) {
-	partial := func(w http.ResponseWriter, r *http.Request, _ int) {
+	partial := func(w http.ResponseWriter, _ *http.Request, _ int) {
 		fmt.Fprint(w, "half")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
