--- a/router/internal/conductor/compare.go
+++ b/router/internal/conductor/compare.go
@@ -12,8 +12,8 @@
 const (
 	// zonesPerRound is how many other zones a round is for; with more zones the
 	// rounds are rarer, so that their traffic does not grow with the zones.
-	zonesPerRound = 4
-	// silentRounds is for how long a pool without news leaves another zone alone.
+	zonesPerRound = 2
+	// silence is for how long a pool without news leaves another zone alone.
 	silence = time.Second
 )
 
--- a/router/internal/conductor/conductor.go
+++ b/router/internal/conductor/conductor.go
@@ -36,8 +36,8 @@
 	// callTimeout bounds a call between routers. It is well above a round trip
 	// and below the time in which a dead scheduler is replaced.
 	callTimeout = 700 * time.Millisecond
-	// DefaultCompare is the time between two rounds between zones.
-	DefaultCompare = 200 * time.Millisecond
+	// DefaultCompare is the time between two rounds between up to three zones.
+	DefaultCompare = 100 * time.Millisecond
 	queueLength    = 1024
 	// tickPause is the least time between two Ticks of a pool.
 	tickPause = 5 * time.Millisecond
