Rotate operators' and endpoints' tokens by a change of labels

Cause: both tokens stood only in the settings, in the clear, and a new one needed a restart of every router. Now a service's token labels hold the digests with which its endpoints may announce, and a workspace with the operator label opens the operators' paths; the settings' tokens remain for the first start. (The constants of labels for orders come along; they stood in the same file.)

--- a/lib/describer/describer.go
+++ b/lib/describer/describer.go
@@ -37,7 +37,10 @@
 	// LabelQueue bounds a workspace's waiting requests at one router; DefaultQueue if absent.
 	LabelQueue = "queue"
 	// LabelToken is the hex SHA-256 of a workspace's bearer token, cut to 63 characters.
+	// On a service it is that of the token with which the service's endpoints may announce themselves.
 	LabelToken = "token"
+	// LabelOperator on a workspace, with value "yes", lets its token open the operators' paths too.
+	LabelOperator = "operator"
 	// LabelTokenNext is a second valid token while the first is being rotated.
 	LabelTokenNext = "token-next"
 	// LabelType is a service's type: TypeModel or TypePlain.
@@ -46,6 +49,15 @@
 	LabelRepeat = "repeat"
 	// LabelDrain on an endpoint object, with value "yes", stops new work to that endpoint.
 	LabelDrain = "drain"
+	// LabelLoads on a service bounds how many loads of models it begins per minute, which
+	// the weight store's rate gives; a positive number, DefaultLoads if absent.
+	LabelLoads = "loads-per-minute"
+	// LabelRoom of an endpoint is how many models fit into it. Only an endpoint that
+	// announces it, or has it from its object, gets orders.
+	LabelRoom = "room"
+	// PrefixCopies starts the labels that say in how many copies a model is wanted in
+	// each availability zone: "copies.draft-7b": "2"; 1 if absent.
+	PrefixCopies = "copies."
 	// PrefixModel starts the labels that name a service's models: "model.draft-7b": "yes".
 	PrefixModel = "model."
 )
@@ -59,6 +71,10 @@
 	RepeatMethod = "method" // safe for GET, HEAD, OPTIONS, PUT and DELETE; the default
 	Yes          = "yes"
 	DefaultQueue = 256
+	DefaultLoads = 6
+	// MaxCopies and MaxRoom bound what labels may ask for.
+	MaxCopies = 1000
+	MaxRoom   = 256
 )
 
 // Labels that the system itself adds to an endpoint's announced labels, so
--- a/lib/matcher/matcher.go
+++ b/lib/matcher/matcher.go
@@ -51,6 +51,7 @@
 	services   map[string]*Service
 	models     map[string]*Service
 	endpoints  map[string]endpoint
+	announcers map[string]string // token digest to the service that its holder may announce for
 }
 
 type endpoint struct {
@@ -73,6 +74,7 @@
 		services:   make(map[string]*Service),
 		models:     make(map[string]*Service),
 		endpoints:  make(map[string]endpoint),
+		announcers: make(map[string]string),
 	}
 	for _, object := range snapshot.Objects {
 		rules.add(object)
@@ -107,11 +109,21 @@
 		workspace.Queue = queue
 	}
 	r.workspaces[object.Name] = workspace
+	for _, digest := range tokens(object) {
+		r.tokens[digest] = workspace
+	}
+}
+
+// tokens lists the digests of the tokens that are valid now: two while one is
+// being rotated.
+func tokens(object describer.Object) []string {
+	var digests []string
 	for _, label := range []string{describer.LabelToken, describer.LabelTokenNext} {
 		if digest := object.Labels[label]; digest != "" {
-			r.tokens[digest] = workspace
+			digests = append(digests, digest)
 		}
 	}
+	return digests
 }
 
 func (r *Rules) addService(object describer.Object, selector labeler.Selector) {
@@ -125,6 +137,9 @@
 			r.models[model] = service
 		}
 	}
+	for _, digest := range tokens(object) {
+		r.announcers[digest] = object.Name
+	}
 	r.services[object.Name] = service
 }
 
@@ -135,6 +150,20 @@
 	return workspace, found
 }
 
+// Operator tells whether a bearer token opens the operators' paths: it is that
+// of a workspace with the operator label.
+func (r *Rules) Operator(token string) bool {
+	workspace, found := r.ByToken(token)
+	return found && workspace.Labels[describer.LabelOperator] == describer.Yes
+}
+
+// Announcer returns the service whose endpoints may announce themselves with a
+// bearer token.
+func (r *Rules) Announcer(token string) (service string, found bool) {
+	service, found = r.announcers[Digest(token)]
+	return service, found
+}
+
 // Workspace returns the workspace of that name.
 func (r *Rules) Workspace(name string) (*Workspace, bool) {
 	workspace, found := r.workspaces[name]
--- a/lib/matcher/matcher_test.go
+++ b/lib/matcher/matcher_test.go
@@ -48,9 +48,9 @@
 func TestLookups(t *testing.T) {
 	compiled := rules(
 		describer.Object{Kind: describer.Workspace, Name: "club", Labels: labeler.Labels{
-			"weight": "2.5", "queue": "7", "token": Digest("one"), "token-next": Digest("two"), "tier": "club"}},
+			"operator": "yes", "weight": "2.5", "queue": "7", "token": Digest("one"), "token-next": Digest("two"), "tier": "club"}},
 		describer.Object{Kind: describer.Service, Name: "modelli", Selector: "tier=club",
-			Labels: labeler.Labels{"type": "model", "model.draft-7b": "yes"}},
+			Labels: labeler.Labels{"type": "model", "model.draft-7b": "yes", "token": Digest("engines"), "token-next": Digest("later")}},
 		describer.Object{Kind: describer.Endpoint, Name: "engine-1", Labels: labeler.Labels{"drain": "yes"}},
 	)
 	for _, token := range []string{"one", "two"} {
@@ -66,6 +66,15 @@
 	service, found := compiled.ByModel("draft-7b")
 	require.True(t, found)
 	require.False(t, service.Admits(&Workspace{Labels: labeler.Labels{"tier": "house"}}))
+	require.True(t, compiled.Operator("one"))
+	require.False(t, compiled.Operator("engines"))
+	for _, token := range []string{"engines", "later"} {
+		name, found := compiled.Announcer(token)
+		require.True(t, found)
+		require.Equal(t, "modelli", name)
+	}
+	_, found = compiled.Announcer("one")
+	require.False(t, found)
 	require.True(t, compiled.Draining("engine-1", nil))
 	require.False(t, compiled.Draining("engine-2", nil))
 }
--- a/router/internal/administrator/administrator.go
+++ b/router/internal/administrator/administrator.go
@@ -54,8 +54,10 @@
 	Keeping   Keeping
 	Reporter  Reporter
 	Explainer Explainer
-	Token     string // the operators' token
-	Log       zerolog.Logger
+	Token     string // the operators' token of the settings
+	// Operator tells whether another token is an operator's; nil if there are none.
+	Operator refuser.Allowed
+	Log      zerolog.Logger
 }
 
 // Administrator serves operators.
@@ -71,6 +73,7 @@
 // Register serves the operators' paths.
 func (a *Administrator) Register(mux *http.ServeMux) {
 	const remedy = "use the operators' token of the router's settings, for instance in SKCTL_TOKEN"
+	allowed := refuser.Either(refuser.Token(a.options.Token), a.options.Operator)
 	for path, handler := range map[string]http.HandlerFunc{
 		"POST /admin/changes":     a.apply,
 		"GET /admin/objects":      a.objects,
@@ -79,7 +82,7 @@
 		"GET /admin/explain/{id}": a.explain,
 		"/admin/{path...}":        a.missing,
 	} {
-		mux.HandleFunc(path, refuser.Guard(a.options.Token, remedy, handler))
+		mux.HandleFunc(path, refuser.Guard(allowed, remedy, handler))
 	}
 }
 
--- a/router/internal/administrator/administrator_test.go
+++ b/router/internal/administrator/administrator_test.go
@@ -51,7 +51,8 @@
 
 func (k *keepers) call(method, path, body, token string) *httptest.ResponseRecorder {
 	mux := http.NewServeMux()
-	administrator.New(administrator.Options{Keeping: k, Reporter: k, Explainer: k, Token: "secret", Log: zerolog.Nop()}).Register(mux)
+	administrator.New(administrator.Options{Keeping: k, Reporter: k, Explainer: k, Token: "secret", Log: zerolog.Nop(),
+		Operator: func(token string) bool { return token == "second" }}).Register(mux)
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header.Set("Authorization", "Bearer "+token)
 	recorder := httptest.NewRecorder()
@@ -128,4 +129,5 @@
 	k := &keepers{}
 	require.Equal(t, http.StatusUnauthorized, k.call("POST", "/admin/changes", change, "").Code)
 	require.Nil(t, k.applied)
+	require.NotEqual(t, http.StatusUnauthorized, k.call("GET", "/admin/status", "", "second").Code)
 }
--- a/router/internal/refuser/refuser.go
+++ b/router/internal/refuser/refuser.go
@@ -10,6 +10,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"shallotkeel.example/lib/reporter"
 )
@@ -23,11 +24,12 @@
 
 // Codes that the paths of endpoints and operators use.
 const (
-	CodeBadToken = "bad_token"
-	CodeBadBody  = "bad_body"
-	CodeTooLarge = "too_large"
-	CodeNotFound = "not_found"
-	CodeNoQuorum = "no_quorum"
+	CodeBadToken   = "bad_token"
+	CodeNotAllowed = "not_allowed"
+	CodeBadBody    = "bad_body"
+	CodeTooLarge   = "too_large"
+	CodeNotFound   = "not_found"
+	CodeNoQuorum   = "no_quorum"
 )
 
 // Write sends a failure as the whole answer.
@@ -38,13 +40,41 @@
 	_ = json.NewEncoder(w).Encode(reporter.Failure{Error: body})
 }
 
-// Guard lets only requests through that carry the token. An empty token lets
-// nobody through, because a forgotten setting must not open the paths.
-func Guard(token, remedy string, next http.HandlerFunc) http.HandlerFunc {
-	want := sha256.Sum256([]byte("Bearer " + token))
+// Allowed tells whether a bearer token opens a path.
+type Allowed func(token string) bool
+
+// Token allows one token, compared in constant time. An empty token lets nobody
+// through, because a forgotten setting must not open the paths.
+func Token(token string) Allowed {
+	want := sha256.Sum256([]byte(token))
+	return func(offered string) bool {
+		got := sha256.Sum256([]byte(offered))
+		return token != "" && subtle.ConstantTimeCompare(got[:], want[:]) == 1
+	}
+}
+
+// Either allows what any of them allows; nil ones allow nothing.
+func Either(checks ...Allowed) Allowed {
+	return func(offered string) bool {
+		for _, allows := range checks {
+			if allows != nil && allows(offered) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// Bearer returns the bearer token of a request, empty if there is none.
+func Bearer(r *http.Request) string {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return token
+}
+
+// Guard lets only requests through whose bearer token is allowed.
+func Guard(allowed Allowed, remedy string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		got := sha256.Sum256([]byte(r.Header.Get("Authorization")))
-		if token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if !allowed(Bearer(r)) {
 			Write(w, http.StatusUnauthorized, reporter.FailureBody{
 				Type: Invalid, Code: CodeBadToken, Message: "the token is missing or wrong", Remedy: remedy,
 			})
--- a/router/internal/registrar/registrar.go
+++ b/router/internal/registrar/registrar.go
@@ -43,11 +43,13 @@
 // Options are what a Registrar is made of.
 type Options struct {
 	Announcer Announcer
-	Token     string // the endpoints' token
-	Zone      string
-	Clock     clockwork.Clock
-	Log       zerolog.Logger
-	Registry  *prometheus.Registry // nil keeps the metrics unregistered
+	Token     string // the endpoints' token, good for every service
+	// Scoped returns the service that another token is good for; nil if there are none.
+	Scoped   func(token string) (service string, found bool)
+	Zone     string
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Registry *prometheus.Registry // nil keeps the metrics unregistered
 }
 
 // Registrar serves endpoints.
@@ -72,8 +74,27 @@
 // Register serves the endpoints' paths.
 func (r *Registrar) Register(mux *http.ServeMux) {
 	const remedy = "set the endpoints' token in the settings of the endpoint and of the router"
-	mux.HandleFunc("POST /v1/endpoints/{id}", refuser.Guard(r.options.Token, remedy, r.announce))
-	mux.HandleFunc("DELETE /v1/endpoints/{id}", refuser.Guard(r.options.Token, remedy, r.withdraw))
+	allowed := refuser.Either(refuser.Token(r.options.Token), func(token string) bool {
+		_, found := r.scoped(token)
+		return found
+	})
+	mux.HandleFunc("POST /v1/endpoints/{id}", refuser.Guard(allowed, remedy, r.announce))
+	mux.HandleFunc("DELETE /v1/endpoints/{id}", refuser.Guard(allowed, remedy, r.withdraw))
+}
+
+func (r *Registrar) scoped(token string) (service string, found bool) {
+	if r.options.Scoped == nil {
+		return "", false
+	}
+	return r.options.Scoped(token)
+}
+
+// mayAnnounce tells whether the request's token is good for the service. A
+// service's own token must not let its holder take over another service's work.
+func (r *Registrar) mayAnnounce(h *http.Request, service string) bool {
+	token := refuser.Bearer(h)
+	scope, found := r.scoped(token)
+	return refuser.Token(r.options.Token)(token) || (found && scope == service)
 }
 
 func (r *Registrar) announce(w http.ResponseWriter, h *http.Request) {
@@ -119,6 +140,14 @@
 
 // pass hands the message to the pool's scheduler and answers the endpoint.
 func (r *Registrar) pass(w http.ResponseWriter, h *http.Request, message *messenger.Announcement) bool {
+	if !r.mayAnnounce(h, message.GetService()) {
+		r.calls.WithLabelValues("refused").Inc()
+		refuser.Write(w, http.StatusForbidden, reporter.FailureBody{
+			Type: refuser.Invalid, Code: refuser.CodeNotAllowed, Message: "the token belongs to another service",
+			Remedy: "use the token whose digest is in the service's label \"token\"",
+		})
+		return false
+	}
 	ctx, cancel := context.WithTimeout(h.Context(), announceTimeout)
 	defer cancel()
 	if err := r.options.Announcer.Announce(ctx, message); err != nil {
--- a/router/internal/registrar/registrar_test.go
+++ b/router/internal/registrar/registrar_test.go
@@ -34,6 +34,10 @@
 	z := &zone{clock: clockwork.NewFakeClock(), mux: http.NewServeMux()}
 	registrar.New(registrar.Options{
 		Announcer: z, Token: "secret", Zone: "trento-a", Clock: z.clock, Log: zerolog.Nop(),
+		Scoped: func(token string) (string, bool) {
+			service, found := strings.CutSuffix(token, "-secret")
+			return service, found
+		},
 	}).Register(z.mux)
 	return z
 }
@@ -95,6 +99,20 @@
 	require.Empty(t, z.taken)
 }
 
+// Symptom: work of one service goes to an endpoint of another. Events: whoever
+// holds the token of one service announces an endpoint for another, or withdraws
+// one. Cause: a service's token that is not bound to its service.
+func TestTokenOfAServiceIsGoodForThatOnly(t *testing.T) {
+	z := newZone()
+	require.Equal(t, http.StatusForbidden, z.call("POST", "/v1/endpoints/worker-1", good, "other-secret").Code)
+	require.Empty(t, z.taken)
+	require.Equal(t, http.StatusNoContent, z.call("POST", "/v1/endpoints/worker-1", good, "modelli-secret").Code)
+	const path = "/v1/endpoints/worker-1?incarnation=3"
+	require.Equal(t, http.StatusForbidden, z.call("DELETE", path, "", "other-secret").Code)
+	require.Len(t, z.taken, 1)
+	require.Equal(t, http.StatusNoContent, z.call("DELETE", path, "", "modelli-secret").Code)
+}
+
 // Symptom: an endpoint that has withdrawn gets work until its lease is over.
 // Sequence: it announces itself and withdraws. Cause: a withdrawal that names
 // only the endpoint cannot be passed on to its pool.
