Lease pools from the keepers, with rising fencing numbers and paced loads

Cause: package orderer decides orders under a lease that nobody gave. Two schedulers of one pool, such as a frozen one that resumes, would both order its engines.

A grant to another holder is a log entry with a number that is never used again; renewals are in the leader's memory, cost no sync, and a new leader waits a lease time (15 s and 1 s for drift) before it gives a pool away, because it does not know them. Permits come from a bucket per service, label loads-per-minute, empty after a change of leader.

Ruled out: a log entry per renewal: 513 pools every 5 s would be 100 syncs a second for nothing that has to survive.

--- a/keeper/internal/applier/applier.go
+++ b/keeper/internal/applier/applier.go
@@ -1,6 +1,7 @@
 // Package applier is the whole replicated state of the keepers: the
-// configuration, the claims of idempotency keys, and the quarantined
-// fingerprints, with the replicated clock that lets the latter two expire.
+// configuration, the claims of idempotency keys, the quarantined fingerprints,
+// and the leases of pools, with the replicated clock that lets claims and
+// fingerprints expire.
 //
 // Invariants: the state is a function of the committed commands alone, the
 // same at every replica; the replicated clock never goes back, and it moves
@@ -14,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
+	"shallotkeel.example/keeper/internal/lessor"
 	"shallotkeel.example/lib/claimer"
 	"shallotkeel.example/lib/configurer"
 	"shallotkeel.example/lib/messenger"
@@ -34,11 +36,12 @@
 	configuration *configurer.Machine
 	claims        *claimer.Machine
 	quarantine    quarantine
+	leases        *lessor.Table
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{configuration: &configurer.Machine{}, claims: &claimer.Machine{}}
+	return &State{configuration: &configurer.Machine{}, claims: &claimer.Machine{}, leases: &lessor.Table{}}
 }
 
 // Configuration returns the configuration for reading.
@@ -56,6 +59,11 @@
 	return s.claims.Len()
 }
 
+// Leases returns who holds the pools' leases, for reading.
+func (s *State) Leases() *lessor.Table {
+	return s.leases
+}
+
 // Apply carries out a committed command.
 func (s *State) Apply(data []byte) (Result, error) {
 	var command messenger.Command
@@ -80,6 +88,9 @@
 	if fingerprints := command.GetQuarantine(); fingerprints != nil {
 		s.quarantine.add(s.clock, fingerprints.GetFingerprints())
 	}
+	if grant := command.GetLease(); grant != nil {
+		s.leases.Apply(grant)
+	}
 	return result, nil
 }
 
@@ -91,6 +102,7 @@
 		Claims:             s.claims.Encode(),
 		Quarantined:        s.quarantine.encode(),
 		QuarantineRevision: s.quarantine.revision,
+		Leases:             s.leases.Encode(),
 	})
 }
 
@@ -104,6 +116,7 @@
 		clock:         time.Duration(wire.GetClockMs()) * time.Millisecond,
 		configuration: configurer.Decode(wire.GetConfiguration()),
 		claims:        claimer.Decode(wire.GetClaims()),
+		leases:        lessor.Decode(wire.GetLeases()),
 	}
 	s.quarantine.decode(wire.GetQuarantined(), wire.GetQuarantineRevision())
 	return s, nil
--- a/keeper/internal/applier/applier_test.go
+++ b/keeper/internal/applier/applier_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"shallotkeel.example/keeper/internal/applier"
+	"shallotkeel.example/keeper/internal/lessor"
 	"shallotkeel.example/lib/messenger"
 )
 
@@ -78,6 +79,7 @@
 	apply(t, s, time.Minute, &messenger.Command{Change: &messenger.VerifiedChange{Change: &messenger.ApplyRequest{
 		Change: "id", Edits: []*messenger.Edit{{Object: &messenger.Object{Kind: "endpoint", Name: "e"}}},
 	}}})
+	apply(t, s, time.Minute, &messenger.Command{Lease: &messenger.LeaseGrant{Pool: &messenger.Pool{Zone: "a", Service: "s"}, Holder: "one"}})
 	data, err := s.Encode()
 	require.NoError(t, err)
 	again, err := applier.Decode(data)
@@ -88,6 +90,7 @@
 	require.Equal(t, 1, again.Claims())
 	require.EqualValues(t, 1, again.Configuration().Revision())
 	require.EqualValues(t, 1, again.QuarantineRevision())
+	require.Equal(t, lessor.Grant{Holder: "one", Fence: 1}, again.Leases().Grant(lessor.Pool{Zone: "a", Service: "s"}))
 	_, err = applier.Decode([]byte{0xff})
 	require.ErrorIs(t, err, applier.ErrMalformed)
 	_, err = s.Apply([]byte{0xff})
--- a/keeper/internal/driver/driver.go
+++ b/keeper/internal/driver/driver.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"shallotkeel.example/keeper/internal/applier"
+	"shallotkeel.example/keeper/internal/lessor"
 	"shallotkeel.example/lib/claimer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/recorder"
@@ -73,6 +74,7 @@
 	waiting map[uint64][]waiter // by index, of one term each
 	changes changes
 	clock   clock
+	leases  lessor.Desk
 	moved   time.Time // when the state's clock moved last
 
 	applied     uint64
--- a/lib/describer/validate.go
+++ b/lib/describer/validate.go
@@ -236,13 +236,43 @@
 	default:
 		v.add(Error, key, "set the label type to model or plain", "the type %q is unknown", object.Labels[LabelType])
 	}
+	v.checkOrders(object)
 	repeat, found := object.Labels[LabelRepeat]
 	if found && !slices.Contains([]string{RepeatSafe, RepeatNever, RepeatMethod}, repeat) {
 		v.add(Error, key, "set the label repeat to safe, never or method, or remove it", "the repeat %q is unknown", repeat)
 	}
 }
 
+// checkOrders checks what a service asks of its engines.
+func (v *validator) checkOrders(object Object) {
+	key := object.Key()
+	if text, found := object.Labels[LabelLoads]; found {
+		rate, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(rate > 0) || math.IsInf(rate, 0) {
+			v.add(Error, key, "set a positive number such as 6 or 0.5, or remove the label", "the label %s holds no rate: %q", LabelLoads, text)
+		}
+	}
+	for _, label := range sortedKeys(object.Labels) {
+		model, found := strings.CutPrefix(label, PrefixCopies)
+		if !found {
+			continue
+		}
+		if copies, err := strconv.Atoi(object.Labels[label]); err != nil || copies < 1 || copies > MaxCopies {
+			v.add(Error, key, fmt.Sprintf("set a whole number from 1 to %d, or remove the label", MaxCopies),
+				"the label %s holds no number of copies: %q", label, object.Labels[label])
+		}
+		if _, offered := object.Labels[PrefixModel+model]; !offered {
+			v.add(Warning, key, "add the label "+PrefixModel+model+", or remove this one", "the label %s is for a model that the service does not offer", label)
+		}
+	}
+}
+
 func (v *validator) checkEndpoint(object Object) {
+	if text, found := object.Labels[LabelRoom]; found {
+		if room, err := strconv.Atoi(text); err != nil || room < 0 || room > MaxRoom {
+			v.add(Error, object.Key(), fmt.Sprintf("set a whole number from 0 to %d, or remove the label", MaxRoom), "the room %q is no number of models", text)
+		}
+	}
 	for _, label := range []string{LabelZone, LabelService, LabelEndpoint} {
 		if _, found := object.Labels[label]; found {
 			v.add(Error, object.Key(), "remove the label; use one of your own", "the label %s is set by the system", label)
--- a/lib/describer/validate_test.go
+++ b/lib/describer/validate_test.go
@@ -100,6 +100,12 @@
 		"the deletion of an endpoint":        {change: deleting(describer.Endpoint, "worker-1")},
 		"the deletion of nothing":            {deleting(describer.Endpoint, "worker-9"), err, "no such object"},
 		"an endpoint that claims a zone":     {setting(object(describer.Endpoint, "e", "", labeler.Labels{"zone": "b"})), err, "set by the system"},
+		"a rate of loads of zero":            {service(labeler.Labels{"type": "model", "model.x": "yes", "loads-per-minute": "0"}), err, "no rate"},
+		"an infinite rate of loads":          {service(labeler.Labels{"type": "model", "model.x": "yes", "loads-per-minute": "Inf"}), err, "no rate"},
+		"a rate of loads":                    {change: service(labeler.Labels{"type": "model", "model.x": "yes", "loads-per-minute": "0.5", "copies.x": "2"})},
+		"no copies":                          {service(labeler.Labels{"type": "model", "model.x": "yes", "copies.x": "0"}), err, "copies"},
+		"copies of what is not offered":      {service(labeler.Labels{"type": "model", "model.x": "yes", "copies.y": "2"}), warn, "does not offer"},
+		"a room that is no number":           {setting(object(describer.Endpoint, "e", "", labeler.Labels{"room": "big"})), err, "no number of models"},
 		"a drain of no":                      {setting(object(describer.Endpoint, "e", "", labeler.Labels{"drain": "no"})), err, "no meaning"},
 		"a drain":                            {change: setting(object(describer.Endpoint, "e", "tier=club", labeler.Labels{"drain": "yes"}))},
 	}
