--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -87,6 +87,7 @@
 	r.tracer = traces
 	// A restart is a new incarnation, so it must rise from one life to the next.
 	r.build(uint64(clock.Now().UnixMilli()))
+	r.registry.MustRegister(conductor.NewCollector(r.conductor))
 	return r, nil
 }
 
--- a/router/internal/assembler/assembler_test.go
+++ b/router/internal/assembler/assembler_test.go
@@ -173,7 +173,7 @@
 	metrics := p.call(http.MethodGet, "/metrics", "", "").body
 	for _, name := range []string{
 		"shallotkeel_control_sent_bytes_total", "shallotkeel_control_received_bytes_total",
-		"shallotkeel_revision_in_force 1", "shallotkeel_live_routers 1", "shallotkeel_grants_total 1",
+		"shallotkeel_revision_in_force 1", `shallotkeel_pool_slots{service="app"} 4`, "shallotkeel_live_routers 1", "shallotkeel_grants_total 1",
 	} {
 		require.Contains(t, metrics, name)
 	}
