Order the engines of a pool from its scheduler's router

Cause: package orderer had no host: nothing fed it, nothing sent its orders.

What: a commander for each pool with engines that announce the label room. It leases the pool under a name of this life of the scheduler, tells the orderer what is wanted (labels model.NAME, copies.NAME), waiting, running and read back, and hides a model that is to be unloaded from new work. An order's time counts from the step that looked at the lease; each write looks at the clock, and a connection is closed with its unsent bytes thrown away, because timers fire late after a standstill and the kernel would go on sending after a partition. A state counts from when the announcing router heard it, less the transit: a new scheduler is told old announcements. The orderer now remembers an order in flight when its endpoint comes back or restarts, and ignores older readings. Models in use include slots lent to other zones and, where the endpoint reports requests that the pool does not know, all that it has loaded. Nothing changes without room or alone.

--- a/lib/orderer/orderer.go
+++ b/lib/orderer/orderer.go
@@ -183,14 +183,18 @@
 	}
 }
 
-// Read takes in what an endpoint told of itself at that time.
+// Read takes in what an endpoint told of itself at that time. What is older
+// than what is known changes nothing.
 func (o *Orderer) Read(now time.Time, told Endpoint) {
 	if o.endpoints == nil {
 		o.endpoints = make(map[string]*engine)
 	}
 	known := o.endpoints[told.ID]
+	if known != nil && (told.Incarnation < known.Incarnation || now.Before(known.readAt)) {
+		return
+	}
 	if known == nil || known.Incarnation != told.Incarnation {
-		known = &engine{}
+		known = known.reborn()
 		o.endpoints[told.ID] = known
 	}
 	known.Endpoint = told
@@ -203,9 +207,21 @@
 	}
 }
 
-// Gone forgets an endpoint.
+// reborn is an engine of which nothing is known but the order to its former
+// life: that one may still arrive, at the same address.
+func (e *engine) reborn() *engine {
+	if e == nil {
+		return &engine{}
+	}
+	return &engine{inFlight: e.inFlight, sentAt: e.sentAt}
+}
+
+// Gone forgets an endpoint, unless an order to it is in flight: it would get a
+// second one beside that if it came back at once. The host tells it again.
 func (o *Orderer) Gone(id string) {
-	delete(o.endpoints, id)
+	if known := o.endpoints[id]; known != nil && known.inFlight == nil {
+		delete(o.endpoints, id)
+	}
 }
 
 // Hidden is the model that gets no new work at an endpoint, empty if none.
--- a/lib/orderer/orderer_test.go
+++ b/lib/orderer/orderer_test.go
@@ -321,3 +321,37 @@
 	}
 	return Unknown
 }
+
+// Symptom: an engine gets two orders at once, or one for a state that has
+// passed. Events: see the names. Cause: the order in flight is forgotten with
+// the endpoint, or an old announcement passes for a new one.
+func TestOrderInFlightIsRemembered(t *testing.T) {
+	empty := Endpoint{ID: "e", Incarnation: 2, Fenced: true, Room: 2}
+	loaded := Endpoint{ID: "e", Incarnation: 2, Fenced: true, Room: 2, Loaded: []string{"m"}}
+	tests := map[string]func(*Orderer){
+		"it is silent and comes back": func(o *Orderer) { o.Gone("e"); o.Read(start, empty) },
+		"it restarts": func(o *Orderer) {
+			o.Read(start, Endpoint{ID: "e", Incarnation: 3, Fenced: true, Room: 2})
+		},
+		"its former life is heard late": func(o *Orderer) {
+			o.Read(start.Add(2*time.Second), loaded)
+			o.Ended(start.Add(2*time.Second), *o.endpoints["e"].inFlight, Accepted)
+			o.Read(start.Add(3*time.Second), Endpoint{ID: "e", Incarnation: 1, Fenced: true, Room: 2})
+		},
+		"its former state is heard late": func(o *Orderer) {
+			o.Read(start.Add(2*time.Second), loaded)
+			o.Ended(start.Add(2*time.Second), *o.endpoints["e"].inFlight, Accepted)
+			o.Read(start.Add(3*time.Second), loaded)
+			o.Read(start.Add(time.Second), empty)
+		},
+	}
+	for name, happen := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := leased("m")
+			o.Read(start, empty)
+			require.Len(t, o.Step(start), 1)
+			happen(o)
+			require.Empty(t, o.Step(start.Add(3*time.Second)))
+		})
+	}
+}
--- /dev/null
+++ b/router/internal/commander/sender_test.go
@@ -0,0 +1,79 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/orderer"
+)
+
+// engine serves orders and returns its address and what it was sent.
+func engine(t *testing.T, status int) (netip.AddrPort, chan string) {
+	t.Helper()
+	seen := make(chan string, 8)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		seen <- r.Method + " " + r.URL.Path + " " + string(text)
+		w.WriteHeader(status)
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String()), seen
+}
+
+func TestSend(t *testing.T) {
+	for name, test := range map[string]struct {
+		status int
+		want   orderer.Result
+	}{
+		"accepted":          {http.StatusNoContent, orderer.Accepted},
+		"an old number":     {http.StatusConflict, orderer.Outdated},
+		"the engine failed": {http.StatusInternalServerError, orderer.Unknown},
+		"redirected":        {http.StatusTemporaryRedirect, orderer.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at, seen := engine(t, test.status)
+			ctx, cancel := context.WithTimeout(t.Context(), orderer.OrderTimeout)
+			defer cancel()
+			sender := NewHTTPSender(clockwork.NewRealClock())
+			require.Equal(t, test.want, sender.Send(ctx, orderer.Order{Address: at, Kind: orderer.Load, Model: "m", Fence: 7}))
+			require.Equal(t, `POST /control/orders {"fence":7,"order":"load","model":"m"}`, <-seen)
+		})
+	}
+}
+
+// lateContext has a deadline that is over and a timer that has not fired yet, as
+// in the moment when a process resumes after a standstill.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (l lateContext) Deadline() (time.Time, bool) { return l.deadline, true }
+
+// Symptom: an engine that ignores fencing numbers obeys a former leaseholder.
+// Sequence: its process stands still before it sends, resumes after the lease,
+// and sends before its timers fire. Cause: only timers watch the deadline.
+func TestNothingIsSentAfterAStandstill(t *testing.T) {
+	at, seen := engine(t, http.StatusNoContent)
+	clock := clockwork.NewFakeClock()
+	ctx := lateContext{Context: t.Context(), deadline: clock.Now().Add(orderer.OrderTimeout)}
+	clock.Advance(orderer.OrderTimeout)
+	order := orderer.Order{Address: at, Kind: orderer.Load, Model: "m", Fence: 7}
+	require.Equal(t, orderer.Unknown, NewHTTPSender(clock).Send(ctx, order))
+	require.Empty(t, seen)
+}
+
+func TestOrderWithoutDeadlineIsNotSent(t *testing.T) {
+	at, seen := engine(t, http.StatusNoContent)
+	sender := NewHTTPSender(clockwork.NewRealClock())
+	require.Equal(t, orderer.Unknown, sender.Send(context.Background(), orderer.Order{Address: at}))
+	require.Empty(t, seen)
+}
--- a/router/internal/conductor/announced.go
+++ b/router/internal/conductor/announced.go
@@ -155,12 +155,12 @@
 	case !found:
 		a.due = now.Add(announcePause)
 	case owner.Name == c.self.Name:
-		c.applyAnnouncement(now, message)
+		c.applyAnnouncement(now, message, a.age(now))
 		c.settle(a, owner)
 	default:
 		a.calling = true
 		method := c.peers.get(owner.Address).scheduling.Announce
-		request := &messenger.AnnounceRequest{Announcement: message}
+		request := &messenger.AnnounceRequest{Announcement: message, AgeMs: uint32(a.age(now) / time.Millisecond)}
 		call(c, kindAnnounce, method, request, func(answer *messenger.AnnounceResponse, err error) {
 			a.calling = false
 			if err != nil || answer.GetNotHere() {
@@ -172,6 +172,13 @@
 	}
 }
 
+// age is how long ago the endpoint announced itself. What is told again to a new
+// scheduler is old, and must not pass for a state that was read just now.
+func (a *announcement) age(now time.Time) time.Duration {
+	heard := a.expires.Add(-time.Duration(a.message.GetTtlMs()) * time.Millisecond)
+	return max(0, now.Sub(heard))
+}
+
 // settle notes that a scheduler knows the endpoint.
 func (c *Conductor) settle(a *announcement, owner detector.Member) {
 	a.told, a.due, a.renew = owner, time.Time{}, false
--- a/router/internal/conductor/conductor.go
+++ b/router/internal/conductor/conductor.go
@@ -30,6 +30,7 @@
 	"shallotkeel.example/lib/matcher"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/scheduler"
+	"shallotkeel.example/router/internal/commander"
 )
 
 const (
@@ -59,6 +60,10 @@
 	Clock        clockwork.Clock
 	Log          zerolog.Logger
 	Registry     *prometheus.Registry
+	// Leaser and Sender let this router order the engines of its pools; without
+	// them it gives no orders.
+	Leaser commander.Leaser
+	Sender commander.Sender
 }
 
 // Conductor owns a router's control state.
--- a/router/internal/conductor/endpoints.go
+++ b/router/internal/conductor/endpoints.go
@@ -16,7 +16,7 @@
 // renewals of a pool.
 func (c *Conductor) receiveAnnouncement(now time.Time, request *messenger.AnnounceRequest) *messenger.AnnounceResponse {
 	if message := request.GetAnnouncement(); message != nil {
-		if message.GetZone() != c.options.Zone || !c.applyAnnouncement(now, message) {
+		if message.GetZone() != c.options.Zone || !c.applyAnnouncement(now, message, time.Duration(request.GetAgeMs())*time.Millisecond) {
 			return &messenger.AnnounceResponse{NotHere: true}
 		}
 		return &messenger.AnnounceResponse{}
@@ -47,10 +47,11 @@
 		renewed = proto.Clone(known).(*messenger.Announcement)
 		renewed.Load = renewal.GetLoad()
 	}
-	return c.applyAnnouncement(now, renewed)
+	return c.applyAnnouncement(now, renewed, 0)
 }
 
-func (c *Conductor) applyAnnouncement(now time.Time, message *messenger.Announcement) bool {
+// applyAnnouncement takes an announcement that a router heard that long ago.
+func (c *Conductor) applyAnnouncement(now time.Time, message *messenger.Announcement, age time.Duration) bool {
 	h := c.pool(now, message.GetService())
 	address, err := netip.ParseAddrPort(message.GetAddress())
 	if h == nil || err != nil {
@@ -64,7 +65,7 @@
 	h.expires[message.GetId()] = now.Add(ttl)
 	h.desk.Apply(now, scheduler.Announced{
 		ID: message.GetId(), Incarnation: message.GetIncarnation(), Address: address,
-		Labels: labelsOf(message), Models: message.GetModels(), Slots: c.slots(message), TTL: ttl,
+		Labels: labelsOf(message), Models: h.shown(message), Slots: c.slots(message), TTL: ttl,
 		Leaving: message.GetLeaving(), Load: int(message.GetLoad()),
 		Cached: message.GetCached(), Evicted: message.GetEvicted(),
 	})
@@ -74,6 +75,7 @@
 		message.Cached, message.Evicted = nil, nil
 	}
 	h.endpoints[message.GetId()] = message
+	c.hear(now, h, message, address, age)
 	return true
 }
 
@@ -111,7 +113,7 @@
 	for _, h := range c.pools {
 		for id, message := range h.endpoints {
 			if now.Before(h.expires[id]) {
-				c.applyAnnouncement(now, message)
+				c.applyAnnouncement(now, message, 0)
 			}
 		}
 	}
--- a/router/internal/conductor/hosted.go
+++ b/router/internal/conductor/hosted.go
@@ -8,6 +8,7 @@
 	"shallotkeel.example/lib/enlister"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/scheduler"
+	"shallotkeel.example/router/internal/commander"
 )
 
 // hosted is a pool whose scheduler this router is.
@@ -22,6 +23,7 @@
 	joining   bool                 // it has no history yet
 	told      map[string]time.Time // zones, when they last answered
 	calling   map[string]bool
+	commander *commander.Commander // nil until an endpoint takes orders
 }
 
 // presence is the evidence that an enrolled router lives.
@@ -113,6 +115,7 @@
 			c.send(now, h, batch)
 		}
 		next = earliest(next, h.desk.Wake())
+		next = earliest(next, c.command(now, h))
 	}
 	return next
 }
--- a/router/internal/conductor/metrics.go
+++ b/router/internal/conductor/metrics.go
@@ -15,6 +15,8 @@
 	kindCompare   = "compare"
 	kindHandover  = "handover"
 	kindReport    = "report"
+	kindLease     = "lease"
+	kindOrder     = "order"
 )
 
 type metrics struct {
--- a/router/internal/rotator/rotator.go
+++ b/router/internal/rotator/rotator.go
@@ -82,6 +82,11 @@
 	return try(ctx, r, q, messenger.Keeping.Quarantine)
 }
 
+// Lease takes or renews a pool's lease.
+func (r *Rotator) Lease(ctx context.Context, q *messenger.LeaseRequest) (*messenger.LeaseResponse, error) {
+	return try(ctx, r, q, messenger.Keeping.Lease)
+}
+
 // Status asks a keeper what it knows.
 func (r *Rotator) Status(ctx context.Context, q *messenger.KeeperStatusRequest) (*messenger.KeeperStatusResponse, error) {
 	return try(ctx, r, q, messenger.Keeping.Status)
