Let the router program order engines, and the stand-in load as engines do

Cause: orders had no real receiver: the stand-in loaded at once, without bound and without the label room, and took any unknown order for an unload.

The router gets its leases from the keepers and sends orders over HTTP. A stand-in without room is as before.

--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -30,6 +30,7 @@
 	"shallotkeel.example/lib/tracer"
 	"shallotkeel.example/router/internal/administrator"
 	"shallotkeel.example/router/internal/claimant"
+	"shallotkeel.example/router/internal/commander"
 	"shallotkeel.example/router/internal/conductor"
 	"shallotkeel.example/router/internal/enroller"
 	"shallotkeel.example/router/internal/follower"
@@ -101,6 +102,7 @@
 		Heartbeat: s.Timing.Heartbeat.Duration, SuspectAfter: s.Timing.SuspectAfter.Duration,
 		Compare: s.Timing.Compare.Duration,
 		Client:  client, Clock: r.clock, Log: r.log, Registry: r.registry,
+		Leaser: keepers, Sender: commander.NewHTTPSender(r.clock),
 	})
 	r.follower = follower.New(follower.Options{
 		Name: s.Name, Zone: s.Zone, Keepers: keepers.Keepers(), Publisher: keepers,
--- a/standin/internal/controller/controller.go
+++ b/standin/internal/controller/controller.go
@@ -3,14 +3,14 @@
 //
 // Invariants: a fenced stand-in refuses an order whose fencing number is lower
 // than one it has seen; one that is not fenced obeys every order, as some
-// deployments' engines do, and still tells the highest number it has seen.
+// deployments' engines do, and still tells the highest number it has seen. A
+// model is served when its load has ended, and no more models than fit are taken.
 package controller
 
 import (
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 
 	"shallotkeel.example/standin/internal/completer"
@@ -35,9 +35,12 @@
 	Failer    *failer.Failer
 	Completer *completer.Completer
 	Fenced    bool
+	Loading   Loading
 
-	lock  sync.Mutex
-	fence uint64
+	lock    sync.Mutex
+	fence   uint64
+	loads   uint64            // begun
+	loading map[string]uint64 // number of the load on its way, by model
 }
 
 // Fence returns the highest fencing number seen.
@@ -83,27 +86,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (c *Controller) orders(w http.ResponseWriter, r *http.Request) {
-	var order Order
-	if !read(w, r, &order) {
-		return
-	}
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	if c.Fenced && order.Fence < c.fence {
-		http.Error(w, "the fencing number is old; a newer leaseholder gives orders", http.StatusConflict)
-		return
-	}
-	c.fence = max(c.fence, order.Fence)
-	models := slices.DeleteFunc(c.Completer.Models(), func(m string) bool { return m == order.Model })
-	if order.Order == "load" {
-		models = append(models, order.Model)
-	}
-	c.Completer.SetModels(models)
-	c.Journal.Add(journaler.Entry{Verb: journaler.Ordered, Request: order.Order + " " + order.Model, Fence: order.Fence})
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (c *Controller) cancel(w http.ResponseWriter, r *http.Request) {
 	if c.Completer.Engine.CancelByID(r.PathValue("id")) == 0 {
 		http.Error(w, "no such request runs or waits here", http.StatusNotFound)
--- a/standin/internal/runner/runner.go
+++ b/standin/internal/runner/runner.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"shallotkeel.example/lib/announcer"
+	"shallotkeel.example/lib/describer"
 	"shallotkeel.example/lib/loader"
 	"shallotkeel.example/lib/starter"
 	"shallotkeel.example/standin/internal/batcher"
@@ -153,7 +156,10 @@
 
 func (s *standin) handler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
-	s.control = &controller.Controller{Journal: s.journal, Failer: s.failer, Fenced: s.settings.Fenced}
+	s.control = &controller.Controller{
+		Journal: s.journal, Failer: s.failer, Fenced: s.settings.Fenced,
+		Loading: controller.Loading{Clock: s.clock, Time: s.settings.LoadTime.Duration, Room: s.settings.Room},
+	}
 	if s.settings.Type == TypeModel {
 		s.serveModel(ctx, mux)
 	} else {
@@ -209,7 +215,7 @@
 	now := s.clock.Now()
 	announcement := announcer.Announcement{
 		Incarnation: s.incarnation, Service: s.settings.Service, Address: s.settings.address(),
-		Labels: s.settings.Labels, Slots: s.settings.Slots, TTL: s.settings.TTL.Milliseconds(),
+		Labels: s.labels(), Slots: s.settings.Slots, TTL: s.settings.TTL.Milliseconds(),
 		Load: s.reporter.load(now, s.load()), Fenced: s.settings.Fenced, Fence: s.control.Fence(),
 	}
 	if s.completer != nil {
@@ -228,6 +234,17 @@
 	return announcement
 }
 
+// labels are the announced ones: those of the settings, and the room if the
+// engine takes orders.
+func (s *standin) labels() map[string]string {
+	if s.settings.Room == 0 {
+		return s.settings.Labels
+	}
+	labels := map[string]string{describer.LabelRoom: strconv.Itoa(s.settings.Room)}
+	maps.Copy(labels, s.settings.Labels)
+	return labels
+}
+
 // silencer keeps announcements back while the fault "silent" is on.
 type silencer struct {
 	failer *failer.Failer
--- a/standin/internal/runner/settings.go
+++ b/standin/internal/runner/settings.go
@@ -39,9 +39,11 @@
 	EventLoss     float64           `json:"event_loss"` // part of the cache events that is lost
 	LoadLag       loader.Duration   `json:"load_lag"`
 	Fenced        bool              `json:"fenced"`
+	Room          int               `json:"room"`      // models that fit, announced as a label; 0 takes no orders from routers
+	LoadTime      loader.Duration   `json:"load_time"` // of one model
 	Seed          uint64            `json:"seed"`
 	CrashOn       string            `json:"crash_on"` // the fault of that name, in force from the start
-	Journal       string            `json:"journal"` // file that every execution is appended to, or empty
+	Journal       string            `json:"journal"`  // file that every execution is appended to, or empty
 	StopTimeout   loader.Duration   `json:"stop_timeout"`
 }
 
@@ -60,7 +62,8 @@
 	require(s.Service != "", "service", "is missing", "name the service that the endpoint belongs to")
 	require(s.Slots > 0, "slots", "is not positive", "set how many requests run at once")
 	require(s.TTL.Duration > 0, "ttl", "is not positive", "set for example \"3s\"")
-	require(s.Type != TypeModel || len(s.Models) > 0, "models", "is empty", "name the models that the engine offers")
+	require(s.Type != TypeModel || len(s.Models) > 0 || s.Room > 0, "models", "is empty", "name the models that the engine offers, or set \"room\" to have them loaded by order")
+	require(s.Room >= 0 && (s.Room == 0 || len(s.Models) <= s.Room), "room", "is smaller than the number of models", "raise it, or name fewer models")
 	require(s.Type != TypeModel || s.TokenTime.Duration > 0, "token_time", "is not positive", "set for example \"10ms\"")
 	require(s.EventLoss >= 0 && s.EventLoss <= 1, "event_loss", "is not between 0 and 1", "set the part of events to lose")
 	return problems
