Bound what pools spend on comparing, by pacing

What grows: every zone told every zone all rows, 64 rows of demand and every loan of all lenders, of ten bytes each.

Leases, terms and the memory of demand, and the silence that counts as a cut, follow the interval. A slot is held for an exchange within a second only.

--- a/bench/internal/policy/measure.go
+++ b/bench/internal/policy/measure.go
@@ -56,6 +56,15 @@
 	return (last.units - first.units) / (float64(slots) * f.ideal(passed))
 }
 
+// busyShare is the mean share of the slots that were in use at the samples.
+func (f *fleet) busyShare(window []sample) float64 {
+	busy := 0
+	for _, s := range window {
+		busy += s.busy
+	}
+	return float64(busy) / float64(len(window)*f.plan.engines*f.slots)
+}
+
 // ideal is the units that one slot generates in a time with requests of the
 // mean cost one after the other.
 func (f *fleet) ideal(passed time.Duration) float64 {
@@ -86,7 +95,7 @@
 	for _, weight := range f.weights {
 		least = min(least, weight)
 	}
-	delay := compareEvery + f.zoneHop + progressEvery
+	delay := f.slowest + f.zoneHop + progressEvery
 	return slots * delay.Seconds() / f.perUnit.Seconds() / least
 }
 
--- a/bench/internal/policy/policy.go
+++ b/bench/internal/policy/policy.go
@@ -102,7 +102,7 @@
 
 func newPlan(routers, zones int, place func(workspace, n, routers int) int) plan {
 	return plan{
-		zones: zones, routers: routers, engines: engines, slots: slots, weights: weights(),
+		zones: zones, routers: routers, engines: engines, slots: slots, pools: 1, weights: weights(),
 		place: place, depth: depth * routers, work: tokens(), liar: liar,
 	}
 }
@@ -189,10 +189,17 @@
 
 // Measure runs every scenario with and without the scheduler.
 func Measure(seed uint64) Report {
-	all := scenarios()
-	figures := make([][]Figure, len(all))
+	all, zones := scenarios(), scaleZones()
+	figures := make([][]Figure, len(all)+len(zones))
 	var group errgroup.Group
 	group.SetLimit(atOnce)
+	for i := range zones {
+		largest := len(zones) - 1 - i // first, for it takes longest
+		group.Go(func() error {
+			figures[len(all)+largest] = scaleFigures(seed, zones[largest])
+			return nil
+		})
+	}
 	for i, s := range all {
 		group.Go(func() error {
 			figures[i] = s.figures(s.run(seed, false), s.run(seed, true))
--- a/bench/internal/policy/policy_test.go
+++ b/bench/internal/policy/policy_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/bench/internal/policy"
+	"shallotkeel.example/lib/scheduler"
 )
 
 // leastUtilisation and leastImprovement are the aims of issue 4.
@@ -19,6 +20,8 @@
 	// longestRecovery is the stated time after a fault, seconds.
 	longestRecovery = 5
 	longestStarving = 10
+	// estimateOff is how far the pool's own estimate of bytes may be off.
+	estimateOff = 0.25
 )
 
 // measured runs once for all tests.
@@ -36,6 +39,12 @@
 			if strings.HasPrefix(f.Scenario, "uneven") || strings.HasPrefix(f.Scenario, "three zones") {
 				require.GreaterOrEqual(t, *f.Ratio, float64(leastImprovement), name)
 			}
+		case "compare bytes of a node":
+			require.LessOrEqual(t, f.Pool, float64(scheduler.CompareBudget), name)
+		case "estimated over encoded bytes":
+			require.InDelta(t, 1, f.Pool, estimateOff, name)
+		case "utilisation":
+			require.GreaterOrEqual(t, f.Pool, leastUtilisation, name)
 		case "longest time without service":
 			require.Less(t, f.Pool, float64(longestStarving), name)
 		case "time until gap and utilisation are back":
--- a/lib/accountant/accountant.go
+++ b/lib/accountant/accountant.go
@@ -53,10 +53,14 @@
 	absorbContact = 90 * time.Second
 	// contactGap is the longest silence that counts as contact.
 	contactGap = time.Second
-	// rejoinSilence is the silence of an origin that counts as a cut, and
-	// rejoinTime how long its rows after that bring what the cut held back.
-	rejoinSilence = 2 * time.Second
-	rejoinTime    = time.Second
+	// rejoinSilence is the silence of an origin that counts as a cut, if it is also
+	// rejoinIntervals times as long as usual; rejoinTime is how long its rows after
+	// that bring what the cut held back.
+	rejoinSilence   = 2 * time.Second
+	rejoinIntervals = 4
+	rejoinTime      = time.Second
+	intervalGain    = 1.0 / 4
+	intervalMost    = 15 * time.Second
 )
 
 // Ledger holds all accounts as one origin sees them. The zero value is empty
@@ -72,7 +76,8 @@
 	rows    map[string]Row
 	heard   time.Time
 	contact time.Duration
-	rejoin  time.Time // end of the last cut, zero if there was none
+	every   time.Duration // mean time between its messages
+	rejoin  time.Time     // end of the last cut, zero if there was none
 }
 
 // Account is one workspace's counter. Its ledger makes it.
@@ -266,9 +271,10 @@
 	}
 	if silence := now.Sub(known.heard); silence > 0 {
 		known.contact += min(silence, contactGap)
-		if silence > rejoinSilence {
+		if silence > max(rejoinSilence, rejoinIntervals*known.every) {
 			known.rejoin = now
 		}
+		known.every += time.Duration(intervalGain * float64(min(silence, intervalMost)-known.every))
 		known.heard = now
 	}
 	return known
--- a/lib/accountant/resend.go
+++ b/lib/accountant/resend.go
@@ -19,35 +19,39 @@
 	every    time.Duration
 	due      time.Time
 	everSent bool
+	told     uint64 // units charged when the row was last sent
 }
 
 func (r *resend) changed() {
 	r.dirty = true
 }
 
-// take tells whether the row goes into the exchange now. A row that keeps
+// take notes that the row goes into the exchange now. A row that keeps
 // changing goes at most once per resendFirst, so that calling for each zone in
 // turn or too often costs no more bytes.
-func (r *resend) take(now time.Time) bool {
-	if !r.dirty && !r.everSent {
-		return false
-	}
+func (a *Account) take(now time.Time) {
+	r := &a.resend
 	if r.dirty {
 		r.every = resendFirst
-		if r.everSent && r.due.Sub(now) > resendFirst {
-			r.due = now
-		}
-	}
-	if r.everSent && now.Before(r.due) {
-		return false
-	}
-	if !r.dirty {
+	} else {
 		r.every = min(2*r.every, resendMost)
 	}
 	r.dirty = false
 	r.everSent = true
 	r.due = now.Add(r.every)
-	return true
+	r.told = a.own.Charged
+}
+
+// isDue tells whether the row may go into an exchange now.
+func (r *resend) isDue(now time.Time) bool {
+	switch {
+	case !r.everSent:
+		return r.dirty
+	case r.dirty && r.due.Sub(now) > resendFirst:
+		return true
+	default:
+		return !now.Before(r.due)
+	}
 }
 
 // ResendAll makes every own row due. After a cut the other side must learn at
@@ -63,16 +67,41 @@
 // Due returns the own rows that are due in an exchange, sorted by workspace:
 // those that changed, and those that were not sent for long.
 func (l *Ledger) Due(now time.Time) []Entry {
-	var entries []Entry
+	return l.Urgent(now, len(l.order), nil)
+}
+
+// Urgent returns up to a limit of the rows that are due: those with most that was
+// not told, times what urgency says of the workspace. The others stay due.
+func (l *Ledger) Urgent(now time.Time, limit int, urgency func(workspace string) float64) []Entry {
+	var due []*Account
 	for _, account := range l.order {
-		if account.resend.take(now) {
-			entries = append(entries, Entry{Workspace: account.Workspace, Row: account.own})
+		if account.resend.isDue(now) {
+			due = append(due, account)
+		}
+	}
+	if len(due) > limit {
+		worth := make(map[*Account]float64, len(due))
+		for _, account := range due {
+			worth[account] = account.untold() * urgency(account.Workspace)
 		}
+		slices.SortStableFunc(due, func(a, b *Account) int { return cmp.Compare(worth[b], worth[a]) })
+		due = due[:limit]
+	}
+	var entries []Entry
+	for _, account := range due {
+		account.take(now)
+		entries = append(entries, Entry{Workspace: account.Workspace, Row: account.own})
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmpNames(a.Workspace, b.Workspace) })
 	return entries
 }
 
+// untold is what was charged since the row was last sent, in units by weight, and
+// one more, so that a row that only has to be repeated has its turn as well.
+func (a *Account) untold() float64 {
+	return float64(a.own.Charged-a.resend.told)/a.weight + 1
+}
+
 func cmpNames(a, b string) int {
 	return cmp.Compare(a, b)
 }
--- a/lib/scheduler/exchange.go
+++ b/lib/scheduler/exchange.go
@@ -1,27 +1,26 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"shallotkeel.example/lib/accountant"
 )
 
-// Limits of what one exchange carries. What is left out waits for the next.
-const (
-	maxDemandRows = 64
-	maxDemand     = 32 // tickets per row
-)
+// maxDemand is how many tickets one row of demand tells of.
+const maxDemand = 32
 
 // Times of the exchange between zones.
 const (
-	// demandMemory is how long demand counts after it was last told.
-	demandMemory = 2 * time.Second
-	// returnRepeat is how long the end of a loan is told again and again,
-	// because the message may be lost.
-	returnRepeat = 2 * time.Second
-	intervalGain = 1.0 / 4
+	// demandMemory is how long demand counts after it was last told, and at least
+	// memoryIntervals exchanges.
+	demandMemory    = 2 * time.Second
+	memoryIntervals = 3
+	// returnRepeat is how long the end of a loan is told again and again, because
+	// the message may be lost, and at least returnIntervals exchanges.
+	returnRepeat    = 2 * time.Second
+	returnIntervals = 2
+	intervalGain    = 1.0 / 4
 )
 
 // zone is what another zone's scheduler of this service has told.
@@ -45,7 +44,7 @@
 
 func (z *zone) hear(now time.Time) {
 	if !z.heard.IsZero() {
-		passed := min(max(now.Sub(z.heard), 0), demandMemory)
+		passed := min(max(now.Sub(z.heard), 0), max(CompareMost, demandMemory))
 		if z.every == 0 {
 			z.every = passed
 		}
@@ -54,6 +53,11 @@
 	z.heard = now
 }
 
+// memory is how long the zone's demand counts when it is not heard.
+func (z *zone) memory() time.Duration {
+	return max(demandMemory, memoryIntervals*z.every)
+}
+
 // compared takes in what another zone told and answers it with loans.
 func (p *Pool) compared(now time.Time, c Compared) {
 	if c.Zone == "" || c.Zone == p.options.Zone {
@@ -61,12 +65,12 @@
 	}
 	p.merge(now, c.Origin, c.Totals)
 	from := p.zone(c.Zone)
-	if now.Sub(from.heard) > demandMemory {
+	if now.Sub(from.heard) > from.memory() {
 		p.ledger.ResendAll()
 	}
 	from.hear(now)
 	from.idle = c.Idle
-	p.wake(now.Add(demandMemory))
+	p.wake(now.Add(from.memory()))
 	p.endLoans(now, from, c.Returned)
 	p.renewLoans(now, from, c.Renewed)
 	p.demand(now, from, c.Demand)
@@ -246,7 +250,7 @@
 
 func (p *Pool) expireZones(now time.Time) {
 	for _, z := range p.zoneList {
-		silent := z.heard.Add(demandMemory)
+		silent := z.heard.Add(z.memory())
 		if now.Before(silent) {
 			p.wake(silent)
 			continue
@@ -264,65 +268,6 @@
 	}
 }
 
-// Offer returns what the host sends to the same service's schedulers of the
-// other zones, the same to each: own totals that are due, what waits here, the
-// loans that are over and those still in use, and the free slots. Totals are
-// due once, so an offer is made once per round and sent to every zone.
-func (p *Pool) Offer(now time.Time) (rows []Total, demand []Demand, returned, renewed []uint64, idle int) {
-	rows = totals(p.ledger.Due(now))
-	demand = p.unmet()
-	// An answer may be repeated for as long as its loans' lease. Whoever forgets a
-	// loan sooner uses it a second time.
-	p.giveBackIdle(now)
-	forget := max(returnRepeat, p.options.Lease)
-	p.over = slices.DeleteFunc(p.over, func(b *borrowing) bool { return now.Sub(b.ended) > forget })
-	for _, b := range p.over {
-		if now.Sub(b.ended) <= returnRepeat {
-			returned = append(returned, b.ID)
-		}
-	}
-	for id := range p.borrowings {
-		renewed = append(renewed, id)
-	}
-	slices.Sort(renewed)
-	for _, e := range p.seats {
-		if e != nil {
-			idle += max(0, e.room(now))
-		}
-	}
-	return rows, demand, returned, renewed, idle
-}
-
-// unmet lists what waits here and may run elsewhere, smallest price first.
-func (p *Pool) unmet() []Demand {
-	var rows []Demand
-	var prices []float64
-	for _, w := range p.order {
-		if w.waiting == 0 {
-			continue
-		}
-		from := len(rows)
-		for _, l := range w.active {
-			if p.mayCross(l) {
-				rows = addDemand(rows, from, l)
-			}
-		}
-		for range rows[from:] {
-			prices = append(prices, w.price())
-		}
-	}
-	order := make([]int, len(rows))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(prices[a], prices[b]) })
-	sorted := make([]Demand, 0, min(len(order), maxDemandRows))
-	for _, i := range order[:min(len(order), maxDemandRows)] {
-		sorted = append(sorted, rows[i])
-	}
-	return sorted
-}
-
 // mayCross tells whether another zone may run a lane's tickets. Suspects stay,
 // because only this pool can keep them apart, and so does what failed elsewhere.
 func (p *Pool) mayCross(l *lane) bool {
@@ -337,16 +282,6 @@
 	return true
 }
 
-func addDemand(rows []Demand, from int, l *lane) []Demand {
-	for i := from; i < len(rows); i++ {
-		if rows[i].Model == l.key.model {
-			rows[i].Waiting = min(rows[i].Waiting+l.count, maxDemand)
-			return rows
-		}
-	}
-	return append(rows, Demand{Workspace: l.workspace.name, Model: l.key.model, Waiting: min(l.count, maxDemand)})
-}
-
 // History returns the collapsed totals for another zone's scheduler that joins.
 func (p *Pool) History() []Total {
 	return totals(p.ledger.Collapse())
--- a/lib/scheduler/loan.go
+++ b/lib/scheduler/loan.go
@@ -12,6 +12,8 @@
 	// holdWorth is how many exchange intervals a loan must last before a slot is
 	// held for one: the slot idles for up to an interval before it and after it.
 	holdWorth = 10
+	// holdMost is the longest interval for which a slot is held.
+	holdMost = time.Second
 	// termIntervals is how many exchange intervals a slot is lent for at a time.
 	// Short terms follow the counters closely; each is extended by a message.
 	termIntervals = 4
@@ -38,6 +40,7 @@
 	zone     *zone
 	lane     *lane
 	endpoint *endpoint
+	lease    time.Duration
 	expires  time.Time
 	until    time.Time // end of its term
 	reserved uint64    // units, so that one workspace does not win every slot until its charges arrive
@@ -77,13 +80,19 @@
 
 func (p *Pool) mayHold(z *zone, e *endpoint) bool {
 	lasts := max(e.throttle.Service(), usualTerms*p.term(z))
-	return p.held < max(1, p.usable/holdShare) && z.every > 0 && lasts >= holdWorth*z.every
+	return p.held < max(1, p.usable/holdShare) && z.every > 0 && lasts >= holdWorth*z.every && z.every <= holdMost
 }
 
 // term is how long a slot is lent to a zone. Short requests use it one after the
 // other: a slot for each would idle for longer than it is used.
 func (p *Pool) term(z *zone) time.Duration {
-	return min(termIntervals*z.every, p.options.Lease)
+	return min(termIntervals*z.every, p.lease(z))
+}
+
+// lease is how long a slot is kept for a zone that is not heard. Zones compare the
+// less often the more there are.
+func (p *Pool) lease(z *zone) time.Duration {
+	return max(p.options.Lease, termIntervals*z.every)
 }
 
 // batch is the units that a slot yields in a term, at least one request.
@@ -98,10 +107,10 @@
 // lend makes the loan of a slot that is counted as lent already.
 func (p *Pool) lend(now time.Time, z *zone, l *lane, e *endpoint) {
 	p.loanNumber++
-	term := p.term(z)
+	term, lease := p.term(z), p.lease(z)
 	made := &loan{
 		id: loanID(p.options.Origin, p.loanNumber), zone: z, lane: l, endpoint: e,
-		expires: now.Add(p.options.Lease), until: now.Add(term),
+		lease: lease, expires: now.Add(lease), until: now.Add(term),
 	}
 	p.loans[made.id] = made
 	p.loanList = append(p.loanList, made)
@@ -110,7 +119,7 @@
 	p.wake(made.expires)
 	p.lending = append(p.lending, Loan{
 		ID: made.id, Workspace: l.workspace.name, Model: l.key.model,
-		Endpoint: e.id, Incarnation: e.incarnation, Address: e.address, Lease: p.options.Lease, Term: term,
+		Endpoint: e.id, Incarnation: e.incarnation, Address: e.address, Lease: lease, Term: term,
 	})
 }
 
@@ -144,6 +153,7 @@
 	p.fetchHolds(now, z)
 	p.dispatch(now)
 	if len(p.lending) > 0 {
+		p.answers(p.lending)
 		p.act(Lend{Zone: z.name, Loans: p.lending})
 	}
 	p.answering, p.lending = nil, nil
@@ -194,7 +204,7 @@
 func (p *Pool) renewLoans(now time.Time, from *zone, ids []uint64) {
 	for _, id := range ids {
 		if renewed := p.loans[id]; renewed != nil && renewed.zone == from {
-			renewed.expires = now.Add(p.options.Lease)
+			renewed.expires = now.Add(renewed.lease)
 			// What it used so far is in the borrower's charges.
 			p.reserve(renewed, renewed.batch(renewed.until.Sub(now)))
 		}
@@ -227,12 +237,11 @@
 		return
 	}
 	term := p.term(l.zone)
+	l.lease = p.lease(l.zone)
+	l.expires = now.Add(l.lease)
 	l.until = now.Add(term)
 	p.reserve(l, l.batch(term))
-	l.lane.count--
-	l.lane.settle()
-	p.retire(l.lane)
-	p.lending = append(p.lending, Loan{ID: l.id, Lease: p.options.Lease, Term: term})
+	p.lending = append(p.lending, Loan{ID: l.id, Lease: l.lease, Term: term})
 }
 
 // best returns the lane with the smallest price that an endpoint may serve.
--- a/lib/scheduler/pool.go
+++ b/lib/scheduler/pool.go
@@ -107,7 +107,11 @@
 	abroad       float64 // smallest counter that waits in other zones, 0 if none
 	answering    *zone   // whose exchange is being answered
 	lending      []Loan
-	generation   uint64 // of the groups
+	generation   uint64        // of the groups
+	interval     time.Duration // between own exchanges, as last asked for
+	peers        int           // other zones, as last told
+	spent        int           // bytes of the last exchange with all zones
+	answered     int           // bytes of answers since
 	actions      []Action
 }
 
