--- a/lib/orderer/orderer.go
+++ b/lib/orderer/orderer.go
@@ -265,6 +265,7 @@
 func (o *Orderer) Step(now time.Time) []Order {
 	o.lacking = false
 	if !o.holds(now) {
+		o.show()
 		return nil
 	}
 	var orders []Order
@@ -276,6 +277,17 @@
 	return append(orders, o.unloads(now)...)
 }
 
+// show ends the hiding of models that cannot be unloaded without a lease. They
+// would stay idle, however much work waits for them, until the keepers are
+// reached again.
+func (o *Orderer) show() {
+	for _, e := range o.endpoints {
+		if e.inFlight == nil {
+			e.hidden = ""
+		}
+	}
+}
+
 // holds tells whether an order sent now would have ended before the lease does.
 func (o *Orderer) holds(now time.Time) bool {
 	return now.Add(OrderTimeout).Before(o.until)
--- a/lib/orderer/orderer_test.go
+++ b/lib/orderer/orderer_test.go
@@ -126,6 +126,19 @@
 	require.Equal(t, Order{Endpoint: "e", Kind: Load, Model: "new", Fence: 7}, orders[0])
 }
 
+// Symptom: a model idles at an engine while work waits for it. Events: it is
+// hidden to be unloaded, and its zone is cut off from the keepers. Cause: it
+// stays hidden although nobody may unload it.
+func TestModelIsShownAgainWithoutLease(t *testing.T) {
+	o := leased("new")
+	o.Read(start, Endpoint{ID: "e", Fenced: true, Room: 1, Loaded: []string{"old"}})
+	o.Step(start)
+	require.Equal(t, "old", o.Hidden("e"))
+	o.Lost()
+	o.Step(start.Add(time.Second))
+	require.Empty(t, o.Hidden("e"))
+}
+
 // Symptom: two models push one another out for ever. Events: demand alternates
 // between them. Cause: a copy makes room as soon as it is idle for a moment.
 func TestIdleCopyStaysForAWhile(t *testing.T) {
--- a/router/internal/conductor/metrics.go
+++ b/router/internal/conductor/metrics.go
@@ -33,7 +33,7 @@
 	m := &metrics{
 		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotkeel_control_messages_total",
-			Help: "Calls sent to other routers, by kind.",
+			Help: "Calls sent to other routers, to keepers for leases and to engines, by kind.",
 		}, []string{"kind"}),
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotkeel_control_failures_total",
--- a/router/internal/conductor/ordering.go
+++ b/router/internal/conductor/ordering.go
@@ -33,6 +33,9 @@
 func (c *Conductor) room(message *messenger.Announcement) int {
 	labels := labelsOf(message)
 	if c.rules != nil {
+		if c.rules.Draining(message.GetId(), labels) {
+			return 0 // its copies serve no new work
+		}
 		labels = c.rules.Effective(message.GetId(), labels)
 	}
 	room, err := strconv.Atoi(labels[describer.LabelRoom])
--- a/router/internal/conductor/ordering_test.go
+++ b/router/internal/conductor/ordering_test.go
@@ -128,19 +128,21 @@
 		fenced bool
 		alone  bool
 		room   string
+		drain  string
 		after  time.Duration
 		want   []string
 	}{
 		"a fenced engine at once":      {fenced: true, room: "1", after: 8 * time.Second, want: []string{"1 load " + model}},
 		"one that ignores numbers not": {room: "1", after: 4 * time.Second},
 		"but after the last lease":     {room: "1", after: 12 * time.Second, want: []string{"1 load " + model}},
+		"nor where it is drained":      {fenced: true, room: "1", drain: "yes", after: 12 * time.Second},
 		"never without room":           {fenced: true, after: 12 * time.Second},
 		"nor where routers are alone":  {fenced: true, alone: true, room: "1", after: 12 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, _ := ordering(t, test.alone)
 			e := newEngine(t, w, test.fenced)
-			e.message.Labels["room"] = test.room
+			e.message.Labels["room"], e.message.Labels["drain"] = test.room, test.drain
 			w.run(test.after, e.announce())
 			require.Equal(t, test.want, e.obeyed())
 		})
