Follow no redirect of an order

Cause: a redirected order that was answered with 200 elsewhere passed for obeyed. Seen failing by overlay with redirects followed. The former test of this had no Location in its answer and could not fail.

--- a/router/internal/commander/sender.go
+++ b/router/internal/commander/sender.go
@@ -52,7 +52,10 @@
 			return guard(ctx, conn, clock)
 		},
 	}
-	return &HTTPSender{clock: clock, client: &http.Client{Transport: transport}}
+	// An order is for the engine that announced itself. One that was sent on, and
+	// answered by someone else, would pass for obeyed.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &HTTPSender{clock: clock, client: &http.Client{Transport: transport, CheckRedirect: stay}}
 }
 
 // deadlineKey carries the order's deadline to the connection: the context of a
--- a/router/internal/commander/sender_test.go
+++ b/router/internal/commander/sender_test.go
@@ -22,6 +22,10 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		text, _ := io.ReadAll(r.Body)
 		seen <- r.Method + " " + r.URL.Path + " " + string(text)
+		w.Header().Set("Location", "/elsewhere")
+		if r.URL.Path == "/elsewhere" {
+			return
+		}
 		w.WriteHeader(status)
 	}))
 	t.Cleanup(server.Close)
@@ -36,7 +40,7 @@
 		"accepted":          {http.StatusNoContent, orderer.Accepted},
 		"an old number":     {http.StatusConflict, orderer.Outdated},
 		"the engine failed": {http.StatusInternalServerError, orderer.Unknown},
-		"redirected":        {http.StatusTemporaryRedirect, orderer.Unknown},
+		"redirected":        {http.StatusFound, orderer.Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			at, seen := engine(t, test.status)
