--- a/bench/docs_test.go
+++ b/bench/docs_test.go
@@ -11,14 +11,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// sources holds the text of every Go file of the routers and keepers that is no
-// test.
-func sources(t *testing.T) string {
+// sources holds the text of every Go file below the roots, either of the tests
+// or of all others.
+func sources(t *testing.T, tests bool, roots ...string) string {
 	t.Helper()
 	var text strings.Builder
-	for _, root := range []string{"../router", "../keeper", "../lib"} {
+	for _, root := range roots {
 		require.NoError(t, filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
-			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") != tests {
 				return err
 			}
 			content, err := os.ReadFile(path)
@@ -32,6 +32,7 @@
 var (
 	named   = regexp.MustCompile(`"(shallotkeel_[a-z_]+)"`)
 	keepers = regexp.MustCompile(`(?:gauge|counter)\("([a-z_]+)", `)
+	proof   = regexp.MustCompile(`\b(Test[A-Z]\w+)`)
 	listed  = regexp.MustCompile("`((?:shallotkeel|keeper)_[a-z_]+)`")
 )
 
@@ -39,7 +40,7 @@
 // builds alarms from it.
 func TestMetricsPageIsComplete(t *testing.T) {
 	published := make(map[string]bool)
-	code := sources(t)
+	code := sources(t, false, "../router", "../keeper", "../lib")
 	for _, found := range named.FindAllStringSubmatch(code, -1) {
 		published[found[1]] = true
 	}
@@ -56,3 +57,15 @@
 	}
 	require.Equal(t, published, documented)
 }
+
+// A proof that was renamed or deleted must not go on being claimed.
+func TestProofsExist(t *testing.T) {
+	page, err := os.ReadFile("../docs/PROOFS.md")
+	require.NoError(t, err)
+	code := sources(t, true, "..")
+	proofs := proof.FindAllStringSubmatch(string(page), -1)
+	require.NotEmpty(t, proofs)
+	for _, found := range proofs {
+		require.Contains(t, code, "func "+found[1]+"(", "docs/PROOFS.md names it")
+	}
+}
