--- a/bench/docs_test.go
+++ b/bench/docs_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	var text strings.Builder
 	for _, root := range roots {
-		require.NoError(t, filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		require.NoError(t, filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") != tests {
 				return err
 			}
