--- a/lib/enlister/desk.go
+++ b/lib/enlister/desk.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"shallotkeel.example/lib/interner"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/scheduler"
 )
@@ -30,13 +31,13 @@
 	full   uint64 // number of the full batch that it began with
 	number uint64 // of the last batch that was applied
 	reply  *messenger.ExchangeResponse
-	names  reader
+	names  interner.Reader
 	heard  time.Time
 	held   map[uint64]bool // requests that the pool knows of
 
 	pending []scheduler.Action // grants and refusals not yet in a message
-	answers writer
-	calls   writer
+	answers interner.Writer
+	calls   interner.Writer
 	grants  uint64 // number of the last call
 	call    *messenger.GrantRequest
 	calling bool
@@ -100,7 +101,7 @@
 // crowded tells whether the tables of names need a new session: endpoints that
 // come and go would otherwise fill them.
 func (s *session) crowded() bool {
-	return max(len(s.names.names), len(s.answers.index), len(s.calls.index)) > maxNames/2
+	return max(s.names.Len(), s.answers.Len(), s.calls.Len()) > maxNames/2
 }
 
 func (d *Desk) session(id uint32) *session {
@@ -147,7 +148,7 @@
 func (d *Desk) apply(now time.Time, s *session, request *messenger.ExchangeRequest) *messenger.ExchangeResponse {
 	s.number = request.GetNumber()
 	s.heard = now
-	s.names.extend(request.GetNames())
+	s.names.Extend(request.GetNames(), maxNames)
 	s.hold(request)
 	news := report(&s.names, s.router, request)
 	if news.Full {
@@ -165,7 +166,7 @@
 		s.reply.Session = s.id
 	}
 	s.reply.Grants, s.reply.Refusals = encodeActions(&s.answers, s.pending)
-	s.reply.Names = s.answers.take()
+	s.reply.Names = s.answers.Take()
 	s.settle(s.reply.GetRefusals())
 	s.pending = nil
 	return s.reply
@@ -190,16 +191,16 @@
 	}
 }
 
-func encodeActions(w *writer, actions []scheduler.Action) (grants []*messenger.Grant, refusals []*messenger.Refusal) {
+func encodeActions(w *interner.Writer, actions []scheduler.Action) (grants []*messenger.Grant, refusals []*messenger.Refusal) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case scheduler.Grant:
 			grants = append(grants, &messenger.Grant{
-				Seq: a.Request.Seq, Endpoint: w.put(a.Endpoint), Address: w.put(a.Address.String()), Incarnation: a.Incarnation,
+				Seq: a.Request.Seq, Endpoint: w.Put(a.Endpoint), Address: w.Put(a.Address.String()), Incarnation: a.Incarnation,
 			})
 		case scheduler.Refusal:
 			refusals = append(refusals, &messenger.Refusal{
-				Seq: a.Request.Seq, Reason: w.put(a.Reason), RetryMs: milliseconds(a.Retry),
+				Seq: a.Request.Seq, Reason: w.Put(a.Reason), RetryMs: milliseconds(a.Retry),
 			})
 		}
 	}
@@ -230,7 +231,7 @@
 		Scheduler: d.Incarnation, Incarnation: s.router.Incarnation, Number: s.grants, Enrolled: s.full,
 	}
 	s.call.Grants, s.call.Refusals = encodeActions(&s.calls, s.pending)
-	s.call.Names = s.calls.take()
+	s.call.Names = s.calls.Take()
 	s.pending = nil
 }
 
--- a/lib/enlister/enlister.go
+++ b/lib/enlister/enlister.go
@@ -28,6 +28,7 @@
 	"slices"
 	"time"
 
+	"shallotkeel.example/lib/interner"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/scheduler"
 )
@@ -100,9 +101,9 @@
 	spoke      time.Time
 	progressed time.Time
 
-	writer      writer
-	answers     reader // names in answers of batches
-	calls       reader // names in calls of grants
+	writer      interner.Writer
+	answers     interner.Reader // names in answers of batches
+	calls       interner.Reader // names in calls of grants
 	grantNumber uint64
 	grantReply  *messenger.GrantResponse
 }
@@ -218,7 +219,7 @@
 }
 
 func (e *Enlister) compose(now time.Time) *messenger.ExchangeRequest {
-	if !e.enrolled || len(e.writer.index) > maxNames/2 {
+	if !e.enrolled || e.writer.Len() > maxNames/2 {
 		return e.composeFull(now)
 	}
 	progress := len(e.moved) > 0 && now.Sub(e.progressed) >= ProgressEvery
@@ -239,7 +240,7 @@
 		batch.Progress = e.takeProgress()
 	}
 	e.fresh, e.finished = nil, nil
-	batch.Names = e.writer.take()
+	batch.Names = e.writer.Take()
 	return batch
 }
 
@@ -269,7 +270,7 @@
 	}
 	e.number++
 	e.full = e.number
-	e.writer = writer{}
+	e.writer = interner.Writer{}
 	clear(e.moved)
 	batch := &messenger.ExchangeRequest{
 		Router: e.Router.Name, Incarnation: e.Router.Incarnation,
@@ -284,11 +285,11 @@
 		}
 		r.told = r.charged
 		batch.Running = append(batch.Running, &messenger.Running{
-			Seq: seq, Workspace: e.writer.put(r.ticket.Workspace), Model: e.writer.put(r.ticket.Model),
-			Endpoint: e.writer.put(r.endpoint), Charged: r.charged,
+			Seq: seq, Workspace: e.writer.Put(r.ticket.Workspace), Model: e.writer.Put(r.ticket.Model),
+			Endpoint: e.writer.Put(r.endpoint), Charged: r.charged,
 		})
 	}
-	batch.Names = e.writer.take()
+	batch.Names = e.writer.Take()
 	return batch
 }
 
@@ -318,7 +319,7 @@
 	if batch.GetFull() {
 		e.enrol(response)
 	}
-	e.answers.extend(response.GetNames())
+	e.answers.Extend(response.GetNames(), maxNames)
 	outcomes, declined := e.take(&e.answers, response.GetGrants(), response.GetRefusals())
 	for _, seq := range declined {
 		e.finished = append(e.finished, scheduler.Finish{Seq: seq, Ending: scheduler.Declined})
@@ -330,21 +331,21 @@
 	e.enrolled = true
 	e.scheduler = response.GetScheduler()
 	e.session = response.GetSession()
-	e.answers, e.calls = reader{}, reader{}
+	e.answers, e.calls = interner.Reader{}, interner.Reader{}
 	e.grantNumber, e.grantReply = 0, nil
 }
 
 // take accepts the grants of requests that still wait.
-func (e *Enlister) take(names *reader, grants []*messenger.Grant, refusals []*messenger.Refusal) (outcomes []Outcome, declined []uint64) {
+func (e *Enlister) take(names *interner.Reader, grants []*messenger.Grant, refusals []*messenger.Refusal) (outcomes []Outcome, declined []uint64) {
 	for _, g := range grants {
 		r := e.entries[g.GetSeq()]
-		address, err := netip.ParseAddrPort(names.get(g.GetAddress()))
+		address, err := netip.ParseAddrPort(names.Get(g.GetAddress()))
 		if r == nil || r.running || err != nil {
 			declined = append(declined, g.GetSeq())
 			continue
 		}
 		r.running = true
-		r.endpoint = names.get(g.GetEndpoint())
+		r.endpoint = names.Get(g.GetEndpoint())
 		e.waiting--
 		outcomes = append(outcomes, Granted{
 			Seq: g.GetSeq(), Endpoint: r.endpoint, Incarnation: g.GetIncarnation(), Address: address,
@@ -355,7 +356,7 @@
 			delete(e.entries, refusal.GetSeq())
 			e.waiting--
 			outcomes = append(outcomes, Refused{
-				Seq: refusal.GetSeq(), Reason: names.get(refusal.GetReason()), Retry: duration(refusal.GetRetryMs()),
+				Seq: refusal.GetSeq(), Reason: names.Get(refusal.GetReason()), Retry: duration(refusal.GetRetryMs()),
 			})
 		}
 	}
@@ -378,7 +379,7 @@
 		return &messenger.GrantResponse{Unknown: true}, nil
 	}
 	e.grantNumber = request.GetNumber()
-	e.calls.extend(request.GetNames())
+	e.calls.Extend(request.GetNames(), maxNames)
 	outcomes, declined := e.take(&e.calls, request.GetGrants(), request.GetRefusals())
 	e.grantReply = &messenger.GrantResponse{Declined: declined}
 	return e.grantReply, outcomes
--- a/lib/enlister/names.go
+++ b/lib/enlister/names.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shallotkeel.example/lib/interner"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/scheduler"
 )
@@ -11,47 +12,6 @@
 // before its table outgrows it; names are bounded to 128 bytes each.
 const maxNames = 4096
 
-// writer numbers the names of one direction of a session, so that each is sent
-// once.
-type writer struct {
-	index map[string]uint32
-	fresh []string // since the last batch
-}
-
-func (w *writer) put(name string) uint32 {
-	if at, known := w.index[name]; known {
-		return at
-	}
-	if w.index == nil {
-		w.index = make(map[string]uint32)
-	}
-	at := uint32(len(w.index))
-	w.index[name] = at
-	w.fresh = append(w.fresh, name)
-	return at
-}
-
-// take returns the names that the batch has to bring.
-func (w *writer) take() []string {
-	fresh := w.fresh
-	w.fresh = nil
-	return fresh
-}
-
-// reader is the other end of a writer.
-type reader struct{ names []string }
-
-func (r *reader) extend(names []string) {
-	r.names = append(r.names, names[:min(len(names), maxNames-len(r.names))]...)
-}
-
-func (r *reader) get(at uint32) string {
-	if int(at) >= len(r.names) {
-		return ""
-	}
-	return r.names[at]
-}
-
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), 1<<31))
 }
@@ -60,24 +20,24 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func encodeTicket(w *writer, t *scheduler.Ticket, waited time.Duration) *messenger.Ticket {
+func encodeTicket(w *interner.Writer, t *scheduler.Ticket, waited time.Duration) *messenger.Ticket {
 	encoded := &messenger.Ticket{
-		Seq: t.Seq, Workspace: w.put(t.Workspace), Model: w.put(t.Model), Hint: t.Hint,
+		Seq: t.Seq, Workspace: w.Put(t.Workspace), Model: w.Put(t.Model), Hint: t.Hint,
 		Prefix: t.Prefix, Prompt: t.Prompt, WaitedMs: milliseconds(waited), Alone: t.Alone,
 	}
 	for _, endpoint := range t.Avoid {
-		encoded.Avoid = append(encoded.Avoid, w.put(endpoint))
+		encoded.Avoid = append(encoded.Avoid, w.Put(endpoint))
 	}
 	return encoded
 }
 
-func decodeTicket(r *reader, t *messenger.Ticket) scheduler.Ticket {
+func decodeTicket(r *interner.Reader, t *messenger.Ticket) scheduler.Ticket {
 	decoded := scheduler.Ticket{
-		Seq: t.GetSeq(), Workspace: r.get(t.GetWorkspace()), Model: r.get(t.GetModel()), Hint: t.GetHint(),
+		Seq: t.GetSeq(), Workspace: r.Get(t.GetWorkspace()), Model: r.Get(t.GetModel()), Hint: t.GetHint(),
 		Prefix: t.GetPrefix(), Prompt: t.GetPrompt(), Waited: duration(t.GetWaitedMs()), Alone: t.GetAlone(),
 	}
 	for _, endpoint := range t.GetAvoid() {
-		decoded.Avoid = append(decoded.Avoid, r.get(endpoint))
+		decoded.Avoid = append(decoded.Avoid, r.Get(endpoint))
 	}
 	return decoded
 }
@@ -97,15 +57,15 @@
 }
 
 // report is a batch as the pool understands it.
-func report(r *reader, router scheduler.RouterID, request *messenger.ExchangeRequest) scheduler.Report {
+func report(r *interner.Reader, router scheduler.RouterID, request *messenger.ExchangeRequest) scheduler.Report {
 	decoded := scheduler.Report{Router: router, Full: request.GetFull()}
 	for _, t := range request.GetTickets() {
 		decoded.Tickets = append(decoded.Tickets, decodeTicket(r, t))
 	}
 	for _, running := range request.GetRunning() {
 		decoded.Running = append(decoded.Running, scheduler.Running{
-			Seq: running.GetSeq(), Workspace: r.get(running.GetWorkspace()), Model: r.get(running.GetModel()),
-			Endpoint: r.get(running.GetEndpoint()), Charged: running.GetCharged(),
+			Seq: running.GetSeq(), Workspace: r.Get(running.GetWorkspace()), Model: r.Get(running.GetModel()),
+			Endpoint: r.Get(running.GetEndpoint()), Charged: running.GetCharged(),
 		})
 	}
 	for _, p := range request.GetProgress() {
--- a/router/internal/conductor/conductor.go
+++ b/router/internal/conductor/conductor.go
@@ -207,7 +207,7 @@
 		c.regroup(now)
 	}
 	if !now.Before(c.roundAt) {
-		c.roundAt = now.Add(c.roundInterval())
+		c.roundAt = now.Add(c.options.Compare)
 		c.compare(now)
 	}
 	next := earliest(c.beatAt, c.roundAt)
--- a/router/internal/conductor/hosted.go
+++ b/router/internal/conductor/hosted.go
@@ -6,6 +6,7 @@
 	"shallotkeel.example/lib/describer"
 	"shallotkeel.example/lib/detector"
 	"shallotkeel.example/lib/enlister"
+	"shallotkeel.example/lib/interner"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/scheduler"
 	"shallotkeel.example/router/internal/commander"
@@ -20,6 +21,7 @@
 	expires   map[string]time.Time
 	seen      map[scheduler.RouterID]presence
 	ticked    time.Time
+	compareAt time.Time            // next exchange with the other zones
 	joining   bool                 // it has no history yet
 	told      map[string]time.Time // zones, when they last answered
 	calling   map[string]bool
@@ -182,9 +184,9 @@
 		Pool:   &messenger.Pool{Zone: c.options.Zone, Service: h.service},
 		Origin: h.desk.Incarnation,
 	}
-	var table names
-	request.History = table.totals(h.desk.Pool.History())
-	request.Names = table.list
+	var table interner.Writer
+	request.History = encodeTotals(&table, h.desk.Pool.History())
+	request.Names = table.Take()
 	c.pass(passing{request: request, owner: owner, tries: handoverTries, due: now})
 }
 
