--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -11,6 +11,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -25,6 +26,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/tracer"
@@ -200,7 +202,10 @@
 		public.Close()
 		return nil, nil, merry.Errorf("%w: control: %v; %s", ErrListen, err, remedy)
 	}
-	return public, control, nil
+	// Without a bound, connections that send nothing use up the file descriptors,
+	// and then endpoints and other routers are refused as well. Beyond the bound
+	// new connections wait; those without a request are closed after a while.
+	return netutil.LimitListener(public, cmp.Or(r.settings.Limits.Connections, defaultConnections)), control, nil
 }
 
 // stop is the planned stop.
--- a/router/internal/assembler/settings.go
+++ b/router/internal/assembler/settings.go
@@ -40,6 +40,7 @@
 type Limits struct {
 	BodyBytes      int64           `json:"body_bytes"`
 	Waiting        int             `json:"waiting"`
+	Connections    int             `json:"connections"`
 	RequestTimeout loader.Duration `json:"request_timeout"`
 	StopTimeout    loader.Duration `json:"stop_timeout"`
 }
@@ -53,6 +54,9 @@
 
 const (
 	defaultStopTimeout = 30 * time.Second
+	// defaultConnections is twice what 4096 waiting requests and as many running
+	// ones need at one request a connection.
+	defaultConnections = 16384
 	// leastBeats is how many heartbeats must fit into the suspect time, because
 	// a beat takes up to two rounds through a large zone and one may be lost.
 	leastBeats = 3
@@ -142,7 +146,7 @@
 }
 
 func (s *Settings) checkNumbers() (problems []loader.Problem) {
-	if s.Limits.BodyBytes < 0 || s.Limits.Waiting < 0 || s.Limits.RequestTimeout.Duration < 0 || s.Limits.StopTimeout.Duration < 0 {
+	if s.Limits.BodyBytes < 0 || s.Limits.Waiting < 0 || s.Limits.Connections < 0 || s.Limits.RequestTimeout.Duration < 0 || s.Limits.StopTimeout.Duration < 0 {
 		problems = append(problems, loader.Problem{
 			Key: "limits", Message: "a limit is negative", Remedy: "set a positive number, or leave it out for the default",
 		})
