--- a/lib/matcher/matcher.go
+++ b/lib/matcher/matcher.go
@@ -176,6 +176,15 @@
 	return service, found
 }
 
+// Services lists all services by name.
+func (r *Rules) Services() []*Service {
+	list := make([]*Service, 0, len(r.services))
+	for _, name := range slices.Sorted(maps.Keys(r.services)) {
+		list = append(list, r.services[name])
+	}
+	return list
+}
+
 // ByModel returns the service that offers a model.
 func (r *Rules) ByModel(model string) (*Service, bool) {
 	service, found := r.models[model]
