--- a/router/internal/assembler/status.go
+++ b/router/internal/assembler/status.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"shallotkeel.example/lib/matcher"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/reporter"
 )
@@ -145,9 +146,29 @@
 			warn("%d requests wait for service %s in %s, which has no endpoint there", pool.Waiting, pool.Service, pool.Zone)
 		}
 	}
+	for _, service := range deserted(s.router.follower.Rules(), answer.Endpoints) {
+		warn("no endpoint of service %s announces itself; look at the endpoints' own logs", service)
+	}
 	for _, endpoint := range answer.Endpoints {
 		if endpoint.State == "suspect" {
 			warn("endpoint %s fails or shows no progress; look at its own log", endpoint.ID)
 		}
 	}
 }
+
+// deserted lists the services that have no endpoint anywhere. Their callers are
+// refused, and without a word here an operator would look for the fault in the
+// configuration.
+func deserted(rules *matcher.Rules, endpoints []reporter.Endpoint) []string {
+	served := make(map[string]bool)
+	for _, endpoint := range endpoints {
+		served[endpoint.Service] = true
+	}
+	var names []string
+	for _, service := range rules.Services() {
+		if !served[service.Name] {
+			names = append(names, service.Name)
+		}
+	}
+	return names
+}
