--- a/bench/internal/measurer/measurer.go
+++ b/bench/internal/measurer/measurer.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -20,19 +21,23 @@
 type Options struct {
 	Programs string
 	Sizes    []int // numbers of routers, each even
+	// Steady is how long a backlog is metered; DefaultSteady if zero. The gap of
+	// the baseline grows with it, that of the schedulers does not.
+	Steady time.Duration
 }
 
 // Run measures the path and returns whether every figure could be measured.
 func Run(options Options, out io.Writer) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
 	defer cancel()
+	options.Steady = cmp.Or(options.Steady, DefaultSteady)
 	r := &report{out: out}
 	for _, routers := range options.Sizes {
 		if err := r.size(ctx, options, routers); err != nil {
 			r.miss(fmt.Sprintf("%d routers", routers), err)
 		}
 	}
-	if err := r.rising(ctx, options.Programs); err != nil {
+	if err := r.rising(ctx, options); err != nil {
 		r.miss("rising load", err)
 	}
 	if err := r.write(); err != nil {
@@ -50,11 +55,12 @@
 	messages    float64
 	cpu         time.Duration // of the routers, a request
 	missing     string
+	steady      time.Duration
 }
 
 // mean is the service of a workspace over the steady state, in tokens.
 func (c contended) mean() float64 {
-	return c.throughput * steady.Seconds() / workspaces
+	return c.throughput * c.steady.Seconds() / workspaces
 }
 
 // size measures the three measures under backlog at a number of routers, with
@@ -63,7 +69,7 @@
 	results := make(map[string]map[string]contended)
 	var ideal float64
 	for _, scheduling := range []string{"alone", "pool"} {
-		s, err := open(ctx, options.Programs, routers, scheduling)
+		s, err := open(ctx, options, routers, scheduling)
 		if err != nil {
 			return err
 		}
@@ -133,7 +139,7 @@
 		return contended{}, merry.Errorf("%w: %s received nothing while it was backlogged", ErrMeasure, name)
 	}
 	result := contended{
-		gap: inspector.Gap(samples, weights), throughput: inspector.Throughput(samples),
+		gap: inspector.Gap(samples, weights), throughput: inspector.Throughput(samples), steady: s.steady,
 		cpu: (usedAfter - usedBefore) / time.Duration(summary.Requests),
 	}
 	grown := after.Minus(before)
@@ -185,10 +191,10 @@
 
 // rising measures cost and latency over rising load, with a scheduler per
 // pool, alone, and calling the engines directly.
-func (r *report) rising(ctx context.Context, programs string) error {
+func (r *report) rising(ctx context.Context, options Options) error {
 	series := make(map[string][]point)
 	for _, scheduling := range []string{"alone", "pool"} {
-		s, err := open(ctx, programs, risingRouters, scheduling)
+		s, err := open(ctx, options, risingRouters, scheduling)
 		if err != nil {
 			return err
 		}
@@ -216,6 +222,7 @@
 	messages    float64
 	cpu         time.Duration
 	missing     string
+	steady      time.Duration
 }
 
 func (s *site) open(rate float64) []caller.Load {
--- a/bench/internal/measurer/site.go
+++ b/bench/internal/measurer/site.go
@@ -33,10 +33,11 @@
 	startLimit  = 40 * time.Second
 	patience    = 30 * time.Second
 	settle      = 2 * time.Second // until a backlog is a steady state
-	steady      = 5 * time.Second
-	modelName   = "bozza-7b"
-	modelPool   = "modelli"
-	plainPool   = "scambio-app"
+	// DefaultSteady is how long a backlog is metered unless told otherwise.
+	DefaultSteady = 5 * time.Second
+	modelName     = "bozza-7b"
+	modelPool     = "modelli"
+	plainPool     = "scambio-app"
 )
 
 // site is a running fleet that is measured.
@@ -46,16 +47,17 @@
 	client *http.Client
 	folder string
 	names  []string
+	steady time.Duration
 }
 
 // open launches a fleet in two zones.
-func open(ctx context.Context, programs string, routers int, scheduling string) (*site, error) {
+func open(ctx context.Context, options Options, routers int, scheduling string) (*site, error) {
 	folder, err := os.MkdirTemp("", "shallotkeel-measure-")
 	if err != nil {
 		return nil, merry.Errorf("%w: %v; free some disk", ErrMeasure, err)
 	}
-	s := &site{ctx: ctx, folder: folder, client: caller.NewClient()}
-	plan := launcher.Plan{Programs: programs, Folder: folder, Scheduling: scheduling}
+	s := &site{ctx: ctx, steady: options.Steady, folder: folder, client: caller.NewClient()}
+	plan := launcher.Plan{Programs: options.Programs, Folder: folder, Scheduling: scheduling}
 	for i, zone := range []string{"trento-a", "verona-b"} {
 		zonePlan := launcher.ZonePlan{Name: zone, Keepers: 2 - i, Routers: routers / 2}
 		for j := range engines / 2 {
@@ -196,7 +198,7 @@
 	meter := inspector.Meter{Standins: s.engineNodes()}
 	meter.Start()
 	began := time.Now()
-	summary := s.drive(loads, s.fleet.Targets(), 1, settle+steady, direct)
+	summary := s.drive(loads, s.fleet.Targets(), 1, settle+s.steady, direct)
 	samples, err := meter.Stop()
 	if err != nil {
 		return nil, summary, err
@@ -204,7 +206,7 @@
 	if summary.Endings[caller.Answered] != summary.Requests {
 		return nil, summary, merry.Errorf("%w: not every call was answered: %v %v", ErrMeasure, summary.Endings, summary.Codes)
 	}
-	steadily := inspector.Between(samples, began.Add(settle), began.Add(settle+steady))
+	steadily := inspector.Between(samples, began.Add(settle), began.Add(settle+s.steady))
 	if len(steadily) == 0 {
 		return nil, summary, merry.Errorf("%w: no sample of the steady state", ErrMeasure)
 	}
--- a/bench/main.go
+++ b/bench/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -76,8 +77,9 @@
 // measureCommand measures the path and the policy.
 type measureCommand struct {
 	common
-	Sizes []int  `long:"routers" default:"4" default:"16" default:"64" value-name:"N" description:"a number of routers to measure with; may be repeated"`
-	Seed  uint64 `long:"seed" default:"1" description:"seed of the policy's runs"`
+	Sizes  []int         `long:"routers" default:"4" default:"16" default:"64" value-name:"N" description:"a number of routers to measure with; may be repeated"`
+	Steady time.Duration `long:"steady" default:"5s" description:"how long each backlog is metered"`
+	Seed   uint64        `long:"seed" default:"1" description:"seed of the policy's runs"`
 }
 
 // Execute is called by the parser.
@@ -86,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	measured := measurer.Run(measurer.Options{Programs: programs, Sizes: c.Sizes}, os.Stdout)
+	measured := measurer.Run(measurer.Options{Programs: programs, Sizes: c.Sizes, Steady: c.Steady}, os.Stdout)
 	fmt.Println("the policy alone, on simulated time:")
 	if err := policy.Run(os.Stdout, c.Seed); err != nil {
 		return err
