--- a/bench/internal/measurer/measurer.go
+++ b/bench/internal/measurer/measurer.go
@@ -222,7 +222,6 @@
 	messages    float64
 	cpu         time.Duration
 	missing     string
-	steady      time.Duration
 }
 
 func (s *site) open(rate float64) []caller.Load {
