--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 MODULES := lib $(PROGRAMS)
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 
-.PHONY: build demo test lint format unit generate measure faults clean
+.PHONY: build demo test lint format unit generate measure benchmarks faults clean
 
 build:
 	@mkdir -p bin
@@ -43,6 +43,10 @@
 measure: build
 	bin/bench measure
 
+# Slopes of single parts: the scheduler, and the keepers' syncs, claims and restarts.
+benchmarks:
+	$(GO) test -run '^$$' -bench . ./lib/scheduler ./keeper/internal/driver ./keeper/internal/server
+
 faults: build
 	bin/bench faults
 
