Leave a frozen leader for the next, and keep a removed keeper out

Cause: a call that had been passed on to a leader which froze waited for three election timeouts although another led by then. A keeper that was removed while it still looked for a group to join asked to be added again. The tests' addresses are now hosts of their own in 127.0.0.0/8: a free port of 127.0.0.1 went to others while its keeper was down, and two tests failed now and then for it.

--- a/keeper/internal/server/bench_test.go
+++ b/keeper/internal/server/bench_test.go
@@ -92,4 +92,3 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "changes/s")
 }
-
--- a/keeper/internal/server/leading.go
+++ b/keeper/internal/server/leading.go
@@ -100,6 +100,7 @@
 	var none T
 	ctx, cancel := context.WithTimeout(ctx, attemptElections*s.timing.Election)
 	defer cancel()
+	changed := s.leadership.next()
 	status := s.view.Load().status
 	if status.State == replicator.Leader {
 		return here(ctx)
@@ -111,6 +112,15 @@
 	if ctx.Value(forwardedKey{}) != nil {
 		return none, unavailable(replicator.ErrNotLeader)
 	}
+	// A leader that is frozen or cut off answers nothing; once another one is
+	// known, waiting on has no use.
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	header := make(http.Header)
 	header.Set(forwardedHeader, s.settings.Name)
 	forwarded, err := twirp.WithHTTPRequestHeaders(ctx, header)
--- a/keeper/internal/server/maintaining.go
+++ b/keeper/internal/server/maintaining.go
@@ -87,7 +87,7 @@
 	for _, answer := range answers {
 		if len(answer.GetKeepers()) > 0 {
 			m.blankSince = time.Time{}
-			s.join(ctx, status, answers)
+			s.joinUnlessListed(ctx, status, answers)
 			return
 		}
 	}
@@ -130,6 +130,20 @@
 	s.log.Info().Int("keepers", len(group)).Msg("founded a group")
 }
 
+// joinUnlessListed asks to join if no one lists this keeper. It looks at the own
+// view once more: a keeper that was listed, and was removed while the others
+// were being asked, would otherwise come back by itself.
+func (s *Server) joinUnlessListed(ctx context.Context, status replicator.Status, answers map[string]*messenger.KeeperStatusResponse) {
+	for _, answer := range answers {
+		if listed(answer, status.ID) {
+			return
+		}
+	}
+	if s.view.Load().status.Newcomer {
+		s.join(ctx, status, answers)
+	}
+}
+
 // join asks a keeper of the group to add this one. The leader promotes it to
 // voter once it has caught up.
 func (s *Server) join(ctx context.Context, status replicator.Status, answers map[string]*messenger.KeeperStatusResponse) {
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -67,8 +67,10 @@
 	keepers keepers
 	routers routers
 	watch   watch
-	view    atomic.Pointer[view]
-	metrics *metrics
+	// leadership is woken whenever the known leader changes.
+	leadership watch
+	view       atomic.Pointer[view]
+	metrics    *metrics
 }
 
 // view is what the control loop last published for everyone to read.
@@ -300,6 +302,9 @@
 	if last.revision != next.revision || last.quarantine != next.quarantine {
 		s.watch.wake()
 	}
+	if last.status.Leader != next.status.Leader {
+		s.leadership.wake()
+	}
 	s.logChanges(last, next)
 }
 
--- a/keeper/internal/server/server_test.go
+++ b/keeper/internal/server/server_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,30 +45,40 @@
 	processes []*process
 }
 
-// freeAddress returns an address that nothing listens on at the moment.
-func freeAddress(t testing.TB) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// hosts numbers the loopback addresses that tests have taken.
+var hosts atomic.Uint32
+
+// freeAddress returns an address that nothing else uses, also while its keeper is
+// stopped: each is a host of its own in 127.0.0.0/8. A free port of 127.0.0.1
+// could go to another test or an outgoing connection before the keeper is back.
+func freeAddress() netip.AddrPort {
+	process := os.Getpid()
+	host := hosts.Add(1)
+	address := netip.AddrFrom4([4]byte{127, byte(1 + host/250), byte(process), byte(1 + host%250)})
+	return netip.AddrPortFrom(address, uint16(10_000+process>>8%10_000))
 }
 
 func startGroup(t testing.TB, size int) *group {
+	t.Helper()
+	return startPaced(t, size, 200*time.Millisecond)
+}
+
+// startPaced starts a group with an election timeout.
+func startPaced(t testing.TB, size int, election time.Duration) *group {
 	t.Helper()
 	g := &group{t: t}
 	addresses := make(map[string]netip.AddrPort)
 	for i := range size {
-		addresses[fmt.Sprint("keeper-", i+1)] = freeAddress(t)
+		addresses[fmt.Sprint("keeper-", i+1)] = freeAddress()
 	}
 	for i := range size {
 		name := fmt.Sprint("keeper-", i+1)
 		p := &process{settings: settings.Settings{
-			Name: name, Zone: fmt.Sprint("zone-", i+1), Listen: freeAddress(t), Control: addresses[name],
+			Name: name, Zone: fmt.Sprint("zone-", i+1), Listen: freeAddress(), Control: addresses[name],
 			Data: t.TempDir(), Keepers: addresses, Secret: secret,
 			Timing: settings.Timing{
 				Heartbeat: loader.Duration{Duration: 20 * time.Millisecond},
-				Election:  loader.Duration{Duration: 200 * time.Millisecond},
+				Election:  loader.Duration{Duration: election},
 			},
 		}}
 		p.client = messenger.NewKeepingProtobufClient("http://"+p.settings.Control.String(), dialer.Client(secret, &dialer.Counter{}))
@@ -218,8 +228,10 @@
 			}
 		})
 	}
+	start := time.Now()
 	g.apply(g.follower(), "change")
 	group.Wait()
+	require.Less(t, time.Since(start), patience/2, "no poll waited to its end")
 
 	status := g.status(g.processes[0])
 	require.Len(t, status.GetRouters(), 3, "one keeper names the routers of all")
@@ -271,16 +283,21 @@
 }
 
 // Symptom: a planned stop costs everyone an election timeout. The leader hands
-// over, so a change that comes during the stop goes through at once.
+// over instead, so another leads long before the followers would have missed it.
 func TestPlannedStopHandsOver(t *testing.T) {
 	t.Parallel()
-	g := startGroup(t, 3)
+	const election = time.Second
+	g := startPaced(t, 3, election)
 	g.ready()
-	old := g.leader()
+	old, next := g.leader(), g.follower()
 	term := g.status(old).GetTerm()
-	g.stop(old)
-	next := g.leader()
+	start := time.Now()
+	old.cancel()
+	g.eventually(func() bool { return g.status(next).GetTerm() > term && g.status(next).GetQuorum() }, "another leads")
+	require.Less(t, time.Since(start), election*3/4)
 	require.Equal(t, term+1, g.status(next).GetTerm(), "one election, and it was won at once")
+	old.cancel = nil
+	require.NoError(t, <-old.ended)
 }
 
 // Symptom: an accepted change is gone after a disk was replaced. Sequence: a
@@ -366,6 +383,8 @@
 	g := startGroup(t, 3)
 	g.ready()
 	gone := g.follower()
+	// One that does not know yet that it was a member takes itself for a newcomer.
+	g.eventually(func() bool { return g.status(gone).GetCommit() > 1 }, "it knows that it is a member")
 	g.eventually(func() bool {
 		response, err := g.leader().client.Alter(context.Background(), &messenger.AlterRequest{Remove: gone.settings.Name})
 		return err == nil && response.GetError() == ""
