Take only bearer tokens, through one function

Cause: split the token from its scheme and took a header without the scheme as the token itself, which the guard before it refused. Seen failing: the new test got 204 for such a header. The relayer cut the token with lines of its own; it calls refuser.Bearer now. The endpoints' common token is hashed once at the start and no longer with every announcement, and a service's token is looked up only when the common one does not fit.

--- a/router/internal/refuser/refuser.go
+++ b/router/internal/refuser/refuser.go
@@ -65,16 +65,20 @@
 	}
 }
 
-// Bearer returns the bearer token of a request, empty if there is none.
+// Bearer returns the bearer token of a request, empty if there is none. What
+// stands there without the scheme is no token.
 func Bearer(r *http.Request) string {
-	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return ""
+	}
 	return token
 }
 
 // Guard lets only requests through whose bearer token is allowed.
 func Guard(allowed Allowed, remedy string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if !allowed(Bearer(r)) {
+		if token := Bearer(r); token == "" || !allowed(token) {
 			Write(w, http.StatusUnauthorized, reporter.FailureBody{
 				Type: Invalid, Code: CodeBadToken, Message: "the token is missing or wrong", Remedy: remedy,
 			})
--- a/router/internal/registrar/registrar.go
+++ b/router/internal/registrar/registrar.go
@@ -55,6 +55,7 @@
 // Registrar serves endpoints.
 type Registrar struct {
 	options Options
+	fleet   refuser.Allowed // the token that is good for every service
 	known   directory
 	calls   *prometheus.CounterVec
 }
@@ -68,13 +69,13 @@
 	if options.Registry != nil {
 		options.Registry.MustRegister(calls)
 	}
-	return &Registrar{options: options, calls: calls}
+	return &Registrar{options: options, fleet: refuser.Token(options.Token), calls: calls}
 }
 
 // Register serves the endpoints' paths.
 func (r *Registrar) Register(mux *http.ServeMux) {
 	const remedy = "set the endpoints' token in the settings of the endpoint and of the router"
-	allowed := refuser.Either(refuser.Token(r.options.Token), func(token string) bool {
+	allowed := refuser.Either(r.fleet, func(token string) bool {
 		_, found := r.scoped(token)
 		return found
 	})
@@ -93,8 +94,11 @@
 // service's own token must not let its holder take over another service's work.
 func (r *Registrar) mayAnnounce(h *http.Request, service string) bool {
 	token := refuser.Bearer(h)
+	if r.fleet(token) {
+		return true
+	}
 	scope, found := r.scoped(token)
-	return refuser.Token(r.options.Token)(token) || (found && scope == service)
+	return found && scope == service
 }
 
 func (r *Registrar) announce(w http.ResponseWriter, h *http.Request) {
--- a/router/internal/registrar/registrar_test.go
+++ b/router/internal/registrar/registrar_test.go
@@ -99,6 +99,17 @@
 	require.Empty(t, z.taken)
 }
 
+// A token without its scheme is no bearer token, however right it is.
+func TestTokenNeedsItsScheme(t *testing.T) {
+	z := newZone()
+	request := httptest.NewRequest("POST", "/v1/endpoints/worker-1", strings.NewReader(good))
+	request.Header.Set("Authorization", "secret")
+	recorder := httptest.NewRecorder()
+	z.mux.ServeHTTP(recorder, request)
+	require.Equal(t, http.StatusUnauthorized, recorder.Code)
+	require.Empty(t, z.taken)
+}
+
 // Symptom: work of one service goes to an endpoint of another. Events: whoever
 // holds the token of one service announces an endpoint for another, or withdraws
 // one. Cause: a service's token that is not bound to its service.
--- a/router/internal/relayer/admission.go
+++ b/router/internal/relayer/admission.go
@@ -13,6 +13,7 @@
 	"shallotkeel.example/lib/describer"
 	"shallotkeel.example/lib/matcher"
 	"shallotkeel.example/lib/tracker"
+	"shallotkeel.example/router/internal/refuser"
 )
 
 // maxKey bounds an idempotency key.
@@ -20,11 +21,12 @@
 
 func (r *Relayer) authenticate(q *request) (tracker.Action, bool) {
 	q.rules = r.options.Ruler.Rules()
-	token, found := strings.CutPrefix(q.http.Header.Get("Authorization"), "Bearer ")
-	if !found || token == "" {
+	token := refuser.Bearer(q.http)
+	if token == "" {
 		return refuse(tracker.CodeNoToken, 0), false
 	}
-	q.workspace, found = q.rules.ByToken(token)
+	workspace, found := q.rules.ByToken(token)
+	q.workspace = workspace
 	if !found {
 		return refuse(tracker.CodeBadToken, 0), false
 	}
