--- a/lib/accountant/accountant.go
+++ b/lib/accountant/accountant.go
@@ -21,6 +21,7 @@
 package accountant
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -324,6 +325,6 @@
 			entries = append(entries, Entry{Workspace: account.Workspace, Row: row})
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmpNames(a.Workspace, b.Workspace) })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return entries
 }
--- a/lib/accountant/resend.go
+++ b/lib/accountant/resend.go
@@ -92,7 +92,7 @@
 		account.take(now)
 		entries = append(entries, Entry{Workspace: account.Workspace, Row: account.own})
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmpNames(a.Workspace, b.Workspace) })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return entries
 }
 
@@ -101,7 +101,3 @@
 func (a *Account) untold() float64 {
 	return float64(a.own.Charged-a.resend.told)/a.weight + 1
 }
-
-func cmpNames(a, b string) int {
-	return cmp.Compare(a, b)
-}
