Let a claim between two calls be the next probe

Cause: after a call without a quorum, `calling` stayed set until the calling goroutine came round. A claim in that gap was refused as if a call were under way, although nothing was; its test then waited for a call that never came. Ruled out: the test's own order (it hung only beside load, where the gap is long). The state now tells a call in flight from a goroutine that will come round.

--- a/router/internal/claimant/claimant.go
+++ b/router/internal/claimant/claimant.go
@@ -66,7 +66,8 @@
 
 	mutex       sync.Mutex
 	waiting     []*claim
-	calling     bool
+	calling     bool // a goroutine makes calls until no claim waits
+	inFlight    bool // a call is under way whose outcome is not known yet
 	lost        bool // the last call reached no quorum
 	records     []record
 	recordBytes int
@@ -117,10 +118,12 @@
 	}
 	waiting := &claim{entry: entry, result: make(chan result, 1)}
 	c.mutex.Lock()
-	if c.lost && c.calling {
+	if c.lost && c.inFlight {
 		// One call at a time finds out whether a quorum is back. Waiting for it
 		// would hold this request's slot, and with the slots of all of them the
-		// whole service would stop in a zone that is cut off.
+		// whole service would stop in a zone that is cut off. A claim that comes
+		// after that call has failed and before the goroutine has come round is
+		// the next probe: refusing it would leave nobody who asks.
 		c.mutex.Unlock()
 		return nil, merry.Errorf("%w: no quorum of keepers was reached; send the request again with the same key", ErrNoQuorum)
 	}
@@ -159,6 +162,7 @@
 		batch := c.waiting[:min(maxBatch, len(c.waiting))]
 		c.waiting = c.waiting[len(batch):]
 		c.calling = len(batch) > 0
+		c.inFlight = c.calling
 		c.mutex.Unlock()
 		if len(batch) == 0 {
 			return
@@ -194,6 +198,7 @@
 func (c *Claimant) noteContact(reached bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.inFlight = false
 	c.lost = !reached
 	if reached {
 		return
--- a/router/internal/claimant/claimant_test.go
+++ b/router/internal/claimant/claimant_test.go
@@ -196,3 +196,26 @@
 	require.NoError(t, err)
 	require.Equal(t, []int{1, 1, 1}, k.sizes)
 }
+
+// Symptom: a claim hangs or is refused although no call to the keepers is
+// under way. Sequence: a call finds no quorum and its claims are told so; the
+// next claim comes before the calling goroutine has come round. Cause: that
+// goroutine was taken for a call in flight.
+func TestClaimBetweenTwoCallsIsTheNextProbe(t *testing.T) {
+	k := &keepers{}
+	c := newClaimant(k)
+	c.calling, c.inFlight = true, true
+	c.noteContact(false)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Claim(t.Context(), &messenger.ClaimEntry{Workspace: "w", Key: "k"})
+		ended <- err
+	}()
+	require.Eventually(t, func() bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return len(c.waiting) == 1 || len(ended) == 1
+	}, 5*time.Second, time.Millisecond)
+	c.callClaims()
+	require.NoError(t, <-ended)
+}
