--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -75,7 +75,7 @@
 	epoch     uint64
 	// seeds are the settings' own until the file changes.
 	seeds atomic.Pointer[[]netip.AddrPort]
-	watch   watch
+	watch watch
 	// leadership is woken whenever the known leader changes.
 	leadership watch
 	view       atomic.Pointer[view]
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -95,8 +95,8 @@
 	received  time.Time
 	until     time.Time // the final answer is due
 
-	sends    int // endpoints that got a byte of it
-	unsent   int // endpoints that could not be reached
+	sends    int             // endpoints that got a byte of it
+	unsent   int             // endpoints that could not be reached
 	ran      bool            // an endpoint may have run it
 	begun    bool            // the client has a part of the answer
 	tried    map[string]bool // instances
