--- /dev/null
+++ b/lib/apportioner/apportioner.go
@@ -0,0 +1,202 @@
+// Package apportioner admits the requests of workspaces by their max-min fair
+// shares of a fleet's capacity.
+//
+// Every router measures what each workspace asks for in tokens a second and tells
+// the keepers, which return the sums over all routers. From the sums and the
+// capacity each router computes the same shares (D. Bertsekas and R. Gallager,
+// "Data Networks", 1992, section 6.5.2) and admits, of what is asked at itself,
+// the part that the workspace's share is of its whole demand. No router decides
+// for another, and no request waits for a message.
+//
+// Invariants: while all workspaces together ask for less than the capacity,
+// nothing is refused; a workspace that asks for less than its share is never
+// refused; what all routers admit in a second is, up to the age of the sums and a
+// burst of Burst seconds, at most the capacity.
+package apportioner
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// halfLife is how fast a measured rate follows: quotas are counted over a few
+	// seconds, and a rate that follows faster would take a cluster of requests
+	// for a flood.
+	halfLife = time.Second
+	// Burst is how many seconds of its share a workspace may take at once. It
+	// covers the age of the sums and the clustering of requests.
+	Burst = 1.0
+	// staleAfter is how old the sums may be. A router that hears no keeper takes
+	// its own measure times the number of routers for the whole.
+	staleAfter = 3 * time.Second
+	// maxWorkspaces bounds the workspaces that are measured; requests of others
+	// are admitted.
+	maxWorkspaces = 4096
+	// idleAfter is when a workspace that asks for nothing is forgotten.
+	idleAfter = 30 * time.Second
+)
+
+// Apportioner is one router's admission. Its zero value admits everything. It is
+// safe for concurrent use.
+type Apportioner struct {
+	mutex      sync.Mutex
+	capacity   float64 // tokens a second of the whole fleet; 0 is unknown
+	routers    int
+	workspaces map[string]*workspace
+	told       time.Time
+}
+
+type workspace struct {
+	rate   float64 // tokens a second asked for here
+	at     time.Time
+	whole  float64 // tokens a second asked for in the whole fleet, as told
+	share  float64 // tokens a second that the fleet owes it
+	tokens float64 // that may be admitted here now
+}
+
+// Capacity sets what the fleet yields, in tokens a second.
+func (a *Apportioner) Capacity(tokens float64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.capacity = tokens
+	a.divide()
+}
+
+// Routers sets how many routers share the demand.
+func (a *Apportioner) Routers(count int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.routers = count
+}
+
+// Rates returns what the workspaces ask for at this router, in tokens a second.
+func (a *Apportioner) Rates(now time.Time) map[string]uint64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	rates := make(map[string]uint64, len(a.workspaces))
+	for name, w := range a.workspaces {
+		w.decay(now)
+		if w.rate >= 1 {
+			rates[name] = uint64(w.rate)
+		}
+	}
+	return rates
+}
+
+// Demand takes what all routers' workspaces ask for, this one's included.
+func (a *Apportioner) Demand(now time.Time, rates map[string]uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.told = now
+	for name, w := range a.workspaces {
+		w.decay(now)
+		w.whole = max(float64(rates[name]), w.rate)
+		if w.rate < 1 && now.Sub(w.at) > idleAfter {
+			delete(a.workspaces, name)
+		}
+	}
+	for name, rate := range rates {
+		if w := a.get(now, name); w != nil {
+			w.whole = max(float64(rate), w.rate)
+		}
+	}
+	a.divide()
+}
+
+// divide computes the shares: the capacity is filled up evenly until it is used.
+func (a *Apportioner) divide() {
+	names := slices.Sorted(maps.Keys(a.workspaces))
+	slices.SortStableFunc(names, func(x, y string) int {
+		return int(math.Copysign(1, a.workspaces[x].whole-a.workspaces[y].whole))
+	})
+	left := a.capacity
+	for i, name := range names {
+		w := a.workspaces[name]
+		even := left / float64(len(names)-i)
+		w.share = min(w.whole, even)
+		left -= w.share
+		if w.whole <= even {
+			w.share = math.Inf(1) // it may have what it asks for, also if that grows
+		}
+	}
+}
+
+// Admit tells whether a request of so many tokens may run now. If not it says
+// when to come back.
+func (a *Apportioner) Admit(now time.Time, name string, tokens float64) (time.Duration, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if name == "" || a.capacity <= 0 {
+		return 0, true
+	}
+	w := a.get(now, name)
+	if w == nil {
+		return 0, true
+	}
+	elapsed := now.Sub(w.at).Seconds()
+	w.decay(now)
+	w.rate += tokens * math.Ln2 / halfLife.Seconds()
+	local := a.local(now, w)
+	if math.IsInf(local, 1) {
+		w.tokens = 0
+		return 0, true
+	}
+	w.tokens = min(w.tokens+local*elapsed, local*Burst)
+	if w.tokens < 0 {
+		return time.Duration(-w.tokens / max(local, 1) * float64(time.Second)), false
+	}
+	w.tokens -= tokens
+	return 0, true
+}
+
+// local is the part of a workspace's share that is this router's, in tokens a
+// second.
+func (a *Apportioner) local(now time.Time, w *workspace) float64 {
+	if now.Sub(a.told) > staleAfter {
+		// Cut off from the keepers: the others are believed to do as this one.
+		if a.capacity <= 0 {
+			return math.Inf(1)
+		}
+		active := 0
+		for _, other := range a.workspaces {
+			if other.rate >= 1 {
+				active++
+			}
+		}
+		return a.capacity / float64(max(active, 1)) / float64(max(a.routers, 1))
+	}
+	if math.IsInf(w.share, 1) || w.whole <= 0 {
+		return math.Inf(1)
+	}
+	return w.share * min(w.rate/w.whole, 1)
+}
+
+func (a *Apportioner) get(now time.Time, name string) *workspace {
+	w, found := a.workspaces[name]
+	if found {
+		return w
+	}
+	if len(a.workspaces) >= maxWorkspaces {
+		return nil
+	}
+	if a.workspaces == nil {
+		a.workspaces = make(map[string]*workspace)
+	}
+	w = &workspace{at: now, share: math.Inf(1)}
+	a.workspaces[name] = w
+	return w
+}
+
+// decay lets a measured rate fall with time.
+func (w *workspace) decay(now time.Time) {
+	elapsed := now.Sub(w.at)
+	if elapsed <= 0 {
+		return
+	}
+	w.rate *= math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	w.at = now
+}
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -110,6 +110,7 @@
 	pauses  int       // failures in a row
 	until   time.Time // when its pause ends
 	probing bool      // one request tries it after its pause
+	heard   time.Time // when it last sent anything, or had nothing to do before
 }
 
 // Slot is one request at an endpoint.
@@ -253,6 +254,9 @@
 	if !e.until.IsZero() && !now.Before(e.until) && !e.probing {
 		slot.probe, e.probing = true, true
 	}
+	if e.running == 0 {
+		e.heard = now
+	}
 	e.running++
 	e.waiting += reading
 	if len(work.Parts) > 0 {
@@ -261,13 +265,22 @@
 	return slot
 }
 
-// Began notes that the endpoint has read the prompt and answers.
-func (s *Slot) Began() {
+// Heard notes that the endpoint sends its answer, and so has read the prompt.
+func (s *Slot) Heard(now time.Time) {
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
+	s.endpoint.heard = now
 	s.began()
 }
 
+// Dark tells whether the endpoint has sent nothing at all for a time, on any of
+// this router's connections. One that is only slow still sends to others.
+func (s *Slot) Dark(now time.Time, limit time.Duration) bool {
+	s.balancer.mutex.Lock()
+	defer s.balancer.mutex.Unlock()
+	return now.Sub(s.endpoint.heard) >= limit
+}
+
 func (s *Slot) began() {
 	if s.reading {
 		s.reading = false
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/dialer"
@@ -35,6 +36,8 @@
 	memoryShare = 0.6
 	// sweepPause is how often idle connections are looked through.
 	sweepPause = 500 * time.Millisecond
+	// usedShare is the part of the stated capacity that is handed out.
+	usedShare = 1.0
 	// leaveTime is how long new connections still come after the answer "not
 	// ready": the platform asks each second and believes two answers.
 	leaveTime = 3500 * time.Millisecond
@@ -59,6 +62,7 @@
 
 	balancer *balancer.Balancer
 	budget   *budgeter.Budgeter
+	shares   *apportioner.Apportioner
 	client   *forwarder.Client
 	reader   *newsreader.Reader
 	passer   *passer.Passer
@@ -78,6 +82,7 @@
 		settings: settings, path: path, log: log, clock: clock,
 		balancer: &balancer.Balancer{}, client: &forwarder.Client{Clock: clock},
 		budget:   &budgeter.Budgeter{Bound: settings.Retry.bound()},
+		shares:   &apportioner.Apportioner{},
 		planning: make(map[netip.AddrPort]messenger.Planning),
 		stopping: make(chan struct{}),
 	}
@@ -85,11 +90,13 @@
 	dialect := platform.Dialect{}
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
-		Endpoint: d.balancer.Update, Plan: d.plan, Routers: d.budget.Share,
+		Endpoint: d.balancer.Update, Plan: d.plan, Routers: d.routers,
+		Uses:   func() map[string]uint64 { return d.shares.Rates(clock.Now()) },
+		Demand: func(rates map[string]uint64) { d.shares.Demand(clock.Now(), rates) },
 	})
 	d.news = subscriber.New(subscriber.Options{Host: d.reader, Clock: clock, Log: log, Dial: d.dial})
 	d.passer = passer.New(passer.Options{
-		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget,
+		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log,
 	})
 	return d
@@ -109,6 +116,7 @@
 
 // plan prepares for a configuration that is about to be in force.
 func (d *Director) plan(table *resolver.Table) {
+	d.shares.Capacity(table.Limits().Rate * usedShare)
 	for name, service := range table.Services() {
 		if service.Engine != nil {
 			d.balancer.Remember(name, service.Engine.Tokens)
@@ -116,6 +124,12 @@
 	}
 }
 
+// routers takes how many routers the fleet has.
+func (d *Director) routers(count int) {
+	d.budget.Share(count)
+	d.shares.Routers(count)
+}
+
 // ready tells whether new clients may come.
 func (d *Director) ready() bool {
 	select {
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
@@ -63,7 +65,7 @@
 			Instance: slot.ID, Workspace: q.workspace, Left: q.until.Sub(p.options.Clock.Now()), Resume: q.stream.last,
 		}),
 	}
-	watch := p.watch(q, cancel)
+	watch := p.watch(q, slot, cancel)
 	defer watch.stop()
 	x, err := p.options.Client.Do(ctx, slot.Address, out, func() bool {
 		if ctx.Err() != nil {
@@ -131,7 +133,7 @@
 	if err != nil {
 		return p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 	}
-	slot.Began()
+	slot.Heard(p.options.Clock.Now())
 	q.first = p.options.Clock.Since(q.received)
 	if len(body) == wholeBytes {
 		return p.relayLong(ctx, q, x, body)
@@ -192,21 +194,35 @@
 	}
 }
 
-// watch ends an attempt whose endpoint sends nothing.
+// watch ends an attempt whose endpoint has gone dark.
 type watch struct {
-	timer interface {
-		Stop() bool
-		Reset(time.Duration) bool
-	}
+	timer clockwork.Timer
+	done  atomic.Bool
 }
 
 // watch starts a watch over a stream that may go on elsewhere. Others wait for
 // as long as their time lasts: ending them would lose them.
-func (p *Passer) watch(q *request, cancel context.CancelCauseFunc) *watch {
+//
+// An endpoint that is only slow is left alone. Ending its streams would make it
+// read the same prompts elsewhere while all endpoints are busy, and a stream that
+// cannot go on, because repeats are used up, would be lost.
+func (p *Passer) watch(q *request, slot *balancer.Slot, cancel context.CancelCauseFunc) *watch {
+	w := &watch{}
 	if q.route.Kind != resolver.Stream || !q.route.Resumable || q.sends+1 >= q.route.Attempts {
-		return &watch{}
-	}
-	return &watch{timer: p.options.Clock.AfterFunc(stall, func() { cancel(errStalled) })}
+		return w
+	}
+	w.timer = p.options.Clock.AfterFunc(stall, func() {
+		now := p.options.Clock.Now()
+		switch {
+		case w.done.Load():
+		case slot.Dark(now, stall) && p.options.Budget.Spend(now, q.service):
+			q.prepaid.Store(true)
+			cancel(errStalled)
+		default:
+			w.timer.Reset(stall / 2)
+		}
+	})
+	return w
 }
 
 func (w *watch) touch() {
@@ -216,6 +232,7 @@
 }
 
 func (w *watch) stop() {
+	w.done.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -22,12 +22,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/forwarder"
@@ -43,6 +45,9 @@
 	// maxUnsent bounds the endpoints that are tried for one request before any of
 	// them has got a byte of it. Each costs a dial's timeout if it is dark.
 	maxUnsent = 4
+	// outputPrice is what a generated token counts against the tokens a second
+	// that a configuration states; a token of the prompt counts once.
+	outputPrice = 2
 	// defaultBody bounds a request's body where the configuration does not.
 	defaultBody = 4 << 20
 )
@@ -60,6 +65,7 @@
 	News     News
 	Balancer *balancer.Balancer
 	Budget   *budgeter.Budgeter
+	Shares   *apportioner.Apportioner
 	Client   *forwarder.Client
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
@@ -98,6 +104,7 @@
 	sends    int             // endpoints that got a byte of it
 	unsent   int             // endpoints that could not be reached
 	ran      bool            // an endpoint may have run it
+	prepaid  atomic.Bool     // its next attempt has been taken off the budget
 	begun    bool            // the client has a part of the answer
 	tried    map[string]bool // instances
 	endpoint string
@@ -155,7 +162,22 @@
 		p.refuse(q, http.StatusServiceUnavailable, "it has crashed the endpoints that ran it", 0)
 		return false
 	}
-	return true
+	return p.withinShare(q)
+}
+
+// withinShare tells whether the request's workspace may use engines now. Only
+// engines are shared by tokens; plain services take what comes.
+func (p *Passer) withinShare(q *request) bool {
+	service, found := q.table.Service(q.service)
+	if !found || service.Engine == nil {
+		return true
+	}
+	work := &q.in.Work
+	pause, admitted := p.options.Shares.Admit(q.received, q.workspace, float64(work.Prompt+outputPrice*work.Output))
+	if !admitted {
+		p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share", max(pause, retrySoon))
+	}
+	return admitted
 }
 
 // targetOf returns path and query exactly as the client wrote them.
@@ -234,7 +256,7 @@
 	if !e.notRun && !q.route.Repeats() {
 		return false
 	}
-	return p.options.Budget.Spend(p.options.Clock.Now(), q.service)
+	return q.prepaid.Swap(false) || p.options.Budget.Spend(p.options.Clock.Now(), q.service)
 }
 
 // giveUp gives the final answer of a request that no endpoint has answered.
