Take no request later than 2.6 s after a planned stop has begun

Cause: idle connections were kept for 3.5 s, so that their clients still sent requests that last five seconds. Ruled out: the platform's rotation (requests came on kept connections).

--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -43,9 +43,12 @@
 	connectionsPerMB = 4
 	// usedShare is the part of the stated capacity that is handed out.
 	usedShare = 1.0
-	// leaveTime is how long new connections still come after the answer "not
-	// ready": the platform asks each second and believes two answers.
-	leaveTime = 3500 * time.Millisecond
+	// leaveTime is how long requests are still taken after a planned stop has
+	// begun. New connections come for up to two seconds after the answer "not
+	// ready", because the platform asks each second and believes two answers. A
+	// request that is taken later than three seconds after the begin may be too
+	// long for what is left of the grace time, and would be cut.
+	leaveTime = 2600 * time.Millisecond
 	// stopMargin is kept at the end of the grace time, for the process's own end.
 	stopMargin = 500 * time.Millisecond
 	// minGrace is the shortest grace time in which a planned stop fits.
