Promote a newcomer before the silent voter goes, and never shrink below three

Removing the silent voter first left a group of two for a moment: the loss of another disk just then could not be repaired when the silent one came back.

--- a/lib/replicator/membership.go
+++ b/lib/replicator/membership.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -134,21 +135,17 @@
 // would otherwise count for every majority for good, and the next loss would
 // stop the group.
 //
-// It is done only where it does not weaken the group: while a newcomer waits for
-// the place, or while the voters are an even number, so that one fewer needs one
-// fewer for a majority. A group of three with one silent stays as it is: as two
-// it could bear no loss either, and the silent one may be back.
+// It is done only while the voters are an even number above leastVoters, so that
+// one fewer needs one fewer for a majority. A group of three with one silent
+// stays as it is: as two it could not bear the loss of a disk, and the silent one
+// may be back.
 func (n *Node) retire(now time.Time) {
-	if n.timing.Retire == 0 {
-		return
-	}
 	voters := n.Group().Voters()
-	if len(voters)%2 != 0 && !n.newcomerWaits(now) {
+	if len(voters)%2 != 0 || len(voters) <= leastVoters {
 		return
 	}
 	for _, replica := range voters {
-		p, found := n.peers[replica.ID]
-		if !found || now.Sub(p.seen) < n.timing.Retire || now.Sub(n.since) < n.timing.Retire {
+		if !n.silent(now, replica.ID) {
 			continue
 		}
 		if _, err := n.Remove(now, replica.ID); err == nil {
@@ -157,13 +154,26 @@
 	}
 }
 
-func (n *Node) newcomerWaits(now time.Time) bool {
-	for _, replica := range n.Group() {
-		if replica.Role == Joining && n.caughtUp(now, replica.ID) {
-			return true
-		}
-	}
-	return false
+// leastVoters is the smallest group that bears the loss of a disk.
+const leastVoters = 3
+
+// silent tells whether a voter has not answered for so long that the group goes
+// on without it. It never does where removals are left to operators.
+func (n *Node) silent(now time.Time, id ID) bool {
+	p, found := n.peers[id]
+	return n.timing.Retire > 0 && found &&
+		now.Sub(p.seen) >= n.timing.Retire && now.Sub(n.since) >= n.timing.Retire
+}
+
+// replaces tells whether a newcomer may take the place of a silent voter at once.
+// It is promoted before the silent one is removed: for the moment between, the
+// silent one still counts, so that the loss of another disk just then can be
+// repaired when it is back.
+func (n *Node) replaces(now time.Time, newcomer Replica) bool {
+	gone := slices.ContainsFunc(n.Group().Voters(), func(r Replica) bool { return n.silent(now, r.ID) })
+	newcomer.Role = Voter
+	group := n.Group().with(newcomer)
+	return gone && n.answering(now, group) >= group.quorum()
 }
 
 // settleIn lets a replica that has caught up take its place, and tells whether
@@ -176,7 +186,7 @@
 			return err == nil
 		}
 	}
-	if replica.Role != Joining || !n.standsWithout(now, replica) {
+	if replica.Role != Joining || !n.standsWithout(now, replica) && !n.replaces(now, replica) {
 		return false
 	}
 	replica.Role = Voter
--- a/lib/replicator/walk_test.go
+++ b/lib/replicator/walk_test.go
@@ -74,7 +74,7 @@
 }
 
 func walk(seed uint64) (accepted int, err error) {
-	w := newWorld(seed, 1+2*int(seed%3))
+	w := newRetiringWorld(seed, 1+2*int(seed%3), time.Duration(seed/3%2)*2*election)
 	for range stepsOfWalk {
 		w.act()
 		if w.problem != nil {
@@ -213,7 +213,12 @@
 	}
 	for _, id := range w.ids() {
 		m := w.members[id]
-		if m.node == nil || !m.node.Newcomer() {
+		if m.node == nil {
+			continue
+		}
+		_, listed := leader.node.Group().Find(id)
+		retired := w.retire > 0 && !listed
+		if !m.node.Newcomer() && !retired {
 			continue
 		}
 		role := replicator.Joining
--- a/lib/replicator/world_test.go
+++ b/lib/replicator/world_test.go
@@ -107,6 +107,7 @@
 	cut     map[[2]replicator.ID]bool // one way
 	nextID  replicator.ID
 	lossy   bool
+	retire  time.Duration // of silent voters, 0 for none
 	problem error
 
 	leaders   map[uint64]replicator.ID    // by term
@@ -122,7 +123,14 @@
 }
 
 func newWorld(seed uint64, size int) *world {
+	return newRetiringWorld(seed, size, 0)
+}
+
+// newRetiringWorld is a world whose leaders remove voters that are silent for so
+// long.
+func newRetiringWorld(seed uint64, size int, retire time.Duration) *world {
 	w := &world{
+		retire: retire,
 		random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0),
 		members: make(map[replicator.ID]*member), cut: make(map[[2]replicator.ID]bool), lossy: true,
 		leaders: make(map[uint64]replicator.ID), committed: make(map[uint64]replicator.Entry),
@@ -168,7 +176,7 @@
 
 func (w *world) start(m *member) {
 	node, err := replicator.New(replicator.Config{
-		ID: m.id, Timing: replicator.Timing{Heartbeat: heartbeat, Election: election},
+		ID: m.id, Timing: replicator.Timing{Heartbeat: heartbeat, Election: election, Retire: w.retire},
 		Limits: replicator.Limits{BatchEntries: 3, Window: 8, TrailingBytes: 400},
 		Random: rand.New(rand.NewPCG(w.random.Uint64(), 1)),
 	}, replicator.Restored{
