--- /dev/null
+++ b/lib/budgeter/budgeter_test.go
@@ -0,0 +1,75 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var bound = Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
+// The symptom would be a retry storm: endpoints that fail get more repeats than
+// they can bear. The events are any requests and repeats at several routers; the
+// sum is compared with the bound in every sliding window.
+func TestRoutersTogetherStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.IntRange(1, 5).Draw(t, "routers")
+		budgets := make([]*Budgeter, routers)
+		for i := range budgets {
+			budgets[i] = &Budgeter{Bound: bound}
+			budgets[i].Share(routers)
+		}
+		now := time.Unix(1000, 0)
+		var requests, spent []time.Time
+		for range rapid.IntRange(50, 600).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now, "desk")
+				requests = append(requests, now)
+			} else if b.Spend(now, "desk") {
+				spent = append(spent, now)
+			}
+			allowed := bound.Ratio*float64(within(requests, now)) + bound.Slack
+			require.LessOrEqual(t, float64(within(spent, now)), allowed)
+		}
+	})
+}
+
+func within(times []time.Time, now time.Time) int {
+	count := 0
+	for _, at := range times {
+		if now.Sub(at) <= bound.Window {
+			count++
+		}
+	}
+	return count
+}
+
+func TestBudgetComesBack(t *testing.T) {
+	b := &Budgeter{Bound: bound}
+	now := time.Unix(1000, 0)
+	spend := func() int {
+		count := 0
+		for b.Spend(now, "desk") {
+			count++
+		}
+		return count
+	}
+	require.Equal(t, 35, spend(), "seven tenths of the constant")
+	require.True(t, b.Spend(now, "other"), "services have budgets of their own")
+	now = now.Add(9 * time.Second)
+	require.Zero(t, spend())
+	now = now.Add(3 * time.Second)
+	require.Equal(t, 35, spend())
+}
+
+func TestConstantIsDividedAmongRouters(t *testing.T) {
+	b := &Budgeter{Bound: bound}
+	b.Share(35)
+	now := time.Unix(1000, 0)
+	require.True(t, b.Spend(now, "desk"))
+	require.False(t, b.Spend(now, "desk"))
+}
