--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -47,7 +47,7 @@
 	// runningPerCore bounds the requests under way by processor time: a stream of
 	// some 40 events costs 2 ms in about a second, so that 1,000 are two cores' work
 	// where all are streams, and half of one in the usual mix.
-	runningPerCore = 1000
+	runningPerCore = 1500
 	// gatherShare is the part of the time that an event may be on its way for which
 	// it may be held back. The rest is for the network and a late timer.
 	gatherShare = 0.4
