--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -197,33 +197,50 @@
 	}
 }
 
-// Admit tells whether a request of so many tokens may run now. If not it says
-// when to come back.
-func (a *Apportioner) Admit(now time.Time, name string, tokens float64) (time.Duration, bool) {
+// Decision is the answer to a request, with what it rests on.
+type Decision struct {
+	Admitted bool
+	// Pause is when a refused request may come back.
+	Pause time.Duration
+	// Asked and Share are the workspace's in the whole fleet, and Local is what of
+	// the share is this router's, all in tokens a second. A share without a bound
+	// is +Inf.
+	Asked, Share, Local float64
+	// Stretch is what the shares were computed with.
+	Stretch float64
+	// Age is how old the sums over all routers are.
+	Age time.Duration
+}
+
+// Admit tells whether a request of so many tokens may run now.
+func (a *Apportioner) Admit(now time.Time, name string, tokens float64) Decision {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if name == "" || a.capacity <= 0 {
-		return 0, true
+		return Decision{Admitted: true}
 	}
 	w := a.get(now, name)
 	if w == nil {
-		return 0, true
+		return Decision{Admitted: true}
 	}
 	elapsed := now.Sub(w.filled).Seconds()
 	w.filled = now
 	w.decay(now)
 	w.rate += tokens * math.Ln2 / halfLife.Seconds()
 	local := a.local(now, w)
+	d := Decision{Admitted: true, Asked: w.whole, Share: w.share, Local: local, Stretch: a.inForce(), Age: now.Sub(a.told)}
 	if math.IsInf(local, 1) {
 		w.tokens = 0
-		return 0, true
+		return d
 	}
 	w.tokens = min(w.tokens+local*elapsed, local*Burst)
 	if w.tokens < 0 {
-		return time.Duration(-w.tokens / max(local, 1) * float64(time.Second)), false
+		d.Admitted = false
+		d.Pause = time.Duration(-w.tokens / max(local, 1) * float64(time.Second))
+		return d
 	}
 	w.tokens -= tokens
-	return 0, true
+	return d
 }
 
 // local is the part of a workspace's share that is this router's, in tokens a
--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -32,7 +32,7 @@
 
 // ask sends one request and lets time pass at the keepers.
 func (f *fleet) ask(router int, name string, tokens float64) {
-	if _, admitted := f.routers[router].Admit(f.now, name, tokens); admitted {
+	if f.routers[router].Admit(f.now, name, tokens).Admitted {
 		f.served[name] += tokens
 	} else {
 		f.refused[name]++
@@ -104,7 +104,7 @@
 	a.Demand(start, map[string]uint64{"flood": 5}, 1)
 	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
-		if _, admitted := a.Admit(now, "flood", 1000); admitted {
+		if a.Admit(now, "flood", 1000).Admitted {
 			served += 1000
 		}
 	}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -193,11 +193,16 @@
 		return true
 	}
 	work := &q.in.Work
-	pause, admitted := p.options.Shares.Admit(q.received, q.workspace, float64(work.Prompt+outputPrice*work.Output))
-	if !admitted {
-		p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share", max(pause, retrySoon))
+	tokens := float64(work.Prompt + outputPrice*work.Output)
+	d := p.options.Shares.Admit(q.received, q.workspace, tokens)
+	if d.Admitted {
+		return true
 	}
-	return admitted
+	p.options.Log.Info().Str("id", q.in.ID).Str("workspace", q.workspace).Float64("tokens", tokens).
+		Float64("asked", d.Asked).Float64("share", d.Share).Float64("local", d.Local).Float64("stretch", d.Stretch).
+		Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
+	p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share", max(d.Pause, retrySoon))
+	return false
 }
 
 // busy tells whether the router has no room for one more request of a workspace.
