Stretch shares more calmly

Ruled out: stale sums (at most 0.5 s old). Bounds now 0.85 to 2.5, 3% up and 7% down a step, from half the target.

--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -41,12 +41,12 @@
 	// bounds, and at which mean of waiting over target. Engines that are half as
 	// slow as allowed have a queue that one large prompt makes late.
 	stretchStart = 2.0
-	stretchLeast = 0.7
-	stretchMost  = 4.0
-	stretchUp    = 1.04
-	stretchDown  = 0.88
+	stretchLeast = 0.85
+	stretchMost  = 2.5
+	stretchUp    = 1.03
+	stretchDown  = 0.93
 	stretchStep  = 200 * time.Millisecond
-	tooSlow      = 0.6
+	tooSlow      = 0.5
 	// weightOfOne is the weight of one answer in the mean: at 60 answers a second
 	// it follows within a third of a second.
 	weightOfOne = 0.05
