--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -179,9 +179,8 @@
 }
 
 func (b *Balancer) list(e *endpoint) {
-	all := append(b.services[e.Service], e)
-	slices.SortFunc(all, func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
-	b.services[e.Service] = all
+	b.services[e.Service] = append(b.services[e.Service], e)
+	slices.SortFunc(b.services[e.Service], func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
 }
 
 func (b *Balancer) unlist(e *endpoint) {
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -210,7 +210,7 @@
 func (x *Exchange) receive(out *Outgoing) error {
 	request := &http.Request{Method: out.Method}
 	for range maxForeign + 1 {
-		answer, err := http.ReadResponse(x.conn.reader, request)
+		answer, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // the connection's fate is decided by the exchange's Close
 		if err != nil {
 			return merry.Errorf("%w: %w", ErrBroken, err)
 		}
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -122,7 +122,7 @@
 // the standard client sends what it holds to be idempotent once more by itself.
 func TestNothingIsSentTwice(t *testing.T) {
 	var runs atomic.Int64
-	e := listen(t, func(number int64, conn net.Conn, reader *bufio.Reader) {
+	e := listen(t, func(_ int64, conn net.Conn, reader *bufio.Reader) {
 		request := take(reader)
 		answer(conn, request.Header.Get("Id"), "whole")
 		if take(reader) != nil {
@@ -391,7 +391,7 @@
 	near, far := net.Pipe()
 	defer near.Close()
 	require.False(t, Ended(far), "no TCP connection")
-	e := listen(t, func(_ int64, conn net.Conn, reader *bufio.Reader) { take(reader) })
+	e := listen(t, func(_ int64, _ net.Conn, reader *bufio.Reader) { take(reader) })
 	conn, err := net.Dial("tcp", e.address.String())
 	require.NoError(t, err)
 	defer conn.Close()
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -28,8 +28,9 @@
 	DefaultWait = 500 * time.Millisecond
 	// slack is how long an answer may be late before the poll is given up.
 	slack = 700 * time.Millisecond
-	// MinPause and MaxPause bound the pause after a poll that failed.
+	// MinPause is the pause after a poll that failed.
 	MinPause = 100 * time.Millisecond
+	// MaxPause is the longest pause that repeated failures lead to.
 	MaxPause = 800 * time.Millisecond
 	// retired is how long a keeper that no group names any more is still asked.
 	retired = 30 * time.Second
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -15,6 +15,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"shallotkeel.example/lib/apportioner"
@@ -99,6 +101,7 @@
 	control  *http.Client
 	bytes    dialer.Counter
 	stopping chan struct{}
+	registry *prometheus.Registry
 }
 
 // New returns a router that serves nothing yet. Path is its settings file, which
@@ -110,7 +113,7 @@
 		budget:   &budgeter.Budgeter{Bound: settings.Retry.bound()},
 		shares:   &apportioner.Apportioner{},
 		planning: make(map[netip.AddrPort]messenger.Planning),
-		stopping: make(chan struct{}),
+		stopping: make(chan struct{}), registry: prometheus.NewRegistry(),
 	}
 	d.control = dialer.Client(settings.Secret, &d.bytes)
 	dialect := platform.Dialect{}
@@ -126,7 +129,7 @@
 	d.news = subscriber.New(subscriber.Options{Host: d.reader, Clock: clock, Log: log, Dial: d.dial})
 	d.passer = passer.New(passer.Options{
 		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
-		Client: d.client, Clock: clock, Log: log,
+		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
 		Crowded: func() bool { return d.connected.Load() > int64(settings.Memory)*idlePerMB },
 		// The bound on what is under way comes before the lag: a process lags only
 		// when it has taken too much already, and stays late for as long as that takes.
@@ -134,6 +137,7 @@
 		Most:   max(int(settings.Processors*runningPerCore), leastRunning),
 		Lags:   d.pacer.Lags,
 	})
+	d.registerGauges()
 	return d
 }
 
@@ -188,12 +192,21 @@
 		return merry.Errorf("ready address: %w; set \"ready\" to a free address of this instance", err)
 	}
 	defer asked.Close()
+	watched, err := net.Listen("tcp", d.settings.Metrics.String())
+	if err != nil {
+		return merry.Errorf("metrics address: %w; set \"metrics\" to a free address of this instance", err)
+	}
+	defer watched.Close()
 	front := &http.Server{
 		ConnContext: passer.WithConn, ConnState: d.count, ErrorLog: stdlog.New(d.log, "", 0),
 		Handler: d.passer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	failures := make(chan error, 2)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	figures := &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	failures := make(chan error, 3)
+	go func() { failures <- figures.Serve(watched) }()
 	most := min(int64(d.settings.Memory)*connectionsPerMB, int64(descriptorShare*float64(d.settings.Descriptors)))
 	go func() {
 		failures <- front.Serve(&limited{Listener: clients, most: most, open: &d.connected, log: d.log})
--- /dev/null
+++ b/router/internal/director/metrics.go
@@ -0,0 +1,32 @@
+package director
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// registerGauges publishes what the router believes and how busy it is. The
+// values are read when they are asked for.
+func (d *Director) registerGauges() {
+	gauge := func(opts prometheus.GaugeOpts, value func() float64) {
+		d.registry.MustRegister(prometheus.NewGaugeFunc(opts, value))
+	}
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_plan_version", Help: "Version of the whole configuration in force; 0 is none."}, func() float64 {
+		if table := d.reader.Table(); table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_keepers_answering", Help: "Keepers that answered their last poll."}, func() float64 { return float64(d.news.Answering()) })
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_running_requests", Help: "Requests under way."}, func() float64 { return float64(d.passer.Running()) })
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_client_connections", Help: "Open connections of clients."}, func() float64 { return float64(d.connected.Load()) })
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_late_seconds", Help: "Mean lateness of timers: above 0.025 the router refuses."}, func() float64 { return d.pacer.Late().Seconds() })
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_share_stretch", Help: "By how much shares are stretched, as this router sees it."}, func() float64 {
+		stretch, _ := d.shares.Stretch()
+		return stretch
+	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_waiting_ratio", Help: "Mean wait for an answer's begin over its target."}, func() float64 {
+		_, waiting := d.shares.Stretch()
+		return waiting
+	})
+	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shallotkeel_direct_endpoint_connections_total", Help: "Connections made to endpoints.",
+	}, func() float64 { return float64(d.client.Opened()) }))
+}
--- a/router/internal/director/settings.go
+++ b/router/internal/director/settings.go
@@ -18,6 +18,8 @@
 	Zone   string         `json:"zone"`
 	Listen netip.AddrPort `json:"listen"`
 	Ready  netip.AddrPort `json:"ready"`
+	// Metrics is where counters and histograms are served.
+	Metrics netip.AddrPort `json:"metrics"`
 	// Seeds are some keepers' addresses. Only their hosts count; Port is the port
 	// of all keepers' control addresses.
 	Seeds  []netip.AddrPort `json:"seeds"`
@@ -59,6 +61,7 @@
 	problem(s.Zone == "", "zone", "the availability zone is missing", "set the zone that this instance is in")
 	problem(!s.Listen.IsValid(), "listen", "the address is missing", "set the address that clients reach")
 	problem(!s.Ready.IsValid(), "ready", "the address is missing", "set the address that the platform asks for readiness")
+	problem(!s.Metrics.IsValid(), "metrics", "the address is missing", "set the address that serves metrics")
 	problem(len(s.Seeds) == 0, "seeds", "no keeper is named", "name at least one")
 	problem(s.Port == 0, "port", "the port is missing", "set the port of the keepers' control addresses")
 	problem(s.Secret == "", "secret", "the secret is missing", "set the fleet's secret, the same in all processes")
--- /dev/null
+++ b/router/internal/newsreader/newsreader_test.go
@@ -0,0 +1,143 @@
+package newsreader
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/resolver"
+	"shallotkeel.example/platform"
+)
+
+// keeper is a stand-in that has a configuration.
+type keeper struct {
+	messenger.Planning
+	plan    *messenger.Plan
+	fetches int
+}
+
+func (k *keeper) Fetch(context.Context, *messenger.CurrentRequest) (*messenger.Plan, error) {
+	k.fetches++
+	return k.plan, nil
+}
+
+type bed struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	keepers map[netip.AddrPort]*keeper
+	reader  *Reader
+	mutex   sync.Mutex
+	known   map[string]lister.Listing
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, clock: clockwork.NewFakeClock(), known: make(map[string]lister.Listing), keepers: map[netip.AddrPort]*keeper{
+		at(1): {}, at(2): {}, at(3): {},
+	}}
+	b.reader = New(Options{
+		Name: "router", Dialect: platform.Dialect{}, Clock: b.clock, Log: zerolog.Nop(),
+		Dial: func(address netip.AddrPort) messenger.Planning { return b.keepers[address] },
+		Plan: func(*resolver.Table) {},
+		Endpoint: func(listing lister.Listing) {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			b.known[listing.ID] = listing
+		},
+	})
+	return b
+}
+
+func at(host byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 7400)
+}
+
+func plan(version string) *messenger.Plan {
+	numbers := map[string]uint64{"1": 1, "2": 2, "3": 3}
+	return &messenger.Plan{Version: numbers[version], Text: []byte(`{"version":` + version + `,"routes":[],"services":[]}`)}
+}
+
+func (b *bed) news(from byte, news *messenger.FollowResponse) {
+	b.reader.News(b.t.Context(), at(from), news)
+}
+
+// Symptom: a router goes back to an older configuration. Sequence: a keeper that
+// was cut off answers with what it knew. Cause: the last answer was taken for
+// the newest.
+func TestVersionNeverFalls(t *testing.T) {
+	b := newBed(t)
+	require.Nil(t, b.reader.Table())
+	b.keepers[at(1)].plan, b.keepers[at(2)].plan = plan("2"), plan("1")
+	b.news(1, &messenger.FollowResponse{Plan: 2})
+	require.EqualValues(t, 2, b.reader.Table().Version())
+	b.news(2, &messenger.FollowResponse{Plan: 1})
+	require.Zero(t, b.keepers[at(2)].fetches)
+	b.news(2, &messenger.FollowResponse{Plan: 3}) // and then it has an older one after all
+	require.EqualValues(t, 2, b.reader.Table().Version())
+	b.keepers[at(3)].plan = &messenger.Plan{Version: 3, Text: []byte("not to be read")}
+	b.news(3, &messenger.FollowResponse{Plan: 3})
+	require.EqualValues(t, 2, b.reader.Table().Version(), "what cannot be used changes nothing")
+	require.EqualValues(t, 2, b.reader.Report(at(1)).GetPlan())
+}
+
+func listing(id string, sequence uint64, state lister.State, silent bool) *messenger.Listing {
+	return lister.ToWire(lister.Listing{
+		ID: id, Service: "desk", Zone: "hall", Address: at(id[0]), Sequence: sequence, State: state, Silent: silent,
+	})
+}
+
+// Symptom: all work goes to a few endpoints while one keeper is cut off from the
+// others. Cause: its silence about the rest was believed.
+func TestSilenceTakesAllKeepersThatAnswer(t *testing.T) {
+	b := newBed(t)
+	for _, k := range []byte{1, 2, 3} {
+		b.news(k, &messenger.FollowResponse{Listings: []*messenger.Listing{listing("a", 1, lister.Ready, false)}})
+	}
+	silent := &messenger.FollowResponse{Listings: []*messenger.Listing{listing("a", 1, lister.Ready, true)}}
+	b.news(1, silent)
+	b.news(2, silent)
+	require.False(t, b.known["a"].Silent)
+	b.reader.Lost(at(3), nil)
+	require.True(t, b.known["a"].Silent, "the keeper that heard it answers no more")
+	b.news(2, &messenger.FollowResponse{Listings: []*messenger.Listing{listing("a", 2, lister.Ready, false)}})
+	require.False(t, b.known["a"].Silent)
+}
+
+func TestLeavingIsBelievedOfAnyKeeper(t *testing.T) {
+	b := newBed(t)
+	b.news(1, &messenger.FollowResponse{Listings: []*messenger.Listing{listing("a", 3, lister.Leaving, false)}})
+	b.news(2, &messenger.FollowResponse{Listings: []*messenger.Listing{listing("a", 2, lister.Ready, false)}})
+	require.Equal(t, lister.Leaving, b.known["a"].State)
+	b.news(2, &messenger.FollowResponse{}) // a keeper that restarted lists nothing
+	require.Equal(t, lister.Leaving, b.known["a"].State)
+}
+
+func TestCrashesAreToldToEveryKeeperUntilTheyAreOld(t *testing.T) {
+	b := newBed(t)
+	b.reader.Crashed(7)
+	b.reader.Crashed(7)
+	for _, k := range []byte{1, 2, 1} {
+		crashes := b.reader.Report(at(k)).GetCrashes()
+		require.Len(t, crashes, 1)
+		require.EqualValues(t, 7, crashes[0].GetDigest())
+		require.EqualValues(t, 2, crashes[0].GetCount())
+	}
+	b.clock.Advance(crashMemory + time.Second)
+	require.Empty(t, b.reader.Report(at(1)).GetCrashes())
+}
+
+func TestQuarantineEnds(t *testing.T) {
+	b := newBed(t)
+	b.news(1, &messenger.FollowResponse{Quarantined: []*messenger.Fingerprint{{Digest: 7, LeftMs: 5000}}})
+	require.True(t, b.reader.Quarantined(7))
+	require.False(t, b.reader.Quarantined(8))
+	b.clock.Advance(6 * time.Second)
+	require.False(t, b.reader.Quarantined(7))
+}
--- a/router/internal/passer/harness_test.go
+++ b/router/internal/passer/harness_test.go
@@ -249,6 +249,14 @@
 	return b.client.Do(request)
 }
 
+// fetch sends a client's request and reads the answer to its end.
+func (b *bed) fetch(method, path, body string, header ...string) (string, error) {
+	b.t.Helper()
+	response := b.ask(method, path, body, header...)
+	defer response.Body.Close()
+	return text(response)
+}
+
 // text reads a response to its end.
 func text(response *http.Response) (string, error) {
 	defer response.Body.Close()
--- a/router/internal/passer/passer_test.go
+++ b/router/internal/passer/passer_test.go
@@ -96,7 +96,7 @@
 	}{
 		"it crashes":        {serve: cut, status: http.StatusBadGateway},
 		"it sends nonsense": {serve: func(conn net.Conn, _ *http.Request) { fmt.Fprint(conn, "nonsense\r\n\r\n") }, status: http.StatusBadGateway},
-		"it breaks off": {serve: func(conn net.Conn, r *http.Request) {
+		"it breaks off": {serve: func(conn net.Conn, _ *http.Request) {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: s\r\nContent-Length: 9\r\n\r\npart", stampHeader)
 			conn.Close()
 		}, status: http.StatusBadGateway},
@@ -149,7 +149,7 @@
 			b.endpoint(serve)
 			b.endpoint(answering("served"))
 			for range 4 {
-				body, err := text(b.ask("GET", "/read/", ""))
+				body, err := b.fetch("GET", "/read/", "")
 				require.NoError(t, err)
 				require.Equal(t, "served", body)
 			}
@@ -271,7 +271,7 @@
 	one := &single{conns: make(chan net.Conn, 1), listener: listener}
 	one.conns <- accepted
 	go server.Serve(one) //nolint:errcheck // it ends with the test
-	defer server.Close()
+	defer func() { require.NoError(t, server.Close()) }()
 	<-served
 	require.Zero(t, sent.Load())
 }
@@ -305,10 +305,10 @@
 	b.endpoint(cut)
 	b.endpoint(cut)
 	for range 2 {
-		_, err := text(b.ask("POST", "/book/", "poison"))
+		_, err := b.fetch("POST", "/book/", "poison")
 		require.NoError(t, err)
 	}
-	_, err := text(b.ask("POST", "/book/", "another"))
+	_, err := b.fetch("POST", "/book/", "another")
 	require.NoError(t, err)
 	crashes := b.news.crashes()
 	require.Len(t, crashes, 3)
--- a/router/internal/passer/stream_test.go
+++ b/router/internal/passer/stream_test.go
@@ -63,7 +63,7 @@
 			}
 			b.endpoint(serve)
 			b.endpoint(serve)
-			body, err := text(b.ask("POST", "/list/", "prompt"))
+			body, err := b.fetch("POST", "/list/", "prompt")
 			require.NoError(t, err)
 			require.Equal(t, events1to(6), body)
 		})
@@ -79,7 +79,7 @@
 		conn.Close()
 	})
 	b.endpoint(func(net.Conn, *http.Request) { t.Error("it must not run twice") })
-	body, err := text(b.ask("POST", "/draft/", "prompt"))
+	body, err := b.fetch("POST", "/draft/", "prompt")
 	require.Error(t, err)
 	require.Equal(t, events1to(3), body)
 }
@@ -93,7 +93,7 @@
 		beginStream(conn, request, 3, 4)
 		endStream(conn)
 	})
-	body, err := text(b.ask("POST", "/list/", "prompt", "Last-Event-Id", "2"))
+	body, err := b.fetch("POST", "/list/", "prompt", "Last-Event-Id", "2")
 	require.NoError(t, err)
 	require.Equal(t, event(3)+event(4), body)
 }
