--- /dev/null
+++ b/keeper/internal/server/directory_test.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/messenger"
+)
+
+const epoch = 77
+
+var began = time.Unix(1000, 0)
+
+// Symptom: one request takes down an endpoint after the other, through a
+// different router each time. Cause: each router counted by itself.
+func TestCrashesAreCountedOverAllRouters(t *testing.T) {
+	var d directory
+	report := func(node string, count uint32) bool {
+		return d.follow(began, &messenger.FollowRequest{Node: node, Crashes: []*messenger.Crash{{Digest: 7, Count: count}}})
+	}
+	quarantined := func() int {
+		response, _ := d.news(began, &messenger.FollowRequest{Node: "other", Epoch: epoch}, epoch)
+		return len(response.GetQuarantined())
+	}
+	require.False(t, report("a", 1))
+	require.False(t, report("a", 1), "the same report again counts nothing")
+	require.Zero(t, quarantined())
+	require.True(t, report("b", 1), "everyone is told at once")
+	require.Equal(t, 1, quarantined())
+	d.follow(began, &messenger.FollowRequest{Node: "late"})
+	_, fresh := d.news(began, &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}, epoch)
+	require.True(t, fresh, "also those that follow later")
+	d.tell("late")
+	_, fresh = d.news(began, &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}, epoch)
+	require.False(t, fresh)
+	d.pass(began.Add(crashMemory + time.Second))
+	require.Zero(t, quarantined(), "it is forgiven in the end")
+}
+
+func TestUsesAreSummedOverRoutersThatAreHeard(t *testing.T) {
+	var d directory
+	for node, asked := range map[string]uint64{"a": 100, "b": 50} {
+		d.follow(began, &messenger.FollowRequest{Node: node, Stretch: 1000, Uses: []*messenger.Use{{Workspace: "club", Asked: asked}}})
+	}
+	d.follow(began, &messenger.FollowRequest{Node: "keeper", Keeper: true})
+	response, _ := d.news(began, &messenger.FollowRequest{Node: "a"}, epoch)
+	require.EqualValues(t, 2, response.GetRouters())
+	require.EqualValues(t, 150, response.GetUses()[0].GetAsked())
+	require.EqualValues(t, 1000, response.GetStretch())
+	d.pass(began.Add(followerMemory + 1))
+	response, _ = d.news(began, &messenger.FollowRequest{Node: "a"}, epoch)
+	require.Zero(t, response.GetRouters())
+	require.Empty(t, response.GetUses())
+}
+
+// Symptom: a router that follows a keeper that has restarted misses endpoints.
+// Cause: it asked for what came after a number of the keeper's former life.
+func TestRestartedKeeperTellsEverythingAgain(t *testing.T) {
+	var d directory
+	d.list.Interval = time.Second
+	d.beat(began, endpointAt("a", 1, lister.Ready))
+	response, fresh := d.news(began, &messenger.FollowRequest{Node: "r", Epoch: epoch - 1, After: 500}, epoch)
+	require.True(t, fresh)
+	require.Len(t, response.GetListings(), 1)
+}
+
+func TestRecentHeartbeatsAreToldMoreThanOnce(t *testing.T) {
+	var d directory
+	d.list.Interval = time.Second
+	d.beat(began, endpointAt("a", 4, lister.Ready))
+	for range 2 {
+		recent := d.recent(began.Add(time.Second))
+		require.Len(t, recent, 1)
+		require.EqualValues(t, 4, recent[0].GetSequence())
+	}
+	require.Empty(t, d.recent(began.Add(3*time.Second)))
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -239,7 +239,7 @@
 		Platform *Settings `json:"platform"`
 	}
 	if err := loader.Unmarshal(d.path, text, &read); err != nil {
-		return err
+		return merry.Errorf("%w: %w", loader.ErrSettings, err)
 	}
 	if read.Platform == nil {
 		return merry.Errorf("%w: %s: the key platform is gone; put it back or restart the router", loader.ErrSettings, d.path)
