--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -98,6 +98,7 @@
 	byID     map[string]*endpoint
 	services map[string][]*endpoint // sorted by id, without those that are gone
 	caps     map[string]int         // tokens of an engine's memory, by service
+	zones    map[string]zone
 }
 
 type endpoint struct {
@@ -137,8 +138,10 @@
 	Served Outcome = iota + 1
 	// Faulty is an answer that says that the endpoint failed.
 	Faulty
-	// Broken is a connection that could not be made or broke.
+	// Broken is a connection that broke.
 	Broken
+	// Unreached is a connection that could not be made.
+	Unreached
 	// Full is a refusal because the endpoint has no room.
 	Full
 	// Wrong is the answer of another instance at that address.
@@ -229,6 +232,9 @@
 	if now.Before(e.until) || e.probing {
 		penalty += silentPenalty
 	}
+	if b.zones[e.Zone].cut(now) {
+		penalty += silentPenalty
+	}
 	if e.Silent {
 		penalty += silentPenalty
 	}
@@ -269,6 +275,7 @@
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
 	s.endpoint.heard = now
+	s.balancer.reached(s.endpoint)
 	s.began()
 }
 
@@ -310,6 +317,9 @@
 		if outcome == Broken || e.failed > failShare {
 			e.pause(now)
 		}
+	case Unreached:
+		e.pause(now)
+		s.balancer.unreached(now, e)
 	case Full, Wrong:
 		e.pause(now)
 	}
--- a/lib/balancer/balancer_test.go
+++ b/lib/balancer/balancer_test.go
@@ -170,3 +170,35 @@
 	require.Equal(t, 5000, p.kept(prompt(9, 11)))
 	require.Zero(t, p.kept(&Work{Model: "other", Parts: prompt(9, 10).Parts}))
 }
+
+// Symptom: while a zone is cut off, requests wait for four timeouts in a row and
+// are refused. Sequence: every endpoint of that zone has to fail by itself.
+func TestZoneThatCannotBeReachedIsTheLastChoice(t *testing.T) {
+	b := &Balancer{}
+	for i := range 6 {
+		e := engine(i + 1)
+		e.Zone = []string{"near", "far"}[i%2]
+		b.Update(e)
+	}
+	now := start
+	fail := func() string {
+		slot := b.Pick(now, "engines", &Work{}, func(id string) bool { return b.byID[id].Zone != "far" })
+		slot.End(now, Unreached)
+		return slot.ID
+	}
+	first := fail()
+	require.False(t, b.zones["far"].cut(now), "one may be its own fault")
+	require.NotEqual(t, first, fail())
+	for range 12 {
+		require.Equal(t, "near", b.Pick(now, "engines", &Work{}, nil).endpoint.Zone)
+	}
+	now = now.Add(zonePause)
+	probe := b.Pick(now, "engines", &Work{}, nil)
+	require.Equal(t, "far", probe.endpoint.Zone)
+	probe.End(now, Unreached)
+	require.True(t, b.zones["far"].cut(now), "one more is enough now")
+	now = now.Add(zonePause)
+	probe = b.Pick(now, "engines", &Work{}, nil)
+	probe.Heard(now)
+	require.False(t, b.zones["far"].cut(now), "it is back")
+}
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -48,8 +48,9 @@
 const (
 	// DefaultDialTimeout bounds a new connection. Endpoints are a few milliseconds
 	// away and a lost first packet is sent again after a second, so that a second
-	// endpoint is tried sooner than that.
-	DefaultDialTimeout = 400 * time.Millisecond
+	// endpoint is tried sooner than that, and within a usual target of 250 ms for
+	// the begin of an answer.
+	DefaultDialTimeout = 200 * time.Millisecond
 	// DefaultIdle is how long a connection is kept where the endpoint does not
 	// say. Services close idle connections after a time of their own.
 	DefaultIdle = 4 * time.Second
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -47,7 +47,7 @@
 	if next != nil {
 		outcome = next.outcome
 	}
-	if ctx.Err() != nil && outcome == balancer.Broken {
+	if ctx.Err() != nil && (outcome == balancer.Broken || outcome == balancer.Unreached) {
 		outcome = balancer.Withdrawn // the request's time was over, or its client left
 	}
 	slot.End(p.options.Clock.Now(), outcome)
@@ -99,7 +99,7 @@
 	e := &ending{outcome: balancer.Broken, reason: err.Error()}
 	switch {
 	case errors.Is(err, forwarder.ErrUnsent):
-		e.unsent = true
+		e.unsent, e.outcome = true, balancer.Unreached
 	case context.Cause(ctx) != nil:
 		// Its own time was over, or nobody waits: nothing crashed.
 		if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
