--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -46,10 +46,10 @@
 	// are closed behind their answers, beyond the second new ones are closed unread.
 	idlePerMB        = 4
 	connectionsPerMB = 10
-	// runningPerCore bounds the requests under way by processor time: a stream of
-	// some 40 events costs 2 ms in about a second, so that 1,000 are two cores' work
-	// where all are streams, and half of one in the usual mix.
-	runningPerCore = 1500
+	// runningPerCore bounds the requests under way by processor time. A stream whose
+	// events are gathered costs some 0.7 ms a second; at 1,500 an instance of 0.192
+	// cores was late by two seconds in a flood, at 1,000 and below it kept up.
+	runningPerCore = 800
 	// gatherShare is the part of the time that an event may be on its way for which
 	// it may be held back. The rest is for the network and a late timer.
 	gatherShare = 0.4
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -87,6 +87,7 @@
 type Passer struct {
 	options Options
 	drain   drain
+	quietly quietly
 }
 
 // New returns a passer.
@@ -124,6 +125,7 @@
 	reason   string
 	first    time.Duration // until the first part of the answer
 	stream   events
+	told     bool // a line of the log tells its story already
 }
 
 // ServeHTTP serves one request.
@@ -198,9 +200,12 @@
 	if d.Admitted {
 		return true
 	}
-	p.options.Log.Info().Str("id", q.in.ID).Str("workspace", q.workspace).Float64("tokens", tokens).
-		Float64("asked", d.Asked).Float64("share", d.Share).Float64("local", d.Local).Float64("stretch", d.Stretch).
-		Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
+	if p.quietly.admit(q.received, p.options.Log) {
+		p.options.Log.Info().Str("id", q.in.ID).Str("workspace", q.workspace).Float64("tokens", tokens).
+			Float64("asked", d.Asked).Float64("share", d.Share).Float64("local", d.Local).Float64("stretch", d.Stretch).
+			Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
+	}
+	q.told = true
 	p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share", max(d.Pause, retrySoon))
 	return false
 }
@@ -333,8 +338,12 @@
 
 // record writes the one line that tells a request's story, and counts it.
 func (p *Passer) record(q *request) {
-	took := p.options.Clock.Since(q.received)
+	now := p.options.Clock.Now()
+	took := now.Sub(q.received)
 	p.options.Metrics.ended(q, took)
+	if q.told || q.sends == 0 && q.unsent == 0 && !p.quietly.admit(now, p.options.Log) {
+		return
+	}
 	line := p.options.Log.Info()
 	if q.reason != "" {
 		line = p.options.Log.Warn()
