Take no more connections than can be served while the process lags

Cause: 1,120 connections were taken, each of which made all others later; and connections were closed behind every refusal, so that each request of the flood brought a new one. Ruled out: the bound on requests under way (1,500, 1,000 and 800 a core: the same). Now connections are kept behind refusals unless there is a crowd, which replaces the test that each refusal closes by one of both cases, and new ones are closed unread while the process lags and as many are busy as requests may be under way.

--- a/lib/pacer/pacer.go
+++ b/lib/pacer/pacer.go
@@ -39,12 +39,12 @@
 			return
 		case <-clock.After(step):
 		}
-		p.look(clock.Now().Sub(due))
+		p.Look(clock.Now().Sub(due))
 	}
 }
 
-// look takes how late a timer was.
-func (p *Pacer) look(late time.Duration) {
+// Look takes how late a timer was. Run calls it.
+func (p *Pacer) Look(late time.Duration) {
 	mean := time.Duration(p.late.Load())
 	p.late.Store(int64(mean + time.Duration(weight*float64(max(late, 0)-mean))))
 }
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -93,7 +92,7 @@
 	passer   *passer.Passer
 	news     *subscriber.Subscriber
 
-	connected atomic.Int64 // clients' connections
+	connected connections
 	pacer     pacer.Pacer
 
 	mutex    sync.Mutex
@@ -130,11 +129,11 @@
 	d.passer = passer.New(passer.Options{
 		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
-		Crowded: func() bool { return d.connected.Load() > int64(settings.Memory)*idlePerMB },
+		Crowded: d.crowded,
 		// The bound on what is under way comes before the lag: a process lags only
 		// when it has taken too much already, and stays late for as long as that takes.
 		Gather: time.Duration(gatherShare * float64(settings.Pass.Duration)),
-		Most:   max(int(settings.Processors*runningPerCore), leastRunning),
+		Most:   d.mostRunning(),
 		Lags:   d.pacer.Lags,
 	})
 	d.registerGauges()
@@ -198,7 +197,7 @@
 	}
 	defer watched.Close()
 	front := &http.Server{
-		ConnContext: passer.WithConn, ConnState: d.count, ErrorLog: stdlog.New(d.log, "", 0),
+		ConnContext: passer.WithConn, ConnState: d.connected.change, ErrorLog: stdlog.New(d.log, "", 0),
 		Handler: d.passer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -207,10 +206,7 @@
 	figures := &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failures := make(chan error, 3)
 	go func() { failures <- figures.Serve(watched) }()
-	most := min(int64(d.settings.Memory)*connectionsPerMB, int64(descriptorShare*float64(d.settings.Descriptors)))
-	go func() {
-		failures <- front.Serve(&limited{Listener: clients, most: most, open: &d.connected, log: d.log})
-	}()
+	go func() { failures <- front.Serve(&limited{Listener: clients, room: d.room, log: d.log}) }()
 	go func() { failures <- ready.Serve(asked) }()
 	background, endBackground := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -251,14 +247,28 @@
 	return nil
 }
 
-// count keeps the number of clients' connections.
-func (d *Director) count(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		d.connected.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		d.connected.Add(-1)
+// room tells whether one more client may connect. While the process lags only so
+// many connections may be busy as requests may be under way: each that is taken
+// beyond that makes all others later, until nobody is served in time.
+func (d *Director) room() bool {
+	open, busy := d.connected.counts()
+	if d.pacer.Lags() && busy >= d.mostRunning() {
+		return false
 	}
+	byMemory := d.settings.Memory * connectionsPerMB
+	byDescriptors := int(descriptorShare * float64(d.settings.Descriptors))
+	return open < min(byMemory, byDescriptors)
+}
+
+// crowded tells whether connections are closed behind their answers.
+func (d *Director) crowded() bool {
+	open, _ := d.connected.counts()
+	return open > d.settings.Memory*idlePerMB
+}
+
+// mostRunning is how many requests may be under way.
+func (d *Director) mostRunning() int {
+	return max(int(d.settings.Processors*runningPerCore), leastRunning)
 }
 
 // sweep closes connections that have been idle for too long.
--- a/router/internal/director/limit.go
+++ b/router/internal/director/limit.go
@@ -2,19 +2,20 @@
 
 import (
 	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
 )
 
-// limited closes connections beyond a number at once. A process that takes
+// limited closes connections for which there is no room at once. A process that takes
 // whatever comes runs out of memory or descriptors in a flood, and then cannot
 // even reach an endpoint; a client whose connection is closed unread tries
 // another router.
 type limited struct {
 	net.Listener
-	most int64
-	open *atomic.Int64
+	room func() bool
 	log  zerolog.Logger
 	full atomic.Bool
 }
@@ -26,9 +27,9 @@
 		if err != nil {
 			return nil, err
 		}
-		room := l.open.Load() < l.most
+		room := l.room()
 		if l.full.Swap(!room) == room {
-			l.log.Warn().Int64("open", l.open.Load()).Int64("most", l.most).Bool("full", !room).Msg("room for clients' connections changed")
+			l.log.Warn().Bool("full", !room).Msg("room for clients' connections changed")
 		}
 		if room {
 			return conn, nil
@@ -36,3 +37,37 @@
 		conn.Close()
 	}
 }
+
+// connections counts clients' connections, and those of them on which nothing is
+// under way. Its zero value is empty.
+type connections struct {
+	mutex sync.Mutex
+	open  int
+	idle  map[net.Conn]struct{}
+}
+
+// change takes a connection's new state, as http.Server tells it.
+func (c *connections) change(conn net.Conn, state http.ConnState) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.idle == nil {
+		c.idle = make(map[net.Conn]struct{})
+	}
+	delete(c.idle, conn)
+	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateIdle:
+		c.idle[conn] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	}
+}
+
+// counts returns how many connections are open, and on how many of them something
+// is under way or about to be.
+func (c *connections) counts() (open, busy int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.open, c.open - len(c.idle)
+}
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -16,7 +16,10 @@
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_keepers_answering", Help: "Keepers that answered their last poll."}, func() float64 { return float64(d.news.Answering()) })
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_running_requests", Help: "Requests under way."}, func() float64 { return float64(d.passer.Running()) })
-	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_client_connections", Help: "Open connections of clients."}, func() float64 { return float64(d.connected.Load()) })
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_client_connections", Help: "Open connections of clients."}, func() float64 {
+		open, _ := d.connected.counts()
+		return float64(open)
+	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_late_seconds", Help: "Mean lateness of timers: above 0.025 the router refuses."}, func() float64 { return d.pacer.Late().Seconds() })
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_share_stretch", Help: "By how much shares are stretched, as this router sees it."}, func() float64 {
 		stretch, _ := d.shares.Stretch()
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -320,10 +320,6 @@
 
 // refuse answers that the request has not run and will not.
 func (p *Passer) refuse(q *request, status int, reason string, retry time.Duration) {
-	// Whoever is refused comes back on another connection, by the platform's
-	// choice to another router. Keeping this one open would use up descriptors and
-	// memory in a flood, until nobody can connect.
-	q.writer.Header().Set("Connection", "close")
 	if retry > 0 {
 		q.writer.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	}
