Tell followers of an instance that was only believed at its second heartbeat

An instance whose first heartbeat here may be a late one is listed once it is heard again, but that was no change of the list, so that no router heard of it. The new test fails without the mend.

--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -98,12 +98,12 @@
 		return false
 	}
 	known.heard = now
+	changed := known.Silent || known.pending
 	if known.pending {
 		known.pending = false
 		l.hold(known)
 	}
 	known.Sequence = max(known.Sequence, beat.Sequence)
-	changed := known.Silent
 	known.Silent = false
 	if beat.State > known.State {
 		known.State = beat.State
--- a/lib/lister/lister_test.go
+++ b/lib/lister/lister_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// Symptom: an endpoint that serves gets no work from any router. Sequence: its first
+// heartbeat to this keeper looks like a late one of an instance that is gone, the
+// second shows that it is not. Cause: it was listed then without being news.
+func TestInstanceThatIsHeardAgainIsNews(t *testing.T) {
+	l := &List{Interval: interval}
+	l.Beat(start, beat("first", 9, Ready))
+	require.False(t, l.Beat(start, beat("second", 30, Ready)))
+	before := l.Revision()
+	require.True(t, l.Beat(start, beat("second", 31, Ready)))
+	told := make(map[string]State)
+	for _, listing := range l.Since(before) {
+		told[listing.ID] = listing.State
+	}
+	require.Equal(t, map[string]State{"first": Gone, "second": Ready}, told)
+}
+
 func TestLeaveIsFinal(t *testing.T) {
 	l := &List{Interval: interval}
 	l.Leave(start, "a")
