--- a/keeper/internal/applier/applier.go
+++ b/keeper/internal/applier/applier.go
@@ -1,5 +1,6 @@
 // Package applier is the whole replicated state of the keepers: the
-// configuration of objects, the plan that is sent as a whole, the claims of idempotency keys, the quarantined fingerprints,
+// configuration of objects, the plan that is sent as a whole, the claims of
+// idempotency keys, the quarantined fingerprints,
 // and the leases of pools, with the replicated clock that lets claims and
 // fingerprints expire.
 //
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -53,10 +53,10 @@
 }
 
 type crashes struct {
-	at    time.Time
-	by    map[string]uint32
-	total uint32
-	guilt time.Time // since when it is quarantined; zero if it is not
+	at     time.Time
+	by     map[string]uint32
+	total  uint32
+	guilty bool // it is quarantined
 }
 
 // beat takes a heartbeat from an instance.
@@ -161,10 +161,10 @@
 	known.by[node] = crash.GetCount()
 	known.total += crash.GetCount() - before
 	known.at = now
-	if known.total < crashesToQuarantine || !known.guilt.IsZero() {
+	if known.total < crashesToQuarantine || known.guilty {
 		return false
 	}
-	known.guilt = now
+	known.guilty = true
 	d.convicted++
 	return true
 }
@@ -200,7 +200,7 @@
 		response.Uses = append(response.Uses, &messenger.Use{Workspace: workspace, Asked: asked})
 	}
 	for digest, c := range d.crashes {
-		if !c.guilt.IsZero() {
+		if c.guilty {
 			left := crashMemory - now.Sub(c.at)
 			response.Quarantined = append(response.Quarantined, &messenger.Fingerprint{Digest: digest, LeftMs: uint32(max(left, 0) / time.Millisecond)})
 		}
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -19,6 +19,7 @@
 package apportioner
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -181,14 +182,10 @@
 
 // divide computes the shares: the capacity is filled up evenly until it is used.
 func (a *Apportioner) divide() {
-	names := slices.Sorted(maps.Keys(a.workspaces))
-	slices.SortStableFunc(names, func(x, y string) int {
-		return int(math.Copysign(1, a.workspaces[x].whole-a.workspaces[y].whole))
-	})
+	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
 	left := a.capacity * a.inForce()
-	for i, name := range names {
-		w := a.workspaces[name]
-		even := left / float64(len(names)-i)
+	for i, w := range asking {
+		even := left / float64(len(asking)-i)
 		w.share = min(w.whole, even)
 		left -= w.share
 		if w.whole <= even {
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -116,7 +116,6 @@
 type Slot struct {
 	ID      string
 	Address netip.AddrPort
-	Zone    string
 	// Reading is how many tokens the engine probably has to read.
 	Reading int
 
@@ -251,7 +250,7 @@
 
 func (b *Balancer) enter(now time.Time, e *endpoint, work *Work, reading int) *Slot {
 	slot := &Slot{
-		ID: e.ID, Address: e.Address, Zone: e.Zone, Reading: reading,
+		ID: e.ID, Address: e.Address, Reading: reading,
 		balancer: b, endpoint: e, reading: true,
 	}
 	if !e.until.IsZero() && !now.Before(e.until) && !e.probing {
@@ -332,26 +331,3 @@
 	e.pauses++
 	e.until = now.Add(length)
 }
-
-// Load is what this router has at one service.
-type Load struct {
-	Endpoints int // that take work
-	Running   int
-	Slots     int
-}
-
-// Load returns what this router has running at a service, and the slots of all
-// endpoints that take work.
-func (b *Balancer) Load(service string) Load {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	var load Load
-	for _, e := range b.services[service] {
-		load.Running += e.running
-		if e.State == lister.Ready && !e.Silent {
-			load.Endpoints++
-			load.Slots += e.Slots
-		}
-	}
-	return load
-}
--- a/lib/balancer/balancer_test.go
+++ b/lib/balancer/balancer_test.go
@@ -138,11 +138,11 @@
 func TestSlotsAreGivenBackOnce(t *testing.T) {
 	b := fleet(1)
 	slot := b.Pick(start, "engines", prompt(1, 2), nil)
-	require.Equal(t, 1, b.Load("engines").Running)
+	require.Equal(t, 1, b.byID["i-1"].running)
 	slot.Heard(start)
 	slot.End(start, Served)
 	slot.End(start, Served)
-	require.Zero(t, b.Load("engines").Running)
+	require.Zero(t, b.byID["i-1"].running)
 	require.Zero(t, b.byID["i-1"].waiting)
 }
 
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -129,26 +129,6 @@
 	return c.opened
 }
 
-// Open returns how many connections to an address exist.
-func (c *Client) Open(address netip.AddrPort) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if p, found := c.pools[address]; found {
-		return p.open
-	}
-	return 0
-}
-
-// Idle returns how many connections to an address wait for a request.
-func (c *Client) Idle(address netip.AddrPort) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if p, found := c.pools[address]; found {
-		return len(p.idle)
-	}
-	return 0
-}
-
 // Do sends a request and returns once the answer's header is there. Sent is
 // called right before the first byte leaves; if it returns false nothing is
 // sent. The exchange must be closed.
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -71,6 +71,26 @@
 	}
 }
 
+// openTo returns how many connections to an address exist.
+func (c *Client) openTo(address netip.AddrPort) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if p, found := c.pools[address]; found {
+		return p.open
+	}
+	return 0
+}
+
+// idleTo returns how many connections to an address wait for a request.
+func (c *Client) idleTo(address netip.AddrPort) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if p, found := c.pools[address]; found {
+		return len(p.idle)
+	}
+	return 0
+}
+
 func get(id string) *Outgoing {
 	return &Outgoing{ID: id, Method: http.MethodGet, Target: "/a//b?x=%2F", Host: "h", Header: http.Header{}}
 }
@@ -108,8 +128,8 @@
 		require.Equal(t, "whole", body)
 	}
 	require.EqualValues(t, 1, e.accepts.Load())
-	require.Equal(t, 1, c.Open(e.address))
-	require.Equal(t, 1, c.Idle(e.address))
+	require.Equal(t, 1, c.openTo(e.address))
+	require.Equal(t, 1, c.idleTo(e.address))
 	_, err := fetch(t, c, e, withID(&Outgoing{ID: "x", Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Fresh: true}))
 	require.NoError(t, err)
 	require.EqualValues(t, 2, e.accepts.Load())
@@ -223,7 +243,7 @@
 	body, err := fetch(t, c, e, out)
 	require.NoError(t, err)
 	require.Equal(t, "early", body)
-	require.Zero(t, c.Open(e.address))
+	require.Zero(t, c.openTo(e.address))
 }
 
 func TestLongBodiesArriveWhole(t *testing.T) {
@@ -280,7 +300,7 @@
 			require.Equal(t, test.whole, err == nil)
 			require.Equal(t, test.whole, x.Whole())
 			x.Close()
-			require.Zero(t, c.Open(e.address))
+			require.Zero(t, c.openTo(e.address))
 		})
 	}
 }
@@ -303,7 +323,7 @@
 	})
 	require.ErrorIs(t, err, ErrBroken)
 	<-closed
-	require.Zero(t, c.Open(e.address))
+	require.Zero(t, c.openTo(e.address))
 }
 
 func TestUnsentIsKnown(t *testing.T) {
@@ -378,10 +398,10 @@
 		require.NoError(t, err)
 		clock.Advance(DefaultIdle - 1)
 		c.Sweep()
-		require.Equal(t, 1, c.Idle(e.address))
+		require.Equal(t, 1, c.idleTo(e.address))
 		clock.Advance(1)
 		c.Sweep()
-		require.Zero(t, c.Open(e.address))
+		require.Zero(t, c.openTo(e.address))
 	})
 }
 
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -41,8 +41,9 @@
 	// sweepPause is how often idle connections are looked through.
 	sweepPause = 500 * time.Millisecond
 	// idlePerMB and connectionsPerMB bound clients' connections by memory: one with
-	// its buffers and its goroutine takes some 25 KB (131 MB at 4,775 of them). From the first on connections
-	// are closed behind their answers, beyond the second new ones are closed unread.
+	// its buffers and its goroutine takes some 25 KB (131 MB at 4,775 of them). From
+	// the first on connections are closed behind their answers, beyond the second new
+	// ones are closed unread.
 	idlePerMB        = 4
 	connectionsPerMB = 10
 	// runningPerCore bounds the requests under way by processor time: at 1,500 an
@@ -128,11 +129,11 @@
 		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
 		Crowded: d.crowded,
+		Gather:  time.Duration(gatherShare * float64(settings.Pass.Duration)),
 		// The bound on what is under way comes before the lag: a process lags only
 		// when it has taken too much already, and stays late for as long as that takes.
-		Gather: time.Duration(gatherShare * float64(settings.Pass.Duration)),
-		Most:   d.mostRunning(),
-		Lags:   d.pacer.Lags,
+		Most: d.mostRunning(),
+		Lags: d.pacer.Lags,
 	})
 	d.registerGauges()
 	return d
@@ -229,17 +230,9 @@
 
 // reload takes what may change while the router runs: the seeds.
 func (d *Director) reload(text []byte) error {
-	var read struct {
-		Platform *Settings `json:"platform"`
-	}
-	if err := loader.Unmarshal(d.path, text, &read); err != nil {
-		return merry.Errorf("%w: %w", loader.ErrSettings, err)
-	}
-	if read.Platform == nil {
-		return merry.Errorf("%w: %s: the key platform is gone; put it back or restart the router", loader.ErrSettings, d.path)
-	}
-	if problems := read.Platform.Check(); len(problems) > 0 {
-		return merry.Errorf("%w: %s: %s; %s", loader.ErrSettings, problems[0].Key, problems[0].Message, problems[0].Remedy)
+	var read file
+	if err := loader.Decode(d.path, text, &read); err != nil {
+		return err
 	}
 	d.news.Know(read.Platform.seeds()...)
 	return nil
--- a/router/internal/director/settings.go
+++ b/router/internal/director/settings.go
@@ -38,6 +38,19 @@
 	Retry Retry           `json:"retry"`
 }
 
+// file is a whole settings file, as it is read again while the router runs.
+type file struct {
+	Platform *Settings `json:"platform"`
+}
+
+// Check lists what is wrong with the file.
+func (f *file) Check() []loader.Problem {
+	if f.Platform == nil {
+		return []loader.Problem{{Key: "platform", Message: "the key is gone", Remedy: "put it back or restart the router"}}
+	}
+	return f.Platform.Check()
+}
+
 // Retry bounds the requests that all routers send once more.
 type Retry struct {
 	Ratio  float64         `json:"ratio"`
