Let the stretch of shares follow the mean wait over the whole fleet

Each router followed its own few answers, one late answer in twenty made it step down, and a router that started began at 2.0 while all clients waited.

Change: routers report the mean wait and how many answers it is the mean of; all follow the fleet's, in proportion to its distance from 0.5 of the target, and a newcomer takes the fleet's stretch.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -45,11 +45,10 @@
 }
 
 type follower struct {
-	at      time.Time
-	keeper  bool
-	uses    []*messenger.Use
-	stretch uint32
-	told    uint64 // convicted, as of the follower's last answer
+	at     time.Time
+	keeper bool
+	report *messenger.FollowRequest
+	told   uint64 // convicted, as of the follower's last answer
 }
 
 type crashes struct {
@@ -124,8 +123,7 @@
 		known = &follower{}
 		d.followers[request.GetNode()] = known
 	}
-	known.at, known.keeper, known.uses = now, request.GetKeeper(), request.GetUses()
-	known.stretch = request.GetStretch()
+	known.at, known.keeper, known.report = now, request.GetKeeper(), request
 	changed := false
 	for _, h := range request.GetHeard() {
 		if d.list.Heard(now, h.GetId(), h.GetSequence()) {
@@ -183,29 +181,37 @@
 	}
 	known, found := d.followers[request.GetNode()]
 	fresh := len(response.Listings) > 0 || request.GetEpoch() != epoch || found && known.told != d.convicted
-	totals := make(map[string]uint64)
-	stretch := uint32(0)
+	d.sum(response)
+	for digest, c := range d.crashes {
+		if c.guilty {
+			left := crashMemory - now.Sub(c.at)
+			response.Quarantined = append(response.Quarantined, &messenger.Fingerprint{Digest: digest, LeftMs: uint32(max(left, 0) / time.Millisecond)})
+		}
+	}
+	return response, fresh
+}
+
+// sum adds up what the routers report.
+func (d *directory) sum(response *messenger.FollowResponse) {
+	asked := make(map[string]uint64)
+	var stretch, waiting, answers uint64
 	for _, f := range d.followers {
 		if f.keeper {
 			continue
 		}
 		response.Routers++
-		stretch += f.stretch
-		for _, use := range f.uses {
-			totals[use.GetWorkspace()] += use.GetAsked()
+		stretch += uint64(f.report.GetStretch())
+		waiting += uint64(f.report.GetWaiting()) * uint64(f.report.GetAnswers())
+		answers += uint64(f.report.GetAnswers())
+		for _, use := range f.report.GetUses() {
+			asked[use.GetWorkspace()] += use.GetAsked()
 		}
 	}
-	response.Stretch = stretch / max(response.Routers, 1)
-	for workspace, asked := range totals {
-		response.Uses = append(response.Uses, &messenger.Use{Workspace: workspace, Asked: asked})
-	}
-	for digest, c := range d.crashes {
-		if c.guilty {
-			left := crashMemory - now.Sub(c.at)
-			response.Quarantined = append(response.Quarantined, &messenger.Fingerprint{Digest: digest, LeftMs: uint32(max(left, 0) / time.Millisecond)})
-		}
+	response.Stretch = uint32(stretch / max(uint64(response.GetRouters()), 1))
+	response.Waiting, response.Answers = uint32(waiting/max(answers, 1)), uint32(answers)
+	for workspace, tokens := range asked {
+		response.Uses = append(response.Uses, &messenger.Use{Workspace: workspace, Asked: tokens})
 	}
-	return response, fresh
 }
 
 // tell notes that a follower has been sent the quarantined fingerprints.
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -8,9 +8,8 @@
 // the part that the workspace's share is of its whole demand. No router decides
 // for another, and no request waits for a message.
 //
-// The stated capacity is a promise, not a limit: engines often yield more. Shares
-// are stretched while answers begin well within their target, and shrunk when
-// they do not, as a congestion window is.
+// Shares are stretched beyond the stated capacity while engines bear it; see
+// stretcher.
 //
 // Invariants: while all workspaces together ask for less than the capacity,
 // nothing is refused; a workspace that asks for less than its share is never
@@ -41,21 +40,6 @@
 	// staleAfter is how old the sums may be. A router that hears no keeper takes
 	// its own measure times the number of routers for the whole.
 	staleAfter = 3 * time.Second
-	// The stretch of the shares: by how much it changes in a step, between which
-	// bounds, and at which mean of waiting over target. Engines that are half as
-	// slow as allowed have a queue that one large prompt makes late.
-	stretchStart = 2.0
-	stretchLeast = 0.85
-	stretchMost  = 2.5
-	stretchUp    = 1.03
-	stretchDown  = 0.93
-	stretchStep  = 200 * time.Millisecond
-	tooSlow      = 0.5
-	// weightOfOne is the weight of one answer in the mean: at 60 answers a second
-	// it follows within a third of a second.
-	weightOfOne = 0.05
-	// worstRatio bounds what one late answer adds to the mean.
-	worstRatio = 3.0
 	// maxWorkspaces bounds the workspaces that are measured; requests of others
 	// are admitted.
 	maxWorkspaces = 4096
@@ -71,10 +55,7 @@
 	routers    int
 	workspaces map[string]*workspace
 	told       time.Time
-	stretch    float64 // as this router's answers suggest
-	common     float64 // mean over all routers, as told
-	waiting    float64 // mean of waiting over target
-	stepped    time.Time
+	stretch    stretcher
 }
 
 type workspace struct {
@@ -115,14 +96,14 @@
 	return rates
 }
 
-// Demand takes what all routers' workspaces ask for, this one's included, and the
-// mean of their stretches. Routers that each used their own would serve a
-// workspace by the router that its clients happen to reach.
-func (a *Apportioner) Demand(now time.Time, rates map[string]uint64, stretch float64) {
+// Demand takes what all routers' workspaces ask for, this one's included, and what
+// all routers have seen of the engines. Routers that each followed their own answers
+// would serve a workspace by the router that its clients happen to reach.
+func (a *Apportioner) Demand(now time.Time, rates map[string]uint64, seen Signal) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.told = now
-	a.common = stretch
+	a.stretch.tell(now, seen)
 	for name, w := range a.workspaces {
 		w.decay(now)
 		w.whole = max(float64(rates[name]), w.rate)
@@ -146,47 +127,20 @@
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	ratio := min(waited.Seconds()/target.Seconds(), worstRatio)
-	a.waiting += weightOfOne * (ratio - a.waiting)
-	if now.Sub(a.stepped) < stretchStep {
-		return
-	}
-	a.stepped = now
-	if a.waiting > tooSlow {
-		a.stretch = max(a.stretched()*stretchDown, stretchLeast)
-	} else {
-		a.stretch = min(a.stretched()*stretchUp, stretchMost)
-	}
-	a.divide()
+	a.stretch.observe(now, waited, target)
 }
 
-// Stretch returns by how much shares are stretched, and the mean of waiting over
-// target that led to it.
-func (a *Apportioner) Stretch() (stretch, waiting float64) {
+// Signal returns what this router has seen of the engines.
+func (a *Apportioner) Signal(now time.Time) Signal {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.stretched(), a.waiting
-}
-
-// inForce returns the stretch that shares are computed with.
-func (a *Apportioner) inForce() float64 {
-	if a.common > 0 {
-		return a.common
-	}
-	return a.stretched()
-}
-
-func (a *Apportioner) stretched() float64 {
-	if a.stretch == 0 {
-		return stretchStart
-	}
-	return a.stretch
+	return a.stretch.signal(now)
 }
 
 // divide computes the shares: the capacity is filled up evenly until it is used.
 func (a *Apportioner) divide() {
 	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
-	left := a.capacity * a.inForce()
+	left := a.capacity * a.stretch.get()
 	for i, w := range asking {
 		even := left / float64(len(asking)-i)
 		w.share = min(w.whole, even)
@@ -230,7 +184,7 @@
 	w.decay(now)
 	w.rate += tokens * math.Ln2 / halfLife.Seconds()
 	local := a.local(now, w)
-	d := Decision{Admitted: true, Asked: w.whole, Share: w.share, Local: local, Stretch: a.inForce(), Age: now.Sub(a.told)}
+	d := Decision{Admitted: true, Asked: w.whole, Share: w.share, Local: local, Stretch: a.stretch.get(), Age: now.Sub(a.told)}
 	if math.IsInf(local, 1) {
 		w.tokens = 0
 		return d
@@ -263,7 +217,7 @@
 				active++
 			}
 		}
-		return a.capacity * a.stretched() / float64(max(active, 1)) / float64(max(a.routers, 1))
+		return a.capacity * a.stretch.get() / float64(max(active, 1)) / float64(max(a.routers, 1))
 	}
 	if math.IsInf(w.share, 1) || w.whole <= 0 {
 		return math.Inf(1)
--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -22,7 +22,7 @@
 func newFleet(routers int, capacity float64) *fleet {
 	f := &fleet{now: start, served: make(map[string]float64), refused: make(map[string]int)}
 	for range routers {
-		a := &Apportioner{stretch: 1}
+		a := &Apportioner{stretch: stretcher{value: 1}}
 		a.Capacity(capacity)
 		a.Routers(routers)
 		f.routers = append(f.routers, a)
@@ -52,7 +52,7 @@
 		}
 	}
 	for _, a := range f.routers {
-		a.Demand(f.now, sums, 1)
+		a.Demand(f.now, sums, Signal{Stretch: 1})
 	}
 }
 
@@ -106,14 +106,14 @@
 		"new ones leave room":       {fresh: 10_000, late: func(served float64) bool { return served > 20_000 }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			a := &Apportioner{stretch: 1}
+			a := &Apportioner{stretch: stretcher{value: 1}}
 			a.Capacity(80_000)
 			a.Routers(1)
 			now, served := start, map[bool]float64{}
 			for i := range 3000 {
 				now = now.Add(10 * time.Millisecond)
 				if i%50 == 0 {
-					a.Demand(now, map[string]uint64{"flood": 1, "other": 200_000}, 1)
+					a.Demand(now, map[string]uint64{"flood": 1, "other": 200_000}, Signal{Stretch: 1})
 				}
 				// As long as the allowance is full from the start, late ones are let in too.
 				counted := i >= 1000
@@ -131,11 +131,11 @@
 
 // Symptom: a router that hears no keeper refuses nothing, or everything.
 func TestRouterThatIsCutOffTakesItselfForTheFleet(t *testing.T) {
-	a := &Apportioner{stretch: 1}
+	a := &Apportioner{stretch: stretcher{value: 1}}
 	a.Capacity(80_000)
 	a.Routers(4)
 	now, served := start.Add(time.Hour), 0.0
-	a.Demand(start, map[string]uint64{"flood": 5}, 1)
+	a.Demand(start, map[string]uint64{"flood": 5}, Signal{Stretch: 1})
 	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
 		if a.Admit(now, "flood", 1000, false).Admitted {
@@ -150,21 +150,74 @@
 func TestStretchFollowsTheWaiting(t *testing.T) {
 	tests := map[string]struct {
 		waited time.Duration
-		want   func(stretch float64) bool
+		want   float64
 	}{
-		"answers begin at once": {waited: 10 * time.Millisecond, want: func(s float64) bool { return s == stretchMost }},
-		"answers begin late":    {waited: time.Second, want: func(s float64) bool { return s == stretchLeast }},
+		"answers begin at once": {waited: 10 * time.Millisecond, want: stretchMost},
+		"answers begin late":    {waited: time.Second, want: stretchLeast},
+		"answers begin in time": {waited: 100 * time.Millisecond, want: stretchStart},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			a := &Apportioner{}
-			now := start
-			for range 2000 {
+			a, now := &Apportioner{}, start
+			for i := range 2000 {
 				now = now.Add(10 * time.Millisecond)
 				a.Observe(now, test.waited, 250*time.Millisecond)
+				if i%10 == 0 {
+					a.Demand(now, nil, a.Signal(now))
+				}
 			}
-			stretch, _ := a.Stretch()
-			require.True(t, test.want(stretch), stretch)
+			require.InDelta(t, test.want, a.Signal(now).Stretch, 0.01)
 		})
 	}
 }
+
+// Symptom: after an overload a third of the engines' time stays unused for fifteen
+// seconds. Sequence: shares shrink at all routers; then each router's few answers,
+// one of which is late now and then, let its stretch rise and fall by turns. Cause:
+// each router followed its own answers only.
+func TestStretchComesBackWithinSeconds(t *testing.T) {
+	const count = 40
+	routers := make([]*Apportioner, count)
+	for i := range routers {
+		routers[i] = &Apportioner{stretch: stretcher{value: stretchLeast}}
+	}
+	now := start
+	for i := range 500 { // a router has two answers a second
+		now = now.Add(10 * time.Millisecond)
+		waited := 40 * time.Millisecond
+		if i%20 == 0 {
+			waited = time.Second // one in twenty is late
+		}
+		routers[i*7%count].Observe(now, waited, 250*time.Millisecond)
+		if i%10 != 0 {
+			continue
+		}
+		var fleet Signal
+		for _, a := range routers {
+			seen := a.Signal(now)
+			fleet.Stretch += seen.Stretch / count
+			fleet.Answers += seen.Answers
+			fleet.Waiting += seen.Waiting * seen.Answers
+		}
+		fleet.Waiting /= fleet.Answers
+		for _, a := range routers {
+			a.Demand(now, nil, fleet)
+		}
+	}
+	for _, a := range routers {
+		require.Greater(t, a.Signal(now).Stretch, 1.2)
+	}
+}
+
+// A router that starts takes the fleet's stretch, and a fleet without answers keeps
+// what it has.
+func TestStretchOfANewcomer(t *testing.T) {
+	a := &Apportioner{}
+	require.InDelta(t, stretchStart, a.Signal(start).Stretch, 0)
+	a.Demand(start, nil, Signal{Stretch: 1.7})
+	require.InDelta(t, 1.7, a.Signal(start).Stretch, 0)
+	for i := range 50 {
+		a.Demand(start.Add(time.Duration(i)*time.Second), nil, Signal{Stretch: 1.7})
+	}
+	require.InDelta(t, 1.7, a.Signal(start).Stretch, 1e-9)
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -118,11 +118,11 @@
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoint: d.balancer.Update, Plan: d.plan, Routers: d.routers,
-		Uses: func() (map[string]uint64, float64) {
-			stretch, _ := d.shares.Stretch()
-			return d.shares.Rates(clock.Now()), stretch
+		Uses: func() (map[string]uint64, apportioner.Signal) {
+			now := clock.Now()
+			return d.shares.Rates(now), d.shares.Signal(now)
 		},
-		Demand: func(rates map[string]uint64, stretch float64) { d.shares.Demand(clock.Now(), rates, stretch) },
+		Demand: func(rates map[string]uint64, seen apportioner.Signal) { d.shares.Demand(clock.Now(), rates, seen) },
 	})
 	d.news = subscriber.New(subscriber.Options{Host: d.reader, Clock: clock, Log: log, Dial: d.dial})
 	d.passer = passer.New(passer.Options{
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -22,12 +22,10 @@
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_late_seconds", Help: "Mean lateness of timers: above 0.025 the router refuses."}, func() float64 { return d.pacer.Late().Seconds() })
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_share_stretch", Help: "By how much shares are stretched, as this router sees it."}, func() float64 {
-		stretch, _ := d.shares.Stretch()
-		return stretch
+		return d.shares.Signal(d.clock.Now()).Stretch
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_waiting_ratio", Help: "Mean wait for an answer's begin over its target."}, func() float64 {
-		_, waiting := d.shares.Stretch()
-		return waiting
+		return d.shares.Signal(d.clock.Now()).Waiting
 	})
 	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "shallotkeel_direct_endpoint_connections_total", Help: "Connections made to endpoints.",
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
@@ -33,7 +34,7 @@
 // maxCrashes bounds the crashes that are reported, 12 bytes each on the way.
 const maxCrashes = 1024
 
-// thousandths is the unit of a stretch in messages.
+// thousandths is the unit of a signal's figures in messages.
 const thousandths = 1000
 
 // Options are what a Reader is made of.
@@ -50,11 +51,11 @@
 	Plan func(table *resolver.Table)
 	// Routers is told how many routers the fleet has.
 	Routers func(count int)
-	// Uses returns what the workspaces ask for here, in tokens a second, and by how
-	// much shares may be stretched as this router sees it.
-	Uses func() (uses map[string]uint64, stretch float64)
-	// Demand is told the same of the whole fleet: the sums, and the mean stretch.
-	Demand func(uses map[string]uint64, stretch float64)
+	// Uses returns what the workspaces ask for here, in tokens a second, and what
+	// this router has seen of the engines.
+	Uses func() (uses map[string]uint64, seen apportioner.Signal)
+	// Demand is told the same of the whole fleet.
+	Demand func(uses map[string]uint64, seen apportioner.Signal)
 }
 
 // Reader implements subscriber.Host.
@@ -94,8 +95,9 @@
 func (r *Reader) Report(netip.AddrPort) *messenger.FollowRequest {
 	request := &messenger.FollowRequest{Node: r.options.Name, Zone: r.options.Zone, Plan: r.version()}
 	if r.options.Uses != nil {
-		uses, stretch := r.options.Uses()
-		request.Stretch = uint32(stretch * thousandths)
+		uses, seen := r.options.Uses()
+		request.Stretch = uint32(seen.Stretch * thousandths)
+		request.Waiting, request.Answers = uint32(seen.Waiting*thousandths), uint32(seen.Answers*thousandths)
 		for workspace, asked := range uses {
 			request.Uses = append(request.Uses, &messenger.Use{Workspace: workspace, Asked: asked})
 		}
@@ -135,7 +137,11 @@
 		for _, use := range news.GetUses() {
 			uses[use.GetWorkspace()] = use.GetAsked()
 		}
-		r.options.Demand(uses, float64(news.GetStretch())/thousandths)
+		r.options.Demand(uses, apportioner.Signal{
+			Stretch: float64(news.GetStretch()) / thousandths,
+			Waiting: float64(news.GetWaiting()) / thousandths,
+			Answers: float64(news.GetAnswers()) / thousandths,
+		})
 	}
 	if news.GetPlan() > r.version() {
 		r.fetch(ctx, keeper)
