--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -154,7 +154,7 @@
 	}{
 		"answers begin at once": {waited: 10 * time.Millisecond, want: stretchMost},
 		"answers begin late":    {waited: time.Second, want: stretchLeast},
-		"answers begin in time": {waited: 100 * time.Millisecond, want: stretchStart},
+		"answers begin in time": {waited: 125 * time.Millisecond, want: stretchStart},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
