Let idle endpoints of a plain service take turns

Cause: of three endpoints of a plain service one got up to ten times the requests of another, and answered after 120 ms at the median where the others took 35; it refused some as full. Each of 70 routers has one request now and then, finds all endpoints idle, and broke the tie by the same hash of the endpoint's name.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -97,11 +97,13 @@
 	services map[string][]*endpoint // sorted by id, without those that are gone
 	caps     map[string]int         // tokens of an engine's memory, by service
 	zones    map[string]zone
+	turns    uint64 // choices so far
 }
 
 type endpoint struct {
 	lister.Listing
 	seed    uint64
+	turn    uint64 // when it was chosen last, counted over all choices
 	running int
 	waiting int // tokens of prompts that were sent and are not yet read
 	held    parts
@@ -197,8 +199,8 @@
 	b.caps[service] = tokens
 }
 
-// Pick takes a slot at the cheapest endpoint that is not excluded. It returns
-// nil if there is none.
+// Pick takes a slot at the cheapest endpoint that is not excluded; of several, at
+// the one that was chosen longest ago. It returns nil if there is none.
 func (b *Balancer) Pick(now time.Time, service string, work *Work, excluded func(id string) bool) *Slot {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -210,7 +212,7 @@
 			continue
 		}
 		price, reading := b.price(now, e, work, e == first)
-		if price < bestPrice {
+		if price < bestPrice || price == bestPrice && best != nil && e.turn < best.turn {
 			best, bestPrice, bestReading = e, price, reading
 		}
 	}
@@ -236,8 +238,7 @@
 		penalty += lastChoice
 	}
 	if len(work.Parts) == 0 {
-		// The seed breaks ties in another order at each router and each endpoint.
-		return penalty + weights.Plain*float64(e.running) + float64(e.seed%1024)/4096, 0
+		return penalty + weights.Plain*float64(e.running), 0
 	}
 	kept := e.held.kept(work)
 	if guess := sum(work.shared()); home && kept < guess {
@@ -259,6 +260,8 @@
 	if e.running == 0 {
 		e.heard = now
 	}
+	b.turns++
+	e.turn = b.turns
 	e.running++
 	e.waiting += reading
 	if len(work.Parts) > 0 {
--- a/lib/balancer/balancer_test.go
+++ b/lib/balancer/balancer_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// Symptom: one endpoint of a plain service gets two thirds of its requests and
+// answers after three times as long as the others. Sequence: many routers have one
+// request now and then, each finds all endpoints idle. Cause: all of them broke the
+// tie by the same order.
+func TestIdleEndpointsTakeTurns(t *testing.T) {
+	b := fleet(3)
+	counts := make(map[string]int)
+	for range 30 {
+		slot := b.Pick(start, "engines", &Work{}, nil)
+		counts[slot.ID]++
+		slot.End(start, Served)
+	}
+	for id, count := range counts {
+		require.Equal(t, 10, count, id)
+	}
+}
+
 func TestOnlyReadyEndpointsGetWork(t *testing.T) {
 	b := fleet(2)
 	leaving := engine(1)
