Tell an endpoint's lives apart, and leave out heartbeats that name no endpoint

Cause: an instance that started again under its id had sequences from 1 and was taken for a late heartbeat: it stayed out, or kept its former life's memory, counts, pauses and silence at routers. Now a listing is one life, told apart by its start; the later start wins in any order, at the address too; routers begin anew with a later life, end what ran in the former one (repeated only where that is allowed) and close its connections. Ruled out: to order lives by when they were heard, which late heartbeats defeat. Without the mechanism (switched off one by one): the balancer's, passer's, reader's and lister's tests each fail.

--- a/keeper/internal/server/colleagues.go
+++ b/keeper/internal/server/colleagues.go
@@ -32,8 +32,12 @@
 }
 
 // News merges what another keeper lists.
-func (c colleagues) News(_ context.Context, _ netip.AddrPort, news *messenger.FollowResponse) {
-	if c.directory.merge(c.clock.Now(), news.GetListings()) {
+func (c colleagues) News(_ context.Context, keeper netip.AddrPort, news *messenger.FollowResponse) {
+	changed, unread := c.directory.merge(c.clock.Now(), news.GetListings())
+	if unread != nil && c.unusable.Admit(c.clock.Now(), c.log) {
+		c.log.Warn().Err(unread).Stringer("keeper", keeper).Msg("a listing cannot be read; it is left out")
+	}
+	if changed {
 		c.bulletin.wake()
 	}
 }
@@ -80,12 +84,12 @@
 }
 
 // servePlatform serves the platform's operators and endpoints.
-func (s *Server) servePlatform(platform Platform, failures chan<- error) (*http.Server, error) {
+func (s *Server) servePlatform(failures chan<- error) (*http.Server, error) {
 	listener, err := net.Listen("tcp", s.settings.Platform.Listen.String())
 	if err != nil {
 		return nil, merry.Errorf("platform address: %w; set \"platform\" to a free address of this instance", err)
 	}
-	server := &http.Server{Handler: platform(planning{s}), ReadHeaderTimeout: stopGrace, IdleTimeout: time.Minute}
+	server := &http.Server{Handler: s.platform.Handler(planning{s}), ReadHeaderTimeout: stopGrace, IdleTimeout: time.Minute}
 	go func() { failures <- server.Serve(listener) }()
 	return server, nil
 }
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -40,6 +40,7 @@
 
 // heard is an instance's latest heartbeat.
 type heard struct {
+	started  time.Time
 	sequence uint64
 	at       time.Time
 }
@@ -66,14 +67,24 @@
 	if d.heard == nil {
 		d.heard = make(map[string]heard)
 	}
-	d.heard[beat.ID] = heard{sequence: beat.Sequence, at: now}
+	if !beat.Started.Before(d.heard[beat.ID].started) {
+		d.heard[beat.ID] = heard{started: beat.Started, sequence: beat.Sequence, at: now}
+	}
 	return changed
 }
 
-func (d *directory) leave(now time.Time, id string) bool {
+// lists tells whether an instance is listed under a service.
+func (d *directory) lists(id, service string) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	listing, found := d.list.Find(id)
+	return found && listing.Service == service
+}
+
+func (d *directory) leave(now time.Time, id string, started time.Time) bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return d.list.Leave(now, id)
+	return d.list.Leave(now, id, started)
 }
 
 func (d *directory) pass(now time.Time) bool {
@@ -92,15 +103,16 @@
 	return d.list.Pass(now)
 }
 
-// merge takes another keeper's news.
-func (d *directory) merge(now time.Time, listings []*messenger.Listing) bool {
+// merge takes another keeper's news. It tells whether the list changed, and why the
+// last entry that could not be read was left out.
+func (d *directory) merge(now time.Time, listings []*messenger.Listing) (changed bool, unread error) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	changed := false
 	for _, wire := range listings {
 		listing, err := lister.FromWire(wire)
 		if err != nil {
-			continue // its own keeper has logged it
+			unread = err
+			continue
 		}
 		// Whether it is silent is for each keeper to say: this one may hear it.
 		listing.Silent = false
@@ -108,7 +120,7 @@
 			changed = true
 		}
 	}
-	return changed
+	return changed, unread
 }
 
 // follow notes a follower's report and tells whether the list changed by it.
@@ -126,7 +138,7 @@
 	known.at, known.keeper, known.report = now, request.GetKeeper(), request
 	changed := false
 	for _, h := range request.GetHeard() {
-		if d.list.Heard(now, h.GetId(), h.GetSequence()) {
+		if d.list.Heard(now, h.GetId(), lister.FromMillis(h.GetStartedMs()), h.GetSequence()) {
 			changed = true
 		}
 	}
@@ -234,7 +246,7 @@
 			delete(d.heard, id)
 			continue
 		}
-		recent = append(recent, &messenger.Heard{Id: id, Sequence: h.sequence})
+		recent = append(recent, &messenger.Heard{Id: id, Sequence: h.sequence, StartedMs: lister.ToMillis(h.started)})
 	}
 	return recent
 }
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -10,6 +10,7 @@
 // metrics reads what the control loop published; nothing is counted twice.
 type metrics struct {
 	registry *prometheus.Registry
+	unusable *prometheus.CounterVec // heartbeats that name no endpoint to use, by reason
 }
 
 func newMetrics(s *Server) *metrics {
@@ -41,7 +42,11 @@
 	counter("messages_dropped_total", "Messages of the agreement that were not delivered.", func(v *view) float64 { return float64(v.dropped) })
 	counter("control_sent_bytes_total", "Bytes sent on control connections.", func(*view) float64 { return float64(s.bytes.Sent.Load()) })
 	counter("control_received_bytes_total", "Bytes received on control connections.", func(*view) float64 { return float64(s.bytes.Received.Load()) })
-	return &metrics{registry: registry}
+	unusable := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "keeper", Name: "unusable_heartbeats_total", Help: "Heartbeats that name no endpoint to use, by what is at fault.",
+	}, []string{"reason"})
+	registry.MustRegister(unusable)
+	return &metrics{registry: registry, unusable: unusable}
 }
 
 func truth(value bool) float64 {
--- /dev/null
+++ b/keeper/internal/server/naming_test.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
+)
+
+// Symptom: an endpoint that serves gets no work for the rest of its life. Sequence:
+// another process announces an instance of a service that nobody named, at the
+// endpoint's address. Cause: it was believed to have that address now.
+func TestOnlyNamedServicesAreListed(t *testing.T) {
+	group := seededGroup(t, 1)
+	p := group[0].served
+	listed := func(id string) lister.State {
+		d := &p.(planning).directory
+		d.lock.Lock()
+		defer d.lock.Unlock()
+		listing, _ := d.list.Find(id)
+		return listing.State
+	}
+	other := endpointAt("x", 1, lister.Ready)
+	other.Service = "nobody's"
+	p.Beat(other)
+	require.Equal(t, lister.Ready, listed("x"), "there is no configuration yet that could name it")
+	p.Leave("x", other.Started)
+
+	submit(t, p, version(1, "desk lounge"))
+	require.Eventually(t, func() bool { return p.(planning).view.Load().plan.GetVersion() == 1 }, patience, 20*time.Millisecond)
+	p.Beat(endpointAt("a", 1, lister.Ready))
+	forged := endpointAt("y", 1, lister.Ready)
+	forged.Service = "nobody's"
+	p.Beat(forged)
+	forged.ID = "a"
+	forged.Sequence = 9
+	forged.State = lister.Leaving
+	p.Beat(forged)
+	require.Equal(t, lister.Ready, listed("a"))
+	require.Zero(t, listed("y"))
+
+	lounge := endpointAt("b", 1, lister.Ready)
+	lounge.Service = "lounge"
+	lounge.Address = netip.MustParseAddrPort("10.0.0.10:80")
+	p.Beat(lounge)
+	submit(t, p, version(2, "desk"))
+	require.Eventually(t, func() bool { return p.(planning).view.Load().plan.GetVersion() == 2 }, patience, 20*time.Millisecond)
+	lounge.Sequence, lounge.State = 2, lister.Leaving
+	p.Beat(lounge)
+	require.Equal(t, lister.Leaving, listed("b"), "one that is listed may always say that it leaves")
+}
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -27,8 +27,11 @@
 	Current(ctx context.Context, request *messenger.CurrentRequest) (*messenger.Plan, error)
 	// Beat takes a heartbeat. Followers are told what it changed before it returns.
 	Beat(beat lister.Listing)
-	// Leave notes that an instance gets no new work.
-	Leave(id string)
+	// Leave notes that an instance gets no new work. Started is the start of the life
+	// that ends, zero if the instance did not tell it.
+	Leave(id string, started time.Time)
+	// Unusable counts a heartbeat that names no endpoint to use.
+	Unusable(id string, fault lister.Unusable)
 }
 
 // planning implements messenger.Planning and Planner.
@@ -128,19 +131,36 @@
 	}
 }
 
-// Beat takes a heartbeat.
+// Beat takes a heartbeat. One of a service that nobody named is left out, unless it
+// is of a listed instance: that one may always say that it leaves.
 func (p planning) Beat(beat lister.Listing) {
+	named := p.naming.knows(p.view.Load().plan, beat.Service, p.platform, p.log)
+	if !named && !p.directory.lists(beat.ID, beat.Service) {
+		p.Unusable(beat.ID, lister.Unusable{Reason: lister.UnknownService, Field: "service"})
+		return
+	}
 	if p.directory.beat(p.clock.Now(), beat) {
 		p.log.Info().Str("endpoint", beat.ID).Str("service", beat.Service).Stringer("address", beat.Address).
-			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Msg("endpoint changed")
+			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Time("started", beat.Started).
+			Msg("endpoint changed")
 		p.bulletin.wake()
 	}
 }
 
 // Leave notes that an instance gets no new work.
-func (p planning) Leave(id string) {
-	if p.directory.leave(p.clock.Now(), id) {
-		p.log.Info().Str("endpoint", id).Msg("endpoint leaves")
+func (p planning) Leave(id string, started time.Time) {
+	if p.directory.leave(p.clock.Now(), id, started) {
+		p.log.Info().Str("endpoint", id).Time("started", started).Msg("endpoint leaves")
 		p.bulletin.wake()
 	}
 }
+
+// Unusable counts a heartbeat that names no endpoint to use. Other processes than
+// endpoints may send them, in any number, so that the lines of the log are bounded.
+func (p planning) Unusable(id string, fault lister.Unusable) {
+	p.metrics.unusable.WithLabelValues(string(fault.Reason)).Inc()
+	if p.unusable.Admit(p.clock.Now(), p.log) {
+		p.log.Warn().Err(fault).Str("endpoint", id).Str("reason", string(fault.Reason)).Str("field", fault.Field).
+			Msg("heartbeat left out")
+	}
+}
--- a/keeper/internal/server/planning_test.go
+++ b/keeper/internal/server/planning_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,9 +53,13 @@
 	p.cancel, p.ended, p.planner = cancel, make(chan error, 1), make(chan Planner, 1)
 	ended, planner := p.ended, p.planner
 	go func() {
-		ended <- Run(ctx, &p.settings, zerolog.Nop(), clockwork.NewRealClock(), func(served Planner) http.Handler {
-			planner <- served
-			return http.NotFoundHandler()
+		ended <- Run(ctx, &p.settings, zerolog.Nop(), clockwork.NewRealClock(), Platform{
+			Handler: func(served Planner) http.Handler {
+				planner <- served
+				return http.NotFoundHandler()
+			},
+			// A plan of these tests is the names of its services.
+			Services: func(text []byte) ([]string, error) { return strings.Fields(string(text)), nil },
 		})
 	}()
 	p.served = <-planner
@@ -209,7 +214,7 @@
 		}
 		if p != group[0] {
 			require.EqualValues(t, lister.Leaving, last.GetListings()[0].GetState())
-			p.served.Leave("a")
+			p.served.Leave("a", time.Time{})
 		}
 		news := <-waiting
 		require.Len(t, news.GetListings(), 1)
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -27,6 +27,7 @@
 	"shallotkeel.example/keeper/internal/driver"
 	"shallotkeel.example/keeper/internal/sender"
 	"shallotkeel.example/keeper/internal/settings"
+	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/recorder"
@@ -72,6 +73,9 @@
 	directory directory
 	followed  *subscriber.Subscriber
 	bulletin  watch
+	unusable  damper.Damper
+	naming    naming
+	platform  Platform
 	epoch     uint64
 	// seeds are the settings' own until the file changes.
 	seeds atomic.Pointer[[]netip.AddrPort]
@@ -101,12 +105,17 @@
 	err      error
 }
 
-// Platform makes the handler of the platform's operators and endpoints.
-type Platform func(Planner) http.Handler
+// Platform is the interface that a keeper serves on a platform. It is used only
+// where the settings name an address for it.
+type Platform struct {
+	// Handler serves the platform's operators and endpoints.
+	Handler func(Planner) http.Handler
+	// Services returns the names of the services of a configuration.
+	Services func(text []byte) ([]string, error)
+}
 
 // Run runs a keeper until the context ends, and then stops it gracefully. An
-// error means that it could not start or had to stop. Platform is only called
-// where the settings name an address for it.
+// error means that it could not start or had to stop.
 func Run(ctx context.Context, s *settings.Settings, log zerolog.Logger, clock clockwork.Clock, platform Platform) error {
 	folder, err := recorder.OpenFolder(s.Data)
 	if err != nil {
@@ -114,6 +123,7 @@
 	}
 	defer closeAndLog(folder, log)
 	server := newServer(s, log, clock)
+	server.platform = platform
 	defer server.sender.Close()
 	d, err := driver.Open(driver.Config{
 		Files: folder, Timing: server.timing, Transport: server.sender,
@@ -123,7 +133,7 @@
 		return err
 	}
 	defer closeAndLog(d, log)
-	return server.serve(ctx, d, platform)
+	return server.serve(ctx, d)
 }
 
 // closeAndLog closes something whose work is done: an error changes nothing.
@@ -174,7 +184,7 @@
 }
 
 // serve listens, runs the control loop and stops everything in order.
-func (s *Server) serve(ctx context.Context, d *driver.Driver, platform Platform) error {
+func (s *Server) serve(ctx context.Context, d *driver.Driver) error {
 	control, err := net.Listen("tcp", s.settings.Control.String())
 	if err != nil {
 		return merry.Errorf("control address: %w; set \"control\" to a free address of this instance", err)
@@ -198,7 +208,7 @@
 
 	servers := []*http.Server{controlServer, publicServer}
 	if s.settings.Platform != nil {
-		server, err := s.servePlatform(platform, failures)
+		server, err := s.servePlatform(failures)
 		if err != nil {
 			return err
 		}
--- a/keeper/internal/server/server_test.go
+++ b/keeper/internal/server/server_test.go
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel, p.ended = cancel, make(chan error, 1)
 	ended := p.ended
-	go func() { ended <- Run(ctx, &p.settings, zerolog.Nop(), clockwork.NewRealClock(), nil) }()
+	go func() { ended <- Run(ctx, &p.settings, zerolog.Nop(), clockwork.NewRealClock(), Platform{}) }()
 }
 
 // stop stops a keeper gracefully.
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -11,11 +11,13 @@
 //
 // Invariants: an endpoint that leaves or is gone is never chosen; one that has
 // failed is chosen only after its pause, or where no other is left; every slot
-// that was taken is given back once.
+// that was taken is given back once, to the life of the endpoint that it was taken
+// from.
 package balancer
 
 import (
 	"cmp"
+	"context"
 	"math"
 	"net/netip"
 	"slices"
@@ -107,11 +109,13 @@
 	running int
 	waiting int // tokens of prompts that were sent and are not yet read
 	held    parts
-	failed  float64   // share of failures, weighted to the latest
-	pauses  int       // failures in a row
-	until   time.Time // when its pause ends
-	probing bool      // one request tries it after its pause
-	heard   time.Time // when it last sent anything, or had nothing to do before
+	failed  float64         // share of failures, weighted to the latest
+	pauses  int             // failures in a row
+	until   time.Time       // when its pause ends
+	probing bool            // one request tries it after its pause
+	heard   time.Time       // when it last sent anything, or had nothing to do before
+	life    context.Context // done once the endpoint has started again
+	end     context.CancelFunc
 }
 
 // Slot is one request at an endpoint.
@@ -149,8 +153,8 @@
 	Withdrawn
 )
 
-// Update takes news of an endpoint.
-func (b *Balancer) Update(listing lister.Listing) {
+// Update takes news of an endpoint, and tells whether it has started again.
+func (b *Balancer) Update(listing lister.Listing) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.byID == nil {
@@ -158,26 +162,38 @@
 		b.services = make(map[string][]*endpoint)
 	}
 	known, found := b.byID[listing.ID]
-	if listing.State == lister.Gone {
-		if found {
-			b.unlist(known)
-			delete(b.byID, listing.ID)
-		}
-		return
+	restarted := found && !known.Started.Equal(listing.Started)
+	if restarted {
+		// It holds and runs nothing of before, so that what is believed of its former
+		// life goes with that life's entry. Memory of prompts that is not there would
+		// be paid for by whoever is sent to it, and a count of requests that nobody
+		// ends would keep work away for good.
+		known.end()
 	}
-	if !found {
-		known = &endpoint{Listing: listing, seed: hashText(listing.ID)}
-		b.byID[listing.ID] = known
-		b.list(known)
-		return
+	if found && (restarted || listing.State == lister.Gone) {
+		b.unlist(known)
+		delete(b.byID, listing.ID)
+		found = false
 	}
-	if known.Service != listing.Service {
+	switch {
+	case listing.State == lister.Gone:
+	case !found:
+		b.add(listing)
+	case known.Service != listing.Service:
 		b.unlist(known)
 		known.Listing = listing
 		b.list(known)
-		return
+	default:
+		known.Listing = listing
 	}
-	known.Listing = listing
+	return restarted
+}
+
+func (b *Balancer) add(listing lister.Listing) {
+	added := &endpoint{Listing: listing, seed: hashText(listing.ID)}
+	added.life, added.end = context.WithCancel(context.Background())
+	b.byID[listing.ID] = added
+	b.list(added)
 }
 
 func (b *Balancer) list(e *endpoint) {
@@ -287,6 +303,11 @@
 	return now.Sub(s.endpoint.heard) >= limit
 }
 
+// Life is done once the endpoint has started again: what ran in the slot has ended.
+func (s *Slot) Life() context.Context {
+	return s.endpoint.life
+}
+
 func (s *Slot) began() {
 	if s.reading {
 		s.reading = false
--- a/lib/balancer/balancer_test.go
+++ b/lib/balancer/balancer_test.go
@@ -188,6 +188,39 @@
 	require.Zero(t, p.kept(&Work{Model: "other", Parts: prompt(9, 10).Parts}))
 }
 
+// Symptom: an engine that has started again is idle beside refusals, or gets
+// requests for memory that it has lost. Sequence: it crashes while requests run and
+// comes back under its id; their slots are given back late. Cause: what was believed
+// of the former life was believed of the new one.
+func TestRestartedEndpointIsANewOne(t *testing.T) {
+	b := fleet(1)
+	var slots []*Slot
+	for own := range uint64(3) {
+		slots = append(slots, b.Pick(start, "engines", prompt(1, 10+own), nil))
+	}
+	slots[0].End(start, Broken)
+	again := engine(1)
+	again.Started = start.Add(time.Second)
+	require.NoError(t, slots[1].Life().Err())
+	require.True(t, b.Update(again))
+	require.Error(t, slots[1].Life().Err(), "what ran there has ended")
+	fresh := b.byID["i-1"]
+	require.Zero(t, fresh.running)
+	require.Zero(t, fresh.waiting)
+	require.Zero(t, fresh.held.kept(prompt(1, 10)))
+	require.True(t, fresh.until.IsZero(), "the former life's failures are not its own")
+	slot := b.Pick(start.Add(time.Second), "engines", prompt(1, 10), nil)
+	require.Equal(t, 6000-int(guessed*5000), slot.Reading)
+	slots[1].End(start.Add(time.Second), Broken)
+	slots[2].Heard(start.Add(time.Second))
+	slots[2].End(start.Add(time.Second), Unreached)
+	require.Equal(t, 1, fresh.running)
+	require.Equal(t, slot.Reading, fresh.waiting)
+	require.True(t, fresh.until.IsZero())
+	require.False(t, b.Update(again))
+	require.Same(t, fresh, b.byID["i-1"], "the same news again changes nothing")
+}
+
 // Symptom: while a zone is cut off, requests wait for four timeouts in a row and
 // are refused. Sequence: every endpoint of that zone has to fail by itself.
 func TestZoneThatCannotBeReachedIsTheLastChoice(t *testing.T) {
--- a/lib/damper/damper.go
+++ b/lib/damper/damper.go
@@ -1,4 +1,11 @@
-package passer
+// Package damper bounds how many lines of one kind a log gets in a second.
+//
+// What comes from outside may come by the thousand: a flood's refusals, heartbeats
+// that cannot be read. A line for each would cost the processor time that the rest
+// needs, and tell nothing that the first ones did not.
+//
+// Invariant: every line that is left out is counted in a later one.
+package damper
 
 import (
 	"sync"
@@ -7,34 +14,41 @@
 	"github.com/rs/zerolog"
 )
 
-// mostRefusals is how many refusals a second are logged one by one. A flood brings
-// 2,000 a second to one router; a line for each would tell nothing that the first
-// ones did not.
-const mostRefusals = 50
+// DefaultMost is how many lines a second are let through. A flood brings 2,000
+// refusals a second to one router.
+const DefaultMost = 50
+
+// Damper bounds the lines of one kind. Its zero value lets DefaultMost through. It
+// is safe for concurrent use.
+type Damper struct {
+	// Most is how many lines a second are let through, DefaultMost if 0.
+	Most int
 
-// quietly bounds the lines about requests that were refused before anything was
-// done for them. What is left out is counted in one line a second.
-type quietly struct {
 	mutex   sync.Mutex
 	second  time.Time
 	logged  int
 	omitted int
 }
 
-// admit tells whether one more refusal is to be logged.
-func (b *quietly) admit(now time.Time, log zerolog.Logger) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if second := now.Truncate(time.Second); !second.Equal(b.second) {
-		if b.omitted > 0 {
-			log.Info().Int("omitted", b.omitted).Time("second", b.second).Msg("refusals were not logged one by one")
+// Admit tells whether one more line is to be logged. The first one behind a second
+// in which some were left out is preceded by their count.
+func (d *Damper) Admit(now time.Time, log zerolog.Logger) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if second := now.Truncate(time.Second); !second.Equal(d.second) {
+		if d.omitted > 0 {
+			log.Info().Int("omitted", d.omitted).Time("second", d.second).Msg("lines were left out")
 		}
-		b.second, b.logged, b.omitted = second, 0, 0
+		d.second, d.logged, d.omitted = second, 0, 0
+	}
+	most := d.Most
+	if most == 0 {
+		most = DefaultMost
 	}
-	if b.logged >= mostRefusals {
-		b.omitted++
+	if d.logged >= most {
+		d.omitted++
 		return false
 	}
-	b.logged++
+	d.logged++
 	return true
 }
--- a/lib/damper/damper_test.go
+++ b/lib/damper/damper_test.go
@@ -1,4 +1,4 @@
-package passer
+package damper
 
 import (
 	"bytes"
@@ -9,19 +9,29 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestRefusalsOfAFloodAreCounted(t *testing.T) {
-	var written bytes.Buffer
-	log := zerolog.New(&written)
-	var b quietly
-	now := time.Unix(1000, 0)
-	logged := 0
-	for range 3 * mostRefusals {
-		if b.admit(now, log) {
-			logged++
-		}
+func TestLinesOfAFloodAreCounted(t *testing.T) {
+	tests := map[string]struct {
+		damper Damper
+		most   int
+	}{
+		"default": {most: DefaultMost},
+		"chosen":  {damper: Damper{Most: 3}, most: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var written bytes.Buffer
+			log := zerolog.New(&written)
+			now := time.Unix(1000, 0)
+			logged := 0
+			for range test.most + 100 {
+				if test.damper.Admit(now, log) {
+					logged++
+				}
+			}
+			require.Equal(t, test.most, logged)
+			require.Empty(t, written.String())
+			require.True(t, test.damper.Admit(now.Add(time.Second), log))
+			require.Contains(t, written.String(), `"omitted":100`)
+		})
 	}
-	require.Equal(t, mostRefusals, logged)
-	require.Empty(t, written.String())
-	require.True(t, b.admit(now.Add(time.Second), log))
-	require.Contains(t, written.String(), `"omitted":100`)
 }
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -354,6 +354,21 @@
 	c.count(cn.address, -1)
 }
 
+// Forget closes the idle connections to an address. The host calls it when what
+// listens there has started again: behind a network partition that an endpoint did
+// not survive, its connections look open, and each would cost a request.
+func (c *Client) Forget(address netip.AddrPort) {
+	c.mutex.Lock()
+	var over []*conn
+	if p, found := c.pools[address]; found {
+		over, p.idle = p.idle, nil
+	}
+	c.mutex.Unlock()
+	for _, cn := range over {
+		c.drop(cn)
+	}
+}
+
 // Sweep closes idle connections whose time is over. The host calls it now and
 // then.
 func (c *Client) Sweep() {
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -370,6 +370,32 @@
 	require.EqualValues(t, 2, e.accepts.Load())
 }
 
+// Symptom: requests to an endpoint that has just started again break or hang.
+// Sequence: it crashed behind a network partition, so that its connections look open.
+// Cause: they were kept.
+func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	e := listen(t, func(_ int64, conn net.Conn, reader *bufio.Reader) {
+		for request := take(reader); request != nil; request = take(reader) {
+			answer(conn, request.URL.Path, "body")
+		}
+	})
+	c := newClient()
+	send := func() {
+		x, err := c.Do(t.Context(), e.address, &Outgoing{ID: "/a", Method: "GET", Target: "/a", Host: "h"}, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, x.Body)
+		require.NoError(t, err)
+		x.Close()
+	}
+	send()
+	require.Equal(t, 1, c.idleTo(e.address))
+	c.Forget(e.address)
+	require.Zero(t, c.openTo(e.address))
+	c.Forget(e.address)
+	send()
+	require.EqualValues(t, 2, c.Opened())
+}
+
 func TestIdleTimeFollowsTheEndpoint(t *testing.T) {
 	tests := map[string]struct {
 		header string
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -3,12 +3,18 @@
 // A List is a pure state machine: the host passes in what was heard and when.
 // Keepers fill one from heartbeats and from one another, routers from keepers.
 //
+// An instance may start again under its id. Each start begins a life, which has
+// sequences and states of its own and is told from the others by when it began.
+//
 // Invariants:
-//   - of one instance's heartbeats only a higher sequence counts, so that a late
-//     one changes nothing;
-//   - an instance's state only rises: one that leaves never becomes ready again,
-//     and one that is gone stays gone, whatever arrives later;
-//   - at most one listed instance holds an address;
+//   - of one instance's lives only the latest is listed, in whatever order the
+//     heartbeats of several arrive;
+//   - of one life's heartbeats only a higher sequence counts, so that a late one
+//     changes nothing;
+//   - a life's state only rises: one that leaves never becomes ready again, and one
+//     that is gone stays gone, whatever arrives later;
+//   - at most one listed instance holds an address, of those whose start is known
+//     the one that started last;
 //   - lists that have heard the same, in any order, agree on every state.
 //
 // Memory: Forget drops what has been gone or silent for long, and MaxListings
@@ -38,13 +44,16 @@
 	Gone
 )
 
-// Listing is one instance of an endpoint.
+// Listing is one life of an instance of an endpoint.
 type Listing struct {
-	ID       string
-	Service  string
-	Zone     string
-	Address  netip.AddrPort
-	Slots    int
+	ID      string
+	Service string
+	Zone    string
+	Address netip.AddrPort
+	Slots   int
+	// Started is when this life began, by the instance's own clock. It is zero for
+	// an instance that does not tell: such a one has one life only.
+	Started  time.Time
 	Sequence uint64
 	State    State
 	// Silent tells that no heartbeat has come for SilentBeats intervals.
@@ -59,9 +68,9 @@
 // serves behind a partition announces itself again.
 const lostBeats = 50
 
-// freshSequence is the highest sequence with which an instance that nobody has
-// heard of takes the address of another at once. A higher one may be a late
-// heartbeat of an instance that has crashed since.
+// freshSequence is the highest sequence with which an instance that does not tell
+// its start, and that nobody has heard of, takes the address of another at once. A
+// higher one may be a late heartbeat of an instance that has crashed since.
 const freshSequence = 2
 
 // List is a list of endpoints. Its zero value is empty and usable; Interval has
@@ -71,10 +80,19 @@
 	Interval time.Duration
 
 	entries map[string]*entry
-	holders map[netip.AddrPort]string
+	holders map[netip.AddrPort]holder
 	last    uint64
 }
 
+// holder is the life that started last of those that have used an address. It is
+// remembered for as long as its heartbeats may still arrive late, also when it has
+// ended: a late heartbeat of a life before it must not bring that one back.
+type holder struct {
+	id      string
+	started time.Time
+	heard   time.Time
+}
+
 type entry struct {
 	Listing
 	heard    time.Time
@@ -94,14 +112,54 @@
 	if !found {
 		return l.add(now, beat)
 	}
+	switch beat.Started.Compare(known.Started) {
+	case -1:
+		if beat.unnamed() {
+			return l.Leave(now, beat.ID, time.Time{})
+		}
+		return l.late(now, beat)
+	case 1:
+		if known.unnamed() && beat.Sequence > freshSequence && now.Sub(known.heard) < 2*l.Interval {
+			beat.State = Gone // the life whose end was heard of before any of its heartbeats
+		}
+		return l.restart(now, known, beat)
+	default:
+		return l.renew(now, known, beat)
+	}
+}
+
+// unnamed tells whether this is the end of a life that nothing else was known of,
+// as another list tells it.
+func (b *Listing) unnamed() bool {
+	return b.State == Gone && b.Started.IsZero() && !b.Address.IsValid()
+}
+
+// late takes a heartbeat of an earlier life than the known one. All that it still
+// tells is who had the address.
+func (l *List) late(now time.Time, beat Listing) bool {
+	if beat.Started.IsZero() {
+		return false
+	}
+	before := l.last
+	l.claim(now, beat)
+	return l.last != before
+}
+
+// renew takes a further heartbeat of a known life.
+func (l *List) renew(now time.Time, known *entry, beat Listing) bool {
 	if beat.Sequence <= known.Sequence && beat.State <= known.State {
 		return false
 	}
 	known.heard = now
 	changed := known.Silent || known.pending
+	if !known.Address.IsValid() {
+		// Its end was heard of before its first heartbeat.
+		known.Address = beat.Address
+		l.claim(now, known.Listing)
+	}
 	if known.pending {
 		known.pending = false
-		l.hold(known)
+		l.hold(now, known)
 	}
 	known.Sequence = max(known.Sequence, beat.Sequence)
 	known.Silent = false
@@ -120,6 +178,18 @@
 	return changed
 }
 
+// restart replaces what is known of an instance by its next life. What the one
+// before had said, that it leaves or is gone included, says nothing of this one.
+func (l *List) restart(now time.Time, known *entry, beat Listing) bool {
+	l.release(known)
+	known.Listing, known.heard, known.pending = beat, now, false
+	if !l.claim(now, beat) {
+		known.State = Gone
+	}
+	l.touch(known)
+	return true
+}
+
 // update takes what an instance may say anew, and tells whether it differs.
 func (e *entry) update(beat Listing) bool {
 	if beat.Service == "" || beat.Service == e.Service && beat.Slots == e.Slots {
@@ -129,10 +199,11 @@
 	return true
 }
 
-// Heard takes the news that another list has had an instance's heartbeat.
-func (l *List) Heard(now time.Time, id string, sequence uint64) bool {
+// Heard takes the news that another list has had a heartbeat of a life. The first
+// heartbeat of a life comes as a listing.
+func (l *List) Heard(now time.Time, id string, started time.Time, sequence uint64) bool {
 	known, found := l.entries[id]
-	if !found || sequence <= known.Sequence {
+	if !found || !started.Equal(known.Started) || sequence <= known.Sequence {
 		return false
 	}
 	known.Sequence, known.heard = sequence, now
@@ -145,14 +216,17 @@
 }
 
 // Leave notes that an instance says it leaves for good. It still finishes what
-// it has, so that it only gets no new work.
-func (l *List) Leave(now time.Time, id string) bool {
+// it has, so that it only gets no new work. Started is zero if the instance did not
+// tell which life ends; it is then the one that is known.
+func (l *List) Leave(now time.Time, id string, started time.Time) bool {
 	known, found := l.entries[id]
-	if !found {
+	switch {
+	case !found:
 		// Remembered, so that a late heartbeat does not list it again.
-		return l.add(now, Listing{ID: id, State: Gone})
-	}
-	if known.State == Gone {
+		return l.add(now, Listing{ID: id, Started: started, State: Gone})
+	case started.After(known.Started):
+		return l.restart(now, known, Listing{ID: id, Started: started, State: Gone})
+	case !started.IsZero() && started.Before(known.Started) || known.State == Gone:
 		return false
 	}
 	known.State, known.heard = Gone, now
@@ -164,39 +238,75 @@
 func (l *List) add(now time.Time, beat Listing) bool {
 	if l.entries == nil {
 		l.entries = make(map[string]*entry)
-		l.holders = make(map[netip.AddrPort]string)
+		l.holders = make(map[netip.AddrPort]holder)
 	}
 	if len(l.entries) >= MaxListings {
 		return false
 	}
 	added := &entry{Listing: beat, heard: now}
 	l.entries[beat.ID] = added
-	holder, taken := l.entries[l.holders[beat.Address]]
-	if taken && beat.Sequence > freshSequence && now.Sub(holder.heard) < 2*l.Interval {
-		// Two instances claim the address. The one that is heard again has it.
+	if l.disputed(now, beat) {
+		// The one that is heard again has the address.
 		added.pending = true
 		return false
 	}
-	l.hold(added)
+	l.hold(now, added)
 	l.touch(added)
 	return true
 }
 
-// hold gives an address to an instance. Whoever had it before is gone: its
-// address is given out again only after its end.
-func (l *List) hold(e *entry) {
-	if e.State == Gone || !e.Address.IsValid() {
-		return
+// disputed tells whether another instance has used an address of late, and nothing
+// tells which of the two was there first.
+func (l *List) disputed(now time.Time, beat Listing) bool {
+	before, taken := l.holders[beat.Address]
+	if !taken || !before.started.IsZero() || !beat.Started.IsZero() || beat.Sequence <= freshSequence {
+		return false
 	}
-	if before, taken := l.entries[l.holders[e.Address]]; taken && before != e {
-		before.State = Gone
-		l.touch(before)
+	e, listed := l.entries[before.id]
+	return listed && now.Sub(e.heard) < 2*l.Interval
+}
+
+// hold gives an address to a life, unless one that started later has had it.
+func (l *List) hold(now time.Time, e *entry) {
+	if !l.claim(now, e.Listing) {
+		e.State = Gone
 	}
-	l.holders[e.Address] = e.ID
 }
 
+// claim notes that a life uses an address, and tells whether no later one has.
+// Whoever had it before is gone: an address is given out again only after its
+// holder's end.
+func (l *List) claim(now time.Time, beat Listing) bool {
+	if !beat.Address.IsValid() || beat.State == Gone && beat.Started.IsZero() {
+		return true
+	}
+	before, taken := l.holders[beat.Address]
+	if taken && beat.Started.Before(before.started) {
+		return false
+	}
+	if taken && before.id != beat.ID {
+		l.end(before)
+	}
+	if !taken && len(l.holders) >= 2*MaxListings {
+		return true
+	}
+	l.holders[beat.Address] = holder{id: beat.ID, started: beat.Started, heard: now}
+	return true
+}
+
+// end notes that a life is over because another has its address.
+func (l *List) end(before holder) {
+	e, found := l.entries[before.id]
+	if found && e.Started.Equal(before.started) && e.State != Gone {
+		e.State = Gone
+		l.touch(e)
+	}
+}
+
+// release frees the address of a life that does not tell its start: whoever
+// announces itself there is another one. Where starts are told they decide.
 func (l *List) release(e *entry) {
-	if l.holders[e.Address] == e.ID {
+	if e.Started.IsZero() && l.holders[e.Address].id == e.ID {
 		delete(l.holders, e.Address)
 	}
 }
@@ -221,6 +331,11 @@
 			l.touch(e)
 		}
 	}
+	for address, h := range l.holders {
+		if _, listed := l.entries[h.id]; !listed && now.Sub(h.heard) > lostBeats*l.Interval {
+			delete(l.holders, address)
+		}
+	}
 	return l.last != before
 }
 
--- a/lib/lister/lister_test.go
+++ b/lib/lister/lister_test.go
@@ -104,12 +104,12 @@
 
 func TestLeaveIsFinal(t *testing.T) {
 	l := &List{Interval: interval}
-	l.Leave(start, "a")
+	l.Leave(start, "a", time.Time{})
 	l.Beat(start, beat("a", 7, Ready))
 	require.Equal(t, Gone, l.stateOf("a"), "its heartbeat was overtaken")
 	l.Beat(start, beat("b", 1, Ready))
-	require.True(t, l.Leave(start, "b"))
-	require.False(t, l.Leave(start, "b"))
+	require.True(t, l.Leave(start, "b", time.Time{}))
+	require.False(t, l.Leave(start, "b", time.Time{}))
 	require.Equal(t, Gone, l.stateOf("b"))
 }
 
@@ -121,8 +121,8 @@
 	listing, _ := l.Find("a")
 	require.True(t, listing.Silent)
 	require.Equal(t, Ready, listing.State, "it may still serve")
-	require.False(t, l.Heard(start, "a", 1), "an old number ends no silence")
-	require.True(t, l.Heard(start.Add(5*interval), "a", 2), "another list has heard it")
+	require.False(t, l.Heard(start, "a", time.Time{}, 1), "an old number ends no silence")
+	require.True(t, l.Heard(start.Add(5*interval), "a", time.Time{}, 2), "another list has heard it")
 	listing, _ = l.Find("a")
 	require.False(t, listing.Silent)
 	l.Pass(start.Add((lostBeats + 6) * interval))
@@ -176,6 +176,7 @@
 func TestWire(t *testing.T) {
 	for name, listing := range map[string]Listing{
 		"ready":              beat("a", 4, Ready),
+		"started again":      lifeBeat("a", 2, 4, Ready),
 		"gone, never listed": {ID: "a", State: Gone},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lib/lister/wire.go
+++ b/lib/lister/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -20,14 +21,32 @@
 	if l.Address.IsValid() {
 		wire.Address = l.Address.String()
 	}
+	wire.StartedMs = ToMillis(l.Started)
 	return wire
 }
 
+// ToMillis converts the start of a life for a message. A start that is not known is 0.
+func ToMillis(started time.Time) uint64 {
+	if started.IsZero() {
+		return 0
+	}
+	return uint64(started.UnixMilli())
+}
+
+// FromMillis converts the start of a life from a message.
+func FromMillis(milliseconds uint64) time.Time {
+	if milliseconds == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(milliseconds))
+}
+
 // FromWire converts a message's listing.
 func FromWire(wire *messenger.Listing) (Listing, error) {
 	l := Listing{
 		ID: wire.GetId(), Service: wire.GetService(), Zone: wire.GetZone(), Slots: int(wire.GetSlots()),
 		Sequence: wire.GetSequence(), State: State(wire.GetState()), Silent: wire.GetSilent(),
+		Started: FromMillis(wire.GetStartedMs()),
 	}
 	if l.ID == "" || l.State < Ready || l.State > Gone {
 		return Listing{}, merry.Errorf("%w: instance %q in state %d; run one version of all programs", ErrWire, l.ID, l.State)
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -23,6 +23,7 @@
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/loader"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/pacer"
@@ -117,7 +118,7 @@
 	dialect := platform.Dialect{}
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
-		Endpoint: d.balancer.Update, Plan: d.plan, Routers: d.routers,
+		Endpoint: d.endpoint, Plan: d.plan, Routers: d.routers,
 		Uses: func() (map[string]uint64, apportioner.Signal) {
 			now := clock.Now()
 			return d.shares.Rates(now), d.shares.Signal(now)
@@ -151,6 +152,14 @@
 	return known
 }
 
+// endpoint takes news of an endpoint.
+func (d *Director) endpoint(listing lister.Listing) {
+	if d.balancer.Update(listing) {
+		d.client.Forget(listing.Address)
+		d.log.Info().Str("endpoint", listing.ID).Time("started", listing.Started).Msg("endpoint has started again")
+	}
+}
+
 // plan prepares for a configuration that is about to be in force.
 func (d *Director) plan(table *resolver.Table) {
 	d.shares.Capacity(table.Limits().Rate)
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -193,7 +193,7 @@
 			r.options.Log.Warn().Err(err).Stringer("keeper", keeper).Msg("a listing cannot be read; it is left out")
 			continue
 		}
-		r.noteSilence(keeper, listing.ID, listing.Silent)
+		r.noteSilence(keeper, listing)
 		listing.Silent = false
 		r.list.Beat(now, listing)
 		said[listing.ID] = true
@@ -212,21 +212,30 @@
 	for _, listing := range changed {
 		r.options.Log.Info().Str("endpoint", listing.ID).Str("service", listing.Service).Stringer("address", listing.Address).
 			Uint8("state", uint8(listing.State)).Bool("silent", listing.Silent).Uint64("sequence", listing.Sequence).
+			Time("started", listing.Started).
 			Stringer("keeper", keeper).Msg("endpoint changed")
 		r.options.Endpoint(listing)
 	}
 }
 
-// noteSilence remembers which keepers hear nothing of an instance.
-func (r *Reader) noteSilence(keeper netip.AddrPort, id string, silent bool) {
-	if !silent {
-		delete(r.silent[id], keeper)
+// noteSilence remembers which keepers hear nothing of an instance. What a keeper
+// says of a life that is over says nothing of the one that followed.
+func (r *Reader) noteSilence(keeper netip.AddrPort, listing lister.Listing) {
+	known, found := r.list.Find(listing.ID)
+	if found && listing.Started.Before(known.Started) {
 		return
 	}
-	if r.silent[id] == nil {
-		r.silent[id] = make(map[netip.AddrPort]bool)
+	if found && listing.Started.After(known.Started) {
+		delete(r.silent, listing.ID)
 	}
-	r.silent[id][keeper] = true
+	if !listing.Silent {
+		delete(r.silent[listing.ID], keeper)
+		return
+	}
+	if r.silent[listing.ID] == nil {
+		r.silent[listing.ID] = make(map[netip.AddrPort]bool)
+	}
+	r.silent[listing.ID][keeper] = true
 }
 
 func (r *Reader) takeQuarantine(fingerprints []*messenger.Fingerprint) {
--- a/router/internal/newsreader/newsreader_test.go
+++ b/router/internal/newsreader/newsreader_test.go
@@ -110,6 +110,32 @@
 	require.False(t, b.known["a"].Silent)
 }
 
+// Symptom: an endpoint that has just started again is the last choice. Sequence: all
+// keepers had missed its former life's heartbeats; one of them tells so late. Cause:
+// silence was remembered by the instance, whichever life it was of.
+func TestSilenceIsOfOneLife(t *testing.T) {
+	b := newBed(t)
+	said := func(started int64, silent bool) *messenger.FollowResponse {
+		l := listing("a", 1, lister.Ready, silent)
+		l.StartedMs = uint64(started)
+		return &messenger.FollowResponse{Listings: []*messenger.Listing{l}}
+	}
+	for _, k := range []byte{1, 2, 3} {
+		b.news(k, said(1000, true))
+	}
+	require.True(t, b.known["a"].Silent)
+	b.news(1, said(9000, false))
+	require.False(t, b.known["a"].Silent)
+	b.news(2, said(1000, true))
+	b.news(3, said(1000, true))
+	b.reader.Lost(at(1), nil)
+	require.False(t, b.known["a"].Silent)
+	require.Equal(t, time.UnixMilli(9000), b.known["a"].Started)
+	b.news(2, said(9000, true))
+	b.news(3, said(9000, true))
+	require.True(t, b.known["a"].Silent)
+}
+
 func TestLeavingIsBelievedOfAnyKeeper(t *testing.T) {
 	b := newBed(t)
 	b.news(1, &messenger.FollowResponse{Listings: []*messenger.Listing{listing("a", 3, lister.Leaving, false)}})
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -28,8 +28,14 @@
 	wholeBytes = 64 << 10
 )
 
-// errStalled ends an attempt whose endpoint has been silent for too long.
-var errStalled = merry.Sentinel("the endpoint sends nothing")
+// The reasons for which an attempt is ended while its client waits.
+var (
+	// errStalled ends an attempt whose endpoint has been silent for too long.
+	errStalled = merry.Sentinel("the endpoint sends nothing")
+	// errRestarted ends an attempt whose endpoint has started again: nothing of it
+	// runs any more.
+	errRestarted = merry.Sentinel("the endpoint has started again")
+)
 
 // attempt sends the request to one endpoint. It returns nil once the client has
 // its answer.
@@ -67,6 +73,8 @@
 	}
 	watch := p.watch(q, slot, cancel)
 	defer watch.stop()
+	unlink := context.AfterFunc(slot.Life(), func() { cancel(errRestarted) })
+	defer unlink()
 	x, err := p.options.Client.Do(ctx, slot.Address, out, func() bool {
 		if ctx.Err() != nil || gone(q.http.Context()) {
 			return false
@@ -101,10 +109,15 @@
 	case errors.Is(err, forwarder.ErrUnsent):
 		e.unsent, e.outcome = true, balancer.Unreached
 	case context.Cause(ctx) != nil:
-		// Its own time was over, or nobody waits: nothing crashed.
-		if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
+		switch cause := context.Cause(ctx); {
+		case errors.Is(cause, errRestarted):
+			// It may be what the endpoint crashed of, as with a connection that broke.
+			p.options.News.Crashed(q.digest)
+			e.reason = cause.Error()
+		case errors.Is(cause, errStalled):
 			e.reason = cause.Error()
 		}
+		// Else its own time was over, or nobody waits: nothing crashed.
 	case errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, os.ErrDeadlineExceeded):
 		p.options.News.Crashed(q.digest)
 	}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -33,6 +33,7 @@
 	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/budgeter"
+	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/resolver"
 )
@@ -91,7 +92,7 @@
 type Passer struct {
 	options Options
 	drain   drain
-	quietly quietly
+	quietly damper.Damper
 	returns returns
 }
 
@@ -209,7 +210,7 @@
 	if d.Admitted {
 		return true
 	}
-	if p.quietly.admit(q.received, p.options.Log) {
+	if p.quietly.Admit(q.received, p.options.Log) {
 		p.options.Log.Info().Str("id", q.in.ID).Str("workspace", q.workspace).Float64("tokens", tokens).
 			Float64("asked", d.Asked).Float64("share", d.Share).Float64("local", d.Local).Float64("stretch", d.Stretch).
 			Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
@@ -367,7 +368,7 @@
 	now := p.options.Clock.Now()
 	took := now.Sub(q.received)
 	p.options.Metrics.ended(q, took)
-	if q.told || q.sends == 0 && q.unsent == 0 && !p.quietly.admit(now, p.options.Log) {
+	if q.told || q.sends == 0 && q.unsent == 0 && !p.quietly.Admit(now, p.options.Log) {
 		return
 	}
 	line := p.options.Log.Info()
