Serve what is owed first, and the rest only where engines have room

Cause: what workspaces got beyond their right made others late: a workspace that asks for little is never refused, yet a fifth of its tokens was late behind those of floods. Change: two shares are kept for each workspace, what it has a right to (1.1 of the stated capacity) and what engines bear (the stretch). A request beyond the first is sent only if its first token is expected within half of its target, else refused at once. Also: the test of restarted endpoints waits until the client has what came before.

--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -67,13 +67,13 @@
 }
 
 type workspace struct {
-	rate    float64 // tokens a second asked for here
-	at      time.Time
-	whole   float64 // tokens a second asked for in the whole fleet, as told
-	share   float64 // tokens a second that the fleet owes it
-	tokens  float64 // that may be admitted here now
-	filled  time.Time
-	bounded bool // its share has been a bound at its last request
+	rate   float64 // tokens a second asked for here
+	at     time.Time
+	whole  float64 // tokens a second asked for in the whole fleet, as told
+	share  float64 // tokens a second that the fleet owes it
+	filled time.Time
+	owed   allowance // what it has a right to
+	most   allowance // what it may have while engines bear it
 }
 
 // Capacity sets what the fleet yields, in tokens a second.
@@ -143,16 +143,22 @@
 	return stretch(a.backlog)
 }
 
-// divide computes the shares: the capacity is filled up evenly until it is used.
+// divide computes the shares of what is owed and of what engines bear now.
 func (a *Apportioner) divide() {
 	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
-	left := a.capacity * stretch(a.backlog)
+	fill(asking, a.capacity*stretchOwed, func(w *workspace) *allowance { return &w.owed })
+	fill(asking, a.capacity*stretch(a.backlog), func(w *workspace) *allowance { return &w.most })
+}
+
+// fill divides a capacity evenly until it is used. The workspaces are sorted by what
+// they ask for.
+func fill(asking []*workspace, capacity float64, of func(w *workspace) *allowance) {
 	for i, w := range asking {
-		even := left / float64(len(asking)-i)
-		w.share = min(w.whole, even)
-		left -= w.share
+		even := capacity / float64(len(asking)-i)
+		capacity -= min(w.whole, even)
+		of(w).share = even
 		if w.whole <= even {
-			w.share = math.Inf(1) // it may have what it asks for, also if that grows
+			of(w).share = math.Inf(1) // it may have what it asks for, also if that grows
 		}
 	}
 }
@@ -160,6 +166,9 @@
 // Decision is the answer to a request, with what it rests on.
 type Decision struct {
 	Admitted bool
+	// Spare tells that it was admitted beyond what the workspace has a right to: it
+	// should run only where it keeps nobody else waiting.
+	Spare bool
 	// Pause is when a refused request may come back.
 	Pause time.Duration
 	// Asked and Share are the workspace's in the whole fleet, and Local is what of
@@ -192,32 +201,30 @@
 	w.filled = now
 	w.decay(now)
 	w.rate += tokens * math.Ln2 / halfLife.Seconds()
-	local := a.local(now, w)
-	d := Decision{Admitted: true, Asked: w.whole, Share: w.share, Local: local, Stretch: stretch(a.backlog), Age: now.Sub(a.told)}
-	if math.IsInf(local, 1) {
-		w.bounded = false
-		return d
-	}
-	if !w.bounded {
-		w.bounded, w.tokens = true, local*firstBurst
-	}
-	w.tokens = min(w.tokens+local*elapsed, local*Burst)
+	most := a.local(now, w, w.most.share)
+	d := Decision{Admitted: true, Asked: w.whole, Share: w.most.share, Local: most, Stretch: stretch(a.backlog), Age: now.Sub(a.told)}
+	w.most.grow(most, elapsed)
+	w.owed.grow(a.local(now, w, w.owed.share), elapsed)
 	least := 0.0
 	if late {
-		least = lateLevel * local * Burst
+		least = lateLevel * most * Burst
 	}
-	if w.tokens < least {
+	if w.most.bounded && w.most.tokens < least {
 		d.Admitted = false
-		d.Pause = time.Duration((least - w.tokens) / max(local, 1) * float64(time.Second))
+		d.Pause = time.Duration((least - w.most.tokens) / max(most, 1) * float64(time.Second))
 		return d
 	}
-	w.tokens -= tokens
+	w.most.tokens -= tokens
+	d.Spare = w.owed.bounded && w.owed.tokens < 0
+	if !d.Spare {
+		w.owed.tokens -= tokens
+	}
 	return d
 }
 
-// local is the part of a workspace's share that is this router's, in tokens a
+// local is the part of one of a workspace's shares that is this router's, in tokens a
 // second.
-func (a *Apportioner) local(now time.Time, w *workspace) float64 {
+func (a *Apportioner) local(now time.Time, w *workspace, share float64) float64 {
 	if now.Sub(a.told) > staleAfter {
 		// Cut off from the keepers: the others are believed to do as this one.
 		if a.capacity <= 0 {
@@ -231,10 +238,10 @@
 		}
 		return a.capacity * stretch(a.backlog) / float64(max(active, 1)) / float64(max(a.routers, 1))
 	}
-	if math.IsInf(w.share, 1) || w.whole <= 0 {
+	if math.IsInf(share, 1) || w.whole <= 0 {
 		return math.Inf(1)
 	}
-	return w.share * min(a.rate(now, w)/w.whole, 1)
+	return share * min(a.rate(now, w)/w.whole, 1)
 }
 
 func (a *Apportioner) get(now time.Time, name string) *workspace {
@@ -248,7 +255,7 @@
 	if a.workspaces == nil {
 		a.workspaces = make(map[string]*workspace)
 	}
-	w = &workspace{at: now, filled: now, share: math.Inf(1)}
+	w = &workspace{at: now, filled: now, owed: allowance{share: math.Inf(1)}, most: allowance{share: math.Inf(1)}}
 	a.workspaces[name] = w
 	return w
 }
--- a/lib/apportioner/stretch.go
+++ b/lib/apportioner/stretch.go
@@ -3,6 +3,10 @@
 import "time"
 
 const (
+	// stretchOwed is the stretch of what is served whatever engines have to do. The
+	// stated capacity is owed at any time, and a tenth of what is admitted fails or comes
+	// too late.
+	stretchOwed = 1.1
 	// stretchLeast is the stretch while engines have all that they can bear. The
 	// stated capacity is owed at any time, and what the shares of a moment admit is
 	// some 0.15 less than their sum: demand has moved on by then, and some of it fails.
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -82,7 +82,7 @@
 	return &Reader{
 		options: options, silent: make(map[string]map[netip.AddrPort]bool),
 		contacts: make(map[netip.AddrPort]bool), begun: make(chan struct{}),
-		crashes:  make(map[uint64]*crash), quarantined: make(map[uint64]time.Time),
+		crashes: make(map[uint64]*crash), quarantined: make(map[uint64]time.Time),
 	}
 }
 
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -28,6 +28,24 @@
 	wholeBytes = 64 << 10
 )
 
+const (
+	// spareWait is the part of its target that a request beyond its workspace's right may
+	// be expected to wait for its first token. The engine that would run it has next to
+	// nothing else to do then. With it, days with trouble served 0.886 of what is owed in
+	// place of 0.875, and calm ones 0.953 in place of 0.946.
+	spareWait = 0.5
+	// retryBusy is when a request may come back that found engines busy: half of what
+	// they have to do is done by then.
+	retryBusy = 100 * time.Millisecond
+)
+
+// keepsOthersWaiting tells whether a request that nobody owes an answer would be read
+// before, or together with, those that are owed one.
+func (p *Passer) keepsOthersWaiting(q *request, slot *balancer.Slot) bool {
+	first := q.sends == 0 && q.unsent == 0
+	return q.spare && first && slot.Wait > time.Duration(spareWait*float64(q.in.Work.Target))
+}
+
 // The reasons for which an attempt is ended while its client waits.
 var (
 	// errStalled ends an attempt whose endpoint has been silent for too long.
@@ -44,8 +62,13 @@
 	if slot == nil {
 		return &ending{unsent: true, reason: "no endpoint of the service takes work"}
 	}
+	if p.keepsOthersWaiting(q, slot) {
+		slot.End(p.options.Clock.Now(), balancer.Withdrawn)
+		p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share, and engines are busy", retryBusy)
+		return nil
+	}
 	q.tried[slot.ID] = true
-	q.endpoint = slot.ID
+	q.endpoint, q.reading, q.expected = slot.ID, slot.Reading, slot.Wait
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	next := p.exchange(attemptCtx, cancel, q, slot)
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -135,6 +135,9 @@
 	begun    bool            // the client has a part of the answer
 	tried    map[string]bool // instances
 	endpoint string
+	spare    bool          // it is beyond what its workspace has a right to
+	reading  int           // tokens that the last endpoint probably had to read
+	expected time.Duration // until its first token
 	status   int
 	reason   string
 	first    time.Duration // until the first part of the answer
@@ -224,10 +227,10 @@
 	if !found || service.Engine == nil {
 		return true
 	}
-	work := &q.in.Work
-	tokens := float64(work.Prompt + outputPrice*work.Output)
+	tokens := float64(q.tokens())
 	d := p.options.Shares.Admit(q.received, q.workspace, tokens, q.late())
 	if d.Admitted {
+		q.spare = d.Spare
 		return true
 	}
 	if p.quietly.Admit(q.received, p.options.Log) {
@@ -240,6 +243,11 @@
 	return false
 }
 
+// tokens is what the request counts against its workspace's share.
+func (q *request) tokens() int {
+	return q.in.Work.Prompt + outputPrice*q.in.Work.Output
+}
+
 // left is what is left of the time within which the answer should begin. One that
 // is late already is in no less hurry than one that came now.
 func (q *request) left() time.Duration {
@@ -409,5 +417,6 @@
 	}
 	line.Str("id", q.in.ID).Str("workspace", q.workspace).Str("service", q.service).Str("endpoint", q.endpoint).
 		Int("sends", q.sends).Int("unreached", q.unsent).Int("status", q.status).Str("reason", q.reason).
+		Int("tokens", q.tokens()).Int("reading", q.reading).Dur("expected_ms", q.expected).Dur("since_ms", q.received.Sub(q.came)).
 		Dur("first_ms", q.first).Dur("took_ms", took).Msg("request")
 }
--- a/router/internal/passer/restart_test.go
+++ b/router/internal/passer/restart_test.go
@@ -1,6 +1,7 @@
 package passer
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -35,7 +36,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t)
-			running, end := make(chan struct{}, 1), make(chan struct{})
+			running, relayed, end := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
 			defer close(end)
 			first := b.endpoint(func(conn net.Conn, request *http.Request) {
 				if test.begun > 0 {
@@ -48,6 +49,9 @@
 			sent := make(chan struct{}, 4)
 			go func() {
 				<-running
+				if test.begun > 0 {
+					<-relayed
+				}
 				b.endpoint(func(conn net.Conn, request *http.Request) {
 					sent <- struct{}{}
 					if test.path == "/read/" {
@@ -61,7 +65,12 @@
 				b.balance.Update(listing)
 			}()
 			response := b.ask("POST", test.path, "prompt")
+			begin := make([]byte, len(events1to(test.begun)))
+			_, err := io.ReadFull(response.Body, begin)
+			require.NoError(t, err)
+			close(relayed)
 			body, err := text(response)
+			body = string(begin) + body
 			require.Equal(t, test.cut, err != nil)
 			require.Equal(t, test.status, response.StatusCode)
 			if test.status == http.StatusOK {
