--- a/bench/main.go
+++ b/bench/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"shallotkeel.example/bench/internal/attributor"
 	"shallotkeel.example/bench/internal/demo"
 	"shallotkeel.example/bench/internal/faults"
 	"shallotkeel.example/bench/internal/measurer"
@@ -99,6 +100,27 @@
 	return nil
 }
 
+// lossesCommand says where a played day's credit was lost.
+type lossesCommand struct {
+	Report string `long:"report" required:"true" value-name:"FILE" description:"report of the day"`
+	Log    string `long:"log" required:"true" value-name:"FILE" description:"what all routers logged on that day"`
+}
+
+// Execute is called by the parser.
+func (c *lossesCommand) Execute([]string) error {
+	report, err := os.Open(c.Report)
+	if err != nil {
+		return err
+	}
+	defer report.Close()
+	log, err := os.Open(c.Log)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	return attributor.Print(os.Stdout, report, log)
+}
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -116,6 +138,7 @@
 	}{
 		{"demo", "run a small deployment and check it", &demoCommand{}},
 		{"faults", "cause every fault of the matrix under load and count what must never happen", &faultsCommand{}},
+		{"losses", "say where a played day's credit was lost, by cause", &lossesCommand{}},
 		{"measure", "measure what the running path does and costs, against the baseline", &measureCommand{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.short, "", command.run); err != nil {
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -177,8 +177,10 @@
 	// the share is this router's, all in tokens a second. A share without a bound
 	// is +Inf.
 	Asked, Share, Local float64
-	// Stretch is what the shares were computed with.
+	// Stretch is what the shares were computed with, and Backlog how long engines still
+	// read what they had been sent.
 	Stretch float64
+	Backlog time.Duration
 	// Age is how old the sums over all routers are.
 	Age time.Duration
 }
@@ -204,7 +206,7 @@
 	w.decay(now)
 	w.rate += tokens * math.Ln2 / halfLife.Seconds()
 	most := a.local(now, w, w.most.share)
-	d := Decision{Admitted: true, Asked: w.whole, Share: w.most.share, Local: most, Stretch: stretch(a.backlog), Age: now.Sub(a.told)}
+	d := Decision{Admitted: true, Asked: w.whole, Share: w.most.share, Local: most, Stretch: stretch(a.backlog), Backlog: a.backlog, Age: now.Sub(a.told)}
 	w.most.grow(most, elapsed)
 	w.owed.grow(a.local(now, w, w.owed.share), elapsed)
 	least := 0.0
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -73,7 +73,7 @@
 		return nil
 	}
 	q.tried[slot.ID] = true
-	q.endpoint, q.reading, q.expected = slot.ID, slot.Reading, slot.Wait
+	q.endpoint, q.reading, q.queue, q.expected = slot.ID, slot.Reading, slot.Queue, slot.Wait
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	next := p.exchange(attemptCtx, cancel, q, slot)
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -137,6 +137,7 @@
 	endpoint string
 	spare    bool          // it is beyond what its workspace has a right to
 	reading  int           // tokens that the last endpoint probably had to read
+	queue    time.Duration // for which that one still read what it had been sent
 	expected time.Duration // until its first token
 	status   int
 	reason   string
@@ -236,7 +237,7 @@
 	if p.quietly.Admit(q.received, p.options.Log) {
 		p.options.Log.Info().Str("id", q.in.ID).Str("workspace", q.workspace).Float64("tokens", tokens).
 			Float64("asked", d.Asked).Float64("share", d.Share).Float64("local", d.Local).Float64("stretch", d.Stretch).
-			Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
+			Dur("backlog_ms", d.Backlog).Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
 	}
 	q.told = true
 	p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share", max(d.Pause, retrySoon))
@@ -417,6 +418,7 @@
 	}
 	line.Str("id", q.in.ID).Str("workspace", q.workspace).Str("service", q.service).Str("endpoint", q.endpoint).
 		Int("sends", q.sends).Int("unreached", q.unsent).Int("status", q.status).Str("reason", q.reason).
-		Int("tokens", q.tokens()).Int("reading", q.reading).Dur("expected_ms", q.expected).Dur("since_ms", q.received.Sub(q.came)).
+		Int("tokens", q.tokens()).Int("reading", q.reading).Bool("spare", q.spare).Dur("target_ms", q.in.Work.Target).
+		Dur("queue_ms", q.queue).Dur("expected_ms", q.expected).Dur("since_ms", q.received.Sub(q.came)).
 		Dur("first_ms", q.first).Dur("took_ms", took).Msg("request")
 }
