Let a keeper work out a poll's answer once, and pace polls by the fleet

Cause: with ten polls a second from each router a keeper built the whole answer at every wake-up of every poll, also when it was not sent, and summed what all routers report each time: work that grows with the square of the routers. Now it looks whether there is news, keeps the sums as reports come, and routers hold their polls for longer in larger fleets (0.1 s for 7, 0.32 s for 64, 0.5 s at most), 200 polls a second at one keeper.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -34,6 +34,7 @@
 	list      lister.List
 	heard     map[string]heard // direct heartbeats, for the other keepers
 	followers map[string]*follower
+	uses      uses  // of all routers
 	loads     loads // of all routers
 	crashes   map[uint64]*crashes
 	convicted uint64 // rises with every quarantined fingerprint
@@ -97,6 +98,7 @@
 			f.report.Loads = nil
 		}
 		if now.Sub(f.at) > followerMemory {
+			d.uses.add(f.report.GetUses(), -1)
 			delete(d.followers, name)
 		}
 	}
@@ -140,6 +142,8 @@
 		known = &follower{}
 		d.followers[request.GetNode()] = known
 	}
+	d.uses.add(known.report.GetUses(), -1)
+	d.uses.add(request.GetUses(), 1)
 	d.loads.add(known.report.GetLoads(), -1)
 	d.loads.add(request.GetLoads(), 1)
 	known.at, known.keeper, known.report = now, request.GetKeeper(), request
@@ -186,8 +190,20 @@
 	return true
 }
 
-// news returns what a follower does not know yet, and whether there is any.
-func (d *directory) news(now time.Time, request *messenger.FollowRequest, epoch uint64) (*messenger.FollowResponse, bool) {
+// fresh tells whether there is anything that a follower does not know yet. It is asked
+// at each wake-up of each poll; the answer itself is built once, when it is sent.
+func (d *directory) fresh(request *messenger.FollowRequest, epoch uint64) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if request.GetEpoch() != epoch || len(d.list.Since(request.GetAfter())) > 0 {
+		return true
+	}
+	known, found := d.followers[request.GetNode()]
+	return found && known.told != d.convicted
+}
+
+// news returns what a follower does not know yet, and what all routers report.
+func (d *directory) news(now time.Time, request *messenger.FollowRequest, epoch uint64) *messenger.FollowResponse {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	after := request.GetAfter()
@@ -198,10 +214,9 @@
 	for _, listing := range d.list.Since(after) {
 		response.Listings = append(response.Listings, lister.ToWire(listing))
 	}
-	known, found := d.followers[request.GetNode()]
-	fresh := len(response.Listings) > 0 || request.GetEpoch() != epoch || found && known.told != d.convicted
-	d.sum(response)
 	if !request.GetKeeper() {
+		response.Routers = d.routers()
+		response.Uses = d.uses.told()
 		response.Loads = d.loads.others(request.GetLoads())
 	}
 	for digest, c := range d.crashes {
@@ -210,33 +225,21 @@
 			response.Quarantined = append(response.Quarantined, &messenger.Fingerprint{Digest: digest, LeftMs: uint32(max(left, 0) / time.Millisecond)})
 		}
 	}
-	return response, fresh
+	if known, found := d.followers[request.GetNode()]; found {
+		known.told = d.convicted
+	}
+	return response
 }
 
-// sum adds up what the routers report.
-func (d *directory) sum(response *messenger.FollowResponse) {
-	asked := make(map[string]uint64)
+// routers counts the routers that follow.
+func (d *directory) routers() uint32 {
+	count := uint32(0)
 	for _, f := range d.followers {
-		if f.keeper {
-			continue
-		}
-		response.Routers++
-		for _, use := range f.report.GetUses() {
-			asked[use.GetWorkspace()] += use.GetAsked()
+		if !f.keeper {
+			count++
 		}
 	}
-	for workspace, tokens := range asked {
-		response.Uses = append(response.Uses, &messenger.Use{Workspace: workspace, Asked: tokens})
-	}
-}
-
-// tell notes that a follower has been sent the quarantined fingerprints.
-func (d *directory) tell(node string) {
-	d.lock.Lock()
-	defer d.lock.Unlock()
-	if known, found := d.followers[node]; found {
-		known.told = d.convicted
-	}
+	return count
 }
 
 // recent returns the direct heartbeats of the last intervals. They are told more
--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -22,7 +22,7 @@
 		return d.follow(began, &messenger.FollowRequest{Node: node, Crashes: []*messenger.Crash{{Digest: 7, Count: count}}})
 	}
 	quarantined := func() int {
-		response, _ := d.news(began, &messenger.FollowRequest{Node: "other", Epoch: epoch}, epoch)
+		response := d.news(began, &messenger.FollowRequest{Node: "other", Epoch: epoch}, epoch)
 		return len(response.GetQuarantined())
 	}
 	require.False(t, report("a", 1))
@@ -31,11 +31,10 @@
 	require.True(t, report("b", 1), "everyone is told at once")
 	require.Equal(t, 1, quarantined())
 	d.follow(began, &messenger.FollowRequest{Node: "late"})
-	_, fresh := d.news(began, &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}, epoch)
-	require.True(t, fresh, "also those that follow later")
-	d.tell("late")
-	_, fresh = d.news(began, &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}, epoch)
-	require.False(t, fresh)
+	request := &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}
+	require.True(t, d.fresh(request, epoch), "also those that follow later")
+	d.news(began, request, epoch)
+	require.False(t, d.fresh(request, epoch))
 	d.pass(began.Add(crashMemory + time.Second))
 	require.Zero(t, quarantined(), "it is forgiven in the end")
 }
@@ -46,11 +45,11 @@
 		d.follow(began, &messenger.FollowRequest{Node: node, Uses: []*messenger.Use{{Workspace: "club", Asked: asked}}})
 	}
 	d.follow(began, &messenger.FollowRequest{Node: "keeper", Keeper: true})
-	response, _ := d.news(began, &messenger.FollowRequest{Node: "a"}, epoch)
+	response := d.news(began, &messenger.FollowRequest{Node: "a"}, epoch)
 	require.EqualValues(t, 2, response.GetRouters())
 	require.EqualValues(t, 150, response.GetUses()[0].GetAsked())
 	d.pass(began.Add(followerMemory + 1))
-	response, _ = d.news(began, &messenger.FollowRequest{Node: "a"}, epoch)
+	response = d.news(began, &messenger.FollowRequest{Node: "a"}, epoch)
 	require.Zero(t, response.GetRouters())
 	require.Empty(t, response.GetUses())
 }
@@ -65,7 +64,7 @@
 		return request
 	}
 	told := func(request *messenger.FollowRequest) map[uint64]load {
-		response, _ := d.news(began, request, epoch)
+		response := d.news(began, request, epoch)
 		loads := make(map[uint64]load)
 		for _, at := range response.GetLoads() {
 			loads[at.GetEndpoint()] = load{int64(at.GetUnread()), int64(at.GetRunning())}
@@ -91,8 +90,9 @@
 	var d directory
 	d.list.Interval = time.Second
 	d.beat(began, endpointAt("a", 1, lister.Ready))
-	response, fresh := d.news(began, &messenger.FollowRequest{Node: "r", Epoch: epoch - 1, After: 500}, epoch)
-	require.True(t, fresh)
+	request := &messenger.FollowRequest{Node: "r", Epoch: epoch - 1, After: 500}
+	require.True(t, d.fresh(request, epoch))
+	response := d.news(began, request, epoch)
 	require.Len(t, response.GetListings(), 1)
 }
 
--- a/keeper/internal/server/loads.go
+++ b/keeper/internal/server/loads.go
@@ -6,8 +6,8 @@
 	"shallotkeel.example/lib/messenger"
 )
 
-// loadMemory is how long a router's loads count without a further report, four times
-// the longest pause between two: what it had has ended or is on its way to its end.
+// loadMemory is how long a router's loads count without a further report, twice the
+// longest pause between two: what it had has ended or is on its way to its end.
 const loadMemory = time.Second
 
 // loads is what all routers have at each endpoint. Each report replaces its
@@ -51,3 +51,31 @@
 	}
 	return told
 }
+
+// uses is what the workspaces ask for at all routers, in tokens a second, summed as
+// loads are. Its zero value is empty.
+type uses map[string]int64
+
+// add adds a report, or takes it off.
+func (u *uses) add(report []*messenger.Use, sign int64) {
+	if *u == nil {
+		*u = make(uses)
+	}
+	for _, use := range report {
+		sum := (*u)[use.GetWorkspace()] + sign*int64(use.GetAsked())
+		if sum == 0 {
+			delete(*u, use.GetWorkspace())
+			continue
+		}
+		(*u)[use.GetWorkspace()] = sum
+	}
+}
+
+// told returns the sums for a message.
+func (u uses) told() []*messenger.Use {
+	told := make([]*messenger.Use, 0, len(u))
+	for workspace, asked := range u {
+		told = append(told, &messenger.Use{Workspace: workspace, Asked: uint64(max(asked, 0))})
+	}
+	return told
+}
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -104,10 +104,10 @@
 	defer timer.Stop()
 	for last := false; ; {
 		changed := p.bulletin.next()
-		response, fresh := p.directory.news(p.clock.Now(), request, p.epoch)
-		response.Plan = p.view.Load().plan.GetVersion()
-		if last || fresh || response.GetPlan() > request.GetPlan() && !request.GetKeeper() {
-			p.directory.tell(request.GetNode())
+		newer := p.view.Load().plan.GetVersion() > request.GetPlan() && !request.GetKeeper()
+		if last || newer || p.directory.fresh(request, p.epoch) {
+			response := p.directory.news(p.clock.Now(), request, p.epoch)
+			response.Plan = p.view.Load().plan.GetVersion()
 			p.nameKeepers(response)
 			return response, nil
 		}
--- a/lib/balancer/load.go
+++ b/lib/balancer/load.go
@@ -24,8 +24,8 @@
 	return mix(hashText(listing.ID), lister.ToMillis(listing.Started))
 }
 
-// loadMemory is for how long others' loads are believed: four reports. Later ones
-// would keep work away from endpoints that have long been idle.
+// loadMemory is for how long others' loads are believed, twice the longest pause between
+// two reports. Later ones would keep work away from endpoints that have long been idle.
 const loadMemory = time.Second
 
 // Loads returns what this router has at the endpoints where it has anything.
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -13,6 +13,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -64,7 +65,7 @@
 	Dial func(address netip.AddrPort) messenger.Planning
 	// Own is this process's control address, which is never followed.
 	Own netip.AddrPort
-	// Wait is DefaultWait if 0.
+	// Wait is DefaultWait if 0. Pace changes it.
 	Wait time.Duration
 }
 
@@ -72,6 +73,7 @@
 type Subscriber struct {
 	options Options
 
+	wait     atomic.Int64 // a time.Duration
 	mutex    sync.Mutex
 	ctx      context.Context
 	followed map[netip.AddrPort]*followed
@@ -91,7 +93,14 @@
 	if options.Wait == 0 {
 		options.Wait = DefaultWait
 	}
-	return &Subscriber{options: options, followed: make(map[netip.AddrPort]*followed)}
+	s := &Subscriber{options: options, followed: make(map[netip.AddrPort]*followed)}
+	s.Pace(options.Wait)
+	return s
+}
+
+// Pace sets how long polls are held from now on.
+func (s *Subscriber) Pace(wait time.Duration) {
+	s.wait.Store(int64(wait))
 }
 
 // Run follows until the context ends.
@@ -181,7 +190,7 @@
 func (s *Subscriber) poll(ctx context.Context, client messenger.Planning, address netip.AddrPort, f *followed) (*messenger.FollowResponse, error) {
 	request := s.options.Host.Report(address)
 	request.Epoch, request.After = f.epoch, f.after
-	wait := s.options.Wait
+	wait := time.Duration(s.wait.Load())
 	if !f.answer {
 		// The first answer is wanted at once: it tells that the path works.
 		wait = 0
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -56,9 +56,12 @@
 	gatherShare = 0.4
 	// leastRunning is the bound of the smallest instance.
 	leastRunning = 32
-	// loadPause is how long a keeper holds a poll without news. With each answer come
-	// the loads of the other routers, of which twice as old ones are worth little.
+	// loadPause is how long a keeper holds a poll without news, at least: with each
+	// answer come the loads of the other routers. In a fleet of many routers it is as long
+	// as keeps one keeper at mostPolls a second, each of which takes it some 150
+	// microseconds, up to subscriber.DefaultWait.
 	loadPause = 100 * time.Millisecond
+	mostPolls = 200
 	// descriptorShare is the part of the descriptors that clients may use. The rest
 	// is for endpoints, keepers and files.
 	descriptorShare = 0.6
@@ -198,6 +201,13 @@
 	d.budget.Share(count)
 	d.shares.Routers(count)
 	d.balancer.Routers(count)
+	d.news.Pace(pauseFor(count))
+}
+
+// pauseFor returns how long polls are held in a fleet of so many routers.
+func pauseFor(routers int) time.Duration {
+	shared := time.Duration(routers) * time.Second / mostPolls
+	return min(max(shared, loadPause), subscriber.DefaultWait)
 }
 
 // ready tells whether new clients may come.
--- a/router/internal/director/limit_test.go
+++ b/router/internal/director/limit_test.go
@@ -9,6 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/subscriber"
 )
 
 func TestConnectionsAreCounted(t *testing.T) {
@@ -67,3 +69,23 @@
 	}
 	require.False(t, d.room(), "memory bounds them all")
 }
+
+// The polls of all routers together take a keeper the same time in a small and in a
+// large fleet; in the largest the pause stays short enough for a lost keeper to be
+// noticed.
+func TestPollsArePacedByTheFleet(t *testing.T) {
+	tests := map[string]struct {
+		routers int
+		pause   time.Duration
+	}{
+		"nobody is known":    {0, loadPause},
+		"a small fleet":      {7, loadPause},
+		"a larger one":       {64, 320 * time.Millisecond},
+		"two years from now": {410, subscriber.DefaultWait},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.pause, pauseFor(test.routers))
+		})
+	}
+}
