--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -72,7 +72,6 @@
 	rate   float64 // tokens a second asked for here
 	at     time.Time
 	whole  float64 // tokens a second asked for in the whole fleet, as told
-	share  float64 // tokens a second that the fleet owes it
 	filled time.Time
 	owed   allowance // what it has a right to
 	most   allowance // what it may have while engines bear it
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -33,11 +33,11 @@
 	MinPause = 100 * time.Millisecond
 	// MaxPause is the longest pause that repeated failures lead to.
 	MaxPause = 800 * time.Millisecond
-	// FirstPause is the pause as long as no keeper at all has answered, for FirstTries
-	// polls. After a loss of power processes start within some 0.3 s of one another:
-	// with longer pauses routers were without a configuration for 0.6 s after their
-	// start, and refused all that came.
+	// FirstPause is the pause as long as no keeper at all has answered. After a loss of
+	// power processes start within some 0.3 s of one another: with longer pauses routers
+	// were without a configuration for 0.6 s after their start, and refused all that came.
 	FirstPause = 50 * time.Millisecond
+	// FirstTries is for how many polls of a keeper that pause holds.
 	FirstTries = 40
 	// retired is how long a keeper that no group names any more is still asked.
 	retired = 30 * time.Second
--- a/lib/subscriber/subscriber_test.go
+++ b/lib/subscriber/subscriber_test.go
@@ -163,3 +163,26 @@
 	require.Eventually(t, func() bool { return h.heard(address(1)) > 5 }, patience, time.Millisecond)
 	require.Equal(t, 1, h.losses(address(1)), "once for the two polls that failed")
 }
+
+// Symptom: for 0.6 s after a loss of power routers have no configuration. Sequence: all
+// processes start together, a router's first polls find no keeper yet. Cause: the pause
+// between polls doubled as it does for a keeper that is lost.
+func TestFirstPollsFollowOneAnotherQuickly(t *testing.T) {
+	tests := map[string]struct {
+		answered bool
+		tries    int
+		want     time.Duration
+	}{
+		"nobody has answered":          {false, 0, FirstPause},
+		"nobody has for long":          {false, FirstTries, MaxPause},
+		"another keeper has answered":  {true, 0, MaxPause},
+		"the last of the first, still": {false, FirstTries - 1, FirstPause},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Options{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop()})
+			s.answered = test.answered
+			require.Equal(t, test.want, s.pause(test.tries, MaxPause))
+		})
+	}
+}
