--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -76,7 +76,8 @@
 	unlink := context.AfterFunc(slot.Life(), func() { cancel(errRestarted) })
 	defer unlink()
 	x, err := p.options.Client.Do(ctx, slot.Address, out, func() bool {
-		if ctx.Err() != nil || gone(q.http.Context()) {
+		// The context's timer may be as late as the process is: the clock is asked.
+		if ctx.Err() != nil || !p.options.Clock.Now().Before(q.until) || gone(q.http.Context()) {
 			return false
 		}
 		q.sends++
