--- /dev/null
+++ b/keeper/internal/server/poll_bench_test.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"shallotkeel.example/lib/messenger"
+)
+
+// BenchmarkPoll takes a router's report and works out its answer: what a keeper does
+// for each poll besides the call itself. With sums over all routers' reports for each
+// answer it took 53 and 310 microseconds at 7 and 64 routers, with sums that are kept 27
+// and 79.
+func BenchmarkPoll(b *testing.B) {
+	for _, size := range []struct{ routers, engines, workspaces, running int }{
+		{7, 18, 16, 18}, {16, 36, 16, 20}, {64, 140, 30, 20}, {410, 12_000, 320, 600},
+	} {
+		b.Run(fmt.Sprint(size.routers, " routers, ", size.engines, " engines"), func(b *testing.B) {
+			var d directory
+			d.list.Interval = time.Second
+			report := func(router int) *messenger.FollowRequest {
+				request := &messenger.FollowRequest{Node: fmt.Sprint("router-", router), Zone: "zone", Epoch: epoch}
+				for i := range size.running {
+					engine := uint64((router*31 + i*7) % size.engines)
+					request.Loads = append(request.Loads, &messenger.Load{Endpoint: engine<<40 | 1, Unread: 4000, Running: 1})
+				}
+				for i := range size.workspaces {
+					request.Uses = append(request.Uses, &messenger.Use{Workspace: fmt.Sprint("workspace-", i), Asked: 100_000})
+				}
+				return request
+			}
+			for router := range size.routers {
+				d.follow(began, report(router))
+			}
+			request := report(1)
+			var answer *messenger.FollowResponse
+			for b.Loop() {
+				d.follow(began, request)
+				d.fresh(request, epoch)
+				answer = d.news(began, request, epoch)
+			}
+			asked, err := proto.Marshal(request)
+			require.NoError(b, err)
+			told, err := proto.Marshal(answer)
+			require.NoError(b, err)
+			b.ReportMetric(float64(len(asked)), "asked-B")
+			b.ReportMetric(float64(len(told)), "told-B")
+		})
+	}
+}
