--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -185,13 +185,13 @@
 // choose returns the cheapest candidate, one without an endpoint if there is none.
 func (b *Balancer) choose(now time.Time, service string, work *Work, excluded func(id string) bool) offer {
 	candidates := b.services[service]
-	first := home(candidates, work)
+	first, fit := home(candidates, work), b.fit(service)
 	var best offer
 	for _, e := range candidates {
 		if e.State != lister.Ready || excluded != nil && excluded(e.ID) {
 			continue
 		}
-		o := b.price(now, e, work, e == first)
+		o := b.price(now, e, fit, work, e == first)
 		if best.endpoint == nil || o.price < best.price || o.price == best.price && e.turn < best.endpoint.turn {
 			best = o
 		}
--- /dev/null
+++ b/lib/balancer/bench_test.go
@@ -0,0 +1,38 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"shallotkeel.example/lib/lister"
+)
+
+// BenchmarkPick chooses an engine and gives the slot back, as a router does for each
+// request of a prompt. Without the expected wait of each candidate it took 2.7
+// microseconds at 18 engines and 15 at 140, with it 5.7 and 26.
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{18, 140} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			balancer := &Balancer{}
+			balancer.Remember("engines", 300_000)
+			for i := range engines {
+				e := engine(i % 250)
+				e.ID = fmt.Sprint("i-", i)
+				e.State = lister.Ready
+				balancer.Update(e)
+			}
+			now := start
+			own := uint64(0)
+			for b.Loop() {
+				own++
+				now = now.Add(3 * time.Millisecond)
+				work := prompt(own%400, own)
+				work.Target = 500 * time.Millisecond
+				slot := balancer.Pick(now, "engines", work, nil)
+				slot.Heard(now.Add(80 * time.Millisecond))
+				slot.End(now.Add(100*time.Millisecond), Served)
+			}
+		})
+	}
+}
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"shallotkeel.example/lib/predictor"
 )
 
 // Weights price a candidate, in tokens of prompt that an engine could read
@@ -59,7 +61,7 @@
 }
 
 // price returns what a candidate would mean for a request.
-func (b *Balancer) price(now time.Time, e *endpoint, work *Work, home bool) offer {
+func (b *Balancer) price(now time.Time, e *endpoint, fit *predictor.Fit, work *Work, home bool) offer {
 	weights := b.Weights
 	if weights == (Weights{}) {
 		weights = DefaultWeights
@@ -79,7 +81,6 @@
 	}
 	o.reading = max(work.Prompt-kept, 0)
 	o.ahead = load.Unread
-	fit := b.fit(e.Service)
 	factor, overdue := e.factor.Get(now), e.overdue(now)
 	o.wait = scale(fit.Wait(o.ahead+o.reading), factor) + overdue
 	o.queue = scale(fit.Reading(o.ahead), factor) + overdue
--- a/lib/predictor/predictor.go
+++ b/lib/predictor/predictor.go
@@ -112,6 +112,8 @@
 	// mostRatio bounds what one answer says, either way: one that waited behind a
 	// prompt that this router did not know of says little of the next.
 	mostRatio = 4.0
+	// leastLog is what counts as one again: a hundredth, which no answer shows.
+	leastLog = 0.01
 	// forgets is the half-life of a factor without answers. A slow engine gets little
 	// work, and would else never be found to have recovered.
 	forgets = 3 * time.Second
@@ -133,6 +135,9 @@
 
 // Get returns the factor.
 func (f *Factor) Get(now time.Time) float64 {
+	if f.log == 0 {
+		return 1
+	}
 	f.decay(now)
 	return math.Exp(f.log)
 }
@@ -141,5 +146,8 @@
 	if elapsed := now.Sub(f.at); elapsed > 0 {
 		f.log *= math.Exp2(-elapsed.Seconds() / forgets.Seconds())
 		f.at = now
+		if math.Abs(f.log) < leastLog {
+			f.log = 0
+		}
 	}
 }
