--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -129,7 +129,7 @@
 
 // rate returns what a workspace asks for here, in tokens a second. The measure takes
 // seconds to fill; before that it is as many times too low as what it has seen is too
-// short. Else a router that has just started finds that nobody asks for his share, and
+// short. Else a router that has just started finds that nobody asks for its share, and
 // admits everything for as long: half of the first two seconds' answers were late.
 func (a *Apportioner) rate(now time.Time, w *workspace) float64 {
 	w.decay(now)
