--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/replicator"
 )
 
@@ -46,6 +47,9 @@
 		Namespace: "keeper", Name: "unusable_heartbeats_total", Help: "Heartbeats that name no endpoint to use, by what is at fault.",
 	}, []string{"reason"})
 	registry.MustRegister(unusable)
+	for _, reason := range lister.Reasons {
+		unusable.WithLabelValues(string(reason)) // shown from the start: a rate needs its zero
+	}
 	return &metrics{registry: registry, unusable: unusable}
 }
 
--- a/lib/lister/unusable.go
+++ b/lib/lister/unusable.go
@@ -12,6 +12,9 @@
 	UnknownService Reason = "service"
 )
 
+// Reasons are all reasons.
+var Reasons = []Reason{Unreadable, Missing, WrongType, OutOfRange, UnknownService}
+
 // Unusable is the error of a heartbeat that names no endpoint to use. What other
 // heartbeats have said holds.
 type Unusable struct {
