--- a/bench/docs_test.go
+++ b/bench/docs_test.go
@@ -31,7 +31,7 @@
 
 var (
 	named   = regexp.MustCompile(`"(shallotkeel_[a-z_]+)"`)
-	keepers = regexp.MustCompile(`(?:gauge|counter)\("([a-z_]+)", `)
+	keepers = regexp.MustCompile(`(?:gauge|counters?)\("([a-z_]+)", `)
 	proof   = regexp.MustCompile(`\b(Test[A-Z]\w+)`)
 	listed  = regexp.MustCompile("`((?:shallotkeel|keeper)_[a-z_]+)`")
 )
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -43,10 +43,12 @@
 	counter("messages_dropped_total", "Messages of the agreement that were not delivered.", func(v *view) float64 { return float64(v.dropped) })
 	counter("control_sent_bytes_total", "Bytes sent on control connections.", func(*view) float64 { return float64(s.bytes.Sent.Load()) })
 	counter("control_received_bytes_total", "Bytes received on control connections.", func(*view) float64 { return float64(s.bytes.Received.Load()) })
-	unusable := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "keeper", Name: "unusable_heartbeats_total", Help: "Heartbeats that name no endpoint to use, by what is at fault.",
-	}, []string{"reason"})
-	registry.MustRegister(unusable)
+	counters := func(name, help, label string) *prometheus.CounterVec {
+		vector := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "keeper", Name: name, Help: help}, []string{label})
+		registry.MustRegister(vector)
+		return vector
+	}
+	unusable := counters("unusable_heartbeats_total", "Heartbeats that name no endpoint to use, by what is at fault.", "reason")
 	for _, reason := range lister.Reasons {
 		unusable.WithLabelValues(string(reason)) // shown from the start: a rate needs its zero
 	}
