--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -135,6 +135,31 @@
 	}
 }
 
+// Symptom: a workspace gets 313 thousand tokens a second, and one that floods 138.
+// Sequence: engines have room, so that shares are stretched far beyond what is owed; the
+// first asks for less than its stretched share. Cause: only what exceeded that share was
+// spare, and the first had nothing that did.
+func TestWhatExceedsTheRightIsSpareForEverybody(t *testing.T) {
+	const capacity = 100_000.0
+	a := &Apportioner{}
+	a.Capacity(capacity)
+	a.Routers(1)
+	asked := map[string]uint64{"modest": 90_000, "flood": 400_000}
+	now, owed := start, make(map[string]float64)
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		a.Demand(now, asked, 0)
+		for name, tokens := range map[string]float64{"modest": 900, "flood": 4000} {
+			if d := a.Admit(now, name, tokens, false); d.Admitted && !d.Spare && i >= 500 {
+				owed[name] += tokens
+			}
+		}
+	}
+	even := capacity * stretchOwed / 2
+	require.InDelta(t, even, owed["modest"]/15, 0.1*even)
+	require.InDelta(t, even, owed["flood"]/15, 0.1*even)
+}
+
 // Symptom: a workspace whose spare requests find engines busy gets less than another.
 // Cause: what was refused counted as used.
 func TestWhatWasNotRunIsGivenBack(t *testing.T) {
