Leave a settings file alone that is empty for a moment

Cause: the file was looked at between its truncation and the write, and what was read was applied. Ruled out: the test's order of events, which is allowed.

--- a/lib/reloader/reloader.go
+++ b/lib/reloader/reloader.go
@@ -45,7 +45,7 @@
 			signalled = true
 		}
 		text, err := os.ReadFile(path)
-		if err != nil || bytes.Equal(text, known) && !signalled {
+		if err != nil || !due(known, text, signalled) {
 			continue // a file that is being replaced is there again at the next look
 		}
 		known = text
@@ -56,3 +56,10 @@
 		log.Info().Bool("signal", signalled).Msg("settings reloaded")
 	}
 }
+
+// due tells whether a file's text is to be applied. One that is written in place is
+// empty for a moment; applying that would log an error about settings that nobody
+// wrote. Who signals hears of an empty file as well.
+func due(known, text []byte, signalled bool) bool {
+	return signalled || len(text) > 0 && !bytes.Equal(text, known)
+}
--- a/lib/reloader/reloader_test.go
+++ b/lib/reloader/reloader_test.go
@@ -54,3 +54,25 @@
 	<-done
 	require.Empty(t, applied)
 }
+
+// Symptom: settings that nobody wrote are refused with an error. Sequence: the file is
+// written in place, and looked at between its truncation and the write. Cause: what was
+// read then was taken for the new settings.
+func TestFileThatIsBeingWrittenIsLeftAlone(t *testing.T) {
+	tests := map[string]struct {
+		known, text string
+		signalled   bool
+		want        bool
+	}{
+		"unchanged":            {known: "one", text: "one"},
+		"changed":              {known: "one", text: "two", want: true},
+		"being written":        {known: "one", text: ""},
+		"unchanged, signalled": {known: "one", text: "one", signalled: true, want: true},
+		"empty, signalled":     {known: "one", text: "", signalled: true, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.want, due([]byte(test.known), []byte(test.text), test.signalled))
+		})
+	}
+}
