--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -144,6 +144,16 @@
 	return stretch(a.backlog)
 }
 
+// Age returns how old the sums over all routers are, 0 before the first ones.
+func (a *Apportioner) Age(now time.Time) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.told.IsZero() {
+		return 0
+	}
+	return now.Sub(a.told)
+}
+
 // divide computes the shares of what is owed and of what engines bear now.
 func (a *Apportioner) divide() {
 	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -99,8 +100,9 @@
 	passer   *passer.Passer
 	news     *subscriber.Subscriber
 
-	connected connections
-	pacer     pacer.Pacer
+	connected  connections
+	turnedAway atomic.Uint64 // connections closed unread
+	pacer      pacer.Pacer
 
 	mutex    sync.Mutex
 	planning map[netip.AddrPort]messenger.Planning
@@ -249,7 +251,9 @@
 	figures := &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failures := make(chan error, 3)
 	go func() { failures <- figures.Serve(watched) }()
-	go func() { failures <- front.Serve(&limited{Listener: clients, room: d.room, log: d.log}) }()
+	go func() {
+		failures <- front.Serve(&limited{Listener: clients, room: d.room, closed: &d.turnedAway, log: d.log})
+	}()
 	go func() { failures <- ready.Serve(asked) }()
 	background, endBackground := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/router/internal/director/limit.go
+++ b/router/internal/director/limit.go
@@ -15,9 +15,10 @@
 // another router.
 type limited struct {
 	net.Listener
-	room func() bool
-	log  zerolog.Logger
-	full atomic.Bool
+	room   func() bool
+	closed *atomic.Uint64 // counts the connections that were closed unread
+	log    zerolog.Logger
+	full   atomic.Bool
 }
 
 // Accept returns the next connection for which there is room.
@@ -34,6 +35,7 @@
 		if room {
 			return conn, nil
 		}
+		l.closed.Add(1)
 		conn.Close()
 	}
 }
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -27,6 +27,12 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_backlog_seconds", Help: "How long engines still read what they have been sent, as this router knows."}, func() float64 {
 		return d.backlog(d.clock.Now()).Seconds()
 	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_sums_age_seconds", Help: "How old the sums are that shares rest on; from 3 on this router goes by its own measure."}, func() float64 {
+		return d.shares.Age(d.clock.Now()).Seconds()
+	})
+	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shallotkeel_direct_turned_away_total", Help: "Connections of clients that were closed unread, for want of room.",
+	}, func() float64 { return float64(d.turnedAway.Load()) }))
 	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "shallotkeel_direct_endpoint_connections_total", Help: "Connections made to endpoints.",
 	}, func() float64 { return float64(d.client.Opened()) }))
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -35,27 +35,27 @@
 func (p *Passer) admit(q *request) bool {
 	q.table = p.firstTable(q)
 	if q.table == nil {
-		p.refuse(q, http.StatusServiceUnavailable, "no configuration yet", retryStart)
+		p.refuse(q, byRule, http.StatusServiceUnavailable, "no configuration yet", retryStart)
 		return false
 	}
 	q.target = targetOf(q.http)
 	path, _, _ := strings.Cut(q.target, "?")
 	route, found := q.table.Route(q.http.Host, path)
 	if !found {
-		p.refuse(q, http.StatusNotFound, "no route", 0)
+		p.refuse(q, byRule, http.StatusNotFound, "no route", 0)
 		return false
 	}
 	q.route = route
 	q.name = nameOf(q)
 	q.came = p.returns.first(q.received, q.name)
 	if !p.identify(q) {
-		p.refuse(q, http.StatusUnauthorized, "no workspace holds the key", 0)
+		p.refuse(q, byRule, http.StatusUnauthorized, "no workspace holds the key", 0)
 		return false
 	}
 	if p.busy(q) {
 		// Whoever comes back reaches another router. Taking the request here would
 		// make it late, and every other one with it.
-		p.refuse(q, http.StatusServiceUnavailable, "this router has too much to do", retrySoon)
+		p.refuse(q, byRouter, http.StatusServiceUnavailable, "this router has too much to do", retrySoon)
 		return false
 	}
 	if !p.readBody(q) {
@@ -69,7 +69,7 @@
 	q.in.Work.Target = q.left()
 	q.digest = fingerprint(q)
 	if p.options.News.Quarantined(q.digest) {
-		p.refuse(q, http.StatusServiceUnavailable, "it has crashed the endpoints that ran it", 0)
+		p.refuse(q, byRule, http.StatusServiceUnavailable, "it has crashed the endpoints that ran it", 0)
 		return false
 	}
 	return p.withinShare(q)
@@ -103,7 +103,7 @@
 			return true
 		}
 		p.options.Shares.Return(q.workspace, tokens)
-		p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share, and engines are busy", retryBusy)
+		p.refuse(q, byEngines, http.StatusTooManyRequests, "the workspace has used its share, and engines are busy", retryBusy)
 		return false
 	}
 	if p.quietly.Admit(q.received, p.options.Log) {
@@ -112,7 +112,7 @@
 			Dur("backlog_ms", d.Backlog).Dur("age_ms", d.Age).Dur("pause_ms", d.Pause).Msg("share used up")
 	}
 	q.told = true
-	p.refuse(q, http.StatusTooManyRequests, "the workspace has used its share", max(d.Pause, retrySoon))
+	p.refuse(q, byShare, http.StatusTooManyRequests, "the workspace has used its share", max(d.Pause, retrySoon))
 	return false
 }
 
--- a/router/internal/passer/body.go
+++ b/router/internal/passer/body.go
@@ -17,7 +17,7 @@
 		return true
 	}
 	if q.http.ContentLength > limit {
-		p.refuse(q, http.StatusRequestEntityTooLarge, "the body is too large", 0)
+		p.refuse(q, byRule, http.StatusRequestEntityTooLarge, "the body is too large", 0)
 		return false
 	}
 	body, err := readAll(http.MaxBytesReader(q.writer, q.http.Body, limit), q.http.ContentLength)
@@ -26,7 +26,7 @@
 		return true
 	}
 	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		p.refuse(q, http.StatusRequestEntityTooLarge, "the body is too large", 0)
+		p.refuse(q, byRule, http.StatusRequestEntityTooLarge, "the body is too large", 0)
 		return false
 	}
 	q.reason = "the client's body broke off: " + err.Error()
--- a/router/internal/passer/metrics.go
+++ b/router/internal/passer/metrics.go
@@ -10,6 +10,7 @@
 // Metrics counts what became of requests. A nil *Metrics counts nothing.
 type Metrics struct {
 	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	sends    prometheus.Counter
 	first    prometheus.Histogram
 	took     prometheus.Histogram
@@ -21,6 +22,9 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_requests_total", Help: "Requests by the status that their client got; 0 is none.",
 		}, []string{"status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_refusals_total", Help: "Requests that were refused, by what refused them.",
+		}, []string{"by"}),
 		sends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_sends_total", Help: "Requests written to endpoints, repeats included.",
 		}),
@@ -33,7 +37,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
 		}),
 	}
-	registry.MustRegister(m.requests, m.sends, m.first, m.took)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.first, m.took)
 	return m
 }
 
@@ -42,6 +46,9 @@
 		return
 	}
 	m.requests.WithLabelValues(strconv.Itoa(q.status)).Inc()
+	if q.refused != passed {
+		m.refusals.WithLabelValues(labels[q.refused]).Inc()
+	}
 	m.sends.Add(float64(q.sends))
 	if q.first > 0 {
 		m.first.Observe(q.first.Seconds())
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -86,6 +86,7 @@
 	drain   drain
 	quietly damper.Damper
 	returns returns
+	ledger  ledger
 }
 
 // New returns a passer.
@@ -125,6 +126,7 @@
 	queue    time.Duration // for which that one still read what it had been sent
 	expected time.Duration // until its first token
 	status   int
+	refused  verdict
 	reason   string
 	first    time.Duration // until the first part of the answer
 	stream   events
@@ -208,7 +210,7 @@
 	case e.kept != nil:
 		p.answer(q, e.kept)
 	case !q.ran:
-		p.refuse(q, http.StatusServiceUnavailable, e.reason, retrySoon)
+		p.refuse(q, byEndpoints, http.StatusServiceUnavailable, e.reason, retrySoon)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		p.fail(q, http.StatusGatewayTimeout, "no answer in time")
 	default:
@@ -217,7 +219,8 @@
 }
 
 // refuse answers that the request has not run and will not.
-func (p *Passer) refuse(q *request, status int, reason string, retry time.Duration) {
+func (p *Passer) refuse(q *request, by verdict, status int, reason string, retry time.Duration) {
+	q.refused = by
 	if retry > 0 {
 		retry += time.Duration(retrySpread * rand.Float64() * float64(retry))
 		q.writer.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
