--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,9 @@
 
 test: lint unit
 
+# SKIP names tests that are known to fail, as a pattern; CI takes it from KNOWN-RED.txt.
 unit:
-	$(GO) test -race -timeout 8m work
+	$(GO) test -race -timeout 8m $(if $(SKIP),-skip '^($(SKIP))$$') work
 
 lint: $(LINTER)
 	@for module in $(MODULES); do (cd $$module && $(LINTER) run ./...) || exit 1; done
--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -107,3 +107,32 @@
 	}
 	require.Empty(t, d.recent(began.Add(3*time.Second)))
 }
+
+// What users saw: a workspace whose clients moved from one router to another got next to
+// nothing there for two seconds.
+//
+// Order of events: a flood makes a router late, and its polls end; it is taken out of
+// service, and its clients reach another one. Cause: keepers went on counting what the
+// first had last told, so that most of the share belonged to a router that nobody reached
+// any more.
+//
+// Evidence: the second router's ledger named 7,428 thousand tokens refused by share in a
+// second in which it let 5 thousand in.
+func TestRouterThatStopsTellingIsSoonNotCounted(t *testing.T) {
+	var d directory
+	now := time.Unix(1000, 0)
+	tell := func(node string, asked uint64) {
+		d.follow(now, &messenger.FollowRequest{Node: node, Uses: []*messenger.Use{{Workspace: "flood", Asked: asked}}})
+	}
+	tell("left", 4_000_000)
+	tell("reached", 100)
+	for range 3 {
+		now = now.Add(400 * time.Millisecond)
+		tell("reached", 1_000_000)
+		d.pass(now)
+	}
+	uses := d.news(now, &messenger.FollowRequest{Node: "reached"}, 1).GetUses()
+	require.Len(t, uses, 1)
+	require.Equal(t, uint64(1_000_000), uses[0].GetAsked())
+	require.Equal(t, uint32(2), d.routers(), "it still counts as a router")
+}
