Let a router that hears no keeper keep its part, and count silent ones for a second

Cause of what a flooding workspace lost beside its router's lack of time: at a router whose polls were given up, its part of the share became that of one of 75 routers (5,600 tokens a second of 528,536), and at the router that its clients reached next it was divided with what the first had last told, for 2.5 s (5 thousand let in beside 7,428 thousand refused).

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -93,12 +93,12 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for name, f := range d.followers {
-		if now.Sub(f.at) > loadMemory {
+		if now.Sub(f.at) > reportMemory {
 			d.loads.add(f.report.GetLoads(), -1)
-			f.report.Loads = nil
+			d.uses.add(f.report.GetUses(), -1)
+			f.report.Loads, f.report.Uses = nil, nil
 		}
 		if now.Sub(f.at) > followerMemory {
-			d.uses.add(f.report.GetUses(), -1)
 			delete(d.followers, name)
 		}
 	}
--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -78,9 +78,9 @@
 	require.Equal(t, map[uint64]load{7: {2500, 4}}, told(own))
 	require.Equal(t, map[uint64]load{7: {500, 1}, 9: {100, 1}}, told(report("b", 7, 3000, 4)))
 	require.Empty(t, told(&messenger.FollowRequest{Node: "keeper", Keeper: true}))
-	d.pass(began.Add(loadMemory + 1))
+	d.pass(began.Add(reportMemory + 1))
 	require.Empty(t, d.loads, "what is old is believed no more")
-	d.follow(began.Add(loadMemory+2), &messenger.FollowRequest{Node: "a"})
+	d.follow(began.Add(reportMemory+2), &messenger.FollowRequest{Node: "a"})
 	require.Empty(t, d.loads, "and is taken off once")
 }
 
--- a/keeper/internal/server/loads.go
+++ b/keeper/internal/server/loads.go
@@ -6,9 +6,12 @@
 	"shallotkeel.example/lib/messenger"
 )
 
-// loadMemory is how long a router's loads count without a further report, twice the
-// longest pause between two: what it had has ended or is on its way to its end.
-const loadMemory = time.Second
+// reportMemory is how long a router's report counts without a further one, twice the
+// longest pause between two: what it had has ended or is on its way to its end. Demand
+// that is counted for longer takes the share away from the routers that clients reach
+// meanwhile: one that they turned to when another had become silent let 5 thousand
+// tokens in of 7,428 thousand asked for in a second.
+const reportMemory = time.Second
 
 // loads is what all routers have at each endpoint. Each report replaces its
 // router's former one in the sums, so that an answer takes time by the endpoints and
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -46,8 +46,8 @@
 	// fleet that started refused 230 requests of its first 570 beside idle engines, with
 	// 900 ms 130.
 	leastSeen = 900 * time.Millisecond
-	// staleAfter is how old the sums may be. A router that hears no keeper takes
-	// its own measure times the number of routers for the whole.
+	// staleAfter is how old the sums may be. A router that hears no keeper goes by the
+	// part of each workspace's demand that was its own when it last heard one.
 	staleAfter = 3 * time.Second
 	// maxWorkspaces bounds the workspaces that are measured; requests of others
 	// are admitted.
@@ -72,6 +72,7 @@
 	rate   float64 // tokens a second asked for here
 	at     time.Time
 	whole  float64 // tokens a second asked for in the whole fleet, as told
+	part   float64 // of whole that was asked for here when it was told
 	filled time.Time
 	owed   allowance // what it has a right to
 	most   allowance // what it may have while engines bear it
@@ -114,19 +115,29 @@
 	defer a.mutex.Unlock()
 	a.told, a.backlog = now, backlog
 	for name, w := range a.workspaces {
-		w.whole = max(float64(rates[name]), a.rate(now, w))
+		a.tell(now, w, rates[name])
 		if w.rate < 1 && now.Sub(w.at) > idleAfter {
 			delete(a.workspaces, name)
 		}
 	}
 	for name, rate := range rates {
 		if w := a.get(now, name); w != nil {
-			w.whole = max(float64(rate), a.rate(now, w))
+			a.tell(now, w, rate)
 		}
 	}
 	a.divide()
 }
 
+// tell notes what all routers' requests of a workspace ask for.
+func (a *Apportioner) tell(now time.Time, w *workspace, whole uint64) {
+	own := a.rate(now, w)
+	w.whole = max(float64(whole), own)
+	w.part = 0
+	if w.whole > 0 {
+		w.part = own / w.whole
+	}
+}
+
 // rate returns what a workspace asks for here, in tokens a second. The measure takes
 // seconds to fill; before that it is as many times too low as what it has seen is too
 // short. Else a router that has just started finds that nobody asks for its share, and
@@ -248,17 +259,7 @@
 // second.
 func (a *Apportioner) local(now time.Time, w *workspace, share float64) float64 {
 	if now.Sub(a.told) > staleAfter {
-		// Cut off from the keepers: the others are believed to do as this one.
-		if a.capacity <= 0 {
-			return math.Inf(1)
-		}
-		active := 0
-		for _, other := range a.workspaces {
-			if other.rate >= 1 {
-				active++
-			}
-		}
-		return a.capacity * stretch(a.backlog) / float64(max(active, 1)) / float64(max(a.routers, 1))
+		return a.alone(w)
 	}
 	if math.IsInf(share, 1) || w.whole <= 0 {
 		return math.Inf(1)
@@ -266,6 +267,28 @@
 	return share * min(a.rate(now, w)/w.whole, 1)
 }
 
+// alone is what a workspace may use at a router that hears no keeper, in tokens a second:
+// of an even share, the part of its demand that was last known to be this router's.
+//
+// A flood makes the one router late that all its clients reach, and a late router's
+// polls are given up. With the others believed to do as this one, its part was one of 75
+// routers' and it let 5,600 tokens a second in of 528,536 that were due, while others of
+// the fleet served twice that of another workspace. Workspaces that no keeper has told
+// of are still taken to be everywhere alike.
+func (a *Apportioner) alone(w *workspace) float64 {
+	if a.capacity <= 0 {
+		return math.Inf(1)
+	}
+	active := 0
+	for _, other := range a.workspaces {
+		if other.rate >= 1 {
+			active++
+		}
+	}
+	part := max(w.part, 1/float64(max(a.routers, 1)))
+	return a.capacity * stretch(a.backlog) / float64(max(active, 1)) * part
+}
+
 func (a *Apportioner) get(now time.Time, name string) *workspace {
 	w, found := a.workspaces[name]
 	if found {
