Let the test of answers to others wait until the extra one has arrived

It failed once beside other tests: one connection where two were expected. Cause: the second request was sent before the extra answer of the first was written, so that it was passed over where the next answer is due, which is the test's other case. Before: 2 of 9,000 runs failed; after: none of 9,000.

--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -183,14 +183,18 @@
 // twice, the second one when the connection is idle, or right where the next
 // answer is due.
 func TestAnswersOfOthersAreNeverHandedOn(t *testing.T) {
+	// An extra answer is there before the next request only if that one waits for it.
+	extra := make(chan struct{}, 2)
 	tests := map[string]struct {
 		serve    func(number int64, conn net.Conn, reader *bufio.Reader)
+		waits    bool
 		accepted int64
 	}{
-		"while the connection is idle": {accepted: 2, serve: func(_ int64, conn net.Conn, reader *bufio.Reader) {
+		"while the connection is idle": {accepted: 2, waits: true, serve: func(_ int64, conn net.Conn, reader *bufio.Reader) {
 			for request := take(reader); request != nil; request = take(reader) {
 				answer(conn, request.Header.Get("Id"), "whole")
 				answer(conn, request.Header.Get("Id"), "again")
+				extra <- struct{}{}
 			}
 		}},
 		"where the next one is due": {accepted: 1, serve: func(_ int64, conn net.Conn, reader *bufio.Reader) {
@@ -212,6 +216,9 @@
 				body, err := fetch(t, c, e, withID(get(id)))
 				require.NoError(t, err)
 				require.Equal(t, "whole", body)
+				if test.waits {
+					<-extra
+				}
 			}
 			require.Equal(t, test.accepted, e.accepts.Load())
 		})
