Hold a sudden flood to its share, and set shares by the median router's backlog

Three causes of what a flood's workspace lost beside its router's lack of time. Each router compared its own demand now with the sums of half a second ago, so that a flood that began at all of 75 took 1,865 thousand tokens a second of 430 for two seconds; own demand is now compared as old as the sums are. What was taken before a bound was known was never paid back. Each router set shares by its own belief in the engines' backlog, and a late one took engines for slow (177 ms where the others had 97); keepers now tell the median. Ruled out: that the flooded router lacks time for its share once the server stands behind the screener.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -36,6 +36,7 @@
 	followers map[string]*follower
 	uses      uses  // of all routers
 	loads     loads // of all routers
+	median    median
 	crashes   map[uint64]*crashes
 	convicted uint64 // rises with every quarantined fingerprint
 }
@@ -218,6 +219,7 @@
 		response.Routers = d.routers()
 		response.Uses = d.uses.told()
 		response.Loads = d.loads.others(request.GetLoads())
+		response.BacklogMs = d.backlog(now)
 	}
 	for digest, c := range d.crashes {
 		if c.guilty {
@@ -242,6 +244,18 @@
 	return count
 }
 
+// backlog is for how long engines still read, as the median router believes.
+func (d *directory) backlog(now time.Time) uint32 {
+	return d.median.of(now, func(values []uint32) []uint32 {
+		for _, f := range d.followers {
+			if !f.keeper && now.Sub(f.at) <= reportMemory {
+				values = append(values, f.report.GetBacklogMs())
+			}
+		}
+		return values
+	})
+}
+
 // recent returns the direct heartbeats of the last intervals. They are told more
 // than once, because a call to another keeper may be lost.
 func (d *directory) recent(now time.Time) []*messenger.Heard {
--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -136,3 +136,32 @@
 	require.Equal(t, uint64(1_000_000), uses[0].GetAsked())
 	require.Equal(t, uint32(2), d.routers(), "it still counts as a router")
 }
+
+// Symptom: a workspace whose clients all reach one router gets half of what another one
+// gets that asks for as much. Sequence: the flood makes its router late; what engines
+// answer is heard late there, so that they look slow. Cause: each router set the shares of
+// its requests by what it believed of the engines itself.
+func TestOneRouterThatErrsMovesNoShare(t *testing.T) {
+	tests := map[string]struct {
+		believed map[string]uint32
+		want     uint32
+	}{
+		"nobody reports": {},
+		"one":            {believed: map[string]uint32{"a": 80}, want: 80},
+		"two":            {believed: map[string]uint32{"a": 80, "b": 90}, want: 80},
+		"one is late":    {believed: map[string]uint32{"a": 80, "b": 97, "late": 60_000}, want: 97},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var d directory
+			d.follow(began, &messenger.FollowRequest{Node: "keeper", Keeper: true, BacklogMs: 1})
+			for node, backlog := range test.believed {
+				d.follow(began, &messenger.FollowRequest{Node: node, BacklogMs: backlog})
+			}
+			told := func(now time.Time) uint32 { return d.news(now, &messenger.FollowRequest{Node: "a"}, epoch).GetBacklogMs() }
+			require.Equal(t, test.want, told(began))
+			require.Equal(t, test.want, told(began.Add(medianAge-1)))
+			require.Zero(t, told(began.Add(reportMemory+1)), "silent routers count no more")
+		})
+	}
+}
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -31,6 +31,9 @@
 	// seconds, and a rate that follows faster would take a cluster of requests
 	// for a flood.
 	halfLife = time.Second
+	// sumsAge is how old the demand in the sums is when they are told: reports are up to
+	// half a second old. A router's own demand is compared with them as it was then.
+	sumsAge = 300 * time.Millisecond
 	// Burst is how many seconds of its share a workspace may take at once. It
 	// covers the age of the sums and the clustering of requests.
 	Burst = 1.0
@@ -49,6 +52,9 @@
 	// staleAfter is how old the sums may be. A router that hears no keeper goes by the
 	// part of each workspace's demand that was its own when it last heard one.
 	staleAfter = 3 * time.Second
+	// longestPause bounds what a refused client is told. By then the sums have been told
+	// several times, and a share that is next to nothing here may be another one.
+	longestPause = 2 * time.Second
 	// maxWorkspaces bounds the workspaces that are measured; requests of others
 	// are admitted.
 	maxWorkspaces = 4096
@@ -70,6 +76,7 @@
 
 type workspace struct {
 	rate   float64 // tokens a second asked for here
+	lagged float64 // the same, as old as what the sums tell of other routers
 	at     time.Time
 	whole  float64 // tokens a second asked for in the whole fleet, as told
 	part   float64 // of whole that was asked for here when it was told
@@ -130,11 +137,12 @@
 
 // tell notes what all routers' requests of a workspace ask for.
 func (a *Apportioner) tell(now time.Time, w *workspace, whole uint64) {
-	own := a.rate(now, w)
-	w.whole = max(float64(whole), own)
+	w.decay(now)
+	lagged := w.lagged * a.early(now)
+	w.whole = max(float64(whole), lagged)
 	w.part = 0
 	if w.whole > 0 {
-		w.part = own / w.whole
+		w.part = lagged / w.whole
 	}
 }
 
@@ -144,8 +152,13 @@
 // admits everything for as long: half of the first two seconds' answers were late.
 func (a *Apportioner) rate(now time.Time, w *workspace) float64 {
 	w.decay(now)
+	return w.rate * a.early(now)
+}
+
+// early is by how much a measure is too low that has not filled yet.
+func (a *Apportioner) early(now time.Time) float64 {
 	seen := max(now.Sub(a.began), leastSeen)
-	return w.rate / (1 - math.Exp2(-seen.Seconds()/halfLife.Seconds()))
+	return 1 / (1 - math.Exp2(-seen.Seconds()/halfLife.Seconds()))
 }
 
 // Stretch returns by how much shares go beyond the stated capacity.
@@ -220,10 +233,10 @@
 	if !d.Admitted {
 		return d
 	}
-	w.most.tokens -= tokens
+	w.most.take(tokens)
 	d.Spare = w.owed.bounded && w.owed.tokens < 0
 	if !d.Spare {
-		w.owed.tokens -= tokens
+		w.owed.take(tokens)
 	}
 	return d
 }
@@ -269,7 +282,8 @@
 	}
 	if w.most.bounded && w.most.tokens < least {
 		d.Admitted = false
-		d.Pause = time.Duration((least - w.most.tokens) / max(most, 1) * float64(time.Second))
+		pause := (least - w.most.tokens) / max(most, 1)
+		d.Pause = time.Duration(min(pause, longestPause.Seconds()) * float64(time.Second))
 	}
 	return d
 }
@@ -279,7 +293,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if w, found := a.workspaces[name]; found && w.most.bounded {
-		w.most.tokens += tokens
+		w.most.take(-tokens)
 	}
 }
 
@@ -292,7 +306,7 @@
 	if math.IsInf(share, 1) || w.whole <= 0 {
 		return math.Inf(1)
 	}
-	return share * min(a.rate(now, w)/w.whole, 1)
+	return share * w.part
 }
 
 // alone is what a workspace may use at a router that hears no keeper, in tokens a second:
@@ -345,6 +359,7 @@
 	if elapsed <= 0 {
 		return
 	}
+	w.lagged += (w.rate - w.lagged) * (1 - math.Exp(-elapsed.Seconds()/sumsAge.Seconds()))
 	w.rate *= math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
 	w.at = now
 }
--- a/lib/apportioner/silent_test.go
+++ b/lib/apportioner/silent_test.go
@@ -61,3 +61,59 @@
 		func(at time.Duration, router int) bool { return router != 7 || at < 2*time.Second })
 	require.InDelta(t, got["spread"], got["gathered"], got["spread"]/2, "half of what the best served one got is due")
 }
+
+// What users saw: while one workspace waited, with 330 thousand tokens a second, another
+// one that began to flood got 1,800 thousand for two seconds.
+//
+// Order of events: the second asks all routers at once for eight times the capacity; what
+// they hear of each other is up to half a second old. Cause: each router compared what was
+// asked for at itself now with what all were asked for before, and took four times its
+// part.
+//
+// Evidence: the lines of 75 routers, added up by the second in which requests began; each
+// named a share of 430 thousand and a part of it, and the parts were 1,865 thousand.
+func TestSuddenFloodGetsNoMoreThanItsShare(t *testing.T) {
+	const (
+		step  = 10 * time.Millisecond
+		age   = 300 * time.Millisecond
+		began = 4 * time.Second
+		span  = 6 * time.Second // over which the difference between two is bounded
+	)
+	f := newFleet(75, 1_000_000)
+	var told []map[string]uint64 // one each tenth of a second
+	next := 0
+	for at := time.Duration(0); at < began+span; at += step {
+		if at == began {
+			clear(f.served)
+		}
+		for range 8 {
+			f.ask(7, "waiting", 2500) // 2,000,000 a second
+		}
+		requests := 1 // 250,000 a second
+		if at >= began {
+			requests = 32
+		}
+		for range requests {
+			f.ask(next%len(f.routers), "sudden", 2500)
+			next++
+		}
+		f.now = f.now.Add(step)
+		if at%(100*time.Millisecond) != 0 {
+			continue
+		}
+		sums := make(map[string]uint64)
+		for _, a := range f.routers {
+			for name, rate := range a.Rates(f.now) {
+				sums[name] += rate
+			}
+		}
+		told = append(told, sums)
+		if late := len(told) - 1 - int(age/(100*time.Millisecond)); late >= 0 {
+			for _, a := range f.routers {
+				a.Demand(f.now, told[late], f.backlog)
+			}
+		}
+	}
+	require.Less(t, f.served["sudden"], 2*f.served["waiting"])
+	require.Greater(t, f.served["sudden"], f.served["waiting"]/2, "and it gets its half")
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -144,6 +144,7 @@
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoint: d.endpoint, Plan: d.plan, Routers: d.routers,
 		Uses: func() map[string]uint64 { return d.shares.Rates(clock.Now()) }, Loads: d.balancer.Loads, Fleet: d.fleet,
+		Backlog: func() time.Duration { return d.backlog(clock.Now()) },
 	})
 	d.news = subscriber.New(subscriber.Options{Host: d.reader, Clock: clock, Log: log, Dial: d.dial, Wait: loadPause})
 	d.pacer.Starts = &pacer.Rate{Least: settings.Processors * leastStartsPerCore, Begin: settings.Processors * startsPerCore}
@@ -192,12 +193,14 @@
 	}
 }
 
-// fleet takes what the whole fleet asks for, and what the other routers have at the
-// endpoints.
-func (d *Director) fleet(uses map[string]uint64, loads map[uint64]balancer.Load) {
+// fleet takes what the whole fleet asks for, what the other routers have at the
+// endpoints, and how long the engines still read as the median router believes. A router
+// that is late takes engines for slow: one that a flood reached believed in 177 ms of
+// backlog where the others had 97, and held its workspace to half of what they gave.
+func (d *Director) fleet(uses map[string]uint64, loads map[uint64]balancer.Load, backlog time.Duration) {
 	now := d.clock.Now()
 	d.balancer.Others(now, loads)
-	d.shares.Demand(now, uses, d.backlog(now))
+	d.shares.Demand(now, uses, backlog)
 }
 
 // backlog returns how long the engines still read what they have been sent, of the
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -52,9 +52,12 @@
 	Uses func() map[string]uint64
 	// Loads returns what this router has at the endpoints.
 	Loads func() map[uint64]balancer.Load
-	// Fleet is told what the workspaces ask for at all routers, and what all other
-	// routers have at the endpoints.
-	Fleet func(uses map[string]uint64, loads map[uint64]balancer.Load)
+	// Backlog returns for how long engines still read what they have been sent, as this
+	// router believes.
+	Backlog func() time.Duration
+	// Fleet is told what the workspaces ask for at all routers, what all other routers
+	// have at the endpoints, and what the median router believes of the backlog.
+	Fleet func(uses map[string]uint64, loads map[uint64]balancer.Load, backlog time.Duration)
 }
 
 // Reader implements subscriber.Host.
@@ -111,6 +114,9 @@
 			})
 		}
 	}
+	if r.options.Backlog != nil {
+		request.BacklogMs = uint32(max(r.options.Backlog(), 0) / time.Millisecond)
+	}
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -142,7 +148,7 @@
 		r.options.Routers(int(news.GetRouters()))
 	}
 	if r.options.Fleet != nil {
-		r.options.Fleet(usesOf(news), loadsOf(news))
+		r.options.Fleet(usesOf(news), loadsOf(news), time.Duration(news.GetBacklogMs())*time.Millisecond)
 	}
 	if news.GetPlan() > r.version() {
 		r.fetch(ctx, keeper)
