Let nobody get far more than a workspace that waits

A workspace whose clients all reach one router gets what that one has time for (450 to 750 thousand tokens a second), others 1,250 to 1,450. Routers now tell what each workspace gets beside what it asks for, requests that a router has no room for count as asked for, and beyond what is owed nobody gets more than 1.6 times what one that waits gets. Who asks for more than is owed has a bound on the rest from then on.

The test fails without (7.5 beside 1.8 million).

--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -158,7 +158,9 @@
 			for node, backlog := range test.believed {
 				d.follow(began, &messenger.FollowRequest{Node: node, BacklogMs: backlog})
 			}
-			told := func(now time.Time) uint32 { return d.news(now, &messenger.FollowRequest{Node: "a"}, epoch).GetBacklogMs() }
+			told := func(now time.Time) uint32 {
+				return d.news(now, &messenger.FollowRequest{Node: "a"}, epoch).GetBacklogMs()
+			}
 			require.Equal(t, test.want, told(began))
 			require.Equal(t, test.want, told(began.Add(medianAge-1)))
 			require.Zero(t, told(began.Add(reportMemory+1)), "silent routers count no more")
--- a/keeper/internal/server/loads.go
+++ b/keeper/internal/server/loads.go
@@ -55,30 +55,36 @@
 	return told
 }
 
-// uses is what the workspaces ask for at all routers, in tokens a second, summed as
-// loads are. Its zero value is empty.
-type uses map[string]int64
+// uses is what the workspaces ask for and get at all routers, in tokens a second, summed
+// as loads are. Its zero value is empty.
+type uses map[string]use
+
+type use struct {
+	asked, got int64
+}
 
 // add adds a report, or takes it off.
 func (u *uses) add(report []*messenger.Use, sign int64) {
 	if *u == nil {
 		*u = make(uses)
 	}
-	for _, use := range report {
-		sum := (*u)[use.GetWorkspace()] + sign*int64(use.GetAsked())
-		if sum == 0 {
-			delete(*u, use.GetWorkspace())
+	for _, told := range report {
+		sum := (*u)[told.GetWorkspace()]
+		sum.asked += sign * int64(told.GetAsked())
+		sum.got += sign * int64(told.GetGot())
+		if sum == (use{}) {
+			delete(*u, told.GetWorkspace())
 			continue
 		}
-		(*u)[use.GetWorkspace()] = sum
+		(*u)[told.GetWorkspace()] = sum
 	}
 }
 
 // told returns the sums for a message.
 func (u uses) told() []*messenger.Use {
 	told := make([]*messenger.Use, 0, len(u))
-	for workspace, asked := range u {
-		told = append(told, &messenger.Use{Workspace: workspace, Asked: uint64(max(asked, 0))})
+	for workspace, sum := range u {
+		told = append(told, &messenger.Use{Workspace: workspace, Asked: uint64(max(sum.asked, 0)), Got: uint64(max(sum.got, 0))})
 	}
 	return told
 }
--- a/lib/apportioner/allowance.go
+++ b/lib/apportioner/allowance.go
@@ -4,7 +4,7 @@
 
 // longestDebt bounds, in seconds of the share, what a workspace pays back of what it took
 // before its bound was known.
-const longestDebt = 2.0
+const longestDebt = 4.0
 
 // allowance is what a workspace may use at one router of one of its shares.
 type allowance struct {
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -52,6 +52,13 @@
 	// staleAfter is how old the sums may be. A router that hears no keeper goes by the
 	// part of each workspace's demand that was its own when it last heard one.
 	staleAfter = 3 * time.Second
+	// waits is the part of what it asks for from which on a workspace does not count as
+	// waiting: the measures of both swing by a tenth.
+	waits = 0.75
+	// besides is how many times what a waiting workspace gets another one may get. Twice
+	// as much is what callers are promised at the most; the rest is for what requests
+	// begun at one moment differ from those let in.
+	besides = 1.6
 	// longestPause bounds what a refused client is told. By then the sums have been told
 	// several times, and a share that is next to nothing here may be another one.
 	longestPause = 2 * time.Second
@@ -72,6 +79,7 @@
 	told       time.Time
 	began      time.Time // of the first request
 	backlog    time.Duration
+	heard      bool // what workspaces got has been told
 }
 
 type workspace struct {
@@ -80,6 +88,7 @@
 	at     time.Time
 	whole  float64 // tokens a second asked for in the whole fleet, as told
 	part   float64 // of whole that was asked for here when it was told
+	got    float64 // tokens a second let in by the whole fleet, as told
 	filled time.Time
 	owed   allowance // what it has a right to
 	most   allowance // what it may have while engines bear it
@@ -113,6 +122,40 @@
 	return rates
 }
 
+// Got returns what the workspaces were let in with at this router, in tokens a second.
+func (a *Apportioner) Got(now time.Time) map[string]uint64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	got := make(map[string]uint64, len(a.workspaces))
+	for name, w := range a.workspaces {
+		since := now.Sub(w.filled).Seconds()
+		if rate := w.most.taken * math.Exp2(-since/halfLife.Seconds()); rate >= 1 {
+			got[name] = uint64(rate)
+		}
+	}
+	return got
+}
+
+// Served takes what all routers have let in, this one's included. Demand follows with
+// what was asked for.
+func (a *Apportioner) Served(got map[string]uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.heard = true
+	for name, w := range a.workspaces {
+		w.got = float64(got[name])
+	}
+}
+
+// Ask counts a request that was refused before its share was asked for.
+func (a *Apportioner) Ask(now time.Time, name string, tokens float64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if w := a.bounded(now, name); w != nil {
+		w.ask(now, tokens)
+	}
+}
+
 // Demand takes what all routers' workspaces ask for, this one's included, and how long
 // engines still read what they have been sent. Both are the whole fleet's: routers that
 // each followed what they see themselves would serve a workspace by the router that its
@@ -179,23 +222,50 @@
 }
 
 // divide computes the shares of what is owed and of what engines bear now.
+//
+// Who asks for more than it is owed has a bound on the rest as well, also if it does not
+// reach it yet by what is told: in a flood that begins what is told is a twentieth of what
+// is asked for, and all routers together admitted eight times what they should have.
 func (a *Apportioner) divide() {
 	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
-	fill(asking, a.capacity*stretchOwed, func(w *workspace) *allowance { return &w.owed })
-	fill(asking, a.capacity*stretch(a.backlog), func(w *workspace) *allowance { return &w.most })
+	owed := level(asking, a.capacity*stretchOwed)
+	most := min(level(asking, a.capacity*stretch(a.backlog)), max(owed, a.beside(asking, owed)))
+	for _, w := range asking {
+		w.owed.share, w.most.share = math.Inf(1), math.Inf(1)
+		if w.whole > owed {
+			w.owed.share, w.most.share = owed, most
+		}
+	}
+}
+
+// beside is what a workspace may get beside those that ask for more than they are owed and
+// wait, +Inf if there is none.
+//
+// All clients of a workspace may reach one small router, and what that one can pass on
+// bounds what it gets, whatever its share. Others that reach all routers got 1,250 to 1,450
+// thousand tokens a second of what engines had to spare, and it got 450 to 750.
+func (a *Apportioner) beside(asking []*workspace, owed float64) float64 {
+	least := math.Inf(1)
+	for _, w := range asking {
+		if a.heard && w.whole > owed && w.got < waits*w.whole {
+			least = min(least, w.got)
+		}
+	}
+	return besides * least
 }
 
-// fill divides a capacity evenly until it is used. The workspaces are sorted by what
-// they ask for.
-func fill(asking []*workspace, capacity float64, of func(w *workspace) *allowance) {
+// level divides a capacity evenly until it is used, and returns what each gets that asks
+// for more. The workspaces are sorted by what they ask for.
+func level(asking []*workspace, capacity float64) float64 {
+	even := capacity
 	for i, w := range asking {
-		even := capacity / float64(len(asking)-i)
-		capacity -= min(w.whole, even)
-		of(w).share = even
-		if w.whole <= even {
-			of(w).share = math.Inf(1) // it may have what it asks for, also if that grows
+		even = capacity / float64(len(asking)-i)
+		if w.whole > even {
+			break
 		}
+		capacity -= w.whole
 	}
+	return even
 }
 
 // Decision is the answer to a request, with what it rests on.
--- /dev/null
+++ b/lib/apportioner/beside_test.go
@@ -0,0 +1,86 @@
+package apportioner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What users saw: one workspace waited and got 450 to 750 thousand tokens a second, another
+// one that asked for as much got 1,250 to 1,450.
+//
+// Order of events: all clients of the first reach one router, which has no time for more;
+// the second reaches all. Engines have room, so that shares go far beyond what is owed.
+// Cause: what engines had to spare went to whoever could be let in, and how much a
+// workspace got was not known beside what it asked for.
+//
+// Evidence: the lines of all routers added up by second; the first router's ledger named 10
+// million tokens a second that it refused itself.
+func TestNobodyGetsFarMoreThanOneThatWaits(t *testing.T) {
+	const (
+		step     = 10 * time.Millisecond
+		capacity = 1_000_000
+	)
+	tests := map[string]struct {
+		passes float64 // tokens a second that the first one's router has time for
+		ratio  float64 // that the second may get at the most
+		least  float64 // that the second gets at least
+	}{
+		"its router has time for a half":  {passes: 300_000, ratio: 2, least: capacity * stretchOwed / 2},
+		"its router has time for a tenth": {passes: 60_000, ratio: 10, least: 0.85 * capacity * stretchOwed / 2},
+		"it waits for its share alone":    {passes: 1e9, ratio: 1.2, least: 0.85 * capacity * stretchMost / 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := &fleet{now: start, served: make(map[string]float64), refused: make(map[string]int)}
+			for range 8 {
+				a := &Apportioner{}
+				a.Capacity(capacity)
+				a.Routers(8)
+				f.routers = append(f.routers, a)
+			}
+			room, next := 0.0, 0
+			for at := time.Duration(0); at < 9*time.Second; at += step {
+				if at == 3*time.Second {
+					clear(f.served)
+				}
+				room = min(room+test.passes*step.Seconds(), test.passes*0.1)
+				for range 8 {
+					f.ask(next%8, "spread", 2500) // 2,000,000 a second
+					next++
+					if room < 0 {
+						f.routers[3].Ask(f.now, "gathered", 2500)
+						continue
+					}
+					before := f.served["gathered"]
+					f.ask(3, "gathered", 2500)
+					room -= f.served["gathered"] - before
+				}
+				f.now = f.now.Add(step)
+				if at%(100*time.Millisecond) == 0 {
+					f.report()
+				}
+			}
+			require.LessOrEqual(t, f.served["spread"], test.ratio*f.served["gathered"])
+			require.GreaterOrEqual(t, f.served["spread"], 6*test.least, "what is owed is served all the same")
+		})
+	}
+}
+
+// report tells all routers what is asked for and got, and that engines are idle.
+func (f *fleet) report() {
+	asked, got := make(map[string]uint64), make(map[string]uint64)
+	for _, a := range f.routers {
+		for name, rate := range a.Rates(f.now) {
+			asked[name] += rate
+		}
+		for name, rate := range a.Got(f.now) {
+			got[name] += rate
+		}
+	}
+	for _, a := range f.routers {
+		a.Served(got)
+		a.Demand(f.now, asked, 0)
+	}
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -143,7 +143,7 @@
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoint: d.endpoint, Plan: d.plan, Routers: d.routers,
-		Uses: func() map[string]uint64 { return d.shares.Rates(clock.Now()) }, Loads: d.balancer.Loads, Fleet: d.fleet,
+		Uses: d.uses, Loads: d.balancer.Loads, Fleet: d.fleet,
 		Backlog: func() time.Duration { return d.backlog(clock.Now()) },
 	})
 	d.news = subscriber.New(subscriber.Options{Host: d.reader, Clock: clock, Log: log, Dial: d.dial, Wait: loadPause})
@@ -197,10 +197,17 @@
 // endpoints, and how long the engines still read as the median router believes. A router
 // that is late takes engines for slow: one that a flood reached believed in 177 ms of
 // backlog where the others had 97, and held its workspace to half of what they gave.
-func (d *Director) fleet(uses map[string]uint64, loads map[uint64]balancer.Load, backlog time.Duration) {
+func (d *Director) fleet(fleet newsreader.Fleet) {
 	now := d.clock.Now()
-	d.balancer.Others(now, loads)
-	d.shares.Demand(now, uses, backlog)
+	d.balancer.Others(now, fleet.Loads)
+	d.shares.Served(fleet.Got)
+	d.shares.Demand(now, fleet.Asked, fleet.Backlog)
+}
+
+// uses returns what the workspaces ask for here and what they are let in with.
+func (d *Director) uses() (asked, got map[string]uint64) {
+	now := d.clock.Now()
+	return d.shares.Rates(now), d.shares.Got(now)
 }
 
 // backlog returns how long the engines still read what they have been sent, of the
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -48,16 +48,27 @@
 	Plan func(table *resolver.Table)
 	// Routers is told how many routers the fleet has.
 	Routers func(count int)
-	// Uses returns what the workspaces ask for here, in tokens a second.
-	Uses func() map[string]uint64
+	// Uses returns what the workspaces ask for here and what they are let in with, in
+	// tokens a second.
+	Uses func() (asked, got map[string]uint64)
 	// Loads returns what this router has at the endpoints.
 	Loads func() map[uint64]balancer.Load
 	// Backlog returns for how long engines still read what they have been sent, as this
 	// router believes.
 	Backlog func() time.Duration
-	// Fleet is told what the workspaces ask for at all routers, what all other routers
-	// have at the endpoints, and what the median router believes of the backlog.
-	Fleet func(uses map[string]uint64, loads map[uint64]balancer.Load, backlog time.Duration)
+	// Fleet is told of the whole fleet.
+	Fleet func(fleet Fleet)
+}
+
+// Fleet is what keepers add up of all routers' reports.
+type Fleet struct {
+	// Asked is what the workspaces ask for and Got what they are let in with, in tokens a
+	// second.
+	Asked, Got map[string]uint64
+	// Loads is what all other routers have at the endpoints.
+	Loads map[uint64]balancer.Load
+	// Backlog is for how long engines still read, as the median router believes.
+	Backlog time.Duration
 }
 
 // Reader implements subscriber.Host.
@@ -103,8 +114,9 @@
 func (r *Reader) Report(netip.AddrPort) *messenger.FollowRequest {
 	request := &messenger.FollowRequest{Node: r.options.Name, Zone: r.options.Zone, Plan: r.version()}
 	if r.options.Uses != nil {
-		for workspace, asked := range r.options.Uses() {
-			request.Uses = append(request.Uses, &messenger.Use{Workspace: workspace, Asked: asked})
+		asked, got := r.options.Uses()
+		for workspace, rate := range asked {
+			request.Uses = append(request.Uses, &messenger.Use{Workspace: workspace, Asked: rate, Got: got[workspace]})
 		}
 	}
 	if r.options.Loads != nil {
@@ -148,19 +160,23 @@
 		r.options.Routers(int(news.GetRouters()))
 	}
 	if r.options.Fleet != nil {
-		r.options.Fleet(usesOf(news), loadsOf(news), time.Duration(news.GetBacklogMs())*time.Millisecond)
+		r.options.Fleet(fleetOf(news))
 	}
 	if news.GetPlan() > r.version() {
 		r.fetch(ctx, keeper)
 	}
 }
 
-func usesOf(news *messenger.FollowResponse) map[string]uint64 {
-	uses := make(map[string]uint64, len(news.GetUses()))
+func fleetOf(news *messenger.FollowResponse) Fleet {
+	fleet := Fleet{
+		Asked: make(map[string]uint64, len(news.GetUses())), Got: make(map[string]uint64, len(news.GetUses())),
+		Loads: loadsOf(news), Backlog: time.Duration(news.GetBacklogMs()) * time.Millisecond,
+	}
 	for _, use := range news.GetUses() {
-		uses[use.GetWorkspace()] = use.GetAsked()
+		fleet.Asked[use.GetWorkspace()] = use.GetAsked()
+		fleet.Got[use.GetWorkspace()] = use.GetGot()
 	}
-	return uses
+	return fleet
 }
 
 func loadsOf(news *messenger.FollowResponse) map[uint64]balancer.Load {
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -53,6 +53,7 @@
 	if p.busy(q) {
 		// Whoever comes back reaches another router. Taking the request here would
 		// make it late, and every other one with it.
+		p.unheard(q)
 		p.refuse(q, byRouter, http.StatusServiceUnavailable, tooMuch, retrySoon)
 		return false
 	}
--- a/router/internal/passer/screen.go
+++ b/router/internal/passer/screen.go
@@ -50,6 +50,7 @@
 func (p *Passer) screen(q *request) *screener.Refusal {
 	if p.busy(q) {
 		q.refused = byRouter
+		p.unheard(q)
 		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: tooMuch, Retry: spread(retrySoon)}
 	}
 	if !p.sharesEngines(q) {
@@ -62,3 +63,11 @@
 	p.usedUp(q, d)
 	return &screener.Refusal{Status: http.StatusTooManyRequests, Reason: noShare, Retry: spread(max(d.Pause, retrySoon))}
 }
+
+// unheard counts what a request that the router has no room for asks of its workspace's
+// share: the fleet must know that the workspace waits.
+func (p *Passer) unheard(q *request) {
+	if p.sharesEngines(q) {
+		p.options.Shares.Ask(q.received, q.workspace, float64(q.tokens()))
+	}
+}
