--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -18,22 +18,12 @@
 package apportioner
 
 import (
-	"cmp"
-	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// halfLife is how fast a measured rate follows: quotas are counted over a few
-	// seconds, and a rate that follows faster would take a cluster of requests
-	// for a flood.
-	halfLife = time.Second
-	// sumsAge is how old the demand in the sums is when they are told: reports are up to
-	// half a second old. A router's own demand is compared with them as it was then.
-	sumsAge = 300 * time.Millisecond
 	// Burst is how many seconds of its share a workspace may take at once. It
 	// covers the age of the sums and the clustering of requests.
 	Burst = 1.0
@@ -44,27 +34,12 @@
 	// lateLevel is how full, as a part of a burst, a workspace's allowance has to be
 	// for requests that are late already.
 	lateLevel = 0.5
-	// leastSeen is the shortest time after which a rate is worked out; in a shorter one
-	// a single request of a small workspace would look like a flood. With 400 ms a
-	// fleet that started refused 230 requests of its first 570 beside idle engines, with
-	// 900 ms 130.
-	leastSeen = 900 * time.Millisecond
 	// staleAfter is how old the sums may be. A router that hears no keeper goes by the
 	// part of each workspace's demand that was its own when it last heard one.
 	staleAfter = 3 * time.Second
-	// unheardPart is the part of what a workspace asks for from which on its routers hold
-	// it back if they have no room for it. Small parts are refused at any peak.
-	unheardPart = 0.25
-	// besides is how many times what a waiting workspace gets another one may get. Twice
-	// as much is what callers are promised at the most; the rest is for what requests
-	// begun at one moment differ from those let in.
-	besides = 1.6
 	// longestPause bounds what a refused client is told. By then the sums have been told
 	// several times, and a share that is next to nothing here may be another one.
 	longestPause = 2 * time.Second
-	// maxWorkspaces bounds the workspaces that are measured; requests of others
-	// are admitted.
-	maxWorkspaces = 4096
 	// idleAfter is when a workspace that asks for nothing is forgotten.
 	idleAfter = 30 * time.Second
 )
@@ -81,19 +56,6 @@
 	backlog    time.Duration
 }
 
-type workspace struct {
-	rate   float64 // tokens a second asked for here
-	lagged float64 // the same, as old as what the sums tell of other routers
-	at     time.Time
-	whole  float64 // tokens a second asked for in the whole fleet, as told
-	part   float64 // of whole that was asked for here when it was told
-	lost   float64 // tokens a second asked for here for which this router had no room
-	told   Use     // the whole fleet's, as told last
-	filled time.Time
-	owed   allowance // what it has a right to
-	most   allowance // what it may have while engines bear it
-}
-
 // Capacity sets what the fleet yields, in tokens a second.
 func (a *Apportioner) Capacity(tokens float64) {
 	a.mutex.Lock()
@@ -115,11 +77,6 @@
 	Asked, Got, Unheard uint64
 }
 
-// Plus adds what another router tells.
-func (u Use) Plus(other Use) Use {
-	return Use{Asked: u.Asked + other.Asked, Got: u.Got + other.Got, Unheard: u.Unheard + other.Unheard}
-}
-
 // Uses returns what became of what the workspaces ask for at this router.
 func (a *Apportioner) Uses(now time.Time) map[string]Use {
 	a.mutex.Lock()
@@ -171,33 +128,6 @@
 	a.divide()
 }
 
-// tell notes what all routers' requests of a workspace ask for.
-func (a *Apportioner) tell(now time.Time, w *workspace, use Use) {
-	w.told = use
-	w.decay(now)
-	lagged := w.lagged * a.early(now)
-	w.whole = max(float64(use.Asked), lagged)
-	w.part = 0
-	if w.whole > 0 {
-		w.part = lagged / w.whole
-	}
-}
-
-// rate returns what a workspace asks for here, in tokens a second. The measure takes
-// seconds to fill; before that it is as many times too low as what it has seen is too
-// short. Else a router that has just started finds that nobody asks for its share, and
-// admits everything for as long: half of the first two seconds' answers were late.
-func (a *Apportioner) rate(now time.Time, w *workspace) float64 {
-	w.decay(now)
-	return w.rate * a.early(now)
-}
-
-// early is by how much a measure is too low that has not filled yet.
-func (a *Apportioner) early(now time.Time) float64 {
-	seen := max(now.Sub(a.began), leastSeen)
-	return 1 / (1 - math.Exp2(-seen.Seconds()/halfLife.Seconds()))
-}
-
 // Stretch returns by how much shares go beyond the stated capacity.
 func (a *Apportioner) Stretch() float64 {
 	a.mutex.Lock()
@@ -215,55 +145,6 @@
 	return now.Sub(a.told)
 }
 
-// divide computes the shares of what is owed and of what engines bear now.
-//
-// Who asks for more than it is owed has a bound on the rest as well, also if it does not
-// reach it yet by what is told: in a flood that begins what is told is a twentieth of what
-// is asked for, and all routers together admitted eight times what they should have.
-func (a *Apportioner) divide() {
-	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
-	owed := level(asking, a.capacity*stretchOwed)
-	most := min(level(asking, a.capacity*stretch(a.backlog)), max(owed, a.beside(asking, owed)))
-	for _, w := range asking {
-		w.owed.share, w.most.share = math.Inf(1), math.Inf(1)
-		if w.whole > owed {
-			w.owed.share, w.most.share = owed, most
-		}
-	}
-}
-
-// beside is what a workspace may get beside those that ask for more than they are owed and
-// are held back by their routers, +Inf if there is none.
-//
-// All clients of a workspace may reach one small router, and what that one can pass on
-// bounds what it gets, whatever its share. Others that reach all routers got 1,250 to 1,450
-// thousand tokens a second of what engines had to spare, and it got 450 to 750. Those whom
-// their share or busy engines hold back do not count: with them smaller fleets, where
-// shares alone keep workspaces even, earned 0.05 less.
-func (a *Apportioner) beside(asking []*workspace, owed float64) float64 {
-	least := math.Inf(1)
-	for _, w := range asking {
-		if w.whole > owed && float64(w.told.Unheard) > unheardPart*w.whole {
-			least = min(least, float64(w.told.Got))
-		}
-	}
-	return besides * least
-}
-
-// level divides a capacity evenly until it is used, and returns what each gets that asks
-// for more. The workspaces are sorted by what they ask for.
-func level(asking []*workspace, capacity float64) float64 {
-	even := capacity
-	for i, w := range asking {
-		even = capacity / float64(len(asking)-i)
-		if w.whole > even {
-			break
-		}
-		capacity -= w.whole
-	}
-	return even
-}
-
 // Decision is the answer to a request, with what it rests on.
 type Decision struct {
 	Admitted bool
@@ -362,72 +243,3 @@
 		w.most.take(-tokens)
 	}
 }
-
-// local is the part of one of a workspace's shares that is this router's, in tokens a
-// second.
-func (a *Apportioner) local(now time.Time, w *workspace, share float64) float64 {
-	if now.Sub(a.told) > staleAfter {
-		return a.alone(w)
-	}
-	if math.IsInf(share, 1) || w.whole <= 0 {
-		return math.Inf(1)
-	}
-	return share * w.part
-}
-
-// alone is what a workspace may use at a router that hears no keeper, in tokens a second:
-// of an even share, the part of its demand that was last known to be this router's.
-//
-// A flood makes the one router late that all its clients reach, and a late router's
-// polls are given up. With the others believed to do as this one, its part was one of 75
-// routers' and it let 5,600 tokens a second in of 528,536 that were due, while others of
-// the fleet served twice that of another workspace. Workspaces that no keeper has told
-// of are still taken to be everywhere alike.
-func (a *Apportioner) alone(w *workspace) float64 {
-	if a.capacity <= 0 {
-		return math.Inf(1)
-	}
-	active := 0
-	for _, other := range a.workspaces {
-		if other.rate >= 1 {
-			active++
-		}
-	}
-	part := max(w.part, 1/float64(max(a.routers, 1)))
-	return a.capacity * stretch(a.backlog) / float64(max(active, 1)) * part
-}
-
-func (a *Apportioner) get(now time.Time, name string) *workspace {
-	w, found := a.workspaces[name]
-	if found {
-		return w
-	}
-	if len(a.workspaces) >= maxWorkspaces {
-		return nil
-	}
-	if a.workspaces == nil {
-		a.workspaces = make(map[string]*workspace)
-	}
-	w = &workspace{at: now, filled: now, owed: allowance{share: math.Inf(1)}, most: allowance{share: math.Inf(1)}}
-	a.workspaces[name] = w
-	return w
-}
-
-// ask counts what a request asks for.
-func (w *workspace) ask(now time.Time, tokens float64) {
-	w.decay(now)
-	w.rate += tokens * math.Ln2 / halfLife.Seconds()
-}
-
-// decay lets a measured rate fall with time.
-func (w *workspace) decay(now time.Time) {
-	elapsed := now.Sub(w.at)
-	if elapsed <= 0 {
-		return
-	}
-	w.lagged += (w.rate - w.lagged) * (1 - math.Exp(-elapsed.Seconds()/sumsAge.Seconds()))
-	fading := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
-	w.rate *= fading
-	w.lost *= fading
-	w.at = now
-}
--- /dev/null
+++ b/lib/apportioner/divide.go
@@ -0,0 +1,67 @@
+package apportioner
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+)
+
+const (
+	// unheardPart is the part of what a workspace asks for from which on its routers hold
+	// it back if they have no room for it. Small parts are refused at any peak.
+	unheardPart = 0.25
+	// besides is how many times what a waiting workspace gets another one may get. Twice
+	// as much is what callers are promised at the most; the rest is for what requests
+	// begun at one moment differ from those let in.
+	besides = 1.6
+)
+
+// divide computes the shares of what is owed and of what engines bear now.
+//
+// Who asks for more than it is owed has a bound on the rest as well, also if it does not
+// reach it yet by what is told: in a flood that begins what is told is a twentieth of what
+// is asked for, and all routers together admitted eight times what they should have.
+func (a *Apportioner) divide() {
+	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
+	owed := level(asking, a.capacity*stretchOwed)
+	most := min(level(asking, a.capacity*stretch(a.backlog)), max(owed, a.beside(asking, owed)))
+	for _, w := range asking {
+		w.owed.share, w.most.share = math.Inf(1), math.Inf(1)
+		if w.whole > owed {
+			w.owed.share, w.most.share = owed, most
+		}
+	}
+}
+
+// beside is what a workspace may get beside those that ask for more than they are owed and
+// are held back by their routers, +Inf if there is none.
+//
+// All clients of a workspace may reach one small router, and what that one can pass on
+// bounds what it gets, whatever its share. Others that reach all routers got 1,250 to 1,450
+// thousand tokens a second of what engines had to spare, and it got 450 to 750. Those whom
+// their share or busy engines hold back do not count: with them smaller fleets, where
+// shares alone keep workspaces even, earned 0.05 less.
+func (a *Apportioner) beside(asking []*workspace, owed float64) float64 {
+	least := math.Inf(1)
+	for _, w := range asking {
+		if w.whole > owed && float64(w.told.Unheard) > unheardPart*w.whole {
+			least = min(least, float64(w.told.Got))
+		}
+	}
+	return besides * least
+}
+
+// level divides a capacity evenly until it is used, and returns what each gets that asks
+// for more. The workspaces are sorted by what they ask for.
+func level(asking []*workspace, capacity float64) float64 {
+	even := capacity
+	for i, w := range asking {
+		even = capacity / float64(len(asking)-i)
+		if w.whole > even {
+			break
+		}
+		capacity -= w.whole
+	}
+	return even
+}
--- /dev/null
+++ b/lib/apportioner/local.go
@@ -0,0 +1,40 @@
+package apportioner
+
+import (
+	"math"
+	"time"
+)
+
+// local is the part of one of a workspace's shares that is this router's, in tokens a
+// second.
+func (a *Apportioner) local(now time.Time, w *workspace, share float64) float64 {
+	if now.Sub(a.told) > staleAfter {
+		return a.alone(w)
+	}
+	if math.IsInf(share, 1) || w.whole <= 0 {
+		return math.Inf(1)
+	}
+	return share * w.part
+}
+
+// alone is what a workspace may use at a router that hears no keeper, in tokens a second:
+// of an even share, the part of its demand that was last known to be this router's.
+//
+// A flood makes the one router late that all its clients reach, and a late router's
+// polls are given up. With the others believed to do as this one, its part was one of 75
+// routers' and it let 5,600 tokens a second in of 528,536 that were due, while others of
+// the fleet served twice that of another workspace. Workspaces that no keeper has told
+// of are still taken to be everywhere alike.
+func (a *Apportioner) alone(w *workspace) float64 {
+	if a.capacity <= 0 {
+		return math.Inf(1)
+	}
+	active := 0
+	for _, other := range a.workspaces {
+		if other.rate >= 1 {
+			active++
+		}
+	}
+	part := max(w.part, 1/float64(max(a.routers, 1)))
+	return a.capacity * stretch(a.backlog) / float64(max(active, 1)) * part
+}
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -15,9 +15,11 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,9 @@
 	restWait = 200 * time.Millisecond
 	// bufferSize holds a request's head and a usual body.
 	bufferSize = 16 << 10
+	// acceptPause is the pause after an accept that failed for a cause that passes, such as
+	// a lack of descriptors.
+	acceptPause = 10 * time.Millisecond
 	// turn is how many connections are taken before all other work has its turn. While
 	// connections come faster than they are closed, accepting them never waits, and
 	// nothing makes its goroutine yield: requests that had been read stood still for up
@@ -131,17 +136,31 @@
 func (l *Listener) accept() {
 	for taken := 1; ; taken++ {
 		conn, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			l.take(conn)
+		case passes(err):
+			l.options.Log.Warn().Err(err).Msg("a connection was not accepted; the next one is tried")
+			<-l.options.Clock.After(acceptPause)
+		default:
 			l.failed <- err
 			return
 		}
-		l.take(conn)
 		if taken%turn == 0 {
 			runtime.Gosched()
 		}
 	}
 }
 
+// passing are the errors of an accept that say nothing of the next one. A listener that
+// ended with the first of them took none of 8,611 connections in 9 s and said that it was
+// ready, after a flood had used up its descriptors.
+var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET}
+
+func passes(err error) bool {
+	return slices.ContainsFunc(passing, func(known error) bool { return errors.Is(err, known) })
+}
+
 // take decides what becomes of a connection.
 func (l *Listener) take(conn net.Conn) {
 	screens := l.options.Screens()
