Drop connections at the door whose clients have left, and accept 32 in a turn

Now who has left is seen when the request is read, is not tried again, and 32 are accepted before other work has its turn. Ruled out: a lack of descriptors (no accept failed).

--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -40,6 +40,7 @@
 	}
 	counter("shallotkeel_direct_endpoint_connections_total", "Connections made to endpoints.", d.client.Opened)
 	counter("shallotkeel_direct_unread_connections_total", "Connections of clients that were closed unread, for want of room.", d.screener((*screener.Listener).Unread))
+	counter("shallotkeel_direct_left_connections_total", "Connections of clients that had left before their requests were judged.", d.screener((*screener.Listener).Left))
 	counter("shallotkeel_direct_screened_requests_total", "Requests that were refused before the server took their connections.", d.screener((*screener.Listener).Refused))
 }
 
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -187,8 +187,8 @@
 
 // again tells whether the request may be sent to another endpoint.
 func (p *Passer) again(ctx context.Context, q *request, e ending) bool {
-	if ctx.Err() != nil {
-		return false
+	if ctx.Err() != nil || gone(q.http.Context()) {
+		return false // asked again for nobody, each endpoint would get a connection
 	}
 	if e.unsent {
 		q.unsent++
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -29,6 +29,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+
+	"shallotkeel.example/lib/forwarder"
 )
 
 const (
@@ -46,8 +48,10 @@
 	// turn is how many connections are taken before all other work has its turn. While
 	// connections come faster than they are closed, accepting them never waits, and
 	// nothing makes its goroutine yield: requests that had been read stood still for up
-	// to 0.9 s, and endpoints got them after their clients had left.
-	turn = 4
+	// to 0.9 s, and endpoints got them after their clients had left. With 4 of them the
+	// queue of new connections grew to nine seconds, and all that were accepted had been
+	// left by their clients.
+	turn = 32
 	// handed is how many connections may wait for the server to take them.
 	handed = 64
 )
@@ -88,6 +92,7 @@
 	full    bool // used by accept only
 	unread  atomic.Uint64
 	refused atomic.Uint64
+	left    atomic.Uint64
 }
 
 // New screens what a listener accepts.
@@ -110,6 +115,11 @@
 	return l.refused.Load()
 }
 
+// Left returns how many connections were closed because their clients had left.
+func (l *Listener) Left() uint64 {
+	return l.left.Load()
+}
+
 // Waiting returns how many connections are waited for.
 func (l *Listener) Waiting() int {
 	return int(l.waiting.Load())
@@ -213,6 +223,13 @@
 		conn.Close()
 		return
 	}
+	if forwarder.Ended(conn) {
+		// It waited for longer than its client did. Behind the server it would cost as much
+		// as one that is served.
+		l.left.Add(1)
+		conn.Close()
+		return
+	}
 	refusal, rest := l.judge(b, read)
 	if refusal == nil {
 		l.pass(&begun{Conn: conn, first: bytes.Clone(b.bytes[:read])})
--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -172,6 +172,28 @@
 	require.Equal(t, uint64(2), d.listener.Unread())
 }
 
+// Symptom: a router takes none of the connections that are made in nine seconds. Sequence:
+// more come than it refuses; they wait in the system's queue until their clients leave, and
+// each is still read, judged, and passed on. Cause: who had left was looked for only before
+// a request was sent.
+func TestWhoHasLeftIsNotPassedOn(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, head("/calm", 5)+"12345")
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	l := New(inner, Options{
+		Room: func() bool { return true }, Screens: func() bool { return true }, Most: 2,
+		Judge: func(*http.Request) *Refusal { t.Error("nobody waits for a verdict"); return nil },
+		Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+	})
+	t.Cleanup(func() { require.NoError(t, l.Close()) })
+	require.Eventually(t, func() bool { return l.Left() == 1 && l.Waiting() == 0 }, patience, tick)
+	require.Empty(t, l.passed)
+}
+
 // failing fails some accepts before it goes on.
 type failing struct {
 	net.Listener
