Close what the server has not taken when it ends, and forget idle workspaces

Connections that had been accepted and not been taken by the server hung at a planned stop; workspaces were never forgotten, because each telling of the sums counted as a request of theirs, so that after 4,096 of them those that came next had no bound. Two tests, failing before.

--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -116,7 +116,7 @@
 	a.told, a.backlog = now, backlog
 	for name, w := range a.workspaces {
 		a.tell(now, w, uses[name])
-		if w.rate < 1 && now.Sub(w.at) > idleAfter {
+		if w.whole < 1 && now.Sub(w.asked) > idleAfter {
 			delete(a.workspaces, name)
 		}
 	}
--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -259,3 +259,21 @@
 	_, refused := unbounded.Refuses(now, "flood", 1000, false)
 	require.False(t, refused)
 }
+
+// Symptom: after thousands of workspaces have come and gone, those that come next know no
+// bound. Cause: each time that the sums were told counted as a request, so that nobody was
+// ever forgotten.
+func TestWorkspacesThatAskForNothingAreForgotten(t *testing.T) {
+	a := &Apportioner{}
+	a.Capacity(100_000)
+	now := start
+	a.Admit(now, "gone", 10, false)
+	for range 100 {
+		now = now.Add(idleAfter / 50)
+		a.Demand(now, map[string]Use{"elsewhere": {Asked: 1000}}, 0)
+		a.Admit(now, "here", 10, false)
+	}
+	require.NotContains(t, a.workspaces, "gone")
+	require.Contains(t, a.workspaces, "elsewhere", "others ask for it")
+	require.Contains(t, a.workspaces, "here")
+}
--- a/lib/apportioner/workspace.go
+++ b/lib/apportioner/workspace.go
@@ -25,13 +25,14 @@
 
 // workspace is what a router knows of one workspace.
 type workspace struct {
-	rate   float64 // tokens a second asked for here
-	lagged float64 // the same, as old as what the sums tell of other routers
-	at     time.Time
-	whole  float64 // tokens a second asked for in the whole fleet, as told
-	part   float64 // of whole that was asked for here when it was told
-	lost   float64 // tokens a second asked for here for which this router had no room
-	told   Use     // the whole fleet's, as told last
+	rate   float64   // tokens a second asked for here
+	lagged float64   // the same, as old as what the sums tell of other routers
+	at     time.Time // of these measures
+	asked  time.Time // the last request
+	whole  float64   // tokens a second asked for in the whole fleet, as told
+	part   float64   // of whole that was asked for here when it was told
+	lost   float64   // tokens a second asked for here for which this router had no room
+	told   Use       // the whole fleet's, as told last
 	filled time.Time
 	owed   allowance // what it has a right to
 	most   allowance // what it may have while engines bear it
@@ -75,7 +76,7 @@
 	if a.workspaces == nil {
 		a.workspaces = make(map[string]*workspace)
 	}
-	w = &workspace{at: now, filled: now, owed: allowance{share: math.Inf(1)}, most: allowance{share: math.Inf(1)}}
+	w = &workspace{at: now, asked: now, filled: now, owed: allowance{share: math.Inf(1)}, most: allowance{share: math.Inf(1)}}
 	a.workspaces[name] = w
 	return w
 }
@@ -83,6 +84,7 @@
 // ask counts what a request asks for.
 func (w *workspace) ask(now time.Time, tokens float64) {
 	w.decay(now)
+	w.asked = now
 	w.rate += tokens * math.Ln2 / halfLife.Seconds()
 }
 
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -31,7 +31,7 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_backlog_seconds", Help: "How long engines still read what they have been sent, as this router knows."}, func() float64 {
 		return d.backlog(d.clock.Now()).Seconds()
 	})
-	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_sums_age_seconds", Help: "How old the sums are that shares rest on; from 3 on this router goes by its own measure."}, func() float64 {
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_sums_age_seconds", Help: "How old the sums are that shares rest on; from 3 on this router keeps the part of each workspace's demand that was last its own."}, func() float64 {
 		return d.shares.Age(d.clock.Now()).Seconds()
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -137,12 +137,22 @@
 	}
 }
 
-// Close ends the listener. Connections that it still has are closed.
+// Close ends the listener. Connections that the server has not taken are closed: their
+// clients learn at once that nobody reads their requests.
 func (l *Listener) Close() error {
 	l.close.Do(func() { close(l.done) })
-	return l.Listener.Close()
+	err := l.Listener.Close()
+	for {
+		select {
+		case conn := <-l.passed:
+			conn.Close()
+		default:
+			return err
+		}
+	}
 }
 
+// accept takes connections until the listener ends.
 func (l *Listener) accept() {
 	for taken := 1; ; taken++ {
 		conn, err := l.Listener.Accept()
@@ -162,9 +172,8 @@
 	}
 }
 
-// passing are the errors of an accept that say nothing of the next one. A listener that
-// ended with the first of them took none of 8,611 connections in 9 s and said that it was
-// ready, after a flood had used up its descriptors.
+// passing are the errors of an accept that say nothing of the next one. A router whose
+// listener ended with one of them would say that it is ready and take no connection more.
 var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET}
 
 func passes(err error) bool {
@@ -191,7 +200,14 @@
 	}
 }
 
+// pass hands a connection to the server, or closes it if the listener has ended.
 func (l *Listener) pass(conn net.Conn) {
+	select {
+	case <-l.done:
+		conn.Close()
+		return
+	default:
+	}
 	select {
 	case l.passed <- conn:
 	case <-l.done:
--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -209,9 +209,9 @@
 	return nil, &net.OpError{Op: "accept", Err: err}
 }
 
-// Symptom: a router says that it is ready and takes none of 8,611 connections in 9 s.
-// Sequence: a flood uses up its descriptors, and one accept fails. Cause: the first error
-// ended the listener, and the server waited for a connection that never came.
+// Symptom: a router says that it is ready and takes no connection. Sequence: one accept
+// fails for want of descriptors. Cause: the first error ended the listener, and the server
+// waited for a connection that never came.
 func TestAcceptGoesOnAfterAnErrorThatPasses(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -232,6 +232,24 @@
 	require.ErrorIs(t, err, syscall.EINVAL, "others end it")
 }
 
+// Symptom: at a planned stop clients wait for an answer until their deadlines. Cause: their
+// connections had been accepted, and the server that ended never took them.
+func TestEndClosesWhatTheServerHasNotTaken(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(inner, Options{
+		Room: func() bool { return true }, Screens: func() bool { return false }, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+	})
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.Eventually(t, func() bool { return len(l.passed) == 1 }, patience, tick)
+	require.NoError(t, l.Close())
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Empty(t, l.passed)
+}
+
 func TestListenerEnds(t *testing.T) {
 	d := open(t, 2, refusing)
 	require.NoError(t, d.listener.Close())
