--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -260,8 +260,7 @@
 }
 
 // BenchmarkRefusal is what a refusal on a connection of its own costs, the client's side
-// included: 171 us when the server refused it, in place of which stands here what is
-// printed. The client alone takes some 50 us of both.
+// included, on one core: 103 us by the server before, 79 us screened.
 func BenchmarkRefusal(b *testing.B) {
 	for name, screens := range map[string]bool{"screened": true, "by the server": false} {
 		b.Run(name, func(b *testing.B) {
