Say decay, pauses of refusals and unbounded rates once each

Both doors that refuse remembered the request and spread its pause by themselves (comeBack). A capacity was checked twice, a test's fleet had two ways to tell the sums. The screener ended its read deadline also for requests that it refuses, and swallowed the error of it; only what is passed on needs it.

--- a/lib/apportioner/allowance.go
+++ b/lib/apportioner/allowance.go
@@ -20,7 +20,7 @@
 // hear of one another's demand half a second late, and a flood that begins at all of them
 // takes several seconds' shares until then, while others wait.
 func (l *allowance) grow(local, elapsed float64) {
-	l.taken *= math.Exp2(-elapsed / halfLife.Seconds())
+	l.taken *= fading(elapsed)
 	switch {
 	case math.IsInf(local, 1):
 		l.bounded, l.tokens = false, 0
@@ -35,5 +35,5 @@
 // take uses some of it.
 func (l *allowance) take(tokens float64) {
 	l.tokens -= tokens
-	l.taken += tokens * math.Ln2 / halfLife.Seconds()
+	l.taken += asRate(tokens)
 }
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -18,7 +18,6 @@
 package apportioner
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -90,7 +89,7 @@
 		since := now.Sub(w.filled).Seconds()
 		uses[name] = Use{
 			Asked: uint64(asked), Unheard: uint64(w.lost),
-			Got: uint64(max(w.most.taken*math.Exp2(-since/halfLife.Seconds()), 0)),
+			Got: uint64(max(w.most.taken*fading(since), 0)),
 		}
 	}
 	return uses
@@ -102,7 +101,7 @@
 	defer a.mutex.Unlock()
 	if w := a.bounded(now, name); w != nil {
 		w.ask(now, tokens)
-		w.lost += tokens * math.Ln2 / halfLife.Seconds()
+		w.lost += asRate(tokens)
 	}
 }
 
--- a/lib/apportioner/beside_test.go
+++ b/lib/apportioner/beside_test.go
@@ -59,7 +59,7 @@
 				}
 				f.now = f.now.Add(step)
 				if at%(100*time.Millisecond) == 0 {
-					f.report()
+					f.tell()
 				}
 			}
 			require.LessOrEqual(t, f.served["spread"], test.ratio*f.served["gathered"])
@@ -67,11 +67,3 @@
 		})
 	}
 }
-
-// report tells all routers the sums, and that engines are idle.
-func (f *fleet) report() {
-	sums := f.sums()
-	for _, a := range f.routers {
-		a.Demand(f.now, sums, 0)
-	}
-}
--- a/lib/apportioner/local.go
+++ b/lib/apportioner/local.go
@@ -26,9 +26,6 @@
 // the fleet served twice that of another workspace. Workspaces that no keeper has told
 // of are still taken to be everywhere alike.
 func (a *Apportioner) alone(w *workspace) float64 {
-	if a.capacity <= 0 {
-		return math.Inf(1)
-	}
 	active := 0
 	for _, other := range a.workspaces {
 		if other.rate >= 1 {
--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -47,9 +47,13 @@
 	younger, aged map[string]int
 }
 
+func (r *Rate) unbounded() bool {
+	return r == nil || r.Begin == 0
+}
+
 // Room tells whether one more request may be started now, whoever asks.
 func (r *Rate) Room(now time.Time) bool {
-	if r == nil || r.Begin == 0 {
+	if r.unbounded() {
 		return true
 	}
 	r.mutex.Lock()
@@ -64,7 +68,7 @@
 
 // Crowds tells whether somebody has started an even part of what is possible.
 func (r *Rate) Crowds(now time.Time, who string) bool {
-	if r == nil || r.Begin == 0 {
+	if r.unbounded() {
 		return false
 	}
 	r.mutex.Lock()
@@ -98,7 +102,7 @@
 
 // Take counts a request that is started for somebody.
 func (r *Rate) Take(now time.Time, who string) {
-	if r == nil || r.Begin == 0 {
+	if r.unbounded() {
 		return
 	}
 	r.mutex.Lock()
@@ -113,7 +117,7 @@
 
 // Look adapts the rate to the process's mean lateness.
 func (r *Rate) Look(late time.Duration) {
-	if r == nil || r.Begin == 0 {
+	if r.unbounded() {
 		return
 	}
 	r.mutex.Lock()
@@ -142,10 +146,10 @@
 
 // Value returns how many requests may be started in a second, 0 for any number.
 func (r *Rate) Value() float64 {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.Begin == 0 {
+	if r.unbounded() {
 		return 0
 	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	return r.current()
 }
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -227,16 +227,17 @@
 func (p *Passer) refuse(q *request, by verdict, status int, reason string, retry time.Duration) {
 	q.refused = by
 	if retry > 0 {
-		q.writer.Header().Set("Retry-After", strconv.FormatFloat(spread(retry).Seconds(), 'f', 3, 64))
-		if q.name != 0 {
-			p.returns.refused(q.received, q.name, q.came)
-		}
+		q.writer.Header().Set("Retry-After", strconv.FormatFloat(p.comeBack(q, retry).Seconds(), 'f', 3, 64))
 	}
 	p.fail(q, status, reason)
 }
 
-// spread lengthens a pause at random.
-func spread(retry time.Duration) time.Duration {
+// comeBack remembers a refused request whose client may come back after a pause, and
+// returns that pause, lengthened at random.
+func (p *Passer) comeBack(q *request, retry time.Duration) time.Duration {
+	if q.name != 0 {
+		p.returns.refused(q.received, q.name, q.came)
+	}
 	return retry + time.Duration(retrySpread*rand.Float64()*float64(retry))
 }
 
--- a/router/internal/passer/screen.go
+++ b/router/internal/passer/screen.go
@@ -41,18 +41,17 @@
 		return nil
 	}
 	q.status, q.reason = refusal.Status, refusal.Reason
-	if q.name != 0 {
-		p.returns.refused(now, q.name, q.came)
-	}
+	refusal.Retry = p.comeBack(q, refusal.Retry)
 	p.record(q)
 	return refusal
 }
 
+// screen returns the refusal of a request, with the shortest pause for its client.
 func (p *Passer) screen(q *request) *screener.Refusal {
 	if p.busy(q) {
 		q.refused = byRouter
 		p.unheard(q)
-		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: tooMuch, Retry: spread(retrySoon)}
+		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: tooMuch, Retry: retrySoon}
 	}
 	if !p.sharesEngines(q) {
 		return nil
@@ -62,7 +61,7 @@
 		return nil
 	}
 	p.usedUp(q, d)
-	return &screener.Refusal{Status: http.StatusTooManyRequests, Reason: noShare, Retry: spread(max(d.Pause, retrySoon))}
+	return &screener.Refusal{Status: http.StatusTooManyRequests, Reason: noShare, Retry: max(d.Pause, retrySoon)}
 }
 
 // unheard counts what a request that the router has no room for asks of its workspace's
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -248,6 +248,11 @@
 	}
 	refusal, rest := l.judge(b, read)
 	if refusal == nil {
+		if err := conn.SetReadDeadline(time.Time{}); err != nil {
+			l.options.Log.Debug().Err(err).Msg("a new connection has ended; it is closed")
+			conn.Close()
+			return
+		}
 		l.pass(&begun{Conn: conn, first: bytes.Clone(b.bytes[:read])})
 		return
 	}
@@ -260,11 +265,7 @@
 	if err := conn.SetReadDeadline(l.options.Clock.Now().Add(firstWait)); err != nil {
 		return 0, err
 	}
-	read, err := conn.Read(b.bytes)
-	if err != nil {
-		return 0, err
-	}
-	return read, conn.SetReadDeadline(time.Time{})
+	return conn.Read(b.bytes)
 }
 
 // judge parses what has been read. A request whose head is not whole yet, or whose body
