--- a/bench/internal/attributor/attributor.go
+++ b/bench/internal/attributor/attributor.go
@@ -58,8 +58,6 @@
 	// backShare is the part of its target after which a request that was refused before
 	// is late whatever engines do.
 	backShare = 0.6
-	// idleBacklog is below which engines have next to nothing to do, as in the admission.
-	idleBacklog = 40 * time.Millisecond
 )
 
 // Loss is the credit lost to one cause, as a part of what a day owed.
--- a/bench/internal/attributor/attributor_test.go
+++ b/bench/internal/attributor/attributor_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/platform"
 )
 
@@ -26,7 +27,7 @@
 		"unforeseen":           {Line{Target: target, First: time.Second, Wait: 100 * time.Millisecond}, Unforeseen},
 		"late at a start":      {Line{Target: target, First: time.Second, Starting: true}, Start},
 		"refused at a start":   {Line{Refused: true, Starting: true}, Start},
-		"refused, idle":        {Line{Refused: true, Backlog: idleBacklog}, Idle},
+		"refused, idle":        {Line{Refused: true, Backlog: apportioner.IdleBacklog}, Idle},
 		"refused, busy":        {Line{Refused: true, Backlog: time.Second}, Busy},
 		"its endpoint failed":  {Line{Failed: true, Answered: true}, Endpoint},
 		"nobody answered":      {Line{Failed: true}, Unanswered},
--- a/bench/internal/attributor/line.go
+++ b/bench/internal/attributor/line.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"shallotkeel.example/lib/apportioner"
 )
 
 // ErrLog means that a log cannot be read.
@@ -39,7 +41,7 @@
 	switch {
 	case l.Starting && (late || l.Refused):
 		return Start
-	case l.Refused && l.Backlog <= idleBacklog:
+	case l.Refused && l.Backlog <= apportioner.IdleBacklog:
 		return Idle
 	case l.Refused:
 		return Busy
--- a/lib/apportioner/stretch.go
+++ b/lib/apportioner/stretch.go
@@ -15,12 +15,13 @@
 	stretchLeast = 1.2
 	// stretchMost is the stretch while engines have next to nothing to do.
 	stretchMost = 2.5
-	// idleBacklog and fullBacklog are between which backlogs the stretch falls. What is
-	// on its way to an engine counts as well, some 15 ms of a calm one; a mean of 160 ms
-	// is half of the shortest target. From 20 to 120 ms engines that read 100 tokens in a
-	// ms had medians of 43 ms beside refusals; from 50 to 200 ms they earned 0.015 more on
-	// days with trouble and 0.028 on a calm one, slower engines 0.005 and 0.014 less.
-	idleBacklog = 40 * time.Millisecond
+	// IdleBacklog is the backlog up to which engines have next to nothing to do. Between it
+	// and fullBacklog the stretch falls. What is on its way to an engine counts as well,
+	// some 15 ms of a calm one; a mean of 160 ms is half of the shortest target. From 20 to
+	// 120 ms engines that read 100 tokens in a ms had medians of 43 ms beside refusals; from
+	// 50 to 200 ms they earned 0.015 more on days with trouble and 0.028 on a calm one,
+	// slower engines 0.005 and 0.014 less.
+	IdleBacklog = 40 * time.Millisecond
 	fullBacklog = 160 * time.Millisecond
 )
 
@@ -32,7 +33,7 @@
 // congestion window does, it swung between its bounds with a period of eight seconds:
 // a queue is felt in answers only when it has grown, and one slow engine looks like all.
 func stretch(backlog time.Duration) float64 {
-	part := float64(backlog-idleBacklog) / float64(fullBacklog-idleBacklog)
+	part := float64(backlog-IdleBacklog) / float64(fullBacklog-IdleBacklog)
 	part = min(max(part, 0), 1)
 	return stretchMost + part*(stretchLeast-stretchMost)
 }
--- a/lib/apportioner/stretch_test.go
+++ b/lib/apportioner/stretch_test.go
@@ -13,8 +13,8 @@
 		want    float64
 	}{
 		"nothing to do":     {0, stretchMost},
-		"next to nothing":   {idleBacklog, stretchMost},
-		"between":           {(idleBacklog + fullBacklog) / 2, (stretchMost + stretchLeast) / 2},
+		"next to nothing":   {IdleBacklog, stretchMost},
+		"between":           {(IdleBacklog + fullBacklog) / 2, (stretchMost + stretchLeast) / 2},
 		"all they can bear": {fullBacklog, stretchLeast},
 		"far more":          {time.Minute, stretchLeast},
 	}
