Take orders that evacuate a zone, and bound what all routers send to a cold endpoint

Change: an order is a command of the keepers' log that names the revision of its zone; routers hear of the zones with each poll.

Ruled out: an even part for each router with a chance (a rate of 17 is far above 30.5 in some seconds with 73 routers that each may send); owners by hashing over routers, who do not know one another; a condition on the order's arrival at the leader (an order that hangs in a keeper that stands still would be taken for new).

--- a/keeper/internal/applier/applier.go
+++ b/keeper/internal/applier/applier.go
@@ -1,6 +1,6 @@
 // Package applier is the whole replicated state of the keepers: the
-// configuration of objects, the plan that is sent as a whole, the claims of
-// idempotency keys, the quarantined fingerprints,
+// configuration of objects, the plan that is sent as a whole, the evacuated
+// zones, the claims of idempotency keys, the quarantined fingerprints,
 // and the leases of pools, with the replicated clock that lets claims and
 // fingerprints expire.
 //
@@ -31,6 +31,8 @@
 	Claims []*messenger.ClaimResult
 	// Plan is the version of the whole configuration in force afterwards.
 	Plan uint64
+	// Overtaken tells that an order for a zone changed nothing because another came between.
+	Overtaken bool
 }
 
 // State is the replicated state. It is not safe for concurrent use.
@@ -41,6 +43,7 @@
 	quarantine    quarantine
 	leases        *lessor.Table
 	plan          *messenger.Plan
+	zones         zones
 }
 
 // New returns an empty state.
@@ -74,6 +77,11 @@
 	return s.plan
 }
 
+// Evacuations returns the evacuated zones.
+func (s *State) Evacuations() Evacuations {
+	return s.zones.evacuated
+}
+
 // Apply carries out a committed command.
 func (s *State) Apply(data []byte) (Result, error) {
 	var command messenger.Command
@@ -107,6 +115,9 @@
 		s.plan = plan
 	}
 	result.Plan = s.plan.GetVersion()
+	if order := command.GetEvacuation(); order != nil {
+		result.Overtaken = s.zones.apply(order)
+	}
 	return result, nil
 }
 
@@ -120,6 +131,8 @@
 		QuarantineRevision: s.quarantine.revision,
 		Leases:             s.leases.Encode(),
 		Plan:               s.plan,
+		Zones:              s.zones.encode(),
+		ZonesRevision:      s.zones.revision,
 	})
 }
 
@@ -136,6 +149,7 @@
 		leases:        lessor.Decode(wire.GetLeases()),
 		plan:          wire.GetPlan(),
 	}
+	s.zones.decode(wire.GetZones(), wire.GetZonesRevision())
 	s.quarantine.decode(wire.GetQuarantined(), wire.GetQuarantineRevision())
 	return s, nil
 }
--- a/keeper/internal/archiver/archiver.go
+++ b/keeper/internal/archiver/archiver.go
@@ -38,7 +38,7 @@
 func Write(files recorder.FileSystem, now time.Time, listings []lister.Listing) error {
 	message := &messenger.FollowResponse{}
 	for _, listing := range listings {
-		message.Listings = append(message.Listings, lister.ToWire(listing))
+		message.Listings = append(message.Listings, lister.ToWire(listing, now))
 	}
 	body := binary.LittleEndian.AppendUint64(nil, uint64(now.UnixMilli()))
 	body, err := proto.MarshalOptions{}.MarshalAppend(body, message)
@@ -68,7 +68,7 @@
 	}
 	listings := make([]lister.Listing, 0, len(message.GetListings()))
 	for _, wire := range message.GetListings() {
-		listing, err := lister.FromWire(wire)
+		listing, err := lister.FromWire(wire, now)
 		if err != nil {
 			return nil, err
 		}
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -7,6 +7,7 @@
 
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/rationer"
 )
 
 const (
@@ -38,6 +39,7 @@
 	direct    sums // of the routers that report here
 	whole     sums // these, and what the other keepers add up
 	taker     taker
+	lessor    rationer.Lessor // of parts of cold endpoints' rates
 	crashes   map[uint64]*crashes
 	convicted uint64 // rises with every quarantined fingerprint
 }
@@ -109,6 +111,7 @@
 		}
 	}
 	d.taker = taker{}
+	d.lessor.Forget(now)
 	return d.list.Pass(now)
 }
 
@@ -118,7 +121,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for _, wire := range listings {
-		listing, err := lister.FromWire(wire)
+		listing, err := lister.FromWire(wire, now)
 		if err != nil {
 			unread = err
 			continue
@@ -225,7 +228,7 @@
 	defer d.lock.Unlock()
 	response := &messenger.FollowResponse{Epoch: epoch, Next: d.list.Revision(), Brief: request.GetBrief()}
 	for _, listing := range d.unknown(request, epoch) {
-		response.Listings = append(response.Listings, lister.ToWire(listing))
+		response.Listings = append(response.Listings, lister.ToWire(listing, now))
 	}
 	if !request.GetKeeper() {
 		census := d.taker.take(now, d.followers)
--- a/keeper/internal/server/naming.go
+++ b/keeper/internal/server/naming.go
@@ -6,9 +6,10 @@
 	"github.com/rs/zerolog"
 
 	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/resolver"
 )
 
-// naming remembers which services the configuration in force names. Its zero value
+// naming remembers the services that the configuration in force names. Its zero value
 // knows of no configuration.
 //
 // Any process may announce an instance of a service that nobody named, at the
@@ -18,24 +19,35 @@
 type naming struct {
 	mutex   sync.Mutex
 	version uint64
-	names   map[string]bool // nil while there is no configuration
+	named   map[string]resolver.Service // nil while there is no configuration
 }
 
-// knows tells whether a service is named, as far as that is known.
-func (n *naming) knows(plan *messenger.Plan, service string, platform Platform, log zerolog.Logger) bool {
+// services returns the services of a configuration by their names, nil if they are not
+// known. They are only for reading.
+func (n *naming) services(plan *messenger.Plan, platform Platform, log zerolog.Logger) map[string]resolver.Service {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if plan.GetVersion() != n.version {
-		n.version, n.names = plan.GetVersion(), nil
-		names, err := platform.Services(plan.GetText())
-		if err != nil {
-			log.Error().Err(err).Uint64("version", n.version).Msg("an accepted configuration cannot be read; all services count as named")
-			return true
-		}
-		n.names = make(map[string]bool, len(names))
-		for _, name := range names {
-			n.names[name] = true
-		}
+	if plan.GetVersion() == n.version {
+		return n.named
 	}
-	return n.names == nil || n.names[service]
+	n.version, n.named = plan.GetVersion(), nil
+	services, err := platform.Services(plan.GetText())
+	if err != nil {
+		log.Error().Err(err).Uint64("version", n.version).
+			Msg("an accepted configuration cannot be read; all services count as named, and no cold endpoint gets work")
+		return nil
+	}
+	n.named = make(map[string]resolver.Service, len(services))
+	for _, service := range services {
+		n.named[service.Name] = service
+	}
+	return n.named
+}
+
+// services returns the services of the configuration in force, nil if they are not known.
+func (s *Server) services() map[string]resolver.Service {
+	if s.platform.Services == nil {
+		return nil
+	}
+	return s.naming.services(s.view.Load().plan, s.platform, s.log)
 }
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -32,6 +32,9 @@
 	Leave(id string, started time.Time)
 	// Unusable counts a heartbeat that names no endpoint to use.
 	Unusable(id string, fault lister.Unusable)
+	// SetEvacuated keeps new work away from the endpoints of a zone, or ends that. It returns
+	// once that is durable. NotFound means that there is no such zone.
+	SetEvacuated(ctx context.Context, zone string, evacuated bool) error
 }
 
 // planning implements messenger.Planning and Planner.
@@ -100,15 +103,18 @@
 	if p.directory.follow(p.clock.Now(), request) {
 		p.bulletin.wake()
 	}
+	arrived := p.clock.Now()
 	held, gathered := p.hold(request)
 	timer := p.clock.NewTimer(held)
 	defer timer.Stop()
 	for last := false; ; {
 		changed := p.bulletin.next()
-		newer := p.view.Load().plan.GetVersion() > request.GetPlan() && !request.GetKeeper()
-		if last || newer || !gathered && p.directory.fresh(request, p.epoch) {
+		if last || p.newer(request) || !gathered && p.directory.fresh(request, p.epoch) {
 			response := p.directory.news(p.clock.Now(), request, p.epoch)
-			response.Plan, response.Zone = p.view.Load().plan.GetVersion(), p.settings.Zone
+			shown := p.view.Load()
+			response.Plan, response.Zone = shown.plan.GetVersion(), p.settings.Zone
+			response.Evacuations, response.Evacuated = shown.zones.Revision, shown.zones.Zones
+			response.Rations = p.rations(arrived, request)
 			p.nameKeepers(response)
 			return response, nil
 		}
@@ -124,6 +130,13 @@
 	}
 }
 
+// newer tells whether something is committed here that a router does not know of.
+func (p planning) newer(request *messenger.FollowRequest) bool {
+	shown := p.view.Load()
+	return !request.GetKeeper() &&
+		(shown.plan.GetVersion() > request.GetPlan() || shown.zones.Revision > request.GetEvacuations())
+}
+
 // nameKeepers lists the group's members, so that a follower that knows one
 // keeper finds all.
 func (p planning) nameKeepers(response *messenger.FollowResponse) {
@@ -135,11 +148,13 @@
 // Beat takes a heartbeat. One of a service that nobody named is left out, unless it
 // is of a listed instance: that one may always say that it leaves.
 func (p planning) Beat(beat lister.Listing) {
-	named := p.naming.knows(p.view.Load().plan, beat.Service, p.platform, p.log)
-	if !named && !p.directory.lists(beat.ID, beat.Service) {
+	services := p.services()
+	service, named := services[beat.Service]
+	if services != nil && !named && !p.directory.lists(beat.ID, beat.Service) {
 		p.Unusable(beat.ID, lister.Unusable{Reason: lister.UnknownService, Field: "service"})
 		return
 	}
+	beat.ColdUntil = coldest(p.clock.Now(), beat.ColdUntil, service)
 	if p.directory.beat(p.clock.Now(), beat) {
 		p.log.Info().Str("endpoint", beat.ID).Str("service", beat.Service).Stringer("address", beat.Address).
 			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Time("started", beat.Started).
--- a/keeper/internal/server/planning_test.go
+++ b/keeper/internal/server/planning_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/loader"
 	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/resolver"
 )
 
 // seeded is a keeper that finds the others by seeds.
@@ -46,6 +48,25 @@
 	return p
 }
 
+// servicesOf reads a plan of these tests: the names of its services, each with what its cold
+// endpoints bear a second behind an equals sign if that is bounded.
+func servicesOf(text []byte) ([]resolver.Service, error) {
+	var services []resolver.Service
+	for _, field := range strings.Fields(string(text)) {
+		name, rate, _ := strings.Cut(field, "=")
+		service := resolver.Service{Name: name}
+		if rate != "" {
+			bears, err := strconv.ParseFloat(rate, 64)
+			if err != nil {
+				return nil, err
+			}
+			service.Cold = resolver.Cold{Rate: bears, Length: time.Minute}
+		}
+		services = append(services, service)
+	}
+	return services, nil
+}
+
 func (p *seeded) start(t *testing.T) {
 	t.Helper()
 	require.Empty(t, p.settings.Check())
@@ -58,8 +79,7 @@
 				planner <- served
 				return http.NotFoundHandler()
 			},
-			// A plan of these tests is the names of its services.
-			Services: func(text []byte) ([]string, error) { return strings.Fields(string(text)), nil },
+			Services: servicesOf,
 		})
 	}()
 	p.served = <-planner
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"shallotkeel.example/keeper/internal/applier"
 	"shallotkeel.example/keeper/internal/driver"
 	"shallotkeel.example/keeper/internal/sender"
 	"shallotkeel.example/keeper/internal/settings"
@@ -33,6 +34,7 @@
 	"shallotkeel.example/lib/pacer"
 	"shallotkeel.example/lib/recorder"
 	"shallotkeel.example/lib/replicator"
+	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/lib/subscriber"
 )
 
@@ -101,6 +103,7 @@
 	applied    uint64
 	diskBytes  int64
 	plan       *messenger.Plan
+	zones      applier.Evacuations
 	counters   driver.Counters
 	dropped    uint64
 }
@@ -115,8 +118,8 @@
 type Platform struct {
 	// Handler serves the platform's operators and endpoints.
 	Handler func(Planner) http.Handler
-	// Services returns the names of the services of a configuration.
-	Services func(text []byte) ([]string, error)
+	// Services returns the services of a configuration.
+	Services func(text []byte) ([]resolver.Service, error)
 }
 
 // Run runs a keeper until the context ends, and then stops it gracefully. An
@@ -345,7 +348,7 @@
 		revision:   d.State().Configuration().Revision(),
 		quarantine: d.State().QuarantineRevision(),
 		claims:     d.State().Claims(), applied: d.Applied(),
-		plan:      d.State().Plan(),
+		plan: d.State().Plan(), zones: d.State().Evacuations(),
 		diskBytes: d.DiskBytes(), counters: d.Counters(), dropped: s.sender.Dropped(),
 	}
 	last := s.view.Swap(next)
@@ -360,6 +363,9 @@
 		s.log.Info().Uint64("version", next.plan.GetVersion()).Uint64("before", last.plan.GetVersion()).Msg("plan in force")
 		s.bulletin.wake()
 	}
+	if last.zones.Revision != next.zones.Revision {
+		s.zonesChanged(last.zones.Zones, next.zones)
+	}
 	if last.status.Leader != next.status.Leader {
 		s.leadership.wake()
 	}
--- a/keeper/internal/settings/settings.go
+++ b/keeper/internal/settings/settings.go
@@ -44,6 +44,17 @@
 	Listen netip.AddrPort `json:"listen"`
 	// Heartbeat is the pause between an endpoint's heartbeats.
 	Heartbeat loader.Duration `json:"heartbeat"`
+	// Zones are the availability zones of the platform, with their regions. Orders for
+	// others are refused.
+	Zones map[string]string `json:"zones"`
+	Cold  Cold              `json:"cold"`
+}
+
+// Cold says by how much the requests to a cold endpoint within one second may exceed its
+// rate: by how many times, 1 at least, and by how many requests more.
+type Cold struct {
+	Overage float64 `json:"overage"`
+	Slack   float64 `json:"slack"`
 }
 
 // Timing is the pace of the agreement.
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -32,9 +32,10 @@
 	if options.Check {
 		return nil
 	}
-	return server.Run(ctx, &read, log, clockwork.NewRealClock(), server.Platform{
+	clock := clockwork.NewRealClock()
+	return server.Run(ctx, &read, log, clock, server.Platform{
 		Handler: func(planner server.Planner) http.Handler {
-			return platform.Control(planner, server.MaxPlan, log)
+			return platform.Control(planner, server.MaxPlan, clock, log)
 		},
 		Services: platform.Dialect{}.Services,
 	})
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -9,7 +9,8 @@
 // rendezvous hashing (D. Thaler and C. Ravishankar, "Using Name-Based Mappings to
 // Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998).
 //
-// Invariants: an endpoint that leaves or is gone is never chosen; one that has
+// Invariants: an endpoint that leaves or is gone, or whose zone is evacuated, is never
+// chosen; a cold one only under a lease of a part of what it bears; one that has
 // failed is chosen only after its pause, or where no other is left; every slot
 // that was taken is given back once, to the life of the endpoint that it was taken
 // from.
@@ -24,6 +25,8 @@
 
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/predictor"
+	"shallotkeel.example/lib/rationer"
+	"shallotkeel.example/lib/resolver"
 )
 
 // Part is a piece of a prompt. Engines keep parts that requests share.
@@ -78,6 +81,9 @@
 	told     time.Time                 // when others' loads were told last
 	routers  int
 	turns    uint64 // choices so far
+
+	evacuated map[string]bool          // zones
+	colds     map[string]resolver.Cold // by service
 }
 
 type endpoint struct {
@@ -95,6 +101,7 @@
 	until   time.Time       // when its pause ends
 	probing bool            // one request tries it after its pause
 	closed  bool            // no connection could be made when it was tried last
+	leases  rationer.Holder // for the time that it is cold
 	heard   time.Time       // when it last sent anything, or had nothing to do before
 	life    context.Context // done once the endpoint has started again
 	end     context.CancelFunc
@@ -131,6 +138,9 @@
 		known.Listing = listing
 		b.list(known)
 	default:
+		if known.ColdUntil.After(listing.ColdUntil) {
+			listing.ColdUntil = known.ColdUntil
+		}
 		known.Listing = listing
 	}
 	return restarted
@@ -187,10 +197,10 @@
 // choose returns the cheapest candidate, one without an endpoint if there is none.
 func (b *Balancer) choose(now time.Time, service string, work *Work, excluded func(id string) bool) offer {
 	candidates := b.services[service]
-	first, fit := home(candidates, work), b.fit(service)
+	first, fit := b.home(candidates, work), b.fit(service)
 	var best offer
 	for _, e := range candidates {
-		if e.State != lister.Ready || excluded != nil && excluded(e.ID) {
+		if !b.takes(now, e) || excluded != nil && excluded(e.ID) {
 			continue
 		}
 		o := b.price(now, e, fit, work, e == first)
@@ -215,6 +225,9 @@
 	}
 	b.turns++
 	e.turn = b.turns
+	if b.rationed(now, e) {
+		e.leases.Use(now)
+	}
 	e.own.Running++
 	e.own.Unread += o.reading
 	if len(work.Parts) > 0 {
--- a/lib/balancer/parts.go
+++ b/lib/balancer/parts.go
@@ -5,8 +5,6 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
-
-	"shallotkeel.example/lib/lister"
 )
 
 // maxParts bounds the parts that are remembered of one engine, 150 bytes each.
@@ -82,7 +80,7 @@
 // home returns the engine that ranks first for the last part that requests share,
 // nil if there is none. All routers agree on it as long as they know the same
 // endpoints.
-func home(candidates []*endpoint, work *Work) *endpoint {
+func (b *Balancer) home(candidates []*endpoint, work *Work) *endpoint {
 	shared := work.shared()
 	if len(shared) == 0 {
 		return nil
@@ -91,7 +89,7 @@
 	var best *endpoint
 	var bestRank uint64
 	for _, e := range candidates {
-		if e.State != lister.Ready {
+		if !b.open(e) {
 			continue
 		}
 		if rank := mix(e.seed, last); best == nil || rank > bestRank {
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -61,6 +61,14 @@
 	Silent bool
 	// WasSilent tells that it has been so in this life, as this list knows.
 	WasSilent bool
+	// ColdUntil is until when it bears few requests, zero if it has been warm all along. Of
+	// what is told of one life the latest counts.
+	ColdUntil time.Time
+}
+
+// Cold tells whether it bears few requests now.
+func (l *Listing) Cold(now time.Time) bool {
+	return now.Before(l.ColdUntil)
 }
 
 // Well tells whether nothing speaks or ever spoke against giving it work.
@@ -81,6 +89,10 @@
 // higher one may be a late heartbeat of an instance that has crashed since.
 const freshSequence = 2
 
+// coldSlack is how much later the end of being cold has to be told to be news. Heartbeats
+// tell what is left, and take different times to arrive.
+const coldSlack = 400 * time.Millisecond
+
 // List is a list of endpoints. Its zero value is empty and usable; Interval has
 // to be set where silence matters. It is not safe for concurrent use.
 type List struct {
@@ -93,6 +105,7 @@
 	// changes holds the entries that have a revision, the oldest change first: who asks
 	// for what is new pays for that and not for the length of the list.
 	changes list.List
+	cold    map[*entry]bool // those that were cold when they were looked at last
 }
 
 // holder is the life that started last of those that have used an address. It is
@@ -159,11 +172,16 @@
 
 // renew takes a further heartbeat of a known life.
 func (l *List) renew(now time.Time, known *entry, beat Listing) bool {
+	// Another keeper's word that a heartbeat came may be here before what it told.
+	chilled := beat.Sequence >= known.Sequence && l.chill(known, beat.ColdUntil)
 	if beat.Sequence <= known.Sequence && beat.State <= known.State {
-		return false
+		if chilled {
+			l.touch(known)
+		}
+		return chilled
 	}
 	known.heard = now
-	changed := known.Silent || known.pending
+	changed := known.Silent || known.pending || chilled
 	if !known.Address.IsValid() {
 		// Its end was heard of before its first heartbeat.
 		known.Address = beat.Address
@@ -195,6 +213,7 @@
 func (l *List) restart(now time.Time, known *entry, beat Listing) bool {
 	l.release(known)
 	known.Listing, known.heard, known.pending = beat, now, false
+	l.noteCold(known)
 	l.hold(now, known)
 	l.touch(known)
 	return true
@@ -255,6 +274,7 @@
 	}
 	added := &entry{Listing: beat, heard: now}
 	l.entries[beat.ID] = added
+	l.noteCold(added)
 	if l.disputed(now, beat) {
 		// The one that is heard again has the address.
 		added.pending = true
@@ -334,6 +354,7 @@
 func (l *List) forget(e *entry) {
 	l.release(e)
 	delete(l.entries, e.ID)
+	delete(l.cold, e)
 	if e.change != nil {
 		l.changes.Remove(e.change)
 	}
--- a/lib/lister/lister_test.go
+++ b/lib/lister/lister_test.go
@@ -180,7 +180,7 @@
 		"gone, never listed": {ID: "a", State: Gone},
 	} {
 		t.Run(name, func(t *testing.T) {
-			read, err := FromWire(ToWire(listing))
+			read, err := FromWire(ToWire(listing, time.Time{}), time.Time{})
 			require.NoError(t, err)
 			require.Equal(t, listing, read)
 		})
@@ -193,7 +193,7 @@
 		t.Run(name, func(t *testing.T) {
 			listing := beat("a", 1, Ready)
 			spoil(&listing)
-			_, err := FromWire(ToWire(listing))
+			_, err := FromWire(ToWire(listing, time.Time{}), time.Time{})
 			require.ErrorIs(t, err, ErrWire)
 		})
 	}
--- a/lib/lister/wire.go
+++ b/lib/lister/wire.go
@@ -12,8 +12,8 @@
 // ErrWire means that a message about an endpoint cannot be read.
 var ErrWire = merry.Sentinel("listing cannot be read")
 
-// ToWire converts a listing for a message.
-func ToWire(l Listing) *messenger.Listing {
+// ToWire converts a listing for a message that is sent now.
+func ToWire(l Listing, now time.Time) *messenger.Listing {
 	wire := &messenger.Listing{
 		Id: l.ID, Service: l.Service, Zone: l.Zone, Slots: uint32(l.Slots),
 		Sequence: l.Sequence, State: uint32(l.State), Silent: l.Silent,
@@ -22,6 +22,9 @@
 		wire.Address = l.Address.String()
 	}
 	wire.StartedMs = ToMillis(l.Started)
+	if l.Cold(now) {
+		wire.ColdMs = uint32(l.ColdUntil.Sub(now) / time.Millisecond)
+	}
 	return wire
 }
 
@@ -41,13 +44,16 @@
 	return time.UnixMilli(int64(milliseconds))
 }
 
-// FromWire converts a message's listing.
-func FromWire(wire *messenger.Listing) (Listing, error) {
+// FromWire converts the listing of a message that has come now.
+func FromWire(wire *messenger.Listing, now time.Time) (Listing, error) {
 	l := Listing{
 		ID: wire.GetId(), Service: wire.GetService(), Zone: wire.GetZone(), Slots: int(wire.GetSlots()),
 		Sequence: wire.GetSequence(), State: State(wire.GetState()), Silent: wire.GetSilent(),
 		Started: FromMillis(wire.GetStartedMs()),
 	}
+	if left := wire.GetColdMs(); left > 0 {
+		l.ColdUntil = now.Add(time.Duration(left) * time.Millisecond)
+	}
 	if l.ID == "" || l.State < Ready || l.State > Gone {
 		return Listing{}, merry.Errorf("%w: instance %q in state %d; run one version of all programs", ErrWire, l.ID, l.State)
 	}
--- a/lib/resolver/plan.go
+++ b/lib/resolver/plan.go
@@ -83,6 +83,16 @@
 	Connections int
 	// Engine is nil for a plain service.
 	Engine *Engine
+	Cold   Cold
+}
+
+// Cold says what an endpoint bears that has only just started, or got nothing for a while.
+type Cold struct {
+	// Rate is how many requests a second it bears until it is warm, 0 for any number. Well
+	// above it the endpoint crashes.
+	Rate float64
+	// Length is how long it takes to get warm.
+	Length time.Duration
 }
 
 // Workspace is a group of users who share one fair share of the capacity.
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -146,7 +146,11 @@
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoint: d.endpoint, Plan: d.plan, Routers: d.routers,
 		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Loads, Fleet: d.fleet,
-		Backlog: func() time.Duration { return d.backlog(clock.Now()) },
+		Backlog:   func() time.Duration { return d.backlog(clock.Now()) },
+		Evacuated: func(zones []string) { d.balancer.Evacuate(clock.Now(), zones) },
+		Rations: func(asked time.Time, keeper netip.AddrPort, rations []balancer.Ration) {
+			d.balancer.Take(clock.Now(), asked, keeper, rations)
+		},
 	})
 	d.news = subscriber.New(subscriber.Options{
 		Host: d.reader, Clock: clock, Log: log, Dial: d.dial, Wait: loadPause,
@@ -192,6 +196,7 @@
 func (d *Director) plan(table *resolver.Table) {
 	d.shares.Capacity(table.Limits().Rate)
 	for name, service := range table.Services() {
+		d.balancer.Cold(name, service.Cold)
 		if service.Engine != nil {
 			d.balancer.Remember(name, service.Engine.Tokens)
 		}
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -34,6 +34,12 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_sums_age_seconds", Help: "How old the sums are that shares rest on; from 3 on this router keeps the part of each workspace's demand that was last its own."}, func() float64 {
 		return d.shares.Age(d.clock.Now()).Seconds()
 	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_evacuated_zones", Help: "Zones whose endpoints get no new work."}, func() float64 {
+		return float64(d.balancer.Evacuated())
+	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_cold_endpoints", Help: "Endpoints that are cold and bear few requests."}, func() float64 {
+		return float64(d.balancer.Rationed(d.clock.Now()))
+	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
 	counter := func(name, help string, value func() uint64) {
 		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -64,6 +64,11 @@
 	Backlog func() time.Duration
 	// Fleet is told of the whole fleet.
 	Fleet func(fleet Fleet)
+	// Evacuated is told of the zones whose endpoints get no new work, with each change.
+	Evacuated func(zones []string)
+	// Rations is told of the leases on cold endpoints that a keeper has given which was
+	// asked at a time.
+	Rations func(asked time.Time, keeper netip.AddrPort, rations []balancer.Ration)
 }
 
 // Fleet is what keepers add up of all routers' reports.
@@ -88,7 +93,9 @@
 	told        map[string]bool                    // instances that were last told on as silent
 	contacts    map[netip.AddrPort]bool            // keepers that answer
 	crashes     map[uint64]*crash
-	quarantined map[uint64]time.Time // until when
+	quarantined map[uint64]time.Time         // until when
+	evacuations uint64                       // revision of the evacuated zones
+	asked       map[netip.AddrPort]time.Time // when the keepers' polls under way were sent
 	fetching    sync.Mutex
 	enforced    chan struct{} // closed when another configuration is in force
 }
@@ -104,6 +111,7 @@
 		options: options, silent: make(map[string]map[netip.AddrPort]bool), told: make(map[string]bool),
 		contacts: make(map[netip.AddrPort]bool), begun: make(chan struct{}), enforced: make(chan struct{}),
 		crashes: make(map[uint64]*crash), quarantined: make(map[uint64]time.Time),
+		asked: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -119,7 +127,7 @@
 
 // Report tells a keeper what this router has in force and has seen, and its primary what
 // it has at the endpoints and what is asked for.
-func (r *Reader) Report(_ netip.AddrPort, brief bool) *messenger.FollowRequest {
+func (r *Reader) Report(keeper netip.AddrPort, brief bool) *messenger.FollowRequest {
 	request := &messenger.FollowRequest{Node: r.options.Name, Zone: r.options.Zone, Plan: r.version()}
 	if !brief {
 		r.account(request)
@@ -127,6 +135,7 @@
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.asked[keeper], request.Evacuations = now, r.evacuations
 	for digest, seen := range r.crashes {
 		if now.Sub(seen.at) > crashMemory {
 			delete(r.crashes, digest)
@@ -168,7 +177,9 @@
 	r.mutex.Lock()
 	r.contacts[keeper] = true
 	r.mutex.Unlock()
+	r.takeEvacuations(keeper, news)
 	r.takeListings(keeper, news.GetListings())
+	r.takeRations(keeper, news.GetRations())
 	r.takeQuarantine(news.GetQuarantined())
 	if r.options.Routers != nil {
 		r.options.Routers(int(news.GetRouters()))
@@ -182,6 +193,42 @@
 	r.fetch(ctx, keeper)
 }
 
+// takeEvacuations takes the zones whose endpoints get no new work. A keeper that is behind
+// the others may tell of former ones.
+func (r *Reader) takeEvacuations(keeper netip.AddrPort, news *messenger.FollowResponse) {
+	// Told on under the mutex: of two answers that come together the later one must not be
+	// undone by the other.
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if news.GetEvacuations() <= r.evacuations {
+		return
+	}
+	r.options.Log.Info().Strs("evacuated", news.GetEvacuated()).Uint64("revision", news.GetEvacuations()).
+		Uint64("before", r.evacuations).Stringer("keeper", keeper).Msg("evacuated zones changed")
+	r.evacuations = news.GetEvacuations()
+	if r.options.Evacuated != nil {
+		r.options.Evacuated(news.GetEvacuated())
+	}
+}
+
+// takeRations takes the leases on cold endpoints that came with an answer.
+func (r *Reader) takeRations(keeper netip.AddrPort, told []*messenger.Ration) {
+	if len(told) == 0 || r.options.Rations == nil {
+		return
+	}
+	rations := make([]balancer.Ration, 0, len(told))
+	for _, ration := range told {
+		rations = append(rations, balancer.Ration{
+			Endpoint: ration.GetEndpoint(), Pause: time.Duration(ration.GetPauseMs()) * time.Millisecond,
+			Term: time.Duration(ration.GetLeaseMs()) * time.Millisecond,
+		})
+	}
+	r.mutex.Lock()
+	asked := r.asked[keeper]
+	r.mutex.Unlock()
+	r.options.Rations(asked, keeper, rations)
+}
+
 // awaited waits for a version to come from the primary, and tells whether it has come.
 //
 // A configuration is hundreds of kilobytes. Fetched from whichever keeper names it first,
@@ -317,7 +364,7 @@
 	before := r.list.Revision()
 	said := make(map[string]bool, len(listings))
 	for _, wire := range listings {
-		listing, err := lister.FromWire(wire)
+		listing, err := lister.FromWire(wire, now)
 		if err != nil {
 			r.options.Log.Warn().Err(err).Stringer("keeper", keeper).Msg("a listing cannot be read; it is left out")
 			continue
--- a/router/internal/newsreader/newsreader_test.go
+++ b/router/internal/newsreader/newsreader_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/resolver"
@@ -36,6 +37,15 @@
 	reader  *Reader
 	mutex   sync.Mutex
 	known   map[string]lister.Listing
+	zones   [][]string // evacuated, as told
+	rations []rations
+}
+
+// rations are leases as they were told.
+type rations struct {
+	asked  time.Time
+	keeper netip.AddrPort
+	leases []balancer.Ration
 }
 
 func newBed(t *testing.T) *bed {
@@ -51,6 +61,10 @@
 			defer b.mutex.Unlock()
 			b.known[listing.ID] = listing
 		},
+		Evacuated: func(zones []string) { b.zones = append(b.zones, zones) },
+		Rations: func(asked time.Time, keeper netip.AddrPort, leases []balancer.Ration) {
+			b.rations = append(b.rations, rations{asked, keeper, leases})
+		},
 	})
 	return b
 }
@@ -134,7 +148,35 @@
 func listing(id string, sequence uint64, state lister.State, silent bool) *messenger.Listing {
 	return lister.ToWire(lister.Listing{
 		ID: id, Service: "desk", Zone: "hall", Address: at(id[0]), Sequence: sequence, State: state, Silent: silent,
-	})
+	}, time.Time{})
+}
+
+// Guards against a zone that gets work again because a keeper is behind the others.
+func TestEvacuatedZonesFollowTheNewestRevision(t *testing.T) {
+	b := newBed(t)
+	b.news(1, &messenger.FollowResponse{})
+	b.news(1, &messenger.FollowResponse{Evacuations: 2, Evacuated: []string{"hall", "barn"}})
+	b.news(2, &messenger.FollowResponse{Evacuations: 1, Evacuated: []string{"hall"}, Brief: true})
+	b.news(2, &messenger.FollowResponse{Evacuations: 2, Evacuated: []string{"hall", "barn"}})
+	require.EqualValues(t, 2, b.reader.Report(at(3), true).GetEvacuations())
+	b.news(3, &messenger.FollowResponse{Evacuations: 3, Brief: true})
+	require.Equal(t, [][]string{{"hall", "barn"}, nil}, b.zones)
+	require.EqualValues(t, 3, b.reader.Report(at(3), false).GetEvacuations())
+}
+
+// Guards against leases that are taken to last for longer than their keeper does: they count
+// from when it was asked, however late its answer comes.
+func TestLeasesCountFromWhenTheyWereAskedFor(t *testing.T) {
+	b := newBed(t)
+	asked := b.clock.Now()
+	b.reader.Report(at(1), false)
+	b.clock.Advance(400 * time.Millisecond)
+	b.reader.Report(at(2), true)
+	b.news(1, &messenger.FollowResponse{Rations: []*messenger.Ration{{Endpoint: 7, PauseMs: 350, LeaseMs: 1500}}})
+	b.news(2, &messenger.FollowResponse{Brief: true})
+	require.Equal(t, []rations{{asked, at(1), []balancer.Ration{{
+		Endpoint: 7, Pause: 350 * time.Millisecond, Term: 1500 * time.Millisecond,
+	}}}}, b.rations)
 }
 
 // Symptom: all work goes to a few endpoints while one keeper is cut off from the
