Spread calls of plain services by what each router has there itself

Cause: the price of a plain service's endpoint counted what all routers had there, as told 0.1 to 0.4 s before.

What only they were told for goes from reports and sums: unread tokens of engines are all that is left.

--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -58,25 +58,25 @@
 // idle ones. Cause: each knew its own load only, or what others had long ended.
 func TestLoadsAreSummedOverTheOtherRouters(t *testing.T) {
 	var d directory
-	report := func(node string, endpoint uint64, unread, running uint32) *messenger.FollowRequest {
-		request := &messenger.FollowRequest{Node: node, Epoch: epoch, Loads: []*messenger.Load{{Endpoint: endpoint, Unread: unread, Running: running}}}
+	report := func(node string, endpoint uint64, unread uint32) *messenger.FollowRequest {
+		request := &messenger.FollowRequest{Node: node, Epoch: epoch, Loads: []*messenger.Load{{Endpoint: endpoint, Unread: unread}}}
 		d.follow(began, request)
 		return request
 	}
-	told := func(request *messenger.FollowRequest) map[uint64]load {
+	told := func(request *messenger.FollowRequest) map[uint64]uint32 {
 		response := d.news(began, request, epoch)
-		loads := make(map[uint64]load)
+		loads := make(map[uint64]uint32)
 		for _, at := range response.GetLoads() {
-			loads[at.GetEndpoint()] = load{int64(at.GetUnread()), int64(at.GetRunning())}
+			loads[at.GetEndpoint()] = at.GetUnread()
 		}
 		return loads
 	}
-	report("a", 7, 1000, 2)
-	report("a", 7, 500, 1) // replaces the former one
-	report("b", 7, 2000, 3)
-	own := report("c", 9, 100, 1)
-	require.Equal(t, map[uint64]load{7: {2500, 4}}, told(own))
-	require.Equal(t, map[uint64]load{7: {500, 1}, 9: {100, 1}}, told(report("b", 7, 3000, 4)))
+	report("a", 7, 1000)
+	report("a", 7, 500) // replaces the former one
+	report("b", 7, 2000)
+	own := report("c", 9, 100)
+	require.Equal(t, map[uint64]uint32{7: 2500}, told(own))
+	require.Equal(t, map[uint64]uint32{7: 500, 9: 100}, told(report("b", 7, 3000)))
 	require.Empty(t, told(&messenger.FollowRequest{Node: "keeper", Keeper: true}))
 	d.pass(began.Add(reportMemory + 1))
 	require.Empty(t, d.whole.loads, "what is old is believed no more")
--- a/keeper/internal/server/loads.go
+++ b/keeper/internal/server/loads.go
@@ -24,14 +24,10 @@
 	s.uses.add(report.GetUses(), sign)
 }
 
-// loads is what all routers have at each endpoint. Each report replaces its
+// loads is how many unread tokens all routers have at each engine. Each report replaces its
 // router's former one in the sums, so that an answer takes time by the endpoints and
 // not by the routers. Its zero value is empty.
-type loads map[uint64]load
-
-type load struct {
-	unread, running int64
-}
+type loads map[uint64]int64
 
 // add adds a report, or takes it off.
 func (l *loads) add(report []*messenger.Load, sign int64) {
@@ -39,28 +35,23 @@
 		*l = make(loads)
 	}
 	for _, at := range report {
-		sum := (*l)[at.GetEndpoint()]
-		sum.unread += sign * int64(at.GetUnread())
-		sum.running += sign * int64(at.GetRunning())
-		if sum == (load{}) {
+		(*l)[at.GetEndpoint()] += sign * int64(at.GetUnread())
+		if (*l)[at.GetEndpoint()] == 0 {
 			delete(*l, at.GetEndpoint())
-			continue
 		}
-		(*l)[at.GetEndpoint()] = sum
 	}
 }
 
 // others returns what all routers but one have.
 func (l loads) others(own []*messenger.Load) []*messenger.Load {
-	ours := make(map[uint64]load, len(own))
+	ours := make(map[uint64]int64, len(own))
 	for _, at := range own {
-		ours[at.GetEndpoint()] = load{unread: int64(at.GetUnread()), running: int64(at.GetRunning())}
+		ours[at.GetEndpoint()] = int64(at.GetUnread())
 	}
 	var told []*messenger.Load
 	for endpoint, sum := range l {
-		unread, running := sum.unread-ours[endpoint].unread, sum.running-ours[endpoint].running
-		if unread > 0 || running > 0 {
-			told = append(told, &messenger.Load{Endpoint: endpoint, Unread: uint32(max(unread, 0)), Running: uint32(max(running, 0))})
+		if unread := sum - ours[endpoint]; unread > 0 {
+			told = append(told, &messenger.Load{Endpoint: endpoint, Unread: uint32(unread)})
 		}
 	}
 	return told
--- a/keeper/internal/server/poll_bench_test.go
+++ b/keeper/internal/server/poll_bench_test.go
@@ -28,7 +28,7 @@
 				request := &messenger.FollowRequest{Node: fmt.Sprint("router-", router), Zone: "zone", Epoch: epoch}
 				for i := range size.running {
 					engine := uint64((router*31 + i*7) % size.engines)
-					request.Loads = append(request.Loads, &messenger.Load{Endpoint: engine<<40 | 1, Unread: 4000, Running: 1})
+					request.Loads = append(request.Loads, &messenger.Load{Endpoint: engine<<40 | 1, Unread: 4000})
 				}
 				for i := range size.workspaces {
 					request.Uses = append(request.Uses, &messenger.Use{Workspace: fmt.Sprint("workspace-", i), Asked: 100_000})
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -91,8 +91,8 @@
 	seed    uint64
 	turn    uint64  // when it was chosen last, counted over all choices
 	key     uint64  // its name in loads
-	own     Load    // what this router has there
-	others  Load    // what the other routers have there, as told
+	own     load    // what this router has there
+	others  int     // unread tokens that the other routers have there, as told
 	unread  []*Slot // whose first token is awaited, the oldest first
 	factor  predictor.Factor
 	held    parts
@@ -220,7 +220,7 @@
 	if !e.until.IsZero() && !now.Before(e.until) && !e.probing {
 		slot.probe, e.probing = true, true
 	}
-	if e.own.Running == 0 {
+	if e.own.running == 0 {
 		e.heard = now
 	}
 	b.turns++
@@ -228,8 +228,8 @@
 	if b.rationed(now, e) {
 		e.leases.Use(now)
 	}
-	e.own.Running++
-	e.own.Unread += o.reading
+	e.own.running++
+	e.own.unread += o.reading
 	if len(work.Parts) > 0 {
 		e.unread = append(e.unread, slot)
 		e.held.note(work, b.caps[e.Service])
--- a/lib/balancer/balancer_test.go
+++ b/lib/balancer/balancer_test.go
@@ -155,12 +155,12 @@
 func TestSlotsAreGivenBackOnce(t *testing.T) {
 	b := fleet(1)
 	slot := b.Pick(start, "engines", prompt(1, 2), nil)
-	require.Equal(t, 1, b.byID["i-1"].own.Running)
+	require.Equal(t, 1, b.byID["i-1"].own.running)
 	slot.Heard(start)
 	slot.End(start, Served)
 	slot.End(start, Served)
-	require.Zero(t, b.byID["i-1"].own.Running)
-	require.Zero(t, b.byID["i-1"].own.Unread)
+	require.Zero(t, b.byID["i-1"].own.running)
+	require.Zero(t, b.byID["i-1"].own.unread)
 }
 
 // Symptom: the streams of an engine that is only slow are ended and read again
@@ -205,8 +205,8 @@
 	require.True(t, b.Update(again))
 	require.Error(t, slots[1].Life().Err(), "what ran there has ended")
 	fresh := b.byID["i-1"]
-	require.Zero(t, fresh.own.Running)
-	require.Zero(t, fresh.own.Unread)
+	require.Zero(t, fresh.own.running)
+	require.Zero(t, fresh.own.unread)
 	require.Zero(t, fresh.held.kept(prompt(1, 10)))
 	require.True(t, fresh.until.IsZero(), "the former life's failures are not its own")
 	slot := b.Pick(start.Add(time.Second), "engines", prompt(1, 10), nil)
@@ -214,8 +214,8 @@
 	slots[1].End(start.Add(time.Second), Broken)
 	slots[2].Heard(start.Add(time.Second))
 	slots[2].End(start.Add(time.Second), Unreached)
-	require.Equal(t, 1, fresh.own.Running)
-	require.Equal(t, slot.Reading, fresh.own.Unread)
+	require.Equal(t, 1, fresh.own.running)
+	require.Equal(t, slot.Reading, fresh.own.unread)
 	require.True(t, fresh.until.IsZero())
 	require.False(t, b.Update(again))
 	require.Same(t, fresh, b.byID["i-1"], "the same news again changes nothing")
--- a/lib/balancer/load.go
+++ b/lib/balancer/load.go
@@ -6,16 +6,10 @@
 	"shallotkeel.example/lib/lister"
 )
 
-// Load is what some routers have at one endpoint.
-type Load struct {
-	// Unread is how many tokens of prompts were sent there and are not yet read.
-	Unread int
-	// Running is how many requests run there, those that wait included.
-	Running int
-}
-
-func (l Load) plus(other Load) Load {
-	return Load{Unread: l.Unread + other.Unread, Running: l.Running + other.Running}
+// load is what this router has at one endpoint.
+type load struct {
+	unread  int // tokens of prompts that were sent there and are not yet read
+	running int // requests that run there, those that wait included
 }
 
 // Key names one life of an endpoint in what routers tell each other of their loads.
@@ -28,31 +22,30 @@
 // two reports. Later ones would keep work away from endpoints that have long been idle.
 const loadMemory = time.Second
 
-// Loads returns what this router has at the endpoints, as far as other routers decide by
-// it: of engines only those that have a prompt of it to read. What merely runs at an
-// engine for seconds is most of all and changes nobody's choice.
-func (b *Balancer) Loads() map[uint64]Load {
+// Unread returns how many tokens of prompts this router has sent to each engine that are
+// not yet read there. Nothing else of what it has is told: what merely runs at an engine
+// changes nobody's choice, and calls of plain services are over before others hear of them.
+func (b *Balancer) Unread() map[uint64]int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	loads := make(map[uint64]Load)
+	unread := make(map[uint64]int)
 	for _, e := range b.byID {
-		engine := b.caps[e.Service] > 0
-		if e.own.Unread > 0 || e.own.Running > 0 && !engine {
-			loads[e.key] = e.own
+		if e.own.unread > 0 {
+			unread[e.key] = e.own.unread
 		}
 	}
-	return loads
+	return unread
 }
 
-// Others takes what all other routers have at the endpoints. Each router has a part
-// of the requests only: with the own load alone a few engines fill up unseen, and most of
-// the late answers come from them.
-func (b *Balancer) Others(now time.Time, loads map[uint64]Load) {
+// Others takes how many unread tokens all other routers have at the engines. Each router has
+// a part of the requests only: with the own load alone a few engines fill up unseen, and most
+// of the late answers come from them.
+func (b *Balancer) Others(now time.Time, unread map[uint64]int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.told = now
 	for _, e := range b.byID {
-		e.others = loads[e.key]
+		e.others = unread[e.key]
 	}
 }
 
@@ -63,14 +56,13 @@
 	b.routers = count
 }
 
-// load returns what is at an endpoint. A router that has not been told for long takes
-// the others to have there what it has itself.
-func (b *Balancer) load(now time.Time, e *endpoint) Load {
+// unread returns how many tokens an engine has to read. A router that has not been told for
+// long takes the others to have there what it has itself.
+func (b *Balancer) unread(now time.Time, e *endpoint) int {
 	if now.Sub(b.told) <= loadMemory {
-		return e.own.plus(e.others)
+		return e.own.unread + e.others
 	}
-	count := max(b.routers, 1)
-	return Load{Unread: count * e.own.Unread, Running: count * e.own.Running}
+	return max(b.routers, 1) * e.own.unread
 }
 
 // Backlog returns how long a service's engines still read what they have been sent,
@@ -84,7 +76,7 @@
 		if !b.open(e) || b.doubt(now, e) != none {
 			continue
 		}
-		total += time.Duration(float64(fit.Reading(b.load(now, e).Unread)) * e.factor.Get(now))
+		total += time.Duration(float64(fit.Reading(b.unread(now, e))) * e.factor.Get(now))
 		count++
 	}
 	if count == 0 {
--- a/lib/balancer/load_test.go
+++ b/lib/balancer/load_test.go
@@ -15,15 +15,32 @@
 func TestLoadsOfAllRoutersAreKnown(t *testing.T) {
 	b := fleet(2)
 	slot := b.Pick(start, "engines", prompt(1, 2), nil)
-	own := b.Loads()
-	require.Equal(t, map[uint64]Load{slot.endpoint.key: {Unread: slot.Reading, Running: 1}}, own)
+	require.Equal(t, map[uint64]int{slot.endpoint.key: slot.Reading}, b.Unread())
 	other := b.byID["i-1"].key
-	b.Others(start, map[uint64]Load{other: {Unread: 30_000, Running: 4}, 99: {Unread: 5}})
+	b.Others(start, map[uint64]int{other: 30_000, 99: 5})
 	require.Equal(t, (readTime(b, 30_000)+readTime(b, slot.Reading))/2, b.Backlog(start, "engines"))
 	require.Zero(t, b.Backlog(start, "desk"))
 	slot.Heard(start)
 	slot.End(start, Served)
-	require.Empty(t, b.Loads())
+	require.Empty(t, b.Unread())
+}
+
+// Guards against all routers turning at once to the endpoint of a plain service that was idle
+// when they were told, while the others have room: calls end sooner than news of them comes.
+func TestCallsAreSpreadByWhatThisRouterHas(t *testing.T) {
+	b := &Balancer{}
+	for i := range 3 {
+		listing := engine(i + 1)
+		listing.Service = "desk"
+		b.Update(listing)
+	}
+	b.Others(start, map[uint64]int{b.byID["i-1"].key: 6, b.byID["i-2"].key: 6})
+	picked := make(map[string]int)
+	for range 12 {
+		picked[b.Pick(start, "desk", &Work{}, nil).ID]++
+	}
+	require.Equal(t, map[string]int{"i-1": 4, "i-2": 4, "i-3": 4}, picked)
+	require.Empty(t, b.Unread(), "nothing of it is told")
 }
 
 // Symptom: a router that hears no keeper takes all engines for idle, or for as busy as
@@ -31,7 +48,7 @@
 func TestUntoldRouterTakesOthersToDoAsItself(t *testing.T) {
 	b := fleet(1)
 	b.Routers(4)
-	b.Others(start, map[uint64]Load{b.byID["i-1"].key: {Unread: 90_000}})
+	b.Others(start, map[uint64]int{b.byID["i-1"].key: 90_000})
 	slot := b.Pick(start, "engines", prompt(1, 2), nil)
 	later := start.Add(loadMemory + 1)
 	require.Equal(t, readTime(b, 4*slot.Reading), b.Backlog(later, "engines"))
@@ -56,7 +73,7 @@
 			home := b.Pick(start, "engines", prompt(1, 2), nil)
 			home.Heard(start)
 			home.End(start, Served)
-			b.Others(start, map[uint64]Load{home.endpoint.key: {Unread: test.unread, Running: 1}})
+			b.Others(start, map[uint64]int{home.endpoint.key: test.unread})
 			work := prompt(1, 3)
 			work.Target = 400 * time.Millisecond
 			require.Equal(t, test.stays, b.Pick(start, "engines", work, nil).ID == home.ID)
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -19,8 +19,9 @@
 	// Late is the price of each token that the engine could read in the time by which
 	// the first token is expected too late. That expectation counts all routers' loads.
 	Late float64
-	// Plain is the price of a request that runs at a plain service. Any value
-	// above 0 spreads evenly.
+	// Plain is the price of a request of this router that runs at a plain service. Any
+	// value above 0 spreads evenly. What other routers have there is not counted: a call
+	// is over before it is told, and all of them would turn to whoever was idle then.
 	Plain float64
 }
 
@@ -58,9 +59,8 @@
 		weights = DefaultWeights
 	}
 	o := offer{endpoint: e, price: lastChoice * float64(b.doubt(now, e))}
-	load := b.load(now, e)
 	if len(work.Parts) == 0 {
-		o.price += weights.Plain * float64(load.Running)
+		o.price += weights.Plain * float64(e.own.running)
 		return o
 	}
 	kept := e.held.kept(work)
@@ -68,12 +68,12 @@
 		kept += int(guessed * float64(guess-kept))
 	}
 	o.reading = max(work.Prompt-kept, 0)
-	o.ahead = load.Unread
+	o.ahead = b.unread(now, e)
 	factor, overdue := e.factor.Get(now), e.overdue(now)
 	o.wait = scale(fit.Wait(o.ahead+o.reading), factor) + overdue
 	o.queue = scale(fit.Reading(o.ahead), factor) + overdue
-	o.price += weights.Waiting*float64(e.own.Unread) + weights.Reading*float64(o.reading) +
-		weights.Running*float64(e.own.Running) + weights.Late*fit.Tokens(o.wait-work.target())
+	o.price += weights.Waiting*float64(e.own.unread) + weights.Reading*float64(o.reading) +
+		weights.Running*float64(e.own.running) + weights.Late*fit.Tokens(o.wait-work.target())
 	return o
 }
 
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -89,7 +89,7 @@
 func (s *Slot) began() {
 	if s.reading {
 		s.reading = false
-		s.endpoint.own.Unread -= s.Reading
+		s.endpoint.own.unread -= s.Reading
 		s.endpoint.unread = slices.DeleteFunc(s.endpoint.unread, func(other *Slot) bool { return other == s })
 	}
 }
@@ -104,7 +104,7 @@
 	s.ended = true
 	s.began()
 	e := s.endpoint
-	e.own.Running--
+	e.own.running--
 	if s.probe {
 		e.probing = false
 	}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -145,7 +145,7 @@
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoint: d.endpoint, Plan: d.plan, Routers: d.routers,
-		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Loads, Fleet: d.fleet,
+		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Unread, Fleet: d.fleet,
 		Backlog:   func() time.Duration { return d.backlog(clock.Now()) },
 		Evacuated: func(zones []string) { d.balancer.Evacuate(clock.Now(), zones) },
 		Rations: func(asked time.Time, keeper netip.AddrPort, rations []balancer.Ration) {
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -57,8 +57,8 @@
 	Routers func(count int)
 	// Uses returns what becomes of what the workspaces ask for here.
 	Uses func() map[string]apportioner.Use
-	// Loads returns what this router has at the endpoints.
-	Loads func() map[uint64]balancer.Load
+	// Loads returns how many unread tokens this router has at the engines.
+	Loads func() map[uint64]int
 	// Backlog returns for how long engines still read what they have been sent, as this
 	// router believes.
 	Backlog func() time.Duration
@@ -75,8 +75,8 @@
 type Fleet struct {
 	// Uses is what becomes of what the workspaces ask for.
 	Uses map[string]apportioner.Use
-	// Loads is what all other routers have at the endpoints.
-	Loads map[uint64]balancer.Load
+	// Loads is how many unread tokens all other routers have at the engines.
+	Loads map[uint64]int
 	// Backlog is for how long engines still read, as the median router believes.
 	Backlog time.Duration
 }
@@ -154,10 +154,8 @@
 		}
 	}
 	if r.options.Loads != nil {
-		for endpoint, load := range r.options.Loads() {
-			request.Loads = append(request.Loads, &messenger.Load{
-				Endpoint: endpoint, Unread: uint32(max(load.Unread, 0)), Running: uint32(max(load.Running, 0)),
-			})
+		for endpoint, unread := range r.options.Loads() {
+			request.Loads = append(request.Loads, &messenger.Load{Endpoint: endpoint, Unread: uint32(max(unread, 0))})
 		}
 	}
 	if r.options.Backlog != nil {
@@ -271,7 +269,7 @@
 	}
 	fleet := Fleet{
 		Uses:    make(map[string]apportioner.Use, len(news.GetUses())),
-		Loads:   make(map[uint64]balancer.Load, len(news.GetLoads())),
+		Loads:   make(map[uint64]int, len(news.GetLoads())),
 		Backlog: time.Duration(news.GetBacklogMs()) * time.Millisecond,
 	}
 	for _, use := range news.GetUses() {
@@ -280,7 +278,7 @@
 		}
 	}
 	for _, at := range news.GetLoads() {
-		fleet.Loads[at.GetEndpoint()] = balancer.Load{Unread: scaled(int(at.GetUnread()), scale), Running: scaled(int(at.GetRunning()), scale)}
+		fleet.Loads[at.GetEndpoint()] = scaled(int(at.GetUnread()), scale)
 	}
 	return fleet
 }
