Price an engine by how late an answer is in the mean, not by its predicted wait alone

Hypothesis: requests that are predicted just in time are often late, because of what is not known of an engine; a wait below the target cost nothing, so that a short request went behind a long prompt beside idle engines.

Change: answers come about their predictions with a spread that the fit learns; what costs is the mean lateness of a logistic distribution of that spread. Tests: TestLatenessIsExpectedBySpread.

--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -17,7 +17,7 @@
 	Reading float64
 	Running float64
 	// Late is the price of each token that the engine could read in the time by which
-	// the first token is expected too late. That expectation counts all routers' loads.
+	// the first token is too late in the mean. That counts all routers' loads.
 	Late float64
 	// Plain is the price of a request of this router that runs at a plain service. Any
 	// value above 0 spreads evenly. What other routers have there is not counted: a call
@@ -73,7 +73,7 @@
 	o.wait = scale(fit.Wait(o.ahead+o.reading), factor) + overdue
 	o.queue = scale(fit.Reading(o.ahead), factor) + overdue
 	o.price += weights.Waiting*float64(e.own.unread) + weights.Reading*float64(o.reading) +
-		weights.Running*float64(e.own.running) + weights.Late*fit.Tokens(o.wait-work.target())
+		weights.Running*float64(e.own.running) + weights.Late*fit.Tokens(fit.Late(o.wait, work.target()))
 	return o
 }
 
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -71,6 +71,7 @@
 	fit, waited := s.balancer.fit(s.endpoint.Service), now.Sub(s.sent)
 	s.endpoint.factor.Observe(now, waited, fit.Wait(s.ahead+s.Reading))
 	fit.Observe(s.ahead+s.Reading, waited)
+	fit.Deviate(waited - s.Wait)
 }
 
 // Dark tells whether the endpoint has sent nothing at all for a time, on any of
--- a/lib/predictor/predictor.go
+++ b/lib/predictor/predictor.go
@@ -18,9 +18,8 @@
 )
 
 const (
-	// firstBase and firstToken are what a fit begins with before any answer: engines of
-	// three deployments waited 20 to 50 ms, and read 40 to 80 tokens in a ms with other
-	// requests between.
+	// firstBase and firstToken are what a fit begins with before any answer, of engines that
+	// read with other requests between.
 	firstBase  = 40 * time.Millisecond
 	firstToken = 15 * time.Microsecond
 	// firstWeight is how many answers that beginning counts for. A router has as many
@@ -31,9 +30,8 @@
 	// keep is what an answer's weight is multiplied by with each later one: some three
 	// hundred count, which is a few seconds of a busy router.
 	keep = 0.997
-	// leastToken and mostToken bound the time for one token. Engines are not a hundred
-	// times as fast or as slow as those that were measured, but a fit over few answers
-	// may say so.
+	// leastToken and mostToken bound the time for one token. A fit over few answers
+	// may be far off.
 	leastToken = time.Microsecond
 	mostToken  = time.Millisecond
 	// mostBase bounds the constant part.
@@ -44,6 +42,7 @@
 type Fit struct {
 	count, tokens, waited, square, product float64 // decayed sums, in tokens and seconds
 	base, token                            float64 // seconds, and seconds a token
+	deviation                              float64 // mean deviation of answers from what was predicted, in seconds
 }
 
 // Observe takes how long an answer's begin took, with how many unread tokens.
@@ -63,7 +62,7 @@
 	if f.count > 0 {
 		return
 	}
-	f.base, f.token = firstBase.Seconds(), firstToken.Seconds()
+	f.base, f.token, f.deviation = firstBase.Seconds(), firstToken.Seconds(), firstDeviation.Seconds()
 	mean := firstSpread
 	f.count = firstWeight
 	f.tokens = firstWeight * mean
@@ -95,6 +94,38 @@
 	return seconds(f.token * float64(max(tokens, 0)))
 }
 
+const (
+	// firstDeviation is the mean deviation before any answer.
+	firstDeviation = 50 * time.Millisecond
+	// deviationStep is the weight of one answer in it: some hundred count.
+	deviationStep = 0.01
+	// mostDeviation bounds what one answer says: one that hung says little of the next.
+	mostDeviation = 500 * time.Millisecond
+	// logistic is how many times its scale the mean deviation of a logistic distribution is.
+	logistic = 2 * math.Ln2
+	// certain is from how many scales beyond its target on an answer is late for certain.
+	certain = 20
+)
+
+// Deviate takes by how much the begin of an answer was off its prediction.
+func (f *Fit) Deviate(off time.Duration) {
+	f.begin()
+	f.deviation += deviationStep * (min(off.Abs(), mostDeviation).Seconds() - f.deviation)
+}
+
+// Late returns by how much an answer that is predicted after a wait is late in the mean.
+// Answers come about their prediction as in a logistic distribution: one that is predicted
+// only just in time is late in half of all cases, because of what nobody knew of.
+func (f *Fit) Late(wait, target time.Duration) time.Duration {
+	f.begin()
+	scale := f.deviation / logistic
+	beyond := (wait - target).Seconds()
+	if beyond >= certain*scale {
+		return max(wait-target, 0)
+	}
+	return seconds(scale * math.Log1p(math.Exp(beyond/scale)))
+}
+
 // Tokens returns how many tokens an engine reads in a time, 0 for a negative one.
 func (f *Fit) Tokens(length time.Duration) float64 {
 	f.begin()
--- a/lib/predictor/predictor_test.go
+++ b/lib/predictor/predictor_test.go
@@ -86,3 +86,45 @@
 	once.Observe(start, time.Hour, time.Millisecond)
 	require.Less(t, once.Get(start), 1.3, "one answer says little")
 }
+
+// Guards against short requests that are sent behind a queue because they are predicted just in
+// time: how far answers are off their predictions counts.
+func TestLatenessIsExpectedBySpread(t *testing.T) {
+	const target = 250 * time.Millisecond
+	tests := map[string]struct {
+		off         time.Duration // of each answer, either way
+		wait        time.Duration
+		least, most time.Duration
+	}{
+		"far in time, steady engines":    {5 * time.Millisecond, 100 * time.Millisecond, 0, time.Millisecond},
+		"far in time, unsteady engines":  {80 * time.Millisecond, 100 * time.Millisecond, time.Millisecond, 10 * time.Millisecond},
+		"just in time, steady engines":   {5 * time.Millisecond, 240 * time.Millisecond, 0, 2 * time.Millisecond},
+		"just in time, unsteady engines": {80 * time.Millisecond, 240 * time.Millisecond, 30 * time.Millisecond, 40 * time.Millisecond},
+		"late, steady engines":           {5 * time.Millisecond, 450 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond},
+		"late, unsteady engines":         {80 * time.Millisecond, 450 * time.Millisecond, 200 * time.Millisecond, 205 * time.Millisecond},
+		"late by a minute":               {80 * time.Millisecond, time.Minute, time.Minute - target, time.Minute - target},
+		"engines that hang now and then": {time.Minute, 250 * time.Millisecond, 240 * time.Millisecond, 255 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var f Fit
+			for i := range 2000 {
+				off := test.off
+				if i%2 == 0 {
+					off = -off
+				}
+				f.Deviate(off)
+			}
+			late := f.Late(test.wait, target)
+			require.GreaterOrEqual(t, late, test.least)
+			require.LessOrEqual(t, late, test.most)
+		})
+	}
+	var f Fit
+	last := time.Duration(-1)
+	for wait := time.Duration(0); wait < time.Second; wait += 10 * time.Millisecond {
+		late := f.Late(wait, target)
+		require.Greater(t, late, last, "it rises with the wait")
+		last = late
+	}
+}
