Count a keeper's first leases from its start, and check the bound on cold endpoints

A keeper that had run for long let the first cold endpoints wait for a lease's whole term, half of the time for which they are cold: it counted from its first question.

--- a/keeper/internal/settings/settings.go
+++ b/keeper/internal/settings/settings.go
@@ -113,6 +113,9 @@
 	if s.Platform != nil && (!s.Platform.Listen.IsValid() || s.Platform.Heartbeat.Duration <= 0) {
 		problem("platform", "the address or the pause between heartbeats is missing", "set both from what the platform says")
 	}
+	if s.Platform != nil && min(s.Platform.Cold.Overage, s.Platform.Cold.Slack) < 0 {
+		problem("platform", "the bound on cold endpoints is below 0", "set \"overage\" and \"slack\" of \"cold\" to what the platform allows, or leave them out")
+	}
 	timing := s.Agreement()
 	if timing.Heartbeat < leastHeartbeat || timing.Election < leastHeartbeats*timing.Heartbeat {
 		problem("election", "the election timeout is too short for the heartbeat", "set it to at least three heartbeats of at least 5ms")
--- a/lib/rationer/lessor.go
+++ b/lib/rationer/lessor.go
@@ -20,9 +20,9 @@
 	Asked float64
 }
 
-// Lessor leases one keeper's parts. Its zero value leases from Term after it is first asked:
-// until then leases may be out that a former process of the keeper has given. It is not safe
-// for concurrent use.
+// Lessor leases one keeper's parts. Its zero value leases from Term after Begin, or else after
+// it is first asked: until then leases may be out that a former process of the keeper has
+// given. It is not safe for concurrent use.
 type Lessor struct {
 	began  time.Time
 	leases map[uint64]lease
@@ -35,11 +35,16 @@
 	until  time.Time
 }
 
+// Begin notes when the keeper's process has started.
+func (l *Lessor) Begin(now time.Time) {
+	l.began, l.leases = now, make(map[uint64]lease)
+}
+
 // Grant tells whether a router that asked at a time gets this keeper's part of an endpoint,
 // or keeps it, for Term from then on. Candidates are called for only if nobody has it.
 func (l *Lessor) Grant(now, asked time.Time, endpoint uint64, router string, candidates func() []Candidate) bool {
 	if l.began.IsZero() {
-		l.began, l.leases = now, make(map[uint64]lease)
+		l.Begin(now)
 	}
 	if now.Sub(l.began) < Term {
 		return false
--- a/lib/rationer/rationer_test.go
+++ b/lib/rationer/rationer_test.go
@@ -212,7 +212,9 @@
 	first := choose(7, both())
 	other := map[string]string{"a": "b", "b": "a"}[first]
 	rest := func() []Candidate { return []Candidate{{Name: other, Asked: 1}} }
-	require.False(t, l.Grant(start, start, 7, first, both), "a former process of the keeper may have leased it")
+	l.Begin(start)
+	soon := start.Add(Term - time.Millisecond)
+	require.False(t, l.Grant(soon, soon, 7, first, both), "a former process of the keeper may have leased it")
 	now := start.Add(Term)
 	require.False(t, l.Grant(now, now, 7, other, both), "another one was chosen")
 	require.False(t, l.Grant(now.Add(offerTime), now, 7, other, rest))
