Let a router that is late ask its keeper no more often than before

A poll takes a router some 0.4 ms; a flooded router of 0.192 cores serves as much as its time allows, and is late with what it learns. It asks each 0.1 s as before the exchange became faster.

--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// calm is the mean lateness up to which more may be started.
-	calm = 6 * time.Millisecond
+	// Calm is the mean lateness up to which a process keeps up, and more may be started.
+	Calm = 6 * time.Millisecond
 	// strained is the mean lateness from which less is started: half of TooLate, at
 	// which everybody is refused.
 	strained = 12 * time.Millisecond
@@ -125,7 +125,7 @@
 	switch {
 	case late >= strained:
 		r.rate = max(r.current()*cut, r.Least)
-	case late <= calm && r.starved:
+	case late <= Calm && r.starved:
 		r.rate = r.current() * growth
 	}
 	r.starved = false
--- a/lib/subscriber/pace.go
+++ b/lib/subscriber/pace.go
@@ -7,6 +7,9 @@
 	// With each answer come the loads of the other routers. An engine reads a long prompt in
 	// some 0.2 s: what is known of it later is of no use.
 	LeastWait = 50 * time.Millisecond
+	// LateWait is how long the poll of a router that is late is held, at least. Each takes from
+	// the time that it has to serve, and it is late with what it learns.
+	LateWait = 100 * time.Millisecond
 	// mostPolls bounds the polls a second of the routers that report to one keeper.
 	mostPolls = 200
 )
--- a/router/internal/director/connections_test.go
+++ b/router/internal/director/connections_test.go
@@ -9,6 +9,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/pacer"
+	"shallotkeel.example/lib/subscriber"
 )
 
 func TestConnectionsAreCounted(t *testing.T) {
@@ -68,3 +71,19 @@
 	}
 	require.False(t, d.room(), "memory bounds them all")
 }
+
+// Guards against a flooded router that spends its time on polls: what it serves is bounded by
+// that time.
+func TestLateRouterAsksLessOften(t *testing.T) {
+	d := &Director{}
+	primary, _ := d.waits(60, 6)
+	require.Equal(t, subscriber.LeastWait, primary)
+	for range 20 {
+		d.pacer.Look(2 * pacer.Calm)
+	}
+	primary, others := d.waits(60, 6)
+	require.Equal(t, subscriber.LateWait, primary)
+	require.Equal(t, subscriber.BriefWaitFor(60, 6), others)
+	primary, _ = d.waits(200, 5)
+	require.Equal(t, subscriber.WaitFor(200, 5), primary, "it asks no more often than the others")
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -221,8 +221,17 @@
 	d.budget.Share(count)
 	d.shares.Routers(count)
 	d.balancer.Routers(count)
-	keepers := d.news.Answering()
-	d.news.Pace(subscriber.WaitFor(count, keepers), subscriber.BriefWaitFor(count, keepers))
+	d.news.Pace(d.waits(count, d.news.Answering()))
+}
+
+// waits returns how long keepers are to hold this router's polls, in a fleet of so many
+// routers and keepers.
+func (d *Director) waits(routers, keepers int) (primary, others time.Duration) {
+	primary, others = subscriber.WaitFor(routers, keepers), subscriber.BriefWaitFor(routers, keepers)
+	if d.pacer.Late() > pacer.Calm {
+		primary = max(primary, subscriber.LateWait)
+	}
+	return primary, others
 }
 
 // ready tells whether new clients may come.
