--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -39,7 +39,9 @@
 	direct    sums // of the routers that report here
 	whole     sums // these, and what the other keepers add up
 	taker     taker
-	lessor    rationer.Lessor // of parts of cold endpoints' rates
+	lessor    rationer.Lessor // of this keeper's parts of cold endpoints
+	parts     []part
+	divided   time.Time // when the parts were worked out
 	crashes   map[uint64]*crashes
 	convicted uint64 // rises with every quarantined fingerprint
 }
--- a/keeper/internal/server/rationing.go
+++ b/keeper/internal/server/rationing.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"sync"
 	"time"
 
 	"shallotkeel.example/keeper/internal/settings"
@@ -29,15 +30,20 @@
 	if request.GetBrief() || request.GetKeeper() || p.settings.Platform == nil {
 		return nil
 	}
-	cold := p.directory.cold(p.clock.Now())
-	if len(cold) == 0 {
-		return nil
+	now := p.clock.Now()
+	if cold, due := p.directory.coldDue(now); due {
+		p.directory.divide(p.rationing().parts(cold))
 	}
-	r := rationing{services: p.services(), cold: p.settings.Platform.Cold, name: p.settings.Name}
+	return p.directory.lease(now, arrived, request.GetNode())
+}
+
+// rationing returns what parts rest on now.
+func (p planning) rationing() *rationing {
+	r := &rationing{services: p.services(), cold: p.settings.Platform.Cold, name: p.settings.Name}
 	for _, replica := range p.view.Load().status.Group {
 		r.keepers = append(r.keepers, replica.Name)
 	}
-	return p.directory.rations(p.clock.Now(), arrived, request.GetNode(), cold, r)
+	return r
 }
 
 // rationing is what parts of cold endpoints' rates rest on.
@@ -48,9 +54,9 @@
 	keepers  []string // of the group
 }
 
-// part returns the pause between two requests of this keeper's part of an endpoint, 0 if it
+// pause returns the pause between two requests of this keeper's part of an endpoint, 0 if it
 // has none.
-func (r *rationing) part(service string, endpoint uint64) time.Duration {
+func (r *rationing) pause(service string, endpoint uint64) time.Duration {
 	rate := r.services[service].Cold.Rate
 	if rate <= 0 {
 		return 0
@@ -63,26 +69,60 @@
 	return pause
 }
 
-// cold returns the endpoints that are cold.
-func (d *directory) cold(now time.Time) []lister.Listing {
+// partsAge is how long the parts that were worked out last hold. After a loss of a zone's power
+// thousands of endpoints may be cold: worked out for each poll, they would take a keeper all of
+// its time.
+const partsAge = 25 * time.Millisecond
+
+// part is this keeper's part of one cold endpoint.
+type part struct {
+	endpoint uint64        // its key
+	pause    time.Duration // between two requests
+}
+
+// parts returns this keeper's parts of some endpoints that are cold.
+func (r *rationing) parts(cold []lister.Listing) []part {
+	var parts []part
+	for _, listing := range cold {
+		endpoint := balancer.Key(listing)
+		if pause := r.pause(listing.Service, endpoint); pause > 0 {
+			parts = append(parts, part{endpoint: endpoint, pause: pause})
+		}
+	}
+	return parts
+}
+
+// coldDue returns the endpoints that are cold if this keeper's parts of them are to be worked
+// out again.
+func (d *directory) coldDue(now time.Time) (cold []lister.Listing, due bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return d.list.Cold(now)
+	if now.Sub(d.divided) < partsAge {
+		return nil, false
+	}
+	d.divided = now
+	return d.list.Cold(now), true
 }
 
-// rations leases this keeper's parts of cold endpoints to a router.
-func (d *directory) rations(now, arrived time.Time, router string, cold []lister.Listing, r rationing) []*messenger.Ration {
+// divide sets this keeper's parts.
+func (d *directory) divide(parts []part) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.parts = parts
+}
+
+// lease leases this keeper's parts to a router.
+func (d *directory) lease(now, arrived time.Time, router string) []*messenger.Ration {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	candidates := sync.OnceValue(func() []rationer.Candidate { return d.candidates(now) })
 	var rations []*messenger.Ration
-	for _, listing := range cold {
-		endpoint := balancer.Key(listing)
-		pause := r.part(listing.Service, endpoint)
-		if pause == 0 || !d.lessor.Grant(now, arrived, endpoint, router, func() []rationer.Candidate { return d.candidates(now) }) {
+	for _, p := range d.parts {
+		if !d.lessor.Grant(now, arrived, p.endpoint, router, candidates) {
 			continue
 		}
 		rations = append(rations, &messenger.Ration{
-			Endpoint: endpoint, PauseMs: uint32((pause + time.Millisecond - 1) / time.Millisecond),
+			Endpoint: p.endpoint, PauseMs: uint32((p.pause + time.Millisecond - 1) / time.Millisecond),
 			LeaseMs: uint32(rationer.Term / time.Millisecond),
 		})
 	}
