Keep a keeper within its instance's memory

Routers tell their collector how much memory there is, keepers did not: their heap grows to twice what is in use before it is collected. Suspected, not traced in a log.

Change: one function sets the collector's limit in both programs.

--- a/keeper/internal/settings/settings.go
+++ b/keeper/internal/settings/settings.go
@@ -35,6 +35,8 @@
 	Bootstrap bool `json:"bootstrap"`
 	// File is where the settings were read, and are looked at for changes.
 	File string `json:"-"`
+	// Memory is what the instance may use, in MB; 0 is not known.
+	Memory int `json:"memory"`
 	// Platform is set where the platform's operators and endpoints call.
 	Platform *Platform `json:"platform"`
 }
@@ -113,6 +115,9 @@
 	if s.Platform != nil && (!s.Platform.Listen.IsValid() || s.Platform.Heartbeat.Duration <= 0) {
 		problem("platform", "the address or the pause between heartbeats is missing", "set both from what the platform says")
 	}
+	if s.Memory < 0 {
+		problem("memory", "the limit is below 0", "set the instance's memory in MB, or leave it out")
+	}
 	if s.Platform != nil && min(s.Platform.Cold.Overage, s.Platform.Cold.Slack) < 0 {
 		problem("platform", "the bound on cold endpoints is below 0", "set \"overage\" and \"slack\" of \"cold\" to what the platform allows, or leave them out")
 	}
--- a/keeper/internal/settings/settings_test.go
+++ b/keeper/internal/settings/settings_test.go
@@ -42,6 +42,7 @@
 		"another address advertised":    {`"data"`, `"advertise": "127.0.0.1:8209", "data"`, "keepers"},
 		"an election of two heartbeats": {`"300ms"`, `"100ms"`, "election"},
 		"an unknown key":                {`"join"`, `"joins"`, "joins"},
+		"memory below 0":                {`"data"`, `"memory": -1, "data"`, "memory"},
 		"a bound on cold endpoints below 0": {
 			`"data"`, `"platform": {"listen": "127.0.0.1:9000", "heartbeat": "1s", "cold": {"slack": -1}}, "data"`, "cold endpoints",
 		},
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -32,6 +32,7 @@
 	if options.Check {
 		return nil
 	}
+	starter.LimitMemory(read.Memory)
 	clock := clockwork.NewRealClock()
 	return server.Run(ctx, &read, log, clock, server.Platform{
 		Handler: func(planner server.Planner) http.Handler {
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	stdlog "log"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +28,7 @@
 	"shallotkeel.example/lib/pacer"
 	"shallotkeel.example/lib/reloader"
 	"shallotkeel.example/lib/resolver"
+	"shallotkeel.example/lib/starter"
 	"shallotkeel.example/lib/subscriber"
 	"shallotkeel.example/platform"
 	"shallotkeel.example/router/internal/newsreader"
@@ -38,9 +37,6 @@
 )
 
 const (
-	// memoryShare is the part of the instance's memory at which the collector
-	// works harder. The rest is for stacks, buffers of the system and bursts.
-	memoryShare = 0.7
 	// sweepPause is how often idle connections are looked through.
 	sweepPause = 500 * time.Millisecond
 	// idlePerMB and connectionsPerMB bound clients' connections by memory: one with
@@ -246,7 +242,7 @@
 
 // Run serves until the context ends and then stops as planned.
 func (d *Director) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(math.Round(memoryShare * float64(d.settings.Memory<<20))))
+	starter.LimitMemory(d.settings.Memory)
 	// Connections are bounded by their idle time. Keep-alive probes would cost four system
 	// calls of each, a quarter of what it takes to refuse a request on one.
 	accepts := net.ListenConfig{KeepAlive: -1}
