Log what endpoints ask for and what each attempt rested on

The logs of the incident could not tell whether an endpoint's Retry-After was read, nor whether an endpoint was chosen inside its pause. A failed attempt's line now has what the endpoint asked for (rest_ms, leaving) and what spoke against it when it was chosen (doubt, pause_ms). Retry-After is read by one function for answers of endpoints and for our own callers; one that cannot be read is logged.

No decision has changed.

--- a/lib/balancer/doubt.go
+++ b/lib/balancer/doubt.go
@@ -26,6 +26,11 @@
 	closed
 )
 
+// String names a degree in logs.
+func (d doubt) String() string {
+	return [...]string{"none", "failing", "unheard", "closed"}[d]
+}
+
 // doubt returns what is to be expected of an endpoint now.
 func (b *Balancer) doubt(now time.Time, e *endpoint) doubt {
 	paused := now.Before(e.until) || e.probing
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -16,6 +16,10 @@
 	// Wait is how long the first token probably takes, and Queue the part of it for
 	// which the engine reads what was sent before.
 	Wait, Queue time.Duration
+	// Doubt is what spoke against the endpoint when it was chosen, "none" if nothing did, and
+	// Pause how much of its pause was left.
+	Doubt string
+	Pause time.Duration
 
 	balancer *Balancer
 	endpoint *endpoint
--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -8,11 +8,12 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"shallotkeel.example/lib/retrier"
 )
 
 // Ending says how a call ended for its caller.
@@ -120,8 +121,12 @@
 	r.ID = response.Header.Get("X-Request-Id")
 	r.Key = response.Header.Get("Idempotency-Key")
 	r.Trace = response.Header.Get("Traceparent")
-	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
-		r.Retry = time.Duration(seconds) * time.Second
+	if after := response.Header.Get("Retry-After"); after != "" {
+		retry, err := retrier.After(after)
+		if err != nil {
+			r.Error = err.Error()
+		}
+		r.Retry = retry
 	}
 }
 
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -49,6 +49,7 @@
 	q.endpoint, q.reading, q.queue, q.expected = slot.ID, slot.Reading, slot.Queue, slot.Wait
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	q.heard = forwarder.Answer{}
 	next := p.exchange(attemptCtx, cancel, q, slot)
 	outcome := balancer.Served
 	if next != nil {
@@ -60,7 +61,9 @@
 	slot.End(p.options.Clock.Now(), outcome)
 	if next != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", next.reason).
-			Bool("unsent", next.unsent).Bool("not_run", next.notRun).Int("sends", q.sends).Msg("attempt ended without an answer")
+			Bool("unsent", next.unsent).Bool("not_run", next.notRun).Int("sends", q.sends).
+			Str("doubt", slot.Doubt).Dur("pause_ms", slot.Pause).Dur("rest_ms", q.heard.Rest).Bool("leaving", q.heard.Leaving).
+			Msg("attempt ended without an answer")
 	}
 	return next
 }
@@ -89,6 +92,7 @@
 	}
 	defer x.Close()
 	answer := p.options.Dialect.Answer(x.Response)
+	p.hear(q, slot, answer)
 	if answer.NotRun {
 		return p.declined(q, x, answer)
 	}
@@ -101,6 +105,14 @@
 	return p.relayWhole(ctx, q, slot, x)
 }
 
+// hear notes what the endpoint says of itself.
+func (p *Passer) hear(q *request, slot *balancer.Slot, answer forwarder.Answer) {
+	q.heard = answer
+	if answer.Unread != nil {
+		p.options.Log.Warn().Err(answer.Unread).Str("id", q.in.ID).Str("endpoint", slot.ID).Msg("a header of the endpoint's answer counts as not said")
+	}
+}
+
 // failed is the ending of an attempt without an answer.
 func (p *Passer) failed(ctx context.Context, q *request, err error) *ending {
 	e := &ending{outcome: balancer.Broken, reason: err.Error()}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -118,13 +118,14 @@
 	name      uint64    // of this request and of those that repeat it, 0 if it has none
 	until     time.Time // the final answer is due
 
-	sends    int             // endpoints that got a byte of it
-	unsent   int             // endpoints that could not be reached
-	ran      bool            // an endpoint may have run it
-	prepaid  atomic.Bool     // its next attempt has been taken off the budget
-	begun    bool            // the client has a part of the answer
-	answered bool            // an endpoint has begun to answer
-	tried    map[string]bool // instances
+	sends    int              // endpoints that got a byte of it
+	unsent   int              // endpoints that could not be reached
+	ran      bool             // an endpoint may have run it
+	prepaid  atomic.Bool      // its next attempt has been taken off the budget
+	begun    bool             // the client has a part of the answer
+	answered bool             // an endpoint has begun to answer
+	heard    forwarder.Answer // what the last endpoint said of itself
+	tried    map[string]bool  // instances
 	endpoint string
 	spare    bool          // it is beyond what its workspace has a right to
 	reading  int           // tokens that the last endpoint probably had to read
