--- a/router/internal/passer/harness_test.go
+++ b/router/internal/passer/harness_test.go
@@ -116,7 +116,12 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	clock := clockwork.NewRealClock()
+	return newBedAt(t, clockwork.NewRealClock())
+}
+
+// newBedAt returns a bed with a clock of the test.
+func newBedAt(t *testing.T, clock clockwork.Clock) *bed {
+	t.Helper()
 	b := &bed{
 		t: t, news: &stub{begun: make(chan struct{}), quarantined: make(map[uint64]bool)}, balance: &balancer.Balancer{}, shares: &apportioner.Apportioner{},
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
--- /dev/null
+++ b/router/internal/relayer/rest_test.go
@@ -0,0 +1,72 @@
+package relayer_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/router/internal/relayer"
+)
+
+// Guards against requests to an endpoint within the rest that it has asked for, whatever the
+// pool's scheduler grants.
+func TestEndpointThatAsksForRestIsNotAsked(t *testing.T) {
+	const rest, step = 3 * time.Second, 250 * time.Millisecond
+	var arrivals atomic.Int64
+	resting := func(w http.ResponseWriter, r *http.Request, n int) {
+		arrivals.Add(1)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		if n == 1 {
+			w.Header().Set("X-Started", "no")
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	serving := func(w http.ResponseWriter, r *http.Request, _ int) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}
+	tests := map[string]struct {
+		endpoints []endpoint
+		status    int // while it rests
+	}{
+		"another one serves": {[]endpoint{resting, serving}, http.StatusOK},
+		"there is no other":  {[]endpoint{resting}, http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			arrivals.Store(0)
+			f := frozenFleet(t, relayer.Limits{}, test.endpoints...)
+			require.Equal(t, test.status, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
+			for passed := step; passed < rest; passed += step {
+				f.clock.Advance(step)
+				require.Equal(t, test.status, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
+				require.EqualValues(t, 1, arrivals.Load(), "after %s", passed)
+			}
+			f.clock.Advance(2 * step)
+			require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
+			require.EqualValues(t, 2, arrivals.Load(), "its rest is over")
+		})
+	}
+}
+
+// Guards against new work for an endpoint that says in its answers that it leaves.
+func TestEndpointThatSaysThatItLeavesIsNotAsked(t *testing.T) {
+	var arrivals atomic.Int64
+	f := frozenFleet(t, relayer.Limits{},
+		func(w http.ResponseWriter, r *http.Request, _ int) {
+			arrivals.Add(1)
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Leaving", "1")
+		},
+		func(w http.ResponseWriter, r *http.Request, _ int) {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		})
+	for range 10 {
+		require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
+		f.clock.Advance(250 * time.Millisecond)
+	}
+	require.EqualValues(t, 1, arrivals.Load())
+}
