Leave endpoints alone for the rest that they have asked for

Callers saw more than a tenth of the engines' classes refused for up to seven seconds: requests were sent to engines that had just asked for 3 s of rest, which rejected them, and a second send went to another one of these.

Cause: nobody read an endpoint's Retry-After. A refusal began this router's own pause, 150 ms that double, which a whole answer of an earlier request ended, and which only made the endpoint dearer.

A rest is now kept beside the pause: the endpoint is no candidate until it is over, whatever else happens; a request that was chosen for it and not yet sent goes elsewhere; and where nobody else takes work, clients are told at once when the first one does. One request then finds out whether it takes work.

TestRestThatWasAskedForMeanwhileHoldsARequestBack fails without the look right before the send.

--- /dev/null
+++ b/lib/balancer/rest_test.go
@@ -0,0 +1,79 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
+)
+
+func desk(id string) lister.Listing {
+	return lister.Listing{ID: id, Service: "desk", State: lister.Ready}
+}
+
+// Guards against a rest that something else ends, and against one that never does.
+func TestRestLastsAsLongAsWasAsked(t *testing.T) {
+	const rest = 3 * time.Second
+	tests := map[string]func(b *Balancer, first *Slot, now time.Time){
+		"nothing": func(*Balancer, *Slot, time.Time) {},
+		"an answer of before is whole": func(_ *Balancer, first *Slot, now time.Time) {
+			first.End(now, Served)
+		},
+		"an answer of before fails": func(_ *Balancer, first *Slot, now time.Time) {
+			first.End(now, Broken)
+		},
+		"a shorter rest is asked for": func(_ *Balancer, first *Slot, now time.Time) {
+			first.Rest(now, rest/10)
+		},
+		"a heartbeat comes": func(b *Balancer, _ *Slot, _ time.Time) {
+			b.Update(desk("a"))
+		},
+	}
+	for name, happens := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &Balancer{}
+			b.Update(desk("a"))
+			first := b.Pick(start, "desk", &Work{}, nil)
+			second := b.Pick(start, "desk", &Work{}, nil)
+			require.True(t, second.Rest(start, rest))
+			second.End(start, Full)
+			happens(b, first, start.Add(rest/4))
+			for passed := time.Duration(0); passed < rest; passed += rest / 16 {
+				require.Nil(t, b.Pick(start.Add(passed), "desk", &Work{}, nil), "after %s", passed)
+				require.Equal(t, rest-passed, b.Rested(start.Add(passed), "desk"))
+				require.False(t, first.Open(start.Add(passed)))
+			}
+			require.NotNil(t, b.Pick(start.Add(rest), "desk", &Work{}, nil))
+			require.Zero(t, b.Rested(start.Add(rest), "desk"))
+		})
+	}
+}
+
+// Guards against a crowd at the end of a rest: one request finds out whether it is over.
+func TestOneRequestFindsOutWhetherARestIsOver(t *testing.T) {
+	b := &Balancer{}
+	b.Update(desk("a"))
+	b.Update(desk("b"))
+	only := func(id string) func(string) bool { return func(other string) bool { return other != id } }
+	asked := b.Pick(start, "desk", &Work{}, only("a"))
+	asked.Rest(start, time.Second)
+	asked.End(start, Full)
+	later := start.Add(time.Second)
+	require.Equal(t, "a", b.Pick(later, "desk", &Work{}, only("a")).ID)
+	for range 10 {
+		require.Equal(t, "b", b.Pick(later, "desk", &Work{}, nil).ID)
+	}
+}
+
+func TestRestIsOfOneLife(t *testing.T) {
+	b := &Balancer{}
+	b.Update(desk("a"))
+	b.Pick(start, "desk", &Work{}, nil).Rest(start, time.Hour)
+	again := desk("a")
+	again.Started = start.Add(time.Second)
+	require.True(t, b.Update(again))
+	require.NotNil(t, b.Pick(start.Add(time.Second), "desk", &Work{}, nil))
+	require.Zero(t, b.Resting(start.Add(time.Second)))
+}
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -120,6 +120,9 @@
 	case Served:
 		e.failed *= 1 - memory
 		e.pauses, e.until = 0, time.Time{}
+		if e.resting(now) {
+			e.until = e.rest
+		}
 	case Faulty, Broken:
 		e.failed = e.failed*(1-memory) + memory
 		if outcome == Broken || s.balancer.faulty(e) {
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -81,7 +81,7 @@
 	defer unlink()
 	x, err := p.options.Client.Do(ctx, slot.Address, out, func() bool {
 		// The context's timer may be as late as the process is: the clock is asked.
-		if ctx.Err() != nil || !p.options.Clock.Now().Before(q.until) || gone(q.http.Context()) {
+		if now := p.options.Clock.Now(); ctx.Err() != nil || !now.Before(q.until) || !slot.Open(now) || gone(q.http.Context()) {
 			return false
 		}
 		q.sends++
@@ -108,6 +108,9 @@
 // hear notes what the endpoint says of itself.
 func (p *Passer) hear(q *request, slot *balancer.Slot, answer forwarder.Answer) {
 	q.heard = answer
+	if answer.Rest > 0 && slot.Rest(p.options.Clock.Now(), answer.Rest) {
+		p.options.Log.Info().Str("endpoint", slot.ID).Dur("rest_ms", answer.Rest).Msg("endpoint asks for rest")
+	}
 	if answer.Unread != nil {
 		p.options.Log.Warn().Err(answer.Unread).Str("id", q.in.ID).Str("endpoint", slot.ID).Msg("a header of the endpoint's answer counts as not said")
 	}
--- a/router/internal/passer/rest_test.go
+++ b/router/internal/passer/rest_test.go
@@ -1,10 +1,12 @@
 package passer
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/lister"
 )
 
@@ -213,3 +216,28 @@
 	require.NoError(t, response.Body.Close())
 	require.Equal(t, 1, s.got())
 }
+
+// Guards against a request that reaches an endpoint which has asked for rest since it was
+// chosen, as while its connection was being made.
+func TestRestThatWasAskedForMeanwhileHoldsARequestBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := newBedAt(t, clock)
+	s := &speaker{status: http.StatusOK}
+	b.speak(s)
+	slot := b.balance.Pick(clock.Now(), "desk", &balancer.Work{}, nil)
+	b.balance.Pick(clock.Now(), "desk", &balancer.Work{}, nil).Rest(clock.Now(), time.Second)
+	q := &request{
+		http: httptest.NewRequest(http.MethodGet, "/read/x", nil), writer: httptest.NewRecorder(), route: &routes[1],
+		target: "/read/x", until: clock.Now().Add(time.Minute), table: b.news.Table(),
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
+	next := b.passer.exchange(ctx, cancel, q, slot)
+	require.NotNil(t, next)
+	require.True(t, next.unsent)
+	require.Equal(t, balancer.Withdrawn, next.outcome)
+	require.Zero(t, s.got())
+	clock.Advance(time.Second)
+	require.Nil(t, b.passer.exchange(ctx, cancel, q, slot))
+	require.Equal(t, 1, s.got())
+}
