Give no new work to endpoints that say in their answers that they leave

An endpoint that leaves says so in each of its answers; its heartbeat may be late, or reach only keepers that this router does not hear. Nobody read it: callers would be sent to an endpoint until its heartbeat came.

Same class as with Retry-After: what an endpoint says of itself was read from heartbeats alone. An answer now raises the state of that life, which a later heartbeat cannot lower, and a request that was chosen and not yet sent goes elsewhere. What another instance at the address says (421) is its own.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -118,6 +118,9 @@
 	}
 	known, found := b.byID[listing.ID]
 	restarted := found && !known.Started.Equal(listing.Started)
+	if found && !restarted {
+		listing.State = max(listing.State, known.State) // it may have said itself that it leaves
+	}
 	if restarted {
 		// It holds and runs nothing of before, so that what is believed of its former
 		// life goes with that life's entry. Memory of prompts that is not there would
--- a/lib/balancer/rest.go
+++ b/lib/balancer/rest.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"shallotkeel.example/lib/lister"
+)
 
 // Rest keeps new requests of this router away from the endpoint for a time, as the endpoint
 // asked. It tells whether that is news: the endpoint did not rest before.
@@ -21,6 +25,17 @@
 	return begins
 }
 
+// Leave keeps new requests away from the endpoint for the rest of its life, as it says that
+// it leaves. It tells whether that is news. Its heartbeat may be late, or reach nobody that
+// this router hears.
+func (s *Slot) Leave() bool {
+	s.balancer.mutex.Lock()
+	defer s.balancer.mutex.Unlock()
+	begins := s.endpoint.State < lister.Leaving
+	s.endpoint.State = max(s.endpoint.State, lister.Leaving)
+	return begins
+}
+
 // Open tells whether the endpoint still takes the request: it may have said that it rests or
 // leaves since it was chosen.
 func (s *Slot) Open(now time.Time) bool {
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -111,6 +111,9 @@
 	if answer.Rest > 0 && slot.Rest(p.options.Clock.Now(), answer.Rest) {
 		p.options.Log.Info().Str("endpoint", slot.ID).Dur("rest_ms", answer.Rest).Msg("endpoint asks for rest")
 	}
+	if answer.Leaving && slot.Leave() {
+		p.options.Log.Info().Str("endpoint", slot.ID).Msg("endpoint says in an answer that it leaves")
+	}
 	if answer.Unread != nil {
 		p.options.Log.Warn().Err(answer.Unread).Str("id", q.in.ID).Str("endpoint", slot.ID).Msg("a header of the endpoint's answer counts as not said")
 	}
