Leave endpoints of the product's own interface alone for the rest that they ask for

A router remembers the wish and tells the pool's scheduler with the end of the attempt (Finish.rest_ms); the scheduler grants nothing there until it is over. A slot that is granted all the same, by a scheduler that has just taken over or by a zone that lends it, is declined.

--- a/lib/scheduler/expire.go
+++ b/lib/scheduler/expire.go
@@ -45,7 +45,7 @@
 		p.wake(e.expires)
 	}
 	if e.probation.closed(now) {
-		p.wake(e.probation.until)
+		p.wake(e.probation.opens())
 	}
 	p.count(now, e)
 }
--- a/lib/scheduler/report.go
+++ b/lib/scheduler/report.go
@@ -280,6 +280,9 @@
 		return
 	}
 	e.probation.end(now, finish.Ending)
+	if finish.Rest > 0 {
+		e.probation.relieve(now.Add(finish.Rest))
+	}
 	switch finish.Ending {
 	case Done:
 		e.signal(now)
@@ -289,7 +292,7 @@
 	case Cancelled, Failed, Unreachable, Declined:
 	}
 	if e.probation.closed(now) {
-		p.wake(e.probation.until)
+		p.wake(e.probation.opens())
 	}
 }
 
@@ -330,7 +333,7 @@
 		r.endpoint = nil
 		e.vacate(now, r.lane.key.alone)
 		if e.probation.closed(now) {
-			p.wake(e.probation.until)
+			p.wake(e.probation.opens())
 		}
 		if !e.gone {
 			p.count(now, e)
--- a/lib/scheduler/stats.go
+++ b/lib/scheduler/stats.go
@@ -111,7 +111,7 @@
 		Endpoint: e.id, Incarnation: e.incarnation,
 		Slots: e.throttle.Slots(), Window: e.throttle.Window(), Limit: e.limit(now), Busy: e.busy(), Foreign: e.foreign,
 		Draining: e.draining, Leaving: e.leaving, Hung: e.hung,
-		Probation: max(0, e.probation.until.Sub(now)),
+		Probation: max(0, e.probation.opens().Sub(now)),
 	}
 }
 
--- a/router/internal/enroller/enroller.go
+++ b/router/internal/enroller/enroller.go
@@ -95,8 +95,6 @@
 }
 
 // Finish gives the slot back.
-func (s *slot) Finish(charged uint32, ending scheduler.Ending, first, took time.Duration) {
-	s.once.Do(func() {
-		s.waiter.Finish(scheduler.Finish{Charged: charged, Ending: ending, First: first, Took: took})
-	})
+func (s *slot) Finish(finish scheduler.Finish) {
+	s.once.Do(func() { s.waiter.Finish(finish) })
 }
--- a/router/internal/relayer/caller.go
+++ b/router/internal/relayer/caller.go
@@ -18,6 +18,7 @@
 	headerKey         = "Idempotency-Key"
 	headerNoRepeat    = "X-Not-Repeatable"
 	headerStarted     = "X-Started"
+	headerRetryAfter  = "Retry-After"
 	headerWorkspace   = "X-Workspace"
 	headerResumeFrom  = "X-Resume-From"
 	headerTraceparent = "Traceparent"
--- a/router/internal/relayer/edges.go
+++ b/router/internal/relayer/edges.go
@@ -40,7 +40,7 @@
 	// Progress tells the units used in all so far.
 	Progress(charged uint32)
 	// Finish gives the slot back. Only the first call counts.
-	Finish(charged uint32, ending scheduler.Ending, first, took time.Duration)
+	Finish(finish scheduler.Finish)
 }
 
 // Enroller gets slots from the pools' schedulers.
--- a/router/internal/relayer/failure.go
+++ b/router/internal/relayer/failure.go
@@ -110,7 +110,7 @@
 	headers := c.writer.Header()
 	headers.Set(headerOutcome, string(action.Outcome))
 	if action.Retry > 0 {
-		headers.Set("Retry-After", wholeSeconds(action.Retry))
+		headers.Set(headerRetryAfter, wholeSeconds(action.Retry))
 	}
 	c.extend()
 	// The server reads the rest of a body first, from a caller that may stall.
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -224,13 +224,13 @@
 func (s *slot) Incarnation() uint64     { return 1 }
 func (s *slot) Address() netip.AddrPort { return s.address }
 func (s *slot) Progress(uint32)         {}
-func (s *slot) Finish(charged uint32, ending scheduler.Ending, _, _ time.Duration) {
+func (s *slot) Finish(finish scheduler.Finish) {
 	s.enroller.lock.Lock()
 	defer s.enroller.lock.Unlock()
 	if s.alone {
 		delete(s.enroller.suspects, s.id)
 	}
-	s.enroller.finished = append(s.enroller.finished, fmt.Sprintf("%s %s %d", s.id, words[ending], charged))
+	s.enroller.finished = append(s.enroller.finished, fmt.Sprintf("%s %s %d", s.id, words[finish.Ending], finish.Charged))
 	s.enroller.signal()
 }
 
--- a/router/internal/relayer/relayer.go
+++ b/router/internal/relayer/relayer.go
@@ -22,6 +22,7 @@
 	guard      guard
 	bodies     bodies
 	drain      drain
+	rests      rests
 	explainer  explainer
 	metrics    *metrics
 }
--- a/router/internal/relayer/request.go
+++ b/router/internal/relayer/request.go
@@ -67,7 +67,8 @@
 type attempt struct {
 	began time.Time
 	first time.Duration
-	units uint32 // tokens
+	units uint32        // tokens
+	rest  time.Duration // that the endpoint has asked for
 
 	connected bool // a connection was made
 	crashed   bool // it broke as it does when a process dies
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -132,15 +132,38 @@
 // askScheduler enrols the request. Endpoints that failed it are avoided, unless
 // there is no other: the same one may have come back.
 func (r *Relayer) askScheduler(ctx context.Context, q *request) (Slot, error) {
-	slot, err := r.options.Enroller.Enrol(ctx, r.waiting(q))
+	slot, err := r.takeRested(ctx, q)
 	var refused *Refused
 	if len(q.avoid) > 0 && errors.As(err, &refused) && refused.Code == string(tracker.CodeNoEndpoint) {
 		q.avoid = nil
-		return r.options.Enroller.Enrol(ctx, r.waiting(q))
+		return r.takeRested(ctx, q)
 	}
 	return slot, err
 }
 
+// takeRested returns a slot at an endpoint that wants requests of this router. A scheduler
+// that has only just begun, or that of a zone that lends the slot, may not know better: it
+// is told once, and the endpoint is avoided if it is granted again.
+func (r *Relayer) takeRested(ctx context.Context, q *request) (Slot, error) {
+	told := make(map[string]bool)
+	for {
+		slot, err := r.options.Enroller.Enrol(ctx, r.waiting(q))
+		if err != nil {
+			return nil, err
+		}
+		rest := r.rests.left(r.options.Clock.Now(), slot)
+		if rest == 0 {
+			return slot, nil
+		}
+		slot.Finish(scheduler.Finish{Ending: scheduler.Declined, Rest: rest})
+		r.note(q, "declined", slot.Endpoint(), "the endpoint wants no requests of this router for "+rest.String())
+		if told[slot.Endpoint()] {
+			q.avoid = append(q.avoid, slot.Endpoint())
+		}
+		told[slot.Endpoint()] = true
+	}
+}
+
 func (r *Relayer) waiting(q *request) Waiting {
 	waiting := Waiting{
 		ID: q.id, Service: q.service.Name, Workspace: q.workspace.Name,
@@ -199,7 +222,7 @@
 	if q.chat == nil && q.spent.connected {
 		units = uint32(max(took.Milliseconds(), 1))
 	}
-	q.slot.Finish(units, ending, q.spent.first, took)
+	q.slot.Finish(scheduler.Finish{Charged: units, Ending: ending, First: q.spent.first, Took: took, Rest: q.spent.rest})
 	for _, digest := range r.guard.end(now, q, q.spent.verdict(ending)) {
 		r.metrics.quarantine.Inc()
 		r.options.Log.Warn().Uint64("fingerprint", digest).Msg("quarantined a request that crashes endpoints")
