Grant nothing at endpoints of the product's own interface that say that they leave

Only announcements told that an endpoint leaves, and one that was older than the endpoint's answers made it take work again. An answer with X-Leaving now ends new work for that incarnation, at the router that got it and at the pool's scheduler (Finish.leaving), whatever is announced.

--- a/lib/scheduler/endpoint.go
+++ b/lib/scheduler/endpoint.go
@@ -175,7 +175,7 @@
 	e.address = a.Address
 	e.labels = a.Labels
 	e.models = a.Models
-	e.leaving = a.Leaving
+	e.leaving = e.leaving || a.Leaving // an announcement may be older than what the endpoint's answers say
 	e.expires = now.Add(a.TTL)
 	p.wake(e.expires)
 	e.throttle.Resize(a.Slots)
--- a/lib/scheduler/event.go
+++ b/lib/scheduler/event.go
@@ -92,6 +92,7 @@
 	First   time.Duration // time to the first unit, 0 if none came
 	Took    time.Duration // whole time at the endpoint
 	Rest    time.Duration // for which the endpoint wants no more requests, 0 if it did not say
+	Leaving bool          // the endpoint said that it leaves
 }
 
 // Report is a router's news. With Full, Tickets and Running are all that the
--- a/lib/scheduler/failure_test.go
+++ b/lib/scheduler/failure_test.go
@@ -200,3 +200,19 @@
 		})
 	}
 }
+
+// Guards against grants at an endpoint that has said in an answer that it leaves, for an
+// announcement that was made before.
+func TestEndpointThatSaysThatItLeavesGetsNoGrant(t *testing.T) {
+	m := newModel(t, scheduler.Options{Origin: 1})
+	announced := scheduler.Announced{ID: "a", Incarnation: 1, Slots: 4, TTL: time.Hour}
+	m.announce(announced)
+	m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"})
+	m.apply(scheduler.Report{Router: router1, Finished: []scheduler.Finish{{Seq: 1, Ending: scheduler.Done, Charged: 1, Leaving: true}}})
+	m.announce(announced)
+	m.enrol(router1, scheduler.Ticket{Seq: 2, Workspace: "one"})
+	require.Empty(t, m.requests[request(2)].endpoint)
+	announced.Incarnation = 2
+	m.announce(announced)
+	require.Equal(t, "a", m.requests[request(2)].endpoint, "it has started again")
+}
--- a/lib/scheduler/report.go
+++ b/lib/scheduler/report.go
@@ -283,6 +283,7 @@
 	if finish.Rest > 0 {
 		e.probation.relieve(now.Add(finish.Rest))
 	}
+	e.leaving = e.leaving || finish.Leaving
 	switch finish.Ending {
 	case Done:
 		e.signal(now)
--- a/router/internal/relayer/caller.go
+++ b/router/internal/relayer/caller.go
@@ -19,6 +19,7 @@
 	headerNoRepeat    = "X-Not-Repeatable"
 	headerStarted     = "X-Started"
 	headerRetryAfter  = "Retry-After"
+	headerLeaving     = "X-Leaving"
 	headerWorkspace   = "X-Workspace"
 	headerResumeFrom  = "X-Resume-From"
 	headerTraceparent = "Traceparent"
--- a/router/internal/relayer/request.go
+++ b/router/internal/relayer/request.go
@@ -70,6 +70,7 @@
 	units uint32        // tokens
 	rest  time.Duration // that the endpoint has asked for
 
+	leaving   bool // the endpoint said that it leaves
 	connected bool // a connection was made
 	crashed   bool // it broke as it does when a process dies
 	passed    bool // the endpoint's answer was handed on as it was
--- a/router/internal/relayer/rests.go
+++ b/router/internal/relayer/rests.go
@@ -8,16 +8,26 @@
 	"shallotkeel.example/lib/retrier"
 )
 
+// lastRest is how long the rest of an endpoint that leaves is remembered: longer than it can
+// still be there.
+const lastRest = 24 * time.Hour
+
 // maxRests bounds the endpoints that are remembered, at some 100 bytes each. Of one beyond
 // it only its pool's scheduler knows.
 const maxRests = 4096
 
-// rests remembers until when endpoints have asked this router for rest. Their pools'
+// rests remembers until when endpoints want no requests of this router. Their pools'
 // schedulers are told as well, but each of them may change, and grants are on their way
 // meanwhile. Its zero value remembers none.
 type rests struct {
 	mutex sync.Mutex
-	ends  map[life]time.Time
+	ends  map[life]rest
+}
+
+// rest is until when an endpoint wants no requests.
+type rest struct {
+	end     time.Time
+	leaving bool // it has said that it leaves
 }
 
 // life is one incarnation of an endpoint.
@@ -31,32 +41,34 @@
 }
 
 // ask takes an endpoint's wish. A shorter one does not end a longer one.
-func (r *rests) ask(now time.Time, slot Slot, length time.Duration) {
+func (r *rests) ask(now time.Time, slot Slot, wish rest) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.ends == nil {
-		r.ends = make(map[life]time.Time)
+		r.ends = make(map[life]rest)
 	}
 	if len(r.ends) >= maxRests {
 		r.forget(now)
 	}
-	end, of := now.Add(length), lifeOf(slot)
-	if known, found := r.ends[of]; found && known.After(end) || !found && len(r.ends) >= maxRests {
+	of := lifeOf(slot)
+	if known, found := r.ends[of]; found && known.end.After(wish.end) || !found && len(r.ends) >= maxRests {
 		return
 	}
-	r.ends[of] = end
+	r.ends[of] = wish
 }
 
-// left returns for how long the endpoint of a slot still wants no requests, 0 if it does.
-func (r *rests) left(now time.Time, slot Slot) time.Duration {
+// left returns for how long the endpoint of a slot still wants no requests, 0 if it takes
+// some, and whether that is because it leaves.
+func (r *rests) left(now time.Time, slot Slot) (left time.Duration, leaving bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return max(r.ends[lifeOf(slot)].Sub(now), 0)
+	known := r.ends[lifeOf(slot)]
+	return max(known.end.Sub(now), 0), known.leaving
 }
 
 func (r *rests) forget(now time.Time) {
-	for of, end := range r.ends {
-		if !now.Before(end) {
+	for of, known := range r.ends {
+		if !now.Before(known.end) {
 			delete(r.ends, of)
 		}
 	}
@@ -64,16 +76,22 @@
 
 // hear takes what an endpoint says of itself.
 func (r *Relayer) hear(q *request, response *http.Response) {
+	now := r.options.Clock.Now()
+	if response.Header.Get(headerLeaving) != "" {
+		q.spent.leaving = true
+		r.rests.ask(now, q.slot, rest{end: now.Add(lastRest), leaving: true})
+		r.note(q, "leaving", q.slot.Endpoint(), "the endpoint says that it leaves")
+	}
 	after := response.Header.Get(headerRetryAfter)
 	if after == "" || response.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
-	rest, err := retrier.After(after)
+	wish, err := retrier.After(after)
 	if err != nil {
 		r.options.Log.Warn().Err(err).Str("id", q.id).Str("endpoint", q.slot.Endpoint()).Msg("a header of the endpoint's answer counts as not said")
 		return
 	}
-	q.spent.rest = rest
-	r.rests.ask(r.options.Clock.Now(), q.slot, rest)
-	r.note(q, "rest", rest.String(), "the endpoint wants no requests of this router for so long")
+	q.spent.rest = wish
+	r.rests.ask(now, q.slot, rest{end: now.Add(wish)})
+	r.note(q, "rest", wish.String(), "the endpoint wants no requests of this router for so long")
 }
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -151,11 +151,11 @@
 		if err != nil {
 			return nil, err
 		}
-		rest := r.rests.left(r.options.Clock.Now(), slot)
+		rest, leaving := r.rests.left(r.options.Clock.Now(), slot)
 		if rest == 0 {
 			return slot, nil
 		}
-		slot.Finish(scheduler.Finish{Ending: scheduler.Declined, Rest: rest})
+		slot.Finish(scheduler.Finish{Ending: scheduler.Declined, Rest: rest, Leaving: leaving})
 		r.note(q, "declined", slot.Endpoint(), "the endpoint wants no requests of this router for "+rest.String())
 		if told[slot.Endpoint()] {
 			q.avoid = append(q.avoid, slot.Endpoint())
@@ -222,7 +222,7 @@
 	if q.chat == nil && q.spent.connected {
 		units = uint32(max(took.Milliseconds(), 1))
 	}
-	q.slot.Finish(scheduler.Finish{Charged: units, Ending: ending, First: q.spent.first, Took: took, Rest: q.spent.rest})
+	q.slot.Finish(scheduler.Finish{Charged: units, Ending: ending, First: q.spent.first, Took: took, Rest: q.spent.rest, Leaving: q.spent.leaving})
 	for _, digest := range r.guard.end(now, q, q.spent.verdict(ending)) {
 		r.metrics.quarantine.Inc()
 		r.options.Log.Warn().Uint64("fingerprint", digest).Msg("quarantined a request that crashes endpoints")
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -281,7 +281,7 @@
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Expect": true, "Content-Length": true, "Host": true, "Authorization": true,
 	headerOutcome: true, headerRequestID: true, headerKey: true, headerNoRepeat: true, headerStarted: true,
-	headerWorkspace: true, headerResumeFrom: true, headerTraceparent: true, headerReplayed: true, "Tracestate": true,
+	headerWorkspace: true, headerResumeFrom: true, headerTraceparent: true, headerReplayed: true, headerLeaving: true, "Tracestate": true,
 }
 
 // copyHeaders copies the headers that go from end to end.
