Let stand-ins ask for rest and say in answers that they leave, and check both on real processes

Two cells of make faults: an engine that refuses and asks for 3 s of rest gets no request of a router that it asked, apart from those on their way; one that says in its answers alone that it leaves gets no new work.

--- a/bench/internal/faults/endpoints.go
+++ b/bench/internal/faults/endpoints.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"shallotkeel.example/bench/internal/inspector"
 	"shallotkeel.example/bench/internal/launcher"
 	"shallotkeel.example/lib/caller"
 )
@@ -19,6 +20,7 @@
 		{fault: "freeze endpoint", step: "mid-stream", run: freezeEngine},
 		{fault: "endpoint drops answers", step: "after it ran the call", run: muteService},
 		{fault: "endpoint refuses", step: "before it starts", run: refusingEngine},
+		{fault: "endpoint asks for rest", step: "before it starts", run: restingEngine},
 	}
 }
 
@@ -104,6 +106,34 @@
 	return err
 }
 
+// restingEngine: an endpoint that asks for rest gets nothing from whom it asked.
+func restingEngine(b *bed) error {
+	const rest = 3 * time.Second
+	victim, _ := b.fleet.Node("modelli-a2")
+	b.send(b.everyone(2*usualRate, b.mix()), usualTime)
+	b.sleep(warmUp)
+	if err := b.fault(victim, map[string]any{"refuse": true, "rest": rest.Seconds()}); err != nil {
+		return err
+	}
+	b.sleep(rest + rest/2)
+	if err := b.fault(victim, map[string]any{}); err != nil {
+		return err
+	}
+	if _, err := b.judge(); err != nil {
+		return err
+	}
+	executions, err := inspector.Read(b.fleet)
+	if err != nil {
+		return err
+	}
+	rests, most := executions.InRest(victim.Name, rest)
+	b.note("rests asked for %d, most requests of a router within one %d", rests, most)
+	if rests == 0 || most > 0 {
+		return merry.Errorf("%w: of %d rests that %s asked for, one had %d requests of a router; none is wanted", ErrCell, rests, victim.Name, most)
+	}
+	return nil
+}
+
 // fault switches a stand-in's faults.
 func (b *bed) fault(standin *launcher.Node, faults map[string]any) error {
 	text, err := json.Marshal(faults)
--- a/bench/internal/faults/leaving.go
+++ b/bench/internal/faults/leaving.go
@@ -25,6 +25,7 @@
 		{fault: "endpoint leaves", step: "announced", run: leaveAnnounced},
 		{fault: "endpoint leaves", step: "drained by label", run: leaveDrained},
 		{fault: "endpoint leaves", step: "silently, still answering", run: leaveSilently},
+		{fault: "endpoint leaves", step: "told in answers alone", run: leaveInAnswers},
 		{fault: "endpoint leaves", step: "killed, back under the old address", run: leaveAndReturn},
 	}
 }
@@ -80,6 +81,14 @@
 	})
 }
 
+// leaveInAnswers: the endpoint says that it leaves in its answers, and its announcements say
+// that it takes work.
+func leaveInAnswers(b *bed) error {
+	return leaving(b, drainedLimit, func(victim *launcher.Node) error {
+		return b.fault(victim, map[string]any{"leaving": true})
+	})
+}
+
 // leaveAndReturn: the endpoint that comes back under the old address is a new
 // one. Nothing is owed to it, and it serves.
 func leaveAndReturn(b *bed) error {
--- a/bench/internal/inspector/inspector.go
+++ b/bench/internal/inspector/inspector.go
@@ -13,6 +13,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,8 +39,13 @@
 const (
 	verbReceived = "received"
 	verbStarted  = "started"
+	verbRefused  = "refused"
 )
 
+// onTheWay is how long after an endpoint's answer requests may still arrive that were sent
+// before its router had the answer.
+const onTheWay = 500 * time.Millisecond
+
 // Executions is what all stand-ins executed.
 type Executions struct {
 	// ByIdentity counts by idempotency key, or by request id where there was none.
@@ -165,6 +171,36 @@
 	return v.Wrong + v.Missing + v.Double + v.FalseNotRun + v.Phantom
 }
 
+// InRest returns the most requests that a stand-in got from one router within a rest of that
+// length, which each refusal asks for, less those that were on their way. Routers are told
+// apart by the ids that they give to requests.
+func (e Executions) InRest(standin string, length time.Duration) (rests, most int) {
+	type span struct {
+		begun time.Time
+		got   int
+	}
+	open := make(map[string]*span)
+	for _, entry := range e.Entries {
+		if entry.Standin != standin || entry.Verb != verbRefused && entry.Verb != verbReceived {
+			continue
+		}
+		router, _, _ := strings.Cut(entry.Request, "-")
+		known := open[router]
+		if known != nil && entry.At.Sub(known.begun) < length {
+			if entry.At.Sub(known.begun) > onTheWay {
+				known.got++
+				most = max(most, known.got)
+			}
+			continue
+		}
+		if entry.Verb == verbRefused {
+			open[router] = &span{begun: entry.At}
+			rests++
+		}
+	}
+	return rests, most
+}
+
 // LastWork returns how many requests a stand-in received before a moment, and
 // how long after it the last one came.
 func (e Executions) LastWork(standin string, moment time.Time) (before int, after time.Duration) {
--- a/standin/internal/completer/completer.go
+++ b/standin/internal/completer/completer.go
@@ -100,6 +100,9 @@
 func (c *Completer) refuse(w http.ResponseWriter, q call, status int, remedy string) {
 	c.Journal.Add(journaler.Entry{Verb: journaler.Refused, Request: q.id, Key: q.key, Workspace: q.workspace})
 	w.Header().Set("X-Started", "no")
+	if status == http.StatusServiceUnavailable {
+		c.Failer.Faults().AskForRest(w.Header())
+	}
 	http.Error(w, remedy, status)
 }
 
--- a/standin/internal/runner/runner.go
+++ b/standin/internal/runner/runner.go
@@ -166,7 +166,21 @@
 		s.servePlain(mux)
 	}
 	s.control.Register(mux)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaves() || s.failer.Faults().Leaving {
+			w.Header().Set("X-Leaving", "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *standin) leaves() bool {
+	select {
+	case <-s.leaving:
+		return true
+	default:
+		return false
+	}
 }
 
 func (s *standin) serveModel(ctx context.Context, mux *http.ServeMux) {
@@ -226,11 +240,7 @@
 		}
 		announcement.Cached, announcement.Evicted = s.reporter.due(now)
 	}
-	select {
-	case <-s.leaving:
-		announcement.Leaving = true
-	default:
-	}
+	announcement.Leaving = s.leaves()
 	return announcement
 }
 
--- a/standin/internal/runner/runner_test.go
+++ b/standin/internal/runner/runner_test.go
@@ -294,3 +294,37 @@
 	defer listener.Close()
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
+
+func TestRefusalsAskForRest(t *testing.T) {
+	tests := map[string]struct {
+		kind, method, path, body string
+	}{
+		"model": {TypeModel, http.MethodPost, "/v1/chat/completions", ask},
+		"plain": {TypePlain, http.MethodGet, "/x", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			url, s, _ := serve(t, test.kind)
+			s.failer.Set(failer.Faults{Refuse: true, Rest: 2.5})
+			got := send(t, test.method, url+test.path, test.body, nil)
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.Equal(t, "2.5", got.header.Get("Retry-After"))
+			require.Equal(t, "no", got.header.Get("X-Started"))
+			s.failer.Set(failer.Faults{Refuse: true})
+			require.Empty(t, send(t, test.method, url+test.path, test.body, nil).header.Get("Retry-After"))
+		})
+	}
+}
+
+func TestAnswersSayThatItLeaves(t *testing.T) {
+	url, s, _ := serve(t, TypePlain)
+	s.leaving = make(chan struct{})
+	require.Empty(t, send(t, http.MethodGet, url+"/x", "", nil).header.Get("X-Leaving"))
+	s.failer.Set(failer.Faults{Leaving: true})
+	require.Equal(t, "1", send(t, http.MethodGet, url+"/x", "", nil).header.Get("X-Leaving"))
+	require.False(t, s.describe().Leaving, "its announcements do not say so")
+	s.failer.Set(failer.Faults{})
+	close(s.leaving)
+	require.Equal(t, "1", send(t, http.MethodGet, url+"/x", "", nil).header.Get("X-Leaving"))
+	require.True(t, s.describe().Leaving)
+}
