End an endpoint's probe with the first part of its answer

After a pause or a rest one request finds out whether an endpoint takes work again, and nobody else is sent there until it has ended. For a stream that is seconds, in which the engine is idle.

TestProbeIsOverWithTheFirstPartOfItsAnswer fails before in both cases.

--- a/lib/balancer/rest_test.go
+++ b/lib/balancer/rest_test.go
@@ -77,3 +77,29 @@
 	require.NotNil(t, b.Pick(start.Add(time.Second), "desk", &Work{}, nil))
 	require.Zero(t, b.Resting(start.Add(time.Second)))
 }
+
+// Guards against an endpoint that is idle after its pause or rest until a long answer ends.
+func TestProbeIsOverWithTheFirstPartOfItsAnswer(t *testing.T) {
+	tests := map[string]func(s *Slot){
+		"after a pause": func(s *Slot) { s.End(start, Full) },
+		"after a rest":  func(s *Slot) { s.Rest(start, time.Second); s.End(start, Full) },
+	}
+	for name, refused := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &Balancer{}
+			b.Update(desk("a"))
+			refused(b.Pick(start, "desk", &Work{}, nil))
+			b.Update(desk("b"))
+			later := start.Add(time.Second)
+			picked := map[string]int{}
+			for range 4 {
+				slot := b.Pick(later, "desk", &Work{}, nil)
+				picked[slot.ID]++
+				if slot.ID == "a" {
+					slot.Heard(later)
+				}
+			}
+			require.Equal(t, map[string]int{"a": 2, "b": 2}, picked)
+		})
+	}
+}
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -63,6 +63,7 @@
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
 	s.endpoint.heard, s.endpoint.closed = now, false
+	s.found(now)
 	s.balancer.reached(s.endpoint)
 	if s.reading && len(s.endpoint.unread) > 0 {
 		s.learn(now)
@@ -70,6 +71,18 @@
 	s.began()
 }
 
+// found ends the probe of an endpoint that takes work again. Until the end of a stream it
+// would be idle for seconds.
+func (s *Slot) found(now time.Time) {
+	if !s.probe {
+		return
+	}
+	s.probe, s.endpoint.probing = false, false
+	if !now.Before(s.endpoint.until) {
+		s.endpoint.until = time.Time{}
+	}
+}
+
 // learn takes the wait for the first token.
 func (s *Slot) learn(now time.Time) {
 	fit, waited := s.balancer.fit(s.endpoint.Service), now.Sub(s.sent)
