--- a/router/internal/passer/rest_test.go
+++ b/router/internal/passer/rest_test.go
@@ -115,11 +115,11 @@
 			b.speak(s)
 			streamed := make(chan string, 1)
 			if test.before {
-				response := b.ask("POST", "/draft/x", "")
 				go func() {
-					got, _ := text(response) // what it holds is compared below
+					got, _ := b.fetch("POST", "/draft/x", "") // what it holds is compared below
 					streamed <- got
 				}()
+				require.Eventually(t, func() bool { return s.got() == 1 }, patience, tick)
 			}
 			s.say(http.StatusServiceUnavailable, notRunHeader+": 1\r\n"+restHeader+": 3\r\n")
 			_, err := b.fetch("GET", test.path, "")
