Bound a keeper's call by a field, so that a busy machine fails no test of it

Nothing of the keeper is at fault.

The bound stays 3 s and is a field, a minute in that test. A longer bound alone would let it pass without its mechanism, as the connection to the frozen leader is given up after 3 s as well; so it now also asks that the attempt was cancelled on that connection.

--- a/keeper/internal/server/leading.go
+++ b/keeper/internal/server/leading.go
@@ -56,7 +56,7 @@
 	here func(context.Context) (T, error),
 	there func(context.Context, colleague) (T, error),
 ) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.bound)
 	defer cancel()
 	for {
 		answer, err := attempt(ctx, s, here, there)
--- a/keeper/internal/server/leading_test.go
+++ b/keeper/internal/server/leading_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -58,6 +59,7 @@
 		Election:  loader.Duration{Duration: time.Minute}, // the timeout of an attempt would be later than that of the call
 	}}, zerolog.Nop(), clockwork.NewRealClock())
 	defer s.sender.Close()
+	s.bound = time.Minute // a busy machine is no reason to give up
 	s.view.Store(leaderAt(2, frozen.Addr().String()))
 	answered := make(chan error, 1)
 	go func() {
@@ -66,9 +68,37 @@
 	}()
 	conn := <-accepted
 	defer conn.Close()
+	_, err = io.CopyN(io.Discard, conn, int64(len("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")))
+	require.NoError(t, err)
+	require.True(t, sends(conn, headersFrame))
 	s.view.Store(leaderAt(3, next.Listener.Addr().String()))
 	s.leadership.wake()
 	require.NoError(t, <-answered)
+	require.True(t, sends(conn, resetFrame), "the attempt was not cancelled: it ended as the connection was given up")
+}
+
+// The types of HTTP/2 frames that the test looks for (RFC 9113, section 6).
+const (
+	headersFrame = 1
+	resetFrame   = 3
+)
+
+// sends reads what an HTTP/2 client sends up to the first frame of a type, and tells whether
+// that comes before the client closes the connection.
+func sends(conn io.Reader, frame byte) bool {
+	for {
+		var head [9]byte // 24 bits of length, 8 of type
+		if _, err := io.ReadFull(conn, head[:]); err != nil {
+			return false
+		}
+		length := int64(head[0])<<16 | int64(head[1])<<8 | int64(head[2])
+		if _, err := io.CopyN(io.Discard, conn, length); err != nil {
+			return false
+		}
+		if head[3] == frame {
+			return true
+		}
+	}
 }
 
 // Symptom: two keepers pass a call back and forth. Sequence: each takes the
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -61,6 +61,7 @@
 	log      zerolog.Logger
 	clock    clockwork.Clock
 	timing   replicator.Timing
+	bound    time.Duration // of a call that needs a quorum
 
 	inbox    chan event
 	stopping chan struct{} // closed when a planned stop begins
@@ -154,7 +155,7 @@
 
 func newServer(s *settings.Settings, log zerolog.Logger, clock clockwork.Clock) *Server {
 	server := &Server{
-		settings: s, log: log, clock: clock, timing: s.Agreement(),
+		settings: s, log: log, clock: clock, timing: s.Agreement(), bound: proposalTimeout,
 		inbox:    make(chan event, inboxLength),
 		stopping: make(chan struct{}),
 		stopped:  make(chan struct{}),
