--- a/bench/internal/faults/endpoints.go
+++ b/bench/internal/faults/endpoints.go
@@ -20,7 +20,7 @@
 		{fault: "freeze endpoint", step: "mid-stream", run: freezeEngine},
 		{fault: "endpoint drops answers", step: "after it ran the call", run: muteService},
 		{fault: "endpoint refuses", step: "before it starts", run: refusingEngine},
-		{fault: "endpoint asks for rest", step: "before it starts", run: restingEngine},
+		{fault: "endpoint asks for backoff", step: "before it starts", run: backoffEngine},
 	}
 }
 
@@ -106,16 +106,16 @@
 	return err
 }
 
-// restingEngine: an endpoint that asks for rest gets nothing from whom it asked.
-func restingEngine(b *bed) error {
-	const rest = 3 * time.Second
+// backoffEngine: an endpoint that asks for backoff gets nothing from whom it asked.
+func backoffEngine(b *bed) error {
+	const backoff = 3 * time.Second
 	victim, _ := b.fleet.Node("modelli-a2")
 	b.send(b.everyone(2*usualRate, b.mix()), usualTime)
 	b.sleep(warmUp)
-	if err := b.fault(victim, map[string]any{"refuse": true, "rest": rest.Seconds()}); err != nil {
+	if err := b.fault(victim, map[string]any{"refuse": true, "backoff": backoff.Seconds()}); err != nil {
 		return err
 	}
-	b.sleep(rest + rest/2)
+	b.sleep(backoff + backoff/2)
 	if err := b.fault(victim, map[string]any{}); err != nil {
 		return err
 	}
@@ -126,10 +126,10 @@
 	if err != nil {
 		return err
 	}
-	rests, most := executions.InRest(victim.Name, rest)
-	b.note("rests asked for %d, most requests of a router within one %d", rests, most)
-	if rests == 0 || most > 0 {
-		return merry.Errorf("%w: of %d rests that %s asked for, one had %d requests of a router; none is wanted", ErrCell, rests, victim.Name, most)
+	backoffs, most := executions.InBackoff(victim.Name, backoff)
+	b.note("backoffs asked for %d, most requests of a router within one %d", backoffs, most)
+	if backoffs == 0 || most > 0 {
+		return merry.Errorf("%w: of %d backoffs that %s asked for, one had %d requests of a router; none is wanted", ErrCell, backoffs, victim.Name, most)
 	}
 	return nil
 }
--- a/bench/internal/inspector/inspector.go
+++ b/bench/internal/inspector/inspector.go
@@ -171,10 +171,10 @@
 	return v.Wrong + v.Missing + v.Double + v.FalseNotRun + v.Phantom
 }
 
-// InRest returns the most requests that a stand-in got from one router within a rest of that
+// InBackoff returns the most requests that a stand-in got from one router within a backoff of that
 // length, which each refusal asks for, less those that were on their way. Routers are told
 // apart by the ids that they give to requests.
-func (e Executions) InRest(standin string, length time.Duration) (rests, most int) {
+func (e Executions) InBackoff(standin string, length time.Duration) (backoffs, most int) {
 	type span struct {
 		begun time.Time
 		got   int
@@ -195,10 +195,10 @@
 		}
 		if entry.Verb == verbRefused {
 			open[router] = &span{begun: entry.At}
-			rests++
+			backoffs++
 		}
 	}
-	return rests, most
+	return backoffs, most
 }
 
 // LastWork returns how many requests a stand-in received before a moment, and
--- a/bench/internal/inspector/inspector_test.go
+++ b/bench/internal/inspector/inspector_test.go
@@ -95,7 +95,7 @@
 	require.False(t, found)
 }
 
-func TestRequestsWithinARestAreCountedByRouter(t *testing.T) {
+func TestRequestsWithinABackoffAreCountedByRouter(t *testing.T) {
 	start := time.Unix(1000, 0)
 	type event struct {
 		after time.Duration
@@ -103,17 +103,17 @@
 		id    string
 	}
 	tests := map[string]struct {
-		events []event
-		rests  int
-		most   int
+		events   []event
+		backoffs int
+		most     int
 	}{
 		"nothing":        {},
-		"on their way":   {events: []event{{0, "refused", "a-1"}, {400 * time.Millisecond, "refused", "a-2"}}, rests: 1},
-		"within it":      {events: []event{{0, "refused", "a-1"}, {time.Second, "refused", "a-2"}, {2 * time.Second, "received", "a-3"}}, rests: 1, most: 2},
-		"other routers":  {events: []event{{0, "refused", "a-1"}, {time.Second, "refused", "b-1"}, {time.Second, "refused", "c-1"}}, rests: 3},
-		"after its end":  {events: []event{{0, "refused", "a-1"}, {3 * time.Second, "refused", "a-2"}}, rests: 2},
+		"on their way":   {events: []event{{0, "refused", "a-1"}, {400 * time.Millisecond, "refused", "a-2"}}, backoffs: 1},
+		"within it":      {events: []event{{0, "refused", "a-1"}, {time.Second, "refused", "a-2"}, {2 * time.Second, "received", "a-3"}}, backoffs: 1, most: 2},
+		"other routers":  {events: []event{{0, "refused", "a-1"}, {time.Second, "refused", "b-1"}, {time.Second, "refused", "c-1"}}, backoffs: 3},
+		"after its end":  {events: []event{{0, "refused", "a-1"}, {3 * time.Second, "refused", "a-2"}}, backoffs: 2},
 		"not asked for":  {events: []event{{0, "received", "a-1"}, {time.Second, "received", "a-2"}}},
-		"what ran there": {events: []event{{0, "refused", "a-1"}, {time.Second, "finished", "a-0"}}, rests: 1},
+		"what ran there": {events: []event{{0, "refused", "a-1"}, {time.Second, "finished", "a-0"}}, backoffs: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -121,8 +121,8 @@
 			for _, e := range test.events {
 				executions.Entries = append(executions.Entries, Entry{Verb: e.verb, Request: e.id, At: start.Add(e.after), Standin: "engine"})
 			}
-			rests, most := executions.InRest("engine", 3*time.Second)
-			require.Equal(t, test.rests, rests)
+			backoffs, most := executions.InBackoff("engine", 3*time.Second)
+			require.Equal(t, test.backoffs, backoffs)
 			require.Equal(t, test.most, most)
 		})
 	}
--- a/lib/balancer/rest_test.go
+++ b/lib/balancer/backoff_test.go
@@ -13,9 +13,9 @@
 	return lister.Listing{ID: id, Service: "desk", State: lister.Ready}
 }
 
-// Guards against a rest that something else ends, and against one that never does.
-func TestRestLastsAsLongAsWasAsked(t *testing.T) {
-	const rest = 3 * time.Second
+// Guards against a backoff that something else ends, and against one that never does.
+func TestBackoffLastsAsLongAsWasAsked(t *testing.T) {
+	const backoff = 3 * time.Second
 	tests := map[string]func(b *Balancer, first *Slot, now time.Time){
 		"nothing": func(*Balancer, *Slot, time.Time) {},
 		"an answer of before is whole": func(_ *Balancer, first *Slot, now time.Time) {
@@ -24,8 +24,8 @@
 		"an answer of before fails": func(_ *Balancer, first *Slot, now time.Time) {
 			first.End(now, Broken)
 		},
-		"a shorter rest is asked for": func(_ *Balancer, first *Slot, now time.Time) {
-			first.Rest(now, rest/10)
+		"a shorter backoff is asked for": func(_ *Balancer, first *Slot, now time.Time) {
+			first.BackOff(now, backoff/10)
 		},
 		"a heartbeat comes": func(b *Balancer, _ *Slot, _ time.Time) {
 			b.Update(desk("a"))
@@ -37,28 +37,28 @@
 			b.Update(desk("a"))
 			first := b.Pick(start, "desk", &Work{}, nil)
 			second := b.Pick(start, "desk", &Work{}, nil)
-			require.True(t, second.Rest(start, rest))
+			require.True(t, second.BackOff(start, backoff))
 			second.End(start, Full)
-			happens(b, first, start.Add(rest/4))
-			for passed := time.Duration(0); passed < rest; passed += rest / 16 {
+			happens(b, first, start.Add(backoff/4))
+			for passed := time.Duration(0); passed < backoff; passed += backoff / 16 {
 				require.Nil(t, b.Pick(start.Add(passed), "desk", &Work{}, nil), "after %s", passed)
-				require.Equal(t, rest-passed, b.Rested(start.Add(passed), "desk"))
+				require.Equal(t, backoff-passed, b.BackoffLeft(start.Add(passed), "desk"))
 				require.False(t, first.Open(start.Add(passed)))
 			}
-			require.NotNil(t, b.Pick(start.Add(rest), "desk", &Work{}, nil))
-			require.Zero(t, b.Rested(start.Add(rest), "desk"))
+			require.NotNil(t, b.Pick(start.Add(backoff), "desk", &Work{}, nil))
+			require.Zero(t, b.BackoffLeft(start.Add(backoff), "desk"))
 		})
 	}
 }
 
-// Guards against a crowd at the end of a rest: one request finds out whether it is over.
-func TestOneRequestFindsOutWhetherARestIsOver(t *testing.T) {
+// Guards against a crowd at the end of a backoff: one request finds out whether it is over.
+func TestOneRequestFindsOutWhetherABackoffIsOver(t *testing.T) {
 	b := &Balancer{}
 	b.Update(desk("a"))
 	b.Update(desk("b"))
 	only := func(id string) func(string) bool { return func(other string) bool { return other != id } }
 	asked := b.Pick(start, "desk", &Work{}, only("a"))
-	asked.Rest(start, time.Second)
+	asked.BackOff(start, time.Second)
 	asked.End(start, Full)
 	later := start.Add(time.Second)
 	require.Equal(t, "a", b.Pick(later, "desk", &Work{}, only("a")).ID)
@@ -67,22 +67,22 @@
 	}
 }
 
-func TestRestIsOfOneLife(t *testing.T) {
+func TestBackoffIsOfOneLife(t *testing.T) {
 	b := &Balancer{}
 	b.Update(desk("a"))
-	b.Pick(start, "desk", &Work{}, nil).Rest(start, time.Hour)
+	b.Pick(start, "desk", &Work{}, nil).BackOff(start, time.Hour)
 	again := desk("a")
 	again.Started = start.Add(time.Second)
 	require.True(t, b.Update(again))
 	require.NotNil(t, b.Pick(start.Add(time.Second), "desk", &Work{}, nil))
-	require.Zero(t, b.Resting(start.Add(time.Second)))
+	require.Zero(t, b.BackedOff(start.Add(time.Second)))
 }
 
-// Guards against an endpoint that is idle after its pause or rest until a long answer ends.
+// Guards against an endpoint that is idle after its pause or backoff until a long answer ends.
 func TestProbeIsOverWithTheFirstPartOfItsAnswer(t *testing.T) {
 	tests := map[string]func(s *Slot){
-		"after a pause": func(s *Slot) { s.End(start, Full) },
-		"after a rest":  func(s *Slot) { s.Rest(start, time.Second); s.End(start, Full) },
+		"after a pause":   func(s *Slot) { s.End(start, Full) },
+		"after a backoff": func(s *Slot) { s.BackOff(start, time.Second); s.End(start, Full) },
 	}
 	for name, refused := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -12,7 +12,7 @@
 // Invariants: an endpoint that leaves or is gone, or whose zone is evacuated, is never
 // chosen; a cold one only under a lease of a part of what it bears; one that has
 // failed is chosen only after its pause, or where no other is left; one that has asked
-// for rest is not chosen before that is over; every slot that was taken is given back
+// for backoff is not chosen before that is over; every slot that was taken is given back
 // once, to the life of the endpoint that it was taken from.
 package balancer
 
@@ -99,7 +99,7 @@
 	failed  float64         // share of failures, weighted to the latest
 	pauses  int             // failures in a row
 	until   time.Time       // when its pause ends
-	rest    time.Time       // when the rest ends that it has asked this router for
+	backoff time.Time       // when the backoff ends that it has asked this router for
 	probing bool            // one request tries it after its pause
 	closed  bool            // no connection could be made when it was tried last
 	leases  rationer.Holder // for the time that it is cold
--- a/lib/balancer/cold.go
+++ b/lib/balancer/cold.go
@@ -92,7 +92,7 @@
 
 // takes tells whether an endpoint may get a request now.
 func (b *Balancer) takes(now time.Time, e *endpoint) bool {
-	return b.open(e) && !e.resting(now) && (!b.rationed(now, e) || e.leases.Ready(now))
+	return b.open(e) && !e.backsOff(now) && (!b.rationed(now, e) || e.leases.Ready(now))
 }
 
 // rationed tells whether an endpoint is cold and bears few requests.
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -133,8 +133,8 @@
 	case Served:
 		e.failed *= 1 - memory
 		e.pauses, e.until = 0, time.Time{}
-		if e.resting(now) {
-			e.until = e.rest
+		if e.backsOff(now) {
+			e.until = e.backoff
 		}
 	case Faulty, Broken:
 		e.failed = e.failed*(1-memory) + memory
--- a/lib/enlister/names.go
+++ b/lib/enlister/names.go
@@ -45,14 +45,14 @@
 func encodeFinish(f scheduler.Finish) *messenger.Finish {
 	return &messenger.Finish{
 		Seq: f.Seq, Charged: f.Charged, Ending: messenger.Ending(f.Ending),
-		FirstMs: milliseconds(f.First), TookMs: milliseconds(f.Took), RestMs: milliseconds(f.Rest), Leaving: f.Leaving,
+		FirstMs: milliseconds(f.First), TookMs: milliseconds(f.Took), BackoffMs: milliseconds(f.Backoff), Leaving: f.Leaving,
 	}
 }
 
 func decodeFinish(f *messenger.Finish) scheduler.Finish {
 	return scheduler.Finish{
 		Seq: f.GetSeq(), Charged: f.GetCharged(), Ending: scheduler.Ending(f.GetEnding()),
-		First: duration(f.GetFirstMs()), Took: duration(f.GetTookMs()), Rest: duration(f.GetRestMs()), Leaving: f.GetLeaving(),
+		First: duration(f.GetFirstMs()), Took: duration(f.GetTookMs()), Backoff: duration(f.GetBackoffMs()), Leaving: f.GetLeaving(),
 	}
 }
 
--- a/lib/forwarder/dialect.go
+++ b/lib/forwarder/dialect.go
@@ -39,9 +39,9 @@
 	NotRun bool
 	// Misdirected tells that another instance has the address.
 	Misdirected bool
-	// Rest is for how long the endpoint wants nothing more from this router, 0 if it does
+	// Backoff is for how long the endpoint wants nothing more from this router, 0 if it does
 	// not say.
-	Rest time.Duration
+	Backoff time.Duration
 	// Leaving tells that the endpoint says that it leaves.
 	Leaving bool
 	// Unread tells of a header that cannot be read, and so counts as not said.
--- a/lib/scheduler/event.go
+++ b/lib/scheduler/event.go
@@ -91,7 +91,7 @@
 	Ending  Ending
 	First   time.Duration // time to the first unit, 0 if none came
 	Took    time.Duration // whole time at the endpoint
-	Rest    time.Duration // for which the endpoint wants no more requests, 0 if it did not say
+	Backoff time.Duration // for which the endpoint wants no more requests, 0 if it did not say
 	Leaving bool          // the endpoint said that it leaves
 }
 
--- a/lib/scheduler/failure_test.go
+++ b/lib/scheduler/failure_test.go
@@ -168,9 +168,9 @@
 	require.Zero(t, m.waiting())
 }
 
-// Guards against grants at an endpoint within the rest that it has asked for.
-func TestEndpointThatAsksForRestGetsNoGrant(t *testing.T) {
-	const rest = 3 * time.Second
+// Guards against grants at an endpoint within the backoff that it has asked for.
+func TestEndpointThatAsksForBackoffGetsNoGrant(t *testing.T) {
+	const backoff = 3 * time.Second
 	tests := map[string]func(m *model){
 		"nothing":                    func(*model) {},
 		"an earlier request is done": func(m *model) { m.finish(request(1), scheduler.Done, 10) },
@@ -184,15 +184,15 @@
 			m := newModel(t, scheduler.Options{Origin: 1})
 			m.announce(scheduler.Announced{ID: "a", Incarnation: 1, Slots: 4, TTL: time.Hour})
 			m.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
-			ends := m.now.Add(rest)
-			m.apply(scheduler.Report{Router: router1, Finished: []scheduler.Finish{{Seq: 2, Ending: scheduler.Refused, Rest: rest}}})
+			ends := m.now.Add(backoff)
+			m.apply(scheduler.Report{Router: router1, Finished: []scheduler.Finish{{Seq: 2, Ending: scheduler.Refused, Backoff: backoff}}})
 			m.enrol(router1, scheduler.Ticket{Seq: 3, Workspace: "one"})
-			m.now = m.now.Add(rest / 4)
+			m.now = m.now.Add(backoff / 4)
 			happens(m)
 			for m.now.Before(ends) {
 				require.Empty(t, m.requests[request(3)].endpoint)
 				next := m.pool.Next(m.now)
-				require.True(t, next.After(m.now) && !next.After(ends), "it looks at it again when the rest is over")
+				require.True(t, next.After(m.now) && !next.After(ends), "it looks at it again when the backoff is over")
 				m.now = next
 				m.apply(scheduler.Tick{})
 			}
--- a/lib/scheduler/probation.go
+++ b/lib/scheduler/probation.go
@@ -16,12 +16,12 @@
 // probation keeps work from an endpoint that fails: none for a time that
 // doubles with each failure, then one request at a time until one succeeds.
 // Without it, an endpoint that fails at once looks idle and draws every request
-// of the pool into failing. One that asks for rest gets none for as long as it
+// of the pool into failing. One that asks for backoff gets none for as long as it
 // wants, whatever its earlier requests still show.
 type probation struct {
 	failures int
 	until    time.Time
-	rest     time.Time // end of the rest that it has asked for
+	backoff  time.Time // end of the backoff that it has asked for
 	probing  bool
 	cuts     int
 	refusals int
@@ -43,20 +43,20 @@
 }
 
 func (p *probation) succeed() {
-	*p = probation{rest: p.rest}
+	*p = probation{backoff: p.backoff}
 }
 
-// relieve keeps all requests away until a time, as the endpoint asked.
-func (p *probation) relieve(until time.Time) {
-	if until.After(p.rest) {
-		p.rest = until
+// backOff keeps all requests away until a time, as the endpoint asked.
+func (p *probation) backOff(until time.Time) {
+	if until.After(p.backoff) {
+		p.backoff = until
 	}
 }
 
 // opens returns when the endpoint gets a request again.
 func (p *probation) opens() time.Time {
-	if p.rest.After(p.until) {
-		return p.rest
+	if p.backoff.After(p.until) {
+		return p.backoff
 	}
 	return p.until
 }
--- a/lib/scheduler/report.go
+++ b/lib/scheduler/report.go
@@ -280,8 +280,8 @@
 		return
 	}
 	e.probation.end(now, finish.Ending)
-	if finish.Rest > 0 {
-		e.probation.relieve(now.Add(finish.Rest))
+	if finish.Backoff > 0 {
+		e.probation.backOff(now.Add(finish.Backoff))
 	}
 	e.leaving = e.leaving || finish.Leaving
 	switch finish.Ending {
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -40,8 +40,8 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_cold_endpoints", Help: "Endpoints that are cold and bear few requests."}, func() float64 {
 		return float64(d.balancer.Rationed(d.clock.Now()))
 	})
-	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_resting_endpoints", Help: "Endpoints that have asked this router for rest and get nothing from it."}, func() float64 {
-		return float64(d.balancer.Resting(d.clock.Now()))
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_backed_off_endpoints", Help: "Endpoints that have asked this router for backoff and get nothing from it."}, func() float64 {
+		return float64(d.balancer.BackedOff(d.clock.Now()))
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
 	counter := func(name, help string, value func() uint64) {
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -62,7 +62,7 @@
 	if next != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", next.reason).
 			Bool("unsent", next.unsent).Bool("not_run", next.notRun).Int("sends", q.sends).
-			Str("doubt", slot.Doubt).Dur("pause_ms", slot.Pause).Dur("rest_ms", q.heard.Rest).Bool("leaving", q.heard.Leaving).
+			Str("doubt", slot.Doubt).Dur("pause_ms", slot.Pause).Dur("backoff_ms", q.heard.Backoff).Bool("leaving", q.heard.Leaving).
 			Msg("attempt ended without an answer")
 	}
 	return next
@@ -108,8 +108,8 @@
 // hear notes what the endpoint says of itself.
 func (p *Passer) hear(q *request, slot *balancer.Slot, answer forwarder.Answer) {
 	q.heard = answer
-	if answer.Rest > 0 && slot.Rest(p.options.Clock.Now(), answer.Rest) {
-		p.options.Log.Info().Str("endpoint", slot.ID).Dur("rest_ms", answer.Rest).Msg("endpoint asks for rest")
+	if answer.Backoff > 0 && slot.BackOff(p.options.Clock.Now(), answer.Backoff) {
+		p.options.Log.Info().Str("endpoint", slot.ID).Dur("backoff_ms", answer.Backoff).Msg("endpoint asks for backoff")
 	}
 	if answer.Leaving && slot.Leave() {
 		p.options.Log.Info().Str("endpoint", slot.ID).Msg("endpoint says in an answer that it leaves")
--- a/router/internal/passer/rest_test.go
+++ b/router/internal/passer/backoff_test.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	leavingHeader = "Server-Leaving"
-	restHeader    = "Retry-After"
+	leavingHeader    = "Server-Leaving"
+	retryAfterHeader = "Retry-After"
 )
 
 // speaker is an endpoint that says of itself what a test wants, and counts what it gets.
@@ -93,9 +93,9 @@
 	return listener
 }
 
-// Guards against requests to an endpoint within the rest that it has asked for.
-func TestEndpointThatAsksForRestGetsNothing(t *testing.T) {
-	const rest, step = 3 * time.Second, 100 * time.Millisecond
+// Guards against requests to an endpoint within the backoff that it has asked for.
+func TestEndpointThatAsksForBackoffGetsNothing(t *testing.T) {
+	const backoff, step = 3 * time.Second, 100 * time.Millisecond
 	tests := map[string]struct {
 		path   string
 		others []func(net.Conn, *http.Request)
@@ -121,14 +121,14 @@
 				}()
 				require.Eventually(t, func() bool { return s.got() == 1 }, patience, tick)
 			}
-			s.say(http.StatusServiceUnavailable, notRunHeader+": 1\r\n"+restHeader+": 3\r\n")
+			s.say(http.StatusServiceUnavailable, notRunHeader+": 1\r\n"+retryAfterHeader+": 3\r\n")
 			_, err := b.fetch("GET", test.path, "")
 			require.NoError(t, err)
 			require.Equal(t, 1, s.got())
 			for _, other := range test.others {
 				b.endpoint(other)
 			}
-			for passed := step; passed < rest; passed += step {
+			for passed := step; passed < backoff; passed += step {
 				clock.Advance(step)
 				if passed == 5*step && test.before {
 					close(s.release)
@@ -141,9 +141,9 @@
 				require.Equal(t, 1, s.got(), "after %s", passed)
 				if len(test.others) == 0 {
 					require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-					seconds, err := strconv.ParseFloat(response.Header.Get(restHeader), 64)
+					seconds, err := strconv.ParseFloat(response.Header.Get(retryAfterHeader), 64)
 					require.NoError(t, err)
-					require.GreaterOrEqual(t, seconds, (rest - passed).Seconds(), "nothing can be served before")
+					require.GreaterOrEqual(t, seconds, (backoff - passed).Seconds(), "nothing can be served before")
 				}
 			}
 			clock.Advance(2 * step)
@@ -155,7 +155,7 @@
 				_, err := b.fetch("GET", test.path, "")
 				require.NoError(t, err)
 			}
-			require.Positive(t, s.got(), "its rest is over")
+			require.Positive(t, s.got(), "its backoff is over")
 		})
 	}
 }
@@ -205,7 +205,7 @@
 	b := newBedAt(t, clock)
 	s := &speaker{}
 	b.speak(s)
-	s.say(http.StatusMisdirectedRequest, restHeader+": 60\r\n"+leavingHeader+": 1\r\n")
+	s.say(http.StatusMisdirectedRequest, retryAfterHeader+": 60\r\n"+leavingHeader+": 1\r\n")
 	_, err := b.fetch("GET", "/book/x", "")
 	require.NoError(t, err)
 	clock.Advance(time.Second)
@@ -217,15 +217,15 @@
 	require.Equal(t, 1, s.got())
 }
 
-// Guards against a request that reaches an endpoint which has asked for rest since it was
+// Guards against a request that reaches an endpoint which has asked for backoff since it was
 // chosen, as while its connection was being made.
-func TestRestThatWasAskedForMeanwhileHoldsARequestBack(t *testing.T) {
+func TestBackoffThatWasAskedForMeanwhileHoldsARequestBack(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	b := newBedAt(t, clock)
 	s := &speaker{status: http.StatusOK}
 	b.speak(s)
 	slot := b.balance.Pick(clock.Now(), "desk", &balancer.Work{}, nil)
-	b.balance.Pick(clock.Now(), "desk", &balancer.Work{}, nil).Rest(clock.Now(), time.Second)
+	b.balance.Pick(clock.Now(), "desk", &balancer.Work{}, nil).BackOff(clock.Now(), time.Second)
 	q := &request{
 		http: httptest.NewRequest(http.MethodGet, "/read/x", nil), writer: httptest.NewRecorder(), route: &routes[1],
 		target: "/read/x", until: clock.Now().Add(time.Minute), table: b.news.Table(),
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -220,8 +220,8 @@
 	case e.kept != nil:
 		p.answer(q, e.kept)
 	case !q.ran:
-		rested := p.options.Balancer.Rested(p.options.Clock.Now(), q.service)
-		p.refuse(q, byEndpoints, http.StatusServiceUnavailable, e.reason, max(retrySoon, rested))
+		left := p.options.Balancer.BackoffLeft(p.options.Clock.Now(), q.service)
+		p.refuse(q, byEndpoints, http.StatusServiceUnavailable, e.reason, max(retrySoon, left))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		p.fail(q, http.StatusGatewayTimeout, "no answer in time")
 	default:
--- a/router/internal/relayer/rest_test.go
+++ b/router/internal/relayer/backoff_test.go
@@ -11,12 +11,12 @@
 	"shallotkeel.example/router/internal/relayer"
 )
 
-// Guards against requests to an endpoint within the rest that it has asked for, whatever the
+// Guards against requests to an endpoint within the backoff that it has asked for, whatever the
 // pool's scheduler grants.
-func TestEndpointThatAsksForRestIsNotAsked(t *testing.T) {
-	const rest, step = 3 * time.Second, 250 * time.Millisecond
+func TestEndpointThatAsksForBackoffIsNotAsked(t *testing.T) {
+	const backoff, step = 3 * time.Second, 250 * time.Millisecond
 	var arrivals atomic.Int64
-	resting := func(w http.ResponseWriter, r *http.Request, n int) {
+	refusing := func(w http.ResponseWriter, r *http.Request, n int) {
 		arrivals.Add(1)
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		if n == 1 {
@@ -30,24 +30,24 @@
 	}
 	tests := map[string]struct {
 		endpoints []endpoint
-		status    int // while it rests
+		status    int // while it backs off
 	}{
-		"another one serves": {[]endpoint{resting, serving}, http.StatusOK},
-		"there is no other":  {[]endpoint{resting}, http.StatusServiceUnavailable},
+		"another one serves": {[]endpoint{refusing, serving}, http.StatusOK},
+		"there is no other":  {[]endpoint{refusing}, http.StatusServiceUnavailable},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			arrivals.Store(0)
 			f := frozenFleet(t, relayer.Limits{}, test.endpoints...)
 			require.Equal(t, test.status, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
-			for passed := step; passed < rest; passed += step {
+			for passed := step; passed < backoff; passed += step {
 				f.clock.Advance(step)
 				require.Equal(t, test.status, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
 				require.EqualValues(t, 1, arrivals.Load(), "after %s", passed)
 			}
 			f.clock.Advance(2 * step)
 			require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/v1/services/safe/x", "").status)
-			require.EqualValues(t, 2, arrivals.Load(), "its rest is over")
+			require.EqualValues(t, 2, arrivals.Load(), "its backoff is over")
 		})
 	}
 }
--- a/router/internal/relayer/rests.go
+++ b/router/internal/relayer/backoffs.go
@@ -8,24 +8,24 @@
 	"shallotkeel.example/lib/retrier"
 )
 
-// lastRest is how long the rest of an endpoint that leaves is remembered: longer than it can
+// leavingBackoff is how long it is remembered that an endpoint leaves: longer than it can
 // still be there.
-const lastRest = 24 * time.Hour
+const leavingBackoff = 24 * time.Hour
 
-// maxRests bounds the endpoints that are remembered, at some 100 bytes each. Of one beyond
+// maxBackoffs bounds the endpoints that are remembered, at some 100 bytes each. Of one beyond
 // it only its pool's scheduler knows.
-const maxRests = 4096
+const maxBackoffs = 4096
 
-// rests remembers until when endpoints want no requests of this router. Their pools'
+// backoffs remembers until when endpoints want no requests of this router. Their pools'
 // schedulers are told as well, but each of them may change, and grants are on their way
 // meanwhile. Its zero value remembers none.
-type rests struct {
+type backoffs struct {
 	mutex sync.Mutex
-	ends  map[life]rest
+	ends  map[life]backoff
 }
 
-// rest is until when an endpoint wants no requests.
-type rest struct {
+// backoff is until when an endpoint wants no requests.
+type backoff struct {
 	end     time.Time
 	leaving bool // it has said that it leaves
 }
@@ -41,17 +41,17 @@
 }
 
 // ask takes an endpoint's wish. A shorter one does not end a longer one.
-func (r *rests) ask(now time.Time, slot Slot, wish rest) {
+func (r *backoffs) ask(now time.Time, slot Slot, wish backoff) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.ends == nil {
-		r.ends = make(map[life]rest)
+		r.ends = make(map[life]backoff)
 	}
-	if len(r.ends) >= maxRests {
+	if len(r.ends) >= maxBackoffs {
 		r.forget(now)
 	}
 	of := lifeOf(slot)
-	if known, found := r.ends[of]; found && known.end.After(wish.end) || !found && len(r.ends) >= maxRests {
+	if known, found := r.ends[of]; found && known.end.After(wish.end) || !found && len(r.ends) >= maxBackoffs {
 		return
 	}
 	r.ends[of] = wish
@@ -59,14 +59,14 @@
 
 // left returns for how long the endpoint of a slot still wants no requests, 0 if it takes
 // some, and whether that is because it leaves.
-func (r *rests) left(now time.Time, slot Slot) (left time.Duration, leaving bool) {
+func (r *backoffs) left(now time.Time, slot Slot) (left time.Duration, leaving bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	known := r.ends[lifeOf(slot)]
 	return max(known.end.Sub(now), 0), known.leaving
 }
 
-func (r *rests) forget(now time.Time) {
+func (r *backoffs) forget(now time.Time) {
 	for of, known := range r.ends {
 		if !now.Before(known.end) {
 			delete(r.ends, of)
@@ -79,7 +79,7 @@
 	now := r.options.Clock.Now()
 	if response.Header.Get(headerLeaving) != "" {
 		q.spent.leaving = true
-		r.rests.ask(now, q.slot, rest{end: now.Add(lastRest), leaving: true})
+		r.backoffs.ask(now, q.slot, backoff{end: now.Add(leavingBackoff), leaving: true})
 		r.note(q, "leaving", q.slot.Endpoint(), "the endpoint says that it leaves")
 	}
 	after := response.Header.Get(headerRetryAfter)
@@ -91,7 +91,7 @@
 		r.options.Log.Warn().Err(err).Str("id", q.id).Str("endpoint", q.slot.Endpoint()).Msg("a header of the endpoint's answer counts as not said")
 		return
 	}
-	q.spent.rest = wish
-	r.rests.ask(now, q.slot, rest{end: now.Add(wish)})
-	r.note(q, "rest", wish.String(), "the endpoint wants no requests of this router for so long")
+	q.spent.backoff = wish
+	r.backoffs.ask(now, q.slot, backoff{end: now.Add(wish)})
+	r.note(q, "backoff", wish.String(), "the endpoint wants no requests of this router for so long")
 }
--- a/router/internal/relayer/relayer.go
+++ b/router/internal/relayer/relayer.go
@@ -22,7 +22,7 @@
 	guard      guard
 	bodies     bodies
 	drain      drain
-	rests      rests
+	backoffs   backoffs
 	explainer  explainer
 	metrics    *metrics
 }
--- a/router/internal/relayer/request.go
+++ b/router/internal/relayer/request.go
@@ -65,10 +65,10 @@
 
 // attempt is what one attempt used.
 type attempt struct {
-	began time.Time
-	first time.Duration
-	units uint32        // tokens
-	rest  time.Duration // that the endpoint has asked for
+	began   time.Time
+	first   time.Duration
+	units   uint32        // tokens
+	backoff time.Duration // that the endpoint has asked for
 
 	leaving   bool // the endpoint said that it leaves
 	connected bool // a connection was made
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -132,31 +132,31 @@
 // askScheduler enrols the request. Endpoints that failed it are avoided, unless
 // there is no other: the same one may have come back.
 func (r *Relayer) askScheduler(ctx context.Context, q *request) (Slot, error) {
-	slot, err := r.takeRested(ctx, q)
+	slot, err := r.takeOpen(ctx, q)
 	var refused *Refused
 	if len(q.avoid) > 0 && errors.As(err, &refused) && refused.Code == string(tracker.CodeNoEndpoint) {
 		q.avoid = nil
-		return r.takeRested(ctx, q)
+		return r.takeOpen(ctx, q)
 	}
 	return slot, err
 }
 
-// takeRested returns a slot at an endpoint that wants requests of this router. A scheduler
+// takeOpen returns a slot at an endpoint that wants requests of this router. A scheduler
 // that has only just begun, or that of a zone that lends the slot, may not know better: it
 // is told once, and the endpoint is avoided if it is granted again.
-func (r *Relayer) takeRested(ctx context.Context, q *request) (Slot, error) {
+func (r *Relayer) takeOpen(ctx context.Context, q *request) (Slot, error) {
 	told := make(map[string]bool)
 	for {
 		slot, err := r.options.Enroller.Enrol(ctx, r.waiting(q))
 		if err != nil {
 			return nil, err
 		}
-		rest, leaving := r.rests.left(r.options.Clock.Now(), slot)
-		if rest == 0 {
+		backoff, leaving := r.backoffs.left(r.options.Clock.Now(), slot)
+		if backoff == 0 {
 			return slot, nil
 		}
-		slot.Finish(scheduler.Finish{Ending: scheduler.Declined, Rest: rest, Leaving: leaving})
-		r.note(q, "declined", slot.Endpoint(), "the endpoint wants no requests of this router for "+rest.String())
+		slot.Finish(scheduler.Finish{Ending: scheduler.Declined, Backoff: backoff, Leaving: leaving})
+		r.note(q, "declined", slot.Endpoint(), "the endpoint wants no requests of this router for "+backoff.String())
 		if told[slot.Endpoint()] {
 			q.avoid = append(q.avoid, slot.Endpoint())
 		}
@@ -222,7 +222,7 @@
 	if q.chat == nil && q.spent.connected {
 		units = uint32(max(took.Milliseconds(), 1))
 	}
-	q.slot.Finish(scheduler.Finish{Charged: units, Ending: ending, First: q.spent.first, Took: took, Rest: q.spent.rest, Leaving: q.spent.leaving})
+	q.slot.Finish(scheduler.Finish{Charged: units, Ending: ending, First: q.spent.first, Took: took, Backoff: q.spent.backoff, Leaving: q.spent.leaving})
 	for _, digest := range r.guard.end(now, q, q.spent.verdict(ending)) {
 		r.metrics.quarantine.Inc()
 		r.options.Log.Warn().Uint64("fingerprint", digest).Msg("quarantined a request that crashes endpoints")
--- a/standin/internal/completer/completer.go
+++ b/standin/internal/completer/completer.go
@@ -101,7 +101,7 @@
 	c.Journal.Add(journaler.Entry{Verb: journaler.Refused, Request: q.id, Key: q.key, Workspace: q.workspace})
 	w.Header().Set("X-Started", "no")
 	if status == http.StatusServiceUnavailable {
-		c.Failer.Faults().AskForRest(w.Header())
+		c.Failer.Faults().AskForBackoff(w.Header())
 	}
 	http.Error(w, remedy, status)
 }
--- a/standin/internal/failer/failer.go
+++ b/standin/internal/failer/failer.go
@@ -20,14 +20,14 @@
 	CrashOn string  `json:"crash_on"` // ends the process when it runs a request whose body contains this
 	Silent  bool    `json:"silent"`   // no longer announces, though it goes on serving
 	Mute    bool    `json:"mute"`     // runs plain calls and drops the connection in place of the answer
-	Rest    float64 `json:"rest"`     // seconds of rest that its refusals ask for
+	Backoff float64 `json:"backoff"`  // seconds of backoff that its refusals ask for
 	Leaving bool    `json:"leaving"`  // says in its answers that it leaves, though its announcements do not
 }
 
-// AskForRest adds to a refusal for how long the stand-in wants no more requests.
-func (f Faults) AskForRest(header http.Header) {
-	if f.Rest > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(f.Rest, 'f', -1, 64))
+// AskForBackoff adds to a refusal for how long the stand-in wants no more requests.
+func (f Faults) AskForBackoff(header http.Header) {
+	if f.Backoff > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(f.Backoff, 'f', -1, 64))
 	}
 }
 
--- a/standin/internal/performer/performer.go
+++ b/standin/internal/performer/performer.go
@@ -75,7 +75,7 @@
 	entry.Verb = journaler.Refused
 	p.Journal.Add(entry)
 	w.Header().Set("X-Started", "no")
-	p.Failer.Faults().AskForRest(w.Header())
+	p.Failer.Faults().AskForBackoff(w.Header())
 	http.Error(w, "come back later; this endpoint did not start the call", http.StatusServiceUnavailable)
 }
 
--- a/standin/internal/runner/runner_test.go
+++ b/standin/internal/runner/runner_test.go
@@ -295,7 +295,7 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func TestRefusalsAskForRest(t *testing.T) {
+func TestRefusalsAskForBackoff(t *testing.T) {
 	tests := map[string]struct {
 		kind, method, path, body string
 	}{
@@ -305,7 +305,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			url, s, _ := serve(t, test.kind)
-			s.failer.Set(failer.Faults{Refuse: true, Rest: 2.5})
+			s.failer.Set(failer.Faults{Refuse: true, Backoff: 2.5})
 			got := send(t, test.method, url+test.path, test.body, nil)
 			require.Equal(t, http.StatusServiceUnavailable, got.status)
 			require.Equal(t, "2.5", got.header.Get("Retry-After"))
