Refuse a request at once that has no endpoint to go to, and log it sparingly

It was tried four times in vain and counted as four endpoints that could not be reached, which also logged each such request. Names that a reader stumbled over are changed on the way.

--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -63,7 +63,7 @@
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
 	s.endpoint.heard, s.endpoint.closed = now, false
-	s.found(now)
+	s.endProbe(now)
 	s.balancer.reached(s.endpoint)
 	if s.reading && len(s.endpoint.unread) > 0 {
 		s.learn(now)
@@ -71,9 +71,9 @@
 	s.began()
 }
 
-// found ends the probe of an endpoint that takes work again. Until the end of a stream it
-// would be idle for seconds.
-func (s *Slot) found(now time.Time) {
+// endProbe lets others be sent to an endpoint that has begun to answer its probe. Until the
+// end of a stream it would be idle for seconds.
+func (s *Slot) endProbe(now time.Time) {
 	if !s.probe {
 		return
 	}
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -43,13 +43,13 @@
 func (p *Passer) attempt(ctx context.Context, q *request) *ending {
 	slot := p.options.Balancer.Pick(p.options.Clock.Now(), q.service, &q.in.Work, func(id string) bool { return q.tried[id] })
 	if slot == nil {
-		return &ending{unsent: true, reason: "no endpoint of the service takes work"}
+		return &ending{unsent: true, nowhere: true, reason: "no endpoint of the service takes work"}
 	}
 	q.tried[slot.ID] = true
 	q.endpoint, q.reading, q.queue, q.expected = slot.ID, slot.Reading, slot.Queue, slot.Wait
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	q.heard = forwarder.Answer{}
+	q.said = forwarder.Answer{}
 	next := p.exchange(attemptCtx, cancel, q, slot)
 	outcome := balancer.Served
 	if next != nil {
@@ -62,7 +62,7 @@
 	if next != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", next.reason).
 			Bool("unsent", next.unsent).Bool("not_run", next.notRun).Int("sends", q.sends).
-			Str("doubt", slot.Doubt).Dur("pause_ms", slot.Pause).Dur("backoff_ms", q.heard.Backoff).Bool("leaving", q.heard.Leaving).
+			Str("doubt", slot.Doubt).Dur("pause_ms", slot.Pause).Dur("backoff_ms", q.said.Backoff).Bool("leaving", q.said.Leaving).
 			Msg("attempt ended without an answer")
 	}
 	return next
@@ -92,7 +92,7 @@
 	}
 	defer x.Close()
 	answer := p.options.Dialect.Answer(x.Response)
-	p.hear(q, slot, answer)
+	p.noteSaid(q, slot, answer)
 	if answer.NotRun {
 		return p.declined(q, x, answer)
 	}
@@ -105,9 +105,9 @@
 	return p.relayWhole(ctx, q, slot, x)
 }
 
-// hear notes what the endpoint says of itself.
-func (p *Passer) hear(q *request, slot *balancer.Slot, answer forwarder.Answer) {
-	q.heard = answer
+// noteSaid takes what the endpoint says of itself.
+func (p *Passer) noteSaid(q *request, slot *balancer.Slot, answer forwarder.Answer) {
+	q.said = answer
 	if answer.Backoff > 0 && slot.BackOff(p.options.Clock.Now(), answer.Backoff) {
 		p.options.Log.Info().Str("endpoint", slot.ID).Dur("backoff_ms", answer.Backoff).Msg("endpoint asks for backoff")
 	}
--- a/router/internal/passer/backoff_test.go
+++ b/router/internal/passer/backoff_test.go
@@ -10,10 +10,12 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/balancer"
@@ -241,3 +243,27 @@
 	require.Nil(t, b.passer.exchange(ctx, cancel, q, slot))
 	require.Equal(t, 1, s.got())
 }
+
+// Guards against a line of the log for each request of a flood while nothing takes work.
+func TestRefusalsWithoutAnEndpointAreLoggedSparingly(t *testing.T) {
+	const requests = 300
+	clock := clockwork.NewFakeClock()
+	b := newBedAt(t, clock)
+	var lines lineCounter
+	b.passer.options.Log = zerolog.New(&lines)
+	b.speak(&speaker{status: http.StatusServiceUnavailable, header: notRunHeader + ": 1\r\n" + retryAfterHeader + ": 3\r\n"})
+	for range requests {
+		_, err := b.fetch("GET", "/read/x", "")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return b.passer.Running() == 0 }, patience, tick)
+	require.Less(t, lines.count.Load(), int64(requests/2))
+}
+
+// lineCounter counts the lines that are written to it.
+type lineCounter struct{ count atomic.Int64 }
+
+func (l *lineCounter) Write(line []byte) (int, error) {
+	l.count.Add(1)
+	return len(line), nil
+}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -124,7 +124,7 @@
 	prepaid  atomic.Bool      // its next attempt has been taken off the budget
 	begun    bool             // the client has a part of the answer
 	answered bool             // an endpoint has begun to answer
-	heard    forwarder.Answer // what the last endpoint said of itself
+	said     forwarder.Answer // what the last endpoint said of itself
 	tried    map[string]bool  // instances
 	endpoint string
 	spare    bool          // it is beyond what its workspace has a right to
@@ -184,6 +184,7 @@
 type ending struct {
 	outcome balancer.Outcome
 	unsent  bool // no byte left
+	nowhere bool // and there is no endpoint to try
 	notRun  bool // the endpoint said so
 	reason  string
 	// kept is an endpoint's own failure that is passed on if nothing better comes.
@@ -195,6 +196,9 @@
 	if ctx.Err() != nil || gone(q.http.Context()) {
 		return false // asked again for nobody, each endpoint would get a connection
 	}
+	if e.nowhere {
+		return false
+	}
 	if e.unsent {
 		q.unsent++
 		return q.unsent < maxUnsent
--- a/router/internal/relayer/backoffs.go
+++ b/router/internal/relayer/backoffs.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// hear takes what an endpoint says of itself.
-func (r *Relayer) hear(q *request, response *http.Response) {
+// noteSaid takes what an endpoint says of itself.
+func (r *Relayer) noteSaid(q *request, response *http.Response) {
 	now := r.options.Clock.Now()
 	if response.Header.Get(headerLeaving) != "" {
 		q.spent.leaving = true
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -71,7 +71,7 @@
 		r.metrics.dropped.WithLabelValues(droppedForeign).Inc()
 		return tracker.Event{Kind: tracker.Broken}, true
 	}
-	r.hear(q, response)
+	r.noteSaid(q, response)
 	if response.Header.Get(headerStarted) == "no" {
 		switch response.StatusCode {
 		case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
