--- a/lib/balancer/backoff_test.go
+++ b/lib/balancer/backoff_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"shallotkeel.example/lib/lister"
 )
@@ -103,3 +104,61 @@
 		})
 	}
 }
+
+// Guards against any order of events after which an endpoint gets a request within the backoff
+// that it has asked for, or after it has said that it leaves.
+func TestNoOrderOfEventsEndsABackoff(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := &Balancer{}, start
+		started := map[string]time.Time{}
+		closed := map[string]time.Time{} // until when each takes nothing
+		var slots []*Slot
+		update := func(id string) {
+			listing := desk(id)
+			listing.Started = started[id]
+			listing.Silent = rapid.Bool().Draw(t, "silent")
+			b.Update(listing)
+		}
+		for _, id := range ids {
+			update(id)
+		}
+		drawn := func() *Slot { return slots[rapid.IntRange(0, len(slots)-1).Draw(t, "slot")] }
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond)
+			slot := b.Pick(now, "desk", &Work{}, nil)
+			if slot != nil {
+				require.False(t, now.Before(closed[slot.ID]), "%s at %s", slot.ID, now)
+				slots = append(slots, slot)
+			}
+			event := rapid.IntRange(0, 5).Draw(t, "event")
+			if len(slots) == 0 || event == 0 {
+				update(rapid.SampledFrom(ids).Draw(t, "id"))
+				continue
+			}
+			s := drawn()
+			current := s.endpoint == b.byID[s.ID]
+			switch event {
+			case 1:
+				length := time.Duration(rapid.IntRange(1, 4000).Draw(t, "length")) * time.Millisecond
+				s.BackOff(now, length)
+				if until := now.Add(length); current && until.After(closed[s.ID]) {
+					closed[s.ID] = until
+				}
+			case 2:
+				s.Leave()
+				if current {
+					closed[s.ID] = now.Add(time.Hour)
+				}
+			case 3:
+				s.Heard(now)
+			case 4:
+				s.End(now, Outcome(rapid.IntRange(int(Served), int(Withdrawn)).Draw(t, "outcome")))
+			case 5:
+				started[s.ID] = now
+				delete(closed, s.ID)
+				update(s.ID)
+			}
+		}
+	})
+}
