--- a/router/internal/passer/backoff_test.go
+++ b/router/internal/passer/backoff_test.go
@@ -68,31 +68,19 @@
 		status, http.StatusText(status), idHeader, request.Header.Get(idHeader), header)
 }
 
-// list lists the endpoint, or tells what a later heartbeat says of it.
-func (b *bed) list(listener net.Listener, sequence uint64, started time.Time) {
+// list lists a speaker, or tells what a later heartbeat says of it.
+func (b *bed) list(address netip.AddrPort, sequence uint64, started time.Time) {
 	b.balance.Update(lister.Listing{
-		ID: "speaker", Service: "desk", State: lister.Ready, Slots: 6, Sequence: sequence, Started: started,
-		Address: netip.MustParseAddrPort(listener.Addr().String()),
+		ID: "speaker", Service: "desk", State: lister.Ready, Slots: 6, Sequence: sequence, Started: started, Address: address,
 	})
 }
 
 // speak starts a speaker and lists it.
-func (b *bed) speak(s *speaker) net.Listener {
+func (b *bed) speak(s *speaker) netip.AddrPort {
 	b.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b.t, err)
-	b.t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go b.converse(conn, s.serve)
-		}
-	}()
-	b.list(listener, 1, time.Time{})
-	return listener
+	address := b.listen(s.serve)
+	b.list(address, 1, time.Time{})
+	return address
 }
 
 // Guards against requests to an endpoint within the backoff that it has asked for.
@@ -178,12 +166,12 @@
 			clock := clockwork.NewFakeClock()
 			b := newBedAt(t, clock)
 			s := &speaker{}
-			listener := b.speak(s)
+			address := b.speak(s)
 			s.say(test.status, test.header+leavingHeader+": 1\r\n")
 			_, err := b.fetch("GET", "/book/x", "")
 			require.NoError(t, err)
 			s.say(http.StatusOK, "")
-			b.list(listener, 2, time.Time{}) // a heartbeat that was late on its way
+			b.list(address, 2, time.Time{}) // a heartbeat that was late on its way
 			b.endpoint(answering("a"))
 			for range 10 {
 				clock.Advance(250 * time.Millisecond)
@@ -191,7 +179,7 @@
 				require.NoError(t, err)
 			}
 			require.Zero(t, s.got())
-			b.list(listener, 1, time.Unix(1000, 0))
+			b.list(address, 1, time.Unix(1000, 0))
 			_, err = b.fetch("GET", "/read/x", "")
 			require.NoError(t, err)
 			_, err = b.fetch("GET", "/read/x", "")
--- a/router/internal/passer/harness_test.go
+++ b/router/internal/passer/harness_test.go
@@ -143,6 +143,15 @@
 
 // endpoint starts an endpoint with a script and lists it.
 func (b *bed) endpoint(serve func(conn net.Conn, request *http.Request)) string {
+	b.t.Helper()
+	b.next++
+	id := fmt.Sprint("i-", b.next)
+	b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: b.listen(serve)})
+	return id
+}
+
+// listen serves a script at an address that no list holds yet.
+func (b *bed) listen(serve func(conn net.Conn, request *http.Request)) netip.AddrPort {
 	b.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
@@ -156,12 +165,7 @@
 			go b.converse(conn, serve)
 		}
 	}()
-	b.next++
-	id := fmt.Sprint("i-", b.next)
-	b.balance.Update(lister.Listing{
-		ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: netip.MustParseAddrPort(listener.Addr().String()),
-	})
-	return id
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 // converse hands each request of a connection to a script, with its body read.
