Work an endpoint's doubt out once for each choice, and say once who is willing

The choice's line for the log worked out again what its price had; "open and not backed off" stood in three places, and a loop that counts endpoints twice. Nothing that is decided has changed.

--- a/lib/balancer/backoff.go
+++ b/lib/balancer/backoff.go
@@ -41,7 +41,7 @@
 func (s *Slot) Open(now time.Time) bool {
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
-	return s.balancer.open(s.endpoint) && !s.endpoint.backsOff(now)
+	return s.balancer.willing(now, s.endpoint)
 }
 
 func (e *endpoint) backsOff(now time.Time) bool {
@@ -50,15 +50,7 @@
 
 // BackedOff returns at how many endpoints this router backs off.
 func (b *Balancer) BackedOff(now time.Time) int {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	count := 0
-	for _, e := range b.byID {
-		if e.backsOff(now) {
-			count++
-		}
-	}
-	return count
+	return b.count(func(e *endpoint) bool { return e.backsOff(now) })
 }
 
 // BackoffLeft returns for how long this router backs off at all endpoints of a service that
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -219,7 +219,7 @@
 	e := o.endpoint
 	slot := &Slot{
 		ID: e.ID, Address: e.Address, Reading: o.reading, Wait: o.wait, Queue: o.queue,
-		Doubt: b.doubt(now, e).String(), Pause: max(e.until.Sub(now), 0),
+		Doubt: o.doubt.String(), Pause: max(e.until.Sub(now), 0),
 		balancer: b, endpoint: e, sent: now, ahead: o.ahead, reading: true,
 	}
 	if !e.until.IsZero() && !now.Before(e.until) && !e.probing {
--- a/lib/balancer/cold.go
+++ b/lib/balancer/cold.go
@@ -39,11 +39,16 @@
 
 // Rationed returns how many endpoints are cold and bear few requests.
 func (b *Balancer) Rationed(now time.Time) int {
+	return b.count(func(e *endpoint) bool { return b.rationed(now, e) })
+}
+
+// count returns how many endpoints are of a kind.
+func (b *Balancer) count(kind func(e *endpoint) bool) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	count := 0
 	for _, e := range b.byID {
-		if b.rationed(now, e) {
+		if kind(e) {
 			count++
 		}
 	}
@@ -90,9 +95,14 @@
 	return e.State == lister.Ready && !b.evacuated[e.Zone]
 }
 
+// willing tells whether an open endpoint wants requests of this router now.
+func (b *Balancer) willing(now time.Time, e *endpoint) bool {
+	return b.open(e) && !e.backsOff(now)
+}
+
 // takes tells whether an endpoint may get a request now.
 func (b *Balancer) takes(now time.Time, e *endpoint) bool {
-	return b.open(e) && !e.backsOff(now) && (!b.rationed(now, e) || e.leases.Ready(now))
+	return b.willing(now, e) && (!b.rationed(now, e) || e.leases.Ready(now))
 }
 
 // rationed tells whether an endpoint is cold and bears few requests.
--- a/lib/balancer/load.go
+++ b/lib/balancer/load.go
@@ -73,7 +73,7 @@
 	fit := b.fit(service)
 	total, count := time.Duration(0), 0
 	for _, e := range b.services[service] {
-		if !b.open(e) || e.backsOff(now) || b.doubt(now, e) != none {
+		if !b.willing(now, e) || b.doubt(now, e) != none {
 			continue
 		}
 		total += time.Duration(float64(fit.Reading(b.unread(now, e))) * e.factor.Get(now))
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -46,6 +46,7 @@
 type offer struct {
 	endpoint *endpoint
 	price    float64
+	doubt    doubt
 	reading  int           // tokens that the engine probably has to read
 	ahead    int           // tokens that others have there unread
 	wait     time.Duration // until the first token, as expected
@@ -58,7 +59,8 @@
 	if weights == (Weights{}) {
 		weights = DefaultWeights
 	}
-	o := offer{endpoint: e, price: lastChoice * float64(b.doubt(now, e))}
+	o := offer{endpoint: e, doubt: b.doubt(now, e)}
+	o.price = lastChoice * float64(o.doubt)
 	if len(work.Parts) == 0 {
 		o.price += weights.Plain * float64(e.own.running)
 		return o
