Bound what requests' bodies take together, and how long a client may be written to

Cause: a body was given the room that its length names before any of it had come, up to the configuration's 4 MiB, and nothing bounded all of them; an instance of 184 MB may have 300 requests under way. And a client that reads nothing kept its request, its place among those under way and its endpoint's connection for good: writes had no deadline.

Writes end a second after the request's time.

--- a/router/internal/passer/body.go
+++ b/router/internal/passer/body.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // readBody reads the whole body, so that it can be sent again and so that no
@@ -20,11 +23,16 @@
 		p.refuse(q, byRule, http.StatusRequestEntityTooLarge, "the body is too large", 0)
 		return false
 	}
-	body, err := readAll(http.MaxBytesReader(q.writer, q.http.Body, limit), q.http.ContentLength)
+	body, err := p.readAll(q, http.MaxBytesReader(q.writer, q.http.Body, limit))
 	if err == nil {
 		q.body = body
 		return true
 	}
+	if errors.Is(err, errHeld) {
+		p.unheard(q)
+		p.refuse(q, byRouter, http.StatusServiceUnavailable, tooMuch, retrySoon)
+		return false
+	}
 	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 		p.refuse(q, byRule, http.StatusRequestEntityTooLarge, "the body is too large", 0)
 		return false
@@ -33,12 +41,41 @@
 	panic(http.ErrAbortHandler)
 }
 
-// readAll reads a body into one buffer where its length is known.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(body)
-	}
-	buffer := make([]byte, length)
-	_, err := io.ReadFull(body, buffer)
-	return buffer, err
+// firstRoom is how many bytes are made room for before any has come, at the most. Beyond it
+// room is doubled when it is full: a client may name a length and send nothing.
+const firstRoom = 64 << 10
+
+// errHeld means that there is no room for a body beside the others.
+var errHeld = merry.Sentinel("requests' bodies take all the room there is for them")
+
+// readAll reads a body, into one buffer where its length is known and small. The room that it
+// takes is given back with the request's end.
+func (p *Passer) readAll(q *request, body io.Reader) ([]byte, error) {
+	length := q.http.ContentLength
+	room := int64(firstRoom)
+	if length > 0 {
+		room = min(room, length)
+	}
+	buffer := []byte(nil)
+	for {
+		if !p.holding.take(room - q.held) {
+			return nil, errHeld
+		}
+		q.held = room
+		buffer = slices.Grow(buffer, int(room)-len(buffer))
+		n, err := io.ReadFull(body, buffer[len(buffer):room])
+		buffer = buffer[:len(buffer)+n]
+		switch {
+		case length > 0 && int64(len(buffer)) == length:
+			return buffer, nil
+		case length < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
+			return buffer, nil
+		case err != nil:
+			return nil, err
+		}
+		room *= 2
+		if length > 0 {
+			room = min(room, length)
+		}
+	}
 }
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -19,6 +19,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -46,6 +47,9 @@
 	// maxUnsent bounds the endpoints that are tried for one request before any of
 	// them has got a byte of it. Each costs a dial's timeout if it is dark.
 	maxUnsent = 4
+	// writeGrace is for how long a client may still be sent its answer when the request's time
+	// is over. One that reads nothing would hold its request, and its endpoint's, for good.
+	writeGrace = time.Second
 )
 
 // News is what the passer asks of the fleet's news.
@@ -73,6 +77,8 @@
 	Crowded func() bool
 	// Most is how many requests may be under way, 0 for any number.
 	Most int
+	// HeldBytes is how many bytes of requests' bodies may be held, 0 for any number.
+	HeldBytes int64
 	// Gather is how long events of a stream may be gathered while there is much to
 	// do, 0 for not at all.
 	Gather time.Duration
@@ -87,6 +93,7 @@
 type Passer struct {
 	options Options
 	drain   drain
+	holding holding
 	quietly damper.Damper
 	returns returns
 	ledger  ledger
@@ -95,7 +102,7 @@
 
 // New returns a passer.
 func New(options Options) *Passer {
-	p := &Passer{options: options}
+	p := &Passer{options: options, holding: holding{most: options.HeldBytes}}
 	options.Client.OwnAnswer = options.Dialect.Own
 	return p
 }
@@ -112,6 +119,7 @@
 	workspace string
 	target    string
 	body      []byte
+	held      int64 // bytes that are held for it
 	digest    uint64
 	received  time.Time
 	came      time.Time // here for the first time, if it was refused before
@@ -149,13 +157,24 @@
 	}
 	q.in = p.options.Dialect.Read(h.Header)
 	defer p.record(q)
+	defer func() { p.holding.give(q.held) }()
 	if p.admit(q) {
+		p.boundWrites(q, q.until.Add(writeGrace))
+		defer p.boundWrites(q, time.Time{})
 		p.drain.enterFor(q.workspace)
 		defer p.drain.leaveFor(q.workspace)
 		p.pass(q)
 	}
 }
 
+// boundWrites sets until when the client may be written to. Writes wait for it to read.
+func (p *Passer) boundWrites(q *request, until time.Time) {
+	err := http.NewResponseController(q.writer).SetWriteDeadline(until)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		p.options.Log.Debug().Err(err).Str("id", q.in.ID).Msg("writes to the client are not bounded")
+	}
+}
+
 // pass sends the request until it has its ending.
 func (p *Passer) pass(q *request) {
 	p.options.Starts.Take(q.received, q.workspace)
