Price a few of many endpoints for a request

Cause: a choice walked all endpoints of the service, three times for a request, and a list was sorted anew for each endpoint that joined.

Change: beyond 256 endpoints the home of the prompt, engines that were sent the same part and eight by chance are priced, all where none of these is willing or each is in doubt. Homes are ranked in two steps, within the router's own zone where it has 64 engines. Ties that were never broken differ by router.

The walk over all is the oracle: of 3,000 choices among 700 engines at most one in a hundred costs a tenth more.

--- a/lib/balancer/backoff.go
+++ b/lib/balancer/backoff.go
@@ -59,7 +59,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	first := time.Duration(0)
-	for _, e := range b.services[service] {
+	for _, e := range b.all(service) {
 		switch {
 		case b.takes(now, e):
 			return 0
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -17,9 +17,7 @@
 package balancer
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -72,15 +70,21 @@
 type Balancer struct {
 	Weights Weights
 
+	// Zone is the router's own, and Seed differs between routers: without it endpoints that cost
+	// the same come in the order of their ids. Both are set before the first use.
+	Zone string
+	Seed uint64
+
 	mutex    sync.Mutex
 	byID     map[string]*endpoint
-	services map[string][]*endpoint // sorted by id, without those that are gone
-	caps     map[string]int         // tokens of an engine's memory, by service
+	services map[string]*pool
+	caps     map[string]int // tokens of an engine's memory, by service
 	zones    map[string]zone
 	fits     map[string]*predictor.Fit // of the engines, by service
 	told     time.Time                 // when others' loads were told last
 	routers  int
 	turns    uint64 // choices so far
+	recent   recent
 
 	evacuated map[string]bool          // zones
 	colds     map[string]resolver.Cold // by service
@@ -89,6 +93,7 @@
 type endpoint struct {
 	lister.Listing
 	seed    uint64
+	order   uint64  // among those that were never chosen, different at each router
 	turn    uint64  // when it was chosen last, counted over all choices
 	key     uint64  // its name in loads
 	own     load    // what this router has there
@@ -114,7 +119,7 @@
 	defer b.mutex.Unlock()
 	if b.byID == nil {
 		b.byID = make(map[string]*endpoint)
-		b.services = make(map[string][]*endpoint)
+		b.services = make(map[string]*pool)
 	}
 	known, found := b.byID[listing.ID]
 	restarted := found && !known.Started.Equal(listing.Started)
@@ -141,6 +146,10 @@
 		b.unlist(known)
 		known.Listing = listing
 		b.list(known)
+	case known.Zone != listing.Zone:
+		b.unlist(known)
+		known.Listing = listing
+		b.list(known)
 	default:
 		if known.ColdUntil.After(listing.ColdUntil) {
 			listing.ColdUntil = known.ColdUntil
@@ -152,18 +161,33 @@
 
 func (b *Balancer) add(listing lister.Listing) {
 	added := &endpoint{Listing: listing, seed: hashText(listing.ID), key: Key(listing)}
+	if b.Seed != 0 {
+		added.order = mix(b.Seed, added.seed)
+	}
 	added.life, added.end = context.WithCancel(context.Background())
 	b.byID[listing.ID] = added
 	b.list(added)
 }
 
 func (b *Balancer) list(e *endpoint) {
-	b.services[e.Service] = append(b.services[e.Service], e)
-	slices.SortFunc(b.services[e.Service], func(x, y *endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	if b.services[e.Service] == nil {
+		b.services[e.Service] = &pool{}
+	}
+	b.services[e.Service].add(e, e.Zone == b.Zone)
 }
 
 func (b *Balancer) unlist(e *endpoint) {
-	b.services[e.Service] = slices.DeleteFunc(b.services[e.Service], func(x *endpoint) bool { return x == e })
+	if listed := b.services[e.Service]; listed != nil {
+		listed.remove(e)
+	}
+}
+
+// all returns the endpoints of a service.
+func (b *Balancer) all(service string) []*endpoint {
+	if listed := b.services[service]; listed != nil {
+		return listed.all
+	}
+	return nil
 }
 
 // Remember sets how many tokens an engine of a service keeps.
@@ -199,16 +223,36 @@
 }
 
 // choose returns the cheapest candidate, one without an endpoint if there is none.
+//
+// Of many endpoints a few are priced: those that may hold parts of the prompt, and some by
+// chance. Where nothing is to be said for any of them, all are.
 func (b *Balancer) choose(now time.Time, service string, work *Work, excluded func(id string) bool) offer {
-	candidates := b.services[service]
-	first, fit := b.home(candidates, work), b.fit(service)
+	listed := b.services[service]
+	if listed == nil {
+		return offer{}
+	}
+	first := b.home(listed, work)
+	if len(listed.all) > mostWalked {
+		best := b.cheapest(now, service, b.shortlist(listed, first, work), first, work, excluded)
+		if best.endpoint != nil && best.doubt == none {
+			return best
+		}
+	}
+	return b.cheapest(now, service, listed.all, first, work, excluded)
+}
+
+// cheapest returns the cheapest of some endpoints.
+func (b *Balancer) cheapest(
+	now time.Time, service string, candidates []*endpoint, first *endpoint, work *Work, excluded func(id string) bool,
+) offer {
+	fit := b.fit(service)
 	var best offer
 	for _, e := range candidates {
 		if !b.takes(now, e) || excluded != nil && excluded(e.ID) {
 			continue
 		}
 		o := b.price(now, e, fit, work, e == first)
-		if best.endpoint == nil || o.price < best.price || o.price == best.price && e.turn < best.endpoint.turn {
+		if best.endpoint == nil || o.price < best.price || o.price == best.price && e.before(best.endpoint) {
 			best = o
 		}
 	}
@@ -238,10 +282,17 @@
 	if len(work.Parts) > 0 {
 		e.unread = append(e.unread, slot)
 		e.held.note(work, b.caps[e.Service])
+		b.recent.note(work, e)
 	}
 	return slot
 }
 
+// before tells whether an endpoint comes before another one that is as cheap: it was chosen
+// longer ago. If neither ever was, routers differ, or all of them would begin with the same one.
+func (e *endpoint) before(other *endpoint) bool {
+	return e.turn < other.turn || e.turn == other.turn && e.order < other.order
+}
+
 // fit returns what is known of a service's engines.
 func (b *Balancer) fit(service string) *predictor.Fit {
 	known, found := b.fits[service]
--- a/lib/balancer/doubt.go
+++ b/lib/balancer/doubt.go
@@ -60,7 +60,7 @@
 // of those that can be reached; the lower of the two in the middle.
 func (b *Balancer) usual(e *endpoint) float64 {
 	var shares []float64
-	for _, other := range b.services[e.Service] {
+	for _, other := range b.some(e.Service) {
 		if other != e && !other.closed {
 			shares = append(shares, other.failed)
 		}
--- a/lib/balancer/load.go
+++ b/lib/balancer/load.go
@@ -72,7 +72,7 @@
 	defer b.mutex.Unlock()
 	fit := b.fit(service)
 	total, count := time.Duration(0), 0
-	for _, e := range b.services[service] {
+	for _, e := range b.all(service) {
 		if !b.willing(now, e) || b.doubt(now, e) != none {
 			continue
 		}
--- a/lib/balancer/parts.go
+++ b/lib/balancer/parts.go
@@ -77,28 +77,6 @@
 	return tokens
 }
 
-// home returns the engine that ranks first for the last part that requests share,
-// nil if there is none. All routers agree on it as long as they know the same
-// endpoints.
-func (b *Balancer) home(candidates []*endpoint, work *Work) *endpoint {
-	shared := work.shared()
-	if len(shared) == 0 {
-		return nil
-	}
-	last := shared[len(shared)-1].ID
-	var best *endpoint
-	var bestRank uint64
-	for _, e := range candidates {
-		if !b.open(e) {
-			continue
-		}
-		if rank := mix(e.seed, last); best == nil || rank > bestRank {
-			best, bestRank = e, rank
-		}
-	}
-	return best
-}
-
 func hashText(text string) uint64 {
 	return xxhash.Sum64String(text)
 }
--- /dev/null
+++ b/lib/balancer/pool_test.go
@@ -0,0 +1,133 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
+)
+
+// wide returns a router's balancer of a large service, a part of it in the router's own zone.
+func wide(router uint64, near, far int) *Balancer {
+	b := &Balancer{Zone: "here", Seed: router}
+	b.Remember("engines", 500_000)
+	for i := range near + far {
+		e := engine(0)
+		e.ID, e.Zone = fmt.Sprint("i-", i), "here"
+		if i >= near {
+			e.Zone = "there"
+		}
+		e.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+		b.Update(e)
+	}
+	return b
+}
+
+// Guards against a choice that takes time by the size of the fleet.
+func TestChoiceOfManyPricesFew(t *testing.T) {
+	for _, engines := range []int{mostWalked + 1, 1000, 2000, 10_000} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			b := wide(7, engines, 100)
+			for own := range uint64(500) {
+				work := prompt(own%50, own)
+				require.LessOrEqual(t, len(b.shortlist(b.services["engines"], b.home(b.services["engines"], work), work)), drawn+recentEach+1)
+				require.NotNil(t, b.Pick(start, "engines", work, nil))
+			}
+			largest := 0
+			for _, members := range b.services["engines"].ranks {
+				largest = max(largest, len(members))
+			}
+			require.LessOrEqual(t, largest, 2*engines/buckets+10, "and few are ranked")
+		})
+	}
+}
+
+// Guards against requests that miss the engines that are cheapest for them, where only a few of
+// many are priced: the walk over all of them is the measure.
+func TestChoiceOfManyIsAsGoodAsOfAll(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	b := wide(7, 600, 100)
+	worse, choices := 0, 3000
+	now := start
+	var slots []*Slot
+	for own := range uint64(choices) {
+		now = now.Add(5 * time.Millisecond)
+		work := prompt(random.Uint64N(60), own)
+		listed := b.services["engines"]
+		least := b.cheapest(now, "engines", listed.all, b.home(listed, work), work, nil)
+		chosen := b.choose(now, "engines", work, nil)
+		if chosen.price > least.price*1.1 {
+			worse++
+		}
+		slots = append(slots, b.Pick(now, "engines", work, nil))
+		if len(slots) > 40 {
+			slots[0].Heard(now)
+			slots[0].End(now, Served)
+			slots = slots[1:]
+		}
+	}
+	require.LessOrEqual(t, worse, choices/100)
+}
+
+// Guards against routers of a zone that read the same part of a prompt at different engines, and
+// against an engine that is home to many more parts than another.
+func TestRoutersOfALargeZoneAgreeOnHomes(t *testing.T) {
+	first, second := wide(1, 640, 40), wide(2, 640, 90)
+	homes := make(map[string]int)
+	for shared := range uint64(6400) {
+		a := first.home(first.services["engines"], prompt(shared, 1))
+		require.Equal(t, a.ID, second.home(second.services["engines"], prompt(shared, 2)).ID)
+		require.Equal(t, "here", a.Zone)
+		homes[a.ID]++
+	}
+	for id, count := range homes {
+		require.LessOrEqual(t, count, 40, id)
+	}
+	first.Evacuate(start, []string{"here"})
+	require.Equal(t, "there", first.home(first.services["engines"], prompt(1, 1)).Zone, "another zone's where the own is evacuated")
+	require.NotNil(t, first.Pick(start, "engines", prompt(1, 1), nil))
+}
+
+// Guards against a request that finds no endpoint because none of a few is willing.
+func TestAllAreWalkedWhereFewWillNotDo(t *testing.T) {
+	b := wide(7, 500, 0)
+	for i := range 499 {
+		e := engine(0)
+		e.ID, e.Zone, e.State = fmt.Sprint("i-", i), "here", lister.Leaving
+		b.Update(e)
+	}
+	require.Equal(t, "i-499", b.Pick(start, "engines", prompt(1, 1), nil).ID)
+}
+
+// Guards against a router that needs a second to take the list of a large fleet.
+func BenchmarkFill(b *testing.B) {
+	for _, engines := range []int{100, 1000, 9640} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			for b.Loop() {
+				wide(7, engines, 0)
+			}
+		})
+	}
+}
+
+// BenchmarkPickOfMany chooses an engine of a large service and gives the slot back.
+func BenchmarkPickOfMany(b *testing.B) {
+	for _, engines := range []int{250, 1000, 9640} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			balancer := wide(7, engines, 0)
+			now, own := start, uint64(0)
+			for b.Loop() {
+				own++
+				now = now.Add(3 * time.Millisecond)
+				slot := balancer.Pick(now, "engines", prompt(own%400, own), nil)
+				slot.Heard(now.Add(80 * time.Millisecond))
+				slot.End(now.Add(100*time.Millisecond), Served)
+			}
+		})
+	}
+}
