--- a/keeper/internal/server/bulletin.go
+++ b/keeper/internal/server/bulletin.go
@@ -10,12 +10,13 @@
 const (
 	// fewReaders are told of each change by itself.
 	fewReaders = 20
-	// readerPause is the part of the pause between two wake-ups that each further reader
-	// adds. Answering it takes a part of that.
-	readerPause = 500 * time.Microsecond
-	// mostPause bounds that pause: an endpoint that leaves has told so, and is to get no
-	// more work.
-	mostPause = 100 * time.Millisecond
+	// mostAnswers bounds the answers a second that changes alone lead to.
+	mostAnswers = 600
+	// mostPause bounds the pause before news that speaks against an endpoint, and calmPause
+	// before other news: an endpoint that leaves has told so, and is to get no more work, while
+	// a new one is only not used yet.
+	mostPause = 400 * time.Millisecond
+	calmPause = 2 * time.Second
 )
 
 // bulletin wakes the followers when there is news of endpoints or of the plan.
@@ -32,37 +33,45 @@
 
 	mutex     sync.Mutex
 	last      time.Time
-	gathering bool
+	gathering time.Time // when the news that is gathered is told, zero if there is none
 }
 
-// wake wakes the followers, at once or after the pause.
-func (b *bulletin) wake() {
-	pause := pauseOf(b.readers())
+// wake wakes the followers, at once or after a pause. News that is urgent speaks against an
+// endpoint, or is a plan.
+func (b *bulletin) wake(urgent bool) {
+	pause := pauseOf(b.readers(), urgent)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.gathering {
+	now, due := b.clock.Now(), b.last.Add(pause)
+	if !b.gathering.IsZero() && !due.Before(b.gathering) {
 		return
 	}
-	now := b.clock.Now()
-	left := pause - now.Sub(b.last)
-	if b.last.IsZero() || left <= 0 {
-		b.last = now
+	if b.last.IsZero() || !due.After(now) {
+		b.gathering, b.last = time.Time{}, now
 		b.watch.wake()
 		return
 	}
-	b.gathering = true
-	b.clock.AfterFunc(left, b.tell)
+	b.gathering = due
+	b.clock.AfterFunc(due.Sub(now), b.tell)
 }
 
 // pauseOf returns the pause between two wake-ups of so many readers.
-func pauseOf(readers int) time.Duration {
-	return min(time.Duration(max(readers-fewReaders, 0))*readerPause, mostPause)
+func pauseOf(readers int, urgent bool) time.Duration {
+	most := calmPause
+	if urgent {
+		most = mostPause
+	}
+	return min(time.Duration(max(readers-fewReaders, 0))*time.Second/mostAnswers, most)
 }
 
-// tell ends a gathering.
+// tell ends a gathering that is due.
 func (b *bulletin) tell() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.gathering, b.last = false, b.clock.Now()
+	now := b.clock.Now()
+	if b.gathering.IsZero() || now.Before(b.gathering) {
+		return // what it was set for has been told before
+	}
+	b.gathering, b.last = time.Time{}, now
 	b.watch.wake()
 }
--- a/keeper/internal/server/colleagues.go
+++ b/keeper/internal/server/colleagues.go
@@ -62,6 +62,7 @@
 	report := &messenger.FollowRequest{
 		Node: c.settings.Name, Zone: c.settings.Zone, Keeper: true, Address: c.settings.Address().String(),
 		Plan: c.view.Load().plan.GetVersion(), Heard: c.directory.recent(now, c.heard.begin(now, keeper)),
+		Unheard: c.followed.Unheard(),
 	}
 	c.directory.summary(now, report)
 	return report
@@ -70,12 +71,12 @@
 // News merges what another keeper lists.
 func (c colleagues) News(_ context.Context, keeper netip.AddrPort, news *messenger.FollowResponse) {
 	c.heard.answered(keeper)
-	changed, unread := c.directory.merge(c.clock.Now(), news.GetListings())
-	if unread != nil && c.unusable.Admit(c.clock.Now(), c.log) {
-		c.log.Warn().Err(unread).Stringer("keeper", keeper).Msg("a listing cannot be read; it is left out")
+	m := c.directory.merge(c.clock.Now(), keeper.String(), news.GetListings())
+	if m.unread != nil && c.unusable.Admit(c.clock.Now(), c.log) {
+		c.log.Warn().Err(m.unread).Stringer("keeper", keeper).Msg("a listing cannot be read; it is left out")
 	}
-	if changed {
-		c.bulletin.wake()
+	if m.any {
+		c.bulletin.wake(m.urgent)
 	}
 }
 
@@ -90,10 +91,10 @@
 		for s.pause(ctx, directoryPause) == nil {
 			late = s.tellLateness(late)
 			if s.directory.pass(s.clock.Now()) {
-				s.bulletin.wake()
+				s.bulletin.wake(true)
 			}
 			s.followed.Know(s.memberAddresses()...)
-			wait := subscriber.WaitFor(s.directory.routers(s.clock.Now()), len(s.view.Load().status.Group))
+			wait := subscriber.ExchangeWaitFor(s.directory.routers(s.clock.Now()), len(s.view.Load().status.Group))
 			s.followed.Pace(wait, wait)
 		}
 	}()
@@ -132,7 +133,7 @@
 	if err != nil {
 		return nil, merry.Errorf("platform address: %w; set \"platform\" to a free address of this instance", err)
 	}
-	server := &http.Server{Handler: s.platform.Handler(planning{s}), ReadHeaderTimeout: stopGrace, IdleTimeout: time.Minute}
+	server := &http.Server{Handler: s.metrics.traffic.count(kindPlatform, s.platform.Handler(planning{s})), ReadHeaderTimeout: stopGrace, IdleTimeout: time.Minute}
 	go func() { failures <- server.Serve(listener) }()
 	return server, nil
 }
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -43,7 +43,11 @@
 	parts     []part
 	divided   time.Time // when the parts were worked out
 	crashes   map[uint64]*crashes
-	convicted uint64 // rises with every quarantined fingerprint
+	convicted uint64            // rises with every quarantined fingerprint
+	zones     map[string]string // of the other keepers, by their control addresses
+	sources   sources
+	fleet     fleet
+	subset    subset
 }
 
 // heard is an instance's latest heartbeat.
@@ -57,12 +61,14 @@
 	at     time.Time
 	keeper bool
 	report *messenger.FollowRequest
-	told   uint64 // convicted, as of the follower's last answer
+	told   uint64   // convicted, as of the follower's last answer
+	missed []string // of a keeper: others that it does not hear since the present poll
 }
 
 type crashes struct {
 	at     time.Time
-	by     map[string]uint32
+	by     map[string]uint32 // by router
+	direct map[string]bool   // routers that told it here, not through another keeper
 	total  uint32
 	guilty bool // it is quarantined
 }
@@ -72,6 +78,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	changed := d.list.Beat(now, beat)
+	d.sources.direct(beat.ID)
 	if d.heard == nil {
 		d.heard = make(map[string]heard)
 	}
@@ -92,6 +99,7 @@
 func (d *directory) leave(now time.Time, id string, started time.Time) bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.sources.direct(id)
 	return d.list.Leave(now, id, started)
 }
 
@@ -114,27 +122,38 @@
 	}
 	d.taker = taker{}
 	d.lessor.Forget(now)
-	return d.list.Pass(now)
+	widened := d.subset.count(d.list.Services())
+	for _, service := range widened {
+		d.list.Retell(service)
+	}
+	return d.list.Pass(now) || len(widened) > 0
+}
+
+// merged is what the news of a keeper changed.
+type merged struct {
+	any    bool
+	urgent bool  // something speaks against an endpoint
+	unread error // why the last entry that could not be read was left out
 }
 
-// merge takes another keeper's news. It tells whether the list changed, and why the
-// last entry that could not be read was left out.
-func (d *directory) merge(now time.Time, listings []*messenger.Listing) (changed bool, unread error) {
+// merge takes the news of a keeper.
+func (d *directory) merge(now time.Time, keeper string, listings []*messenger.Listing) (m merged) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for _, wire := range listings {
 		listing, err := lister.FromWire(wire, now)
 		if err != nil {
-			unread = err
+			m.unread = err
 			continue
 		}
 		// Whether it is silent is for each keeper to say: this one may hear it.
 		listing.Silent = false
 		if d.list.Beat(now, listing) {
-			changed = true
+			d.sources.told(listing.ID, keeper)
+			m.any, m.urgent = true, m.urgent || listing.State > lister.Ready
 		}
 	}
-	return changed, unread
+	return m
 }
 
 // follow notes a follower's report and tells whether the list changed by it.
@@ -150,6 +169,7 @@
 		d.followers[request.GetNode()] = known
 	}
 	d.account(known, -1)
+	known.missed = missed(known.report.GetUnheard(), request.GetUnheard())
 	known.at, known.keeper, known.report = now, request.GetKeeper(), request
 	d.account(known, 1)
 	changed := false
@@ -159,13 +179,45 @@
 		}
 	}
 	for _, crash := range request.GetCrashes() {
-		if d.count(now, request.GetNode(), crash) {
+		if d.count(now, request, crash) {
 			changed = true
 		}
 	}
+	if request.GetKeeper() {
+		d.place(request.GetAddress(), request.GetZone())
+	}
 	return changed
 }
 
+// place notes the zone of another keeper.
+func (d *directory) place(address, zone string) {
+	if d.zones == nil || len(d.zones) >= maxKeepers {
+		d.zones = make(map[string]string)
+	}
+	d.zones[address] = zone
+}
+
+// keepers returns the control addresses of the other keepers that follow this one.
+func (d *directory) keepers() []string {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	var addresses []string
+	for _, f := range d.followers {
+		if f.keeper && f.report.GetAddress() != "" {
+			addresses = append(addresses, f.report.GetAddress())
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// zoneOf returns the zone of another keeper, empty if it is not known.
+func (d *directory) zoneOf(address string) string {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.zones[address]
+}
+
 // account adds a follower's report to the sums, or takes it off.
 func (d *directory) account(f *follower, sign int64) {
 	d.whole.add(f.report, sign)
@@ -176,7 +228,11 @@
 
 // count notes how often a router has seen endpoints crash under a request, and
 // tells whether that proves its guilt.
-func (d *directory) count(now time.Time, node string, crash *messenger.Crash) bool {
+func (d *directory) count(now time.Time, report *messenger.FollowRequest, crash *messenger.Crash) bool {
+	node := report.GetNode()
+	if report.GetKeeper() {
+		node = crash.GetNode()
+	}
 	if d.crashes == nil {
 		d.crashes = make(map[uint64]*crashes)
 	}
@@ -185,9 +241,12 @@
 		if len(d.crashes) >= maxCrashes {
 			return false
 		}
-		known = &crashes{by: make(map[string]uint32)}
+		known = &crashes{by: make(map[string]uint32), direct: make(map[string]bool)}
 		d.crashes[crash.GetDigest()] = known
 	}
+	if !report.GetKeeper() {
+		known.direct[node] = true
+	}
 	before := known.by[node]
 	if crash.GetCount() <= before {
 		return false
@@ -206,7 +265,7 @@
 // mostUntold bounds the changes that a follower is not told of, because they do not concern
 // it, before it is told that there are none: until then they are looked through at each
 // wake-up.
-const mostUntold = 64
+const mostUntold = 128
 
 // fresh tells whether there is anything that a follower does not know yet. It is asked
 // at each wake-up of each poll; the answer itself is built once, when it is sent.
@@ -218,8 +277,8 @@
 		return true
 	}
 	untold := d.list.Revision() - request.GetAfter()
-	if !request.GetBrief() || untold > mostUntold {
-		return untold > 0
+	if untold > mostUntold {
+		return true
 	}
 	return len(d.unknown(request, epoch)) > 0
 }
@@ -234,7 +293,10 @@
 	}
 	if !request.GetKeeper() {
 		census := d.taker.take(now, d.followers)
-		response.Routers, response.Reporting = census.routers, census.reporting
+		response.Routers, response.Expected, response.Reporting = census.routers, census.routers, census.reporting
+		if request.GetPartial() {
+			response.Routers, response.Expected = d.fleet.sizes(now, max(census.routers, census.reporting))
+		}
 		if !request.GetBrief() {
 			response.Uses = d.whole.uses.told()
 			response.Loads = d.whole.loads.others(request.GetLoads())
@@ -253,20 +315,23 @@
 	return response
 }
 
-// unknown returns the part of the list that a follower does not know yet. One that
-// follows briefly has the list, and new endpoints, from its primary: from here it only hears
-// what speaks against an endpoint, or no longer does. Else each endpoint that announces
-// itself would be told to every router by every keeper.
+// unknown returns the part of the list that a follower does not know yet. A router is told of
+// its subset of those that are well. One that follows briefly has these from its primary: from
+// here it only hears what speaks against an endpoint, or no longer does. Else each endpoint
+// that announces itself would be told to every router by every keeper. A keeper is told what
+// no other one tells it.
 func (d *directory) unknown(request *messenger.FollowRequest, epoch uint64) []lister.Listing {
 	after := request.GetAfter()
 	if request.GetEpoch() != epoch {
 		after = 0
 	}
-	listings := d.list.Since(after)
-	if !request.GetBrief() {
-		return listings
+	if request.GetKeeper() {
+		return d.untold(request, after)
 	}
-	return slices.DeleteFunc(listings, func(l lister.Listing) bool { return l.Well() })
+	router := d.subset.of(request.GetNode(), request.GetZone())
+	return d.list.Select(after, func(l *lister.Listing) bool {
+		return !l.Well() || !request.GetBrief() && router.has(l)
+	})
 }
 
 // summary fills in what the routers that report here tell, for another keeper.
@@ -276,6 +341,11 @@
 	census := d.taker.take(now, d.followers)
 	report.Reporting, report.BacklogMs = census.direct, census.directBacklog
 	report.Uses, report.Loads = d.direct.uses.told(), d.direct.loads.others(nil)
+	for digest, c := range d.crashes {
+		for node := range c.direct {
+			report.Crashes = append(report.Crashes, &messenger.Crash{Digest: digest, Count: c.by[node], Node: node})
+		}
+	}
 }
 
 // size is how many followers there are.
@@ -285,11 +355,12 @@
 	return len(d.followers)
 }
 
-// routers is how many routers follow this keeper.
+// routers is how many routers the fleet has.
 func (d *directory) routers(now time.Time) int {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return int(d.taker.take(now, d.followers).routers)
+	census := d.taker.take(now, d.followers)
+	return int(max(census.routers, census.reporting))
 }
 
 // recent returns the direct heartbeats since a time, of the last intervals at most.
--- a/keeper/internal/server/evacuating.go
+++ b/keeper/internal/server/evacuating.go
@@ -62,5 +62,5 @@
 			s.directory.chill(s.clock.Now(), zone, func(service string) time.Duration { return services[service].Cold.Length })
 		}
 	}
-	s.bulletin.wake()
+	s.bulletin.wake(true)
 }
--- a/keeper/internal/server/handlers.go
+++ b/keeper/internal/server/handlers.go
@@ -15,11 +15,11 @@
 func (s *Server) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	keeper := messenger.NewKeepingServer(keeping{s})
-	mux.Handle(keeper.PathPrefix(), markForwarded(keeper))
+	mux.Handle(keeper.PathPrefix(), s.metrics.traffic.count(kindOther, markForwarded(keeper)))
 	planning := messenger.NewPlanningServer(planning{s})
-	mux.Handle(planning.PathPrefix(), markForwarded(planning))
+	mux.Handle(planning.PathPrefix(), s.metrics.traffic.count(kindOther, withTurns(markForwarded(planning))))
 	agreement := messenger.NewReplicationServer(replication{s})
-	mux.Handle(agreement.PathPrefix(), agreement)
+	mux.Handle(agreement.PathPrefix(), s.metrics.traffic.count(kindAgreement, agreement))
 	return http.MaxBytesHandler(mux, maxControlBody)
 }
 
--- a/keeper/internal/server/maintaining.go
+++ b/keeper/internal/server/maintaining.go
@@ -42,6 +42,34 @@
 type maintenance struct {
 	blankSince time.Time // since when all keepers have said that they are blank
 	quorumAt   time.Time // when this keeper last had contact with a quorum
+	guests     guests
+}
+
+// guests are keepers that no settings name and that have said that they are blank, by their
+// addresses.
+type guests map[string]guest
+
+type guest struct {
+	disk  uint64
+	since time.Time
+}
+
+// note takes what such keepers answer, and returns those that have said it for a time.
+func (g *guests) note(now time.Time, answers []answer, patience time.Duration) []answer {
+	before := *g
+	*g = make(guests)
+	var patient []answer
+	for _, a := range answers {
+		known, found := before[a.address]
+		if !found || known.disk != a.GetDisk() {
+			known = guest{disk: a.GetDisk(), since: now}
+		}
+		(*g)[a.address] = known
+		if now.Sub(known.since) >= patience {
+			patient = append(patient, a)
+		}
+	}
+	return patient
 }
 
 func (s *Server) look(ctx context.Context, m *maintenance) error {
@@ -85,9 +113,12 @@
 // others asks all other keepers that are known what they know, side by side: one
 // that is cut off answers nothing, and must not use up the others' time.
 func (s *Server) others(ctx context.Context) []answer {
+	return s.statuses(ctx, s.peerAddresses())
+}
+
+func (s *Server) statuses(ctx context.Context, addresses []string) []answer {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	addresses := s.peerAddresses()
 	found := make([]answer, len(addresses))
 	var group sync.WaitGroup
 	for i, address := range addresses {
@@ -133,9 +164,9 @@
 // foundOrJoin brings a newcomer into a group. Any keeper that has heard of one
 // shows that the group exists, and then a blank disk may have lost what it held.
 func (s *Server) foundOrJoin(ctx context.Context, status replicator.Status, m *maintenance) {
-	answers := s.others(ctx)
+	answers, guests := s.others(ctx), s.guests(ctx)
 	blank := len(status.Group) == 0 && len(answers) == len(s.peerAddresses())
-	for _, answer := range answers {
+	for _, answer := range slices.Concat(answers, guests) {
 		if len(answer.GetKeepers()) > 0 {
 			m.blankSince = time.Time{}
 			s.joinUnlessListed(ctx, status, answers)
@@ -143,21 +174,36 @@
 		}
 	}
 	now := s.clock.Now()
+	patient := m.guests.note(now, guests, s.timing.Election)
 	switch {
 	case !blank || !s.founds():
 		m.blankSince = time.Time{}
 	case m.blankSince.IsZero():
 		m.blankSince = now
 	case now.Sub(m.blankSince) >= s.timing.Election:
-		s.found(ctx, status, answers)
+		s.found(ctx, status, slices.Concat(answers, patient))
+	}
+}
+
+// guests asks keepers that follow this one and that no settings name. Only the one that founds
+// the group needs them: each that is a member from the start need not join by changes of the
+// membership, one after the other, while all routers of the fleet ask the few first members.
+func (s *Server) guests(ctx context.Context) []answer {
+	if !s.founds() || len(s.settings.Seeds) == 0 {
+		return nil
 	}
+	named := s.peerAddresses()
+	guests := slices.DeleteFunc(s.directory.keepers(), func(address string) bool {
+		return slices.Contains(named, address) || address == s.settings.Address().String()
+	})
+	return s.statuses(ctx, guests[:min(len(guests), replicator.MaxReplicas-len(named)-1)])
 }
 
-// found makes the first group of all keepers that the settings name. It needs every
-// one of them to have said twice, an election timeout apart, that it is blank:
-// if this keeper had founded a group before and lost its disk, then a majority
+// found makes the first group of all keepers that the settings name, and of others that are
+// there. It needs every one that is named to have said twice, an election timeout apart, that
+// it is blank: if this keeper had founded a group before and lost its disk, then a majority
 // holds what was accepted since, and the second time also a message that was
-// still under way has arrived.
+// still under way has arrived. Another one that does not answer joins later.
 func (s *Server) found(ctx context.Context, status replicator.Status, answers []answer) {
 	group := replicator.Group{{
 		ID: status.ID, Name: s.settings.Name, Address: s.settings.Address().String(), Role: replicator.Voter,
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -12,6 +12,7 @@
 type metrics struct {
 	registry *prometheus.Registry
 	unusable *prometheus.CounterVec // heartbeats that name no endpoint to use, by reason
+	traffic  traffic
 }
 
 func newMetrics(s *Server) *metrics {
@@ -54,7 +55,17 @@
 	for _, reason := range lister.Reasons {
 		unusable.WithLabelValues(string(reason)) // shown from the start: a rate needs its zero
 	}
-	return &metrics{registry: registry, unusable: unusable}
+	calls := traffic{
+		calls:   counters("calls_total", "Calls answered, by kind.", "kind"),
+		read:    counters("call_read_bytes_total", "Bytes of the bodies of calls, by kind.", "kind"),
+		written: counters("call_written_bytes_total", "Bytes of the bodies of answers, by kind.", "kind"),
+	}
+	for _, kind := range kinds {
+		for _, vector := range []*prometheus.CounterVec{calls.calls, calls.read, calls.written} {
+			vector.WithLabelValues(kind)
+		}
+	}
+	return &metrics{registry: registry, unusable: unusable, traffic: calls}
 }
 
 func truth(value bool) float64 {
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -100,8 +100,9 @@
 	if request.GetNode() == "" {
 		return nil, twirp.RequiredArgumentError("node")
 	}
+	setKind(ctx, kindOf(request.GetKeeper(), request.GetBrief()))
 	if p.directory.follow(p.clock.Now(), request) {
-		p.bulletin.wake()
+		p.bulletin.wake(true)
 	}
 	arrived := p.clock.Now()
 	held, gathered := p.hold(request)
@@ -109,15 +110,22 @@
 	defer timer.Stop()
 	for last := false; ; {
 		changed := p.bulletin.next()
+		turn, taken := p.turns.take(ctx)
+		if !taken {
+			return nil, twirp.NewError(twirp.Canceled, "the caller went away")
+		}
 		if last || p.newer(request) || !gathered && p.directory.fresh(request, p.epoch) {
+			leaveTurn(ctx, turn)
 			response := p.directory.news(p.clock.Now(), request, p.epoch)
 			shown := p.view.Load()
 			response.Plan, response.Zone = shown.plan.GetVersion(), p.settings.Zone
 			response.Evacuations, response.Evacuated = shown.zones.Revision, shown.zones.Zones
 			response.Rations = p.rations(arrived, request)
-			p.nameKeepers(response)
+			p.nameKeepers(p.clock.Now(), request, response)
+			response.Isolated = p.isolated(p.clock.Now())
 			return response, nil
 		}
+		turn.end()
 		select {
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, "the caller went away")
@@ -137,14 +145,6 @@
 		(shown.plan.GetVersion() > request.GetPlan() || shown.zones.Revision > request.GetEvacuations())
 }
 
-// nameKeepers lists the group's members, so that a follower that knows one
-// keeper finds all.
-func (p planning) nameKeepers(response *messenger.FollowResponse) {
-	for _, replica := range p.view.Load().status.Known() {
-		response.Keepers = append(response.Keepers, replica.Address)
-	}
-}
-
 // Beat takes a heartbeat. One of a service that nobody named is left out, unless it
 // is of a listed instance: that one may always say that it leaves.
 func (p planning) Beat(beat lister.Listing) {
@@ -159,7 +159,7 @@
 		p.log.Info().Str("endpoint", beat.ID).Str("service", beat.Service).Stringer("address", beat.Address).
 			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Time("started", beat.Started).
 			Msg("endpoint changed")
-		p.bulletin.wake()
+		p.bulletin.wake(beat.State > lister.Ready)
 	}
 }
 
@@ -167,7 +167,7 @@
 func (p planning) Leave(id string, started time.Time) {
 	if p.directory.leave(p.clock.Now(), id, started) {
 		p.log.Info().Str("endpoint", id).Time("started", started).Msg("endpoint leaves")
-		p.bulletin.wake()
+		p.bulletin.wake(true)
 	}
 }
 
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -79,6 +79,8 @@
 	files     recorder.FileSystem // nil in tests without a disk
 	followed  *subscriber.Subscriber
 	bulletin  bulletin
+	roster    roster
+	turns     turns
 	pacer     pacer.Pacer // of this process
 	unusable  damper.Damper
 	unwritten damper.Damper // copies of the list that failed
@@ -97,6 +99,7 @@
 // view is what the control loop last published for everyone to read.
 type view struct {
 	status     replicator.Status
+	quorumAt   time.Time // when there was contact with a quorum last
 	full       bool
 	revision   uint64
 	quarantine uint64
@@ -165,6 +168,7 @@
 	server.keepers.client = server.client
 	server.sender = sender.New(server.client, s.Control.String(), server.timing.Election)
 	server.epoch = uint64(mint())
+	server.turns = make(turns, pollsAtOnce)
 	seeds := s.SeedAddresses()
 	server.seeds.Store(&seeds)
 	if s.Platform != nil {
@@ -177,7 +181,7 @@
 	})
 	server.bulletin.clock, server.bulletin.readers = clock, server.directory.size
 	server.metrics = newMetrics(server)
-	server.view.Store(&view{})
+	server.view.Store(&view{quorumAt: clock.Now()})
 	return server
 }
 
@@ -353,6 +357,10 @@
 		plan: d.State().Plan(), zones: d.State().Evacuations(),
 		diskBytes: d.DiskBytes(), counters: d.Counters(), dropped: s.sender.Dropped(),
 	}
+	next.quorumAt = s.view.Load().quorumAt
+	if next.status.Quorum {
+		next.quorumAt = now
+	}
 	last := s.view.Swap(next)
 	s.retired.note(last.status.Group, next.status.Group)
 	for _, replica := range next.status.Group {
@@ -363,7 +371,7 @@
 	}
 	if last.plan.GetVersion() != next.plan.GetVersion() {
 		s.log.Info().Uint64("version", next.plan.GetVersion()).Uint64("before", last.plan.GetVersion()).Msg("plan in force")
-		s.bulletin.wake()
+		s.bulletin.wake(true)
 	}
 	if last.zones.Revision != next.zones.Revision {
 		s.zonesChanged(last.zones.Zones, next.zones)
--- a/keeper/internal/server/shedding_test.go
+++ b/keeper/internal/server/shedding_test.go
@@ -71,14 +71,14 @@
 			}
 			polled := answered()
 			s.directory.beat(clock.Now(), endpointAt("a", 1, lister.Ready))
-			s.bulletin.wake()
+			s.bulletin.wake(true)
 			require.Len(t, after(polled, test.endpoint).GetListings(), 1)
 			first, err := planning{s}.Follow(t.Context(), &messenger.FollowRequest{Node: "new", WaitMs: uint32(wait.Milliseconds())})
 			require.NoError(t, err)
 			require.Len(t, first.GetListings(), 1, "who begins to follow is told at once")
 			polled = answered()
 			s.view.Store(&view{plan: version(7, "seven")})
-			s.bulletin.wake()
+			s.bulletin.wake(true)
 			require.EqualValues(t, 7, after(polled, test.plan).GetPlan())
 		})
 	}
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -382,15 +382,58 @@
 	return l.last != before
 }
 
+// Drop forgets what has been gone for a time, and returns the ids. It is for a list that lets no
+// time pass because it hears no heartbeats itself.
+func (l *List) Drop(now time.Time, age time.Duration) []string {
+	var dropped []string
+	for id, e := range l.entries {
+		if e.State == Gone && now.Sub(e.heard) > age {
+			l.forget(e)
+			dropped = append(dropped, id)
+		}
+	}
+	for address, h := range l.holders {
+		if _, listed := l.entries[h.id]; !listed && now.Sub(h.heard) > age {
+			delete(l.holders, address)
+		}
+	}
+	return dropped
+}
+
+// Services returns how many ready instances each service has.
+func (l *List) Services() map[string]int {
+	services := make(map[string]int)
+	for _, e := range l.entries {
+		if e.State == Ready && !e.pending {
+			services[e.Service]++
+		}
+	}
+	return services
+}
+
+// Retell makes a service's instances news again.
+func (l *List) Retell(service string) {
+	for _, e := range l.entries {
+		if e.Service == service && e.State == Ready {
+			l.touch(e)
+		}
+	}
+}
+
 // Since returns what has changed behind a revision, oldest change first.
 func (l *List) Since(revision uint64) []Listing {
+	return l.Select(revision, func(*Listing) bool { return true })
+}
+
+// Select returns those of the changes behind a revision that are wanted, oldest change first.
+func (l *List) Select(revision uint64, wanted func(*Listing) bool) []Listing {
 	var listings []Listing
 	for at := l.changes.Back(); at != nil; at = at.Prev() {
 		e, known := at.Value.(*entry)
 		if !known || e.revision <= revision {
 			break
 		}
-		if !e.pending {
+		if !e.pending && wanted(&e.Listing) {
 			listings = append(listings, e.Listing)
 		}
 	}
--- a/lib/subscriber/pace.go
+++ b/lib/subscriber/pace.go
@@ -15,8 +15,7 @@
 )
 
 // WaitFor returns how long a keeper holds polls without news in a fleet of so many routers and
-// keepers, so that the routers that report to it ask at most mostPolls times a second. Keepers
-// exchange what was reported to them at the same pace: told more often it would not be newer.
+// keepers, so that the routers that report to it ask at most mostPolls times a second.
 func WaitFor(routers, keepers int) time.Duration {
 	return min(max(reporting(routers, keepers)/mostPolls, LeastWait), DefaultWait)
 }
@@ -37,6 +36,31 @@
 
 // BriefWaitFor returns how long a keeper holds the polls of routers that report to another.
 func BriefWaitFor(routers, keepers int) time.Duration {
-	others := time.Duration(routers)*time.Second - reporting(routers, keepers)
+	if keepers > fewKeepers {
+		return mostBriefWait // of so many only some are followed, and what they hear others hear as well
+	}
+	others := time.Duration(max(keepers-1, 0)) * reporting(routers, keepers)
 	return min(max(others/mostBriefs, DefaultWait), mostBriefWait)
 }
+
+// ReportWaitFor returns how long a keeper holds the polls of a router that reports to it and has
+// so many requests a second, in a fleet of so many routers and keepers: it asks about as often as
+// it has something to tell. In a large fleet most routers have little, and all of them together
+// would cost keepers most of their time.
+func ReportWaitFor(requests float64, routers, keepers int) time.Duration {
+	wait := DefaultWait
+	if requests > 0 {
+		wait = time.Duration(min(float64(time.Second)/requests, float64(DefaultWait)))
+	}
+	return max(wait, WaitFor(routers, keepers))
+}
+
+// mostExchanges bounds the polls a second of a keeper by all others of its group.
+const mostExchanges = 60
+
+// ExchangeWaitFor returns how long keepers hold one another's polls. What was reported to them
+// is not newer if it is told more often than routers report.
+func ExchangeWaitFor(routers, keepers int) time.Duration {
+	others := time.Duration(max(keepers-1, 0)) * time.Second / mostExchanges
+	return min(max(others, WaitFor(routers, keepers)), DefaultWait)
+}
--- a/lib/subscriber/primary_test.go
+++ b/lib/subscriber/primary_test.go
@@ -15,7 +15,7 @@
 )
 
 func TestPrimaryIsOfTheOwnZone(t *testing.T) {
-	near, alsoNear, far := candidate{address(1), "here"}, candidate{address(2), "here"}, candidate{address(3), "there"}
+	near, alsoNear, far := candidate{address: address(1), zone: "here"}, candidate{address: address(2), zone: "here"}, candidate{address: address(3), zone: "there"}
 	tests := map[string]struct {
 		candidates []candidate
 		want       []netip.AddrPort
@@ -102,7 +102,7 @@
 func TestFirstPrimaryIsLeftForOneOfTheOwnZoneOnly(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	primary := Primary{Name: "r", Zone: "here"}
-	far := []candidate{{address(1), "there"}, {address(2), "there"}}
+	far := []candidate{{address: address(1), zone: "there"}, {address: address(2), zone: "there"}}
 	if primary.choose(far) == address(1) {
 		far[0], far[1] = far[1], far[0] // the second one ranks first
 	}
@@ -115,7 +115,7 @@
 	require.Equal(t, far[0].address, answers(far[0]))
 	s.listed = clock.Now()
 	require.Equal(t, far[0].address, answers(far[1]))
-	require.Equal(t, address(3), answers(candidate{address(3), "here"}))
+	require.Equal(t, address(3), answers(candidate{address: address(3), zone: "here"}))
 	s.followed[address(3)].answer = false
 	s.choose()
 	require.Equal(t, far[1].address, s.primary, "one that answers no more is left at once")
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -1,7 +1,8 @@
-// Package subscriber follows keepers: it keeps one long poll open at each of
-// them, hands in what this process reports, and hands out the news.
+// Package subscriber follows keepers: it keeps one long poll open at each that it
+// follows, hands in what this process reports, and hands out the news.
 //
-// Keepers are found from a few addresses: each answer names the whole group.
+// Keepers are found from a few addresses: answers name the whole group. Keepers follow all
+// others, routers a few of them where the group is large.
 //
 // A router reports to one of them, its primary, which adds its report to those that
 // the other keepers have and tells the sums. The rest is followed briefly: for changes,
@@ -11,8 +12,9 @@
 //
 // Invariants: every poll is bounded in time, because a connection may go silent
 // without a reset; a keeper that does not answer is asked again after a pause
-// that rises to MaxPause and never further, so that one that is back is heard of
-// within that time; one keeper's silence delays no other keeper's news.
+// that rises to MaxPause and never further, or after passTime where another one is
+// followed in its place, so that one that is back is heard of within that time; one
+// keeper's silence delays no other keeper's news.
 package subscriber
 
 import (
@@ -22,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
@@ -53,22 +56,28 @@
 	patienceTries = 5
 	// retired is how long a keeper that no group names any more is still asked.
 	retired = 30 * time.Second
-	// settleTime is how long after the first whole list only a keeper of the own zone takes
-	// the reports from one that answers.
+	// settleTime is how long after the first whole list a keeper that answers is left only for
+	// one of the own zone, and one of the own zone for none.
 	settleTime = 2 * time.Second
-	// maxKeepers bounds the keepers that are followed at once.
-	maxKeepers = 32
+	// maxKeepers bounds the keepers that are known, as the largest group is bounded.
+	maxKeepers = 64
+	// reviewPause is how often it is looked at who is to be followed where nothing has happened:
+	// a keeper that was passed over has its place again after a while.
+	reviewPause = time.Second
 )
 
+// ErrLeft means that a keeper is followed no more because others are.
+var ErrLeft = merry.Sentinel("another keeper is followed in its place")
+
 // Host is who follows.
 type Host interface {
 	// Report returns what the keeper at an address is told with the next poll. Epoch,
-	// after, wait and brief are filled in by the subscriber. A brief report leaves out
+	// after, wait, brief, group and partial are filled in by the subscriber. A brief report leaves out
 	// what only the primary is told.
 	Report(keeper netip.AddrPort, brief bool) *messenger.FollowRequest
 	// News takes an answer. It is called by one goroutine for each keeper.
 	News(ctx context.Context, keeper netip.AddrPort, news *messenger.FollowResponse)
-	// Lost tells that a keeper that answered before does not.
+	// Lost tells that a keeper that answered before does not, or is followed no more.
 	Lost(keeper netip.AddrPort, err error)
 }
 
@@ -83,11 +92,12 @@
 	Own netip.AddrPort
 	// Wait is DefaultWait if 0. Pace changes it.
 	Wait time.Duration
-	// Primary chooses the keeper that is reported to. Without it all of them are.
+	// Primary chooses the keepers that are followed and the one that is reported to. Without
+	// it all of them are.
 	Primary *Primary
 }
 
-// Subscriber follows all keepers that it knows of.
+// Subscriber follows keepers.
 type Subscriber struct {
 	options Options
 
@@ -95,20 +105,29 @@
 	brief    atomic.Int64 // a time.Duration, of the others
 	mutex    sync.Mutex
 	ctx      context.Context
+	members  map[netip.AddrPort]*member
 	followed map[netip.AddrPort]*followed
+	ending   map[netip.AddrPort]<-chan struct{} // followings that were ended, until they have
 	primary  netip.AddrPort
-	listed   time.Time // when a keeper told its whole list first
-	answered bool      // any keeper has answered since the start
+	reviewed time.Time     // when it was looked at last who is to be followed
+	listed   time.Time     // when a keeper told its whole list first
+	answered bool          // any keeper has answered since the start
+	begun    chan struct{} // closed then
 	group    sync.WaitGroup
 }
 
+// followed is the following of one keeper.
 type followed struct {
-	named  time.Time // when an answer or the settings named it last
-	epoch  uint64
-	after  uint64
-	answer bool // the last poll was answered
-	zone   string
-	whole  bool // it has told its whole list, and every change since; a brief answer leaves some out
+	end      context.CancelFunc
+	ended    chan struct{}
+	epoch    uint64
+	after    uint64
+	group    uint64           // digest of the group as it was named last
+	names    []netip.AddrPort // that group
+	answer   bool             // the last poll was answered
+	isolated bool             // it had had no contact with a quorum for long
+	zone     string
+	whole    bool // it has told its whole list, and every change since; a brief answer leaves some out
 	// promote ends the poll that is under way, because the keeper has become the primary.
 	// It is nil while a poll of the primary is under way, or none.
 	promote  context.CancelFunc
@@ -120,7 +139,11 @@
 	if options.Wait == 0 {
 		options.Wait = DefaultWait
 	}
-	s := &Subscriber{options: options, followed: make(map[netip.AddrPort]*followed)}
+	s := &Subscriber{
+		options: options, members: make(map[netip.AddrPort]*member),
+		followed: make(map[netip.AddrPort]*followed), ending: make(map[netip.AddrPort]<-chan struct{}),
+		begun: make(chan struct{}),
+	}
 	s.Pace(options.Wait, options.Wait)
 	return s
 }
@@ -141,32 +164,6 @@
 	s.group.Wait()
 }
 
-// Know adds keepers.
-func (s *Subscriber) Know(addresses ...netip.AddrPort) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.ctx == nil || s.ctx.Err() != nil {
-		return
-	}
-	now := s.options.Clock.Now()
-	for _, address := range addresses {
-		if !address.IsValid() || address == s.options.Own {
-			continue
-		}
-		if known, found := s.followed[address]; found {
-			known.named = now
-			continue
-		}
-		if len(s.followed) >= maxKeepers {
-			s.options.Log.Warn().Stringer("keeper", address).Msg("too many keepers are followed; this one is left out")
-			continue
-		}
-		added := &followed{named: now}
-		s.followed[address] = added
-		s.group.Go(func() { s.follow(s.ctx, address, added) })
-	}
-}
-
 // Answering returns how many keepers answered their last poll.
 func (s *Subscriber) Answering() int {
 	s.mutex.Lock()
@@ -180,7 +177,7 @@
 	return count
 }
 
-// follow polls one keeper until the context ends or nobody names it any more.
+// follow polls one keeper until the context ends.
 func (s *Subscriber) follow(ctx context.Context, address netip.AddrPort, f *followed) {
 	client := s.options.Dial(address)
 	pause, tries := MinPause, 0
@@ -188,14 +185,13 @@
 		news, err := s.poll(ctx, client, address, f, s.slackFor(tries))
 		if err == nil {
 			pause = MinPause
-			s.learn(news)
 			s.options.Host.News(ctx, address, news)
 			continue
 		}
 		if ctx.Err() == nil && s.wasPromoted(f) {
 			continue
 		}
-		if ctx.Err() != nil || s.retire(address, f) {
+		if ctx.Err() != nil {
 			return
 		}
 		s.lost(address, f, err)
@@ -241,9 +237,10 @@
 func (s *Subscriber) poll(ctx context.Context, client messenger.Planning, address netip.AddrPort, f *followed, slack time.Duration) (*messenger.FollowResponse, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	brief := s.begin(address, f, cancel)
+	brief := s.prepare(address, f, cancel)
 	request := s.options.Host.Report(address, brief)
-	request.Brief, request.Epoch, request.After = brief, f.epoch, f.after
+	request.Brief, request.Epoch, request.After, request.Group = brief, f.epoch, f.after, f.group
+	request.Partial = s.partial()
 	if !brief && !f.whole {
 		request.Epoch, request.After = 0, 0
 	}
@@ -267,16 +264,26 @@
 	if !f.answer {
 		s.options.Log.Info().Stringer("keeper", address).Uint64("plan", news.GetPlan()).Msg("keeper answers")
 	}
+	now := s.options.Clock.Now()
 	if !brief && s.listed.IsZero() {
-		s.listed = s.options.Clock.Now()
+		s.listed = now
 	}
+	first := !s.answered
+	changed := !f.answer || f.isolated != news.GetIsolated() || now.Sub(s.reviewed) > reviewPause
 	s.answered, f.answer, f.promoted, f.whole = true, true, false, !brief
-	f.epoch, f.after, f.zone = news.GetEpoch(), news.GetNext(), news.GetZone()
+	f.epoch, f.after, f.zone, f.isolated = news.GetEpoch(), news.GetNext(), news.GetZone(), news.GetIsolated()
+	s.judge(now, address, f)
+	if s.learn(now, f, news) || changed {
+		s.review(now)
+	}
+	if first {
+		close(s.begun)
+	}
 	s.choose()
 }
 
-// begin prepares a poll, and tells whether it is a brief one.
-func (s *Subscriber) begin(address netip.AddrPort, f *followed, cancel context.CancelFunc) bool {
+// prepare prepares a poll, and tells whether it is a brief one.
+func (s *Subscriber) prepare(address netip.AddrPort, f *followed, cancel context.CancelFunc) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.options.Primary == nil || s.primary == address {
@@ -317,7 +324,7 @@
 	var candidates []candidate
 	for address, f := range s.followed {
 		if f.answer {
-			candidates = append(candidates, candidate{address: address, zone: f.zone})
+			candidates = append(candidates, candidate{address: address, zone: f.zone, isolated: f.isolated})
 		}
 	}
 	chosen := s.options.Primary.choose(candidates)
@@ -325,7 +332,8 @@
 		return
 	}
 	present, found := s.followed[s.primary]
-	if found && present.answer && s.settling() && s.followed[chosen].zone != s.options.Primary.Zone {
+	near := func(f *followed) bool { return f.zone == s.options.Primary.Zone }
+	if found && present.answer && !present.isolated && s.settling() && (near(present) || !near(s.followed[chosen])) {
 		return
 	}
 	s.options.Log.Info().Str("keeper", nameOf(chosen)).Str("before", nameOf(s.primary)).Int("answering", len(candidates)).
@@ -345,21 +353,13 @@
 	return address.String()
 }
 
-func (s *Subscriber) learn(news *messenger.FollowResponse) {
-	for _, named := range news.GetKeepers() {
-		address, err := netip.ParseAddrPort(named)
-		if err != nil {
-			s.options.Log.Warn().Str("keeper", named).Msg("a keeper's address cannot be read; it is not followed")
-			continue
-		}
-		s.Know(address)
-	}
-}
-
 func (s *Subscriber) lost(address netip.AddrPort, f *followed, err error) {
 	s.mutex.Lock()
+	now := s.options.Clock.Now()
 	answered := f.answer
 	f.answer = false
+	s.judge(now, address, f)
+	s.review(now)
 	s.choose()
 	s.mutex.Unlock()
 	if answered {
@@ -368,13 +368,15 @@
 	}
 }
 
-// retire ends the following of a keeper that has left its group.
-func (s *Subscriber) retire(address netip.AddrPort, f *followed) bool {
+// leave ends the following of a keeper. It is the last that the host hears of it.
+func (s *Subscriber) leave(address netip.AddrPort, f *followed) {
+	defer close(f.ended)
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.options.Clock.Since(f.named) < retired {
-		return false
+	answered := f.answer && s.ctx.Err() == nil
+	f.answer = false
+	s.mutex.Unlock()
+	if answered {
+		s.options.Log.Info().Stringer("keeper", address).Msg("keeper is followed no more")
+		s.options.Host.Lost(address, ErrLeft)
 	}
-	delete(s.followed, address)
-	return true
 }
--- a/router/internal/director/connections_test.go
+++ b/router/internal/director/connections_test.go
@@ -76,14 +76,14 @@
 // that time.
 func TestLateRouterAsksLessOften(t *testing.T) {
 	d := &Director{}
-	primary, _ := d.waits(60, 6)
+	primary, _ := d.waits(60, 60, 6)
 	require.Equal(t, subscriber.LeastWait, primary)
 	for range 20 {
 		d.pacer.Look(2 * pacer.Calm)
 	}
-	primary, others := d.waits(60, 6)
+	primary, others := d.waits(60, 60, 6)
 	require.Equal(t, subscriber.LateWait, primary)
 	require.Equal(t, subscriber.BriefWaitFor(60, 6), others)
-	primary, _ = d.waits(200, 5)
+	primary, _ = d.waits(60, 200, 5)
 	require.Equal(t, subscriber.WaitFor(200, 5), primary, "it asks no more often than the others")
 }
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -103,6 +104,7 @@
 	connected connections
 	screened  atomic.Pointer[screener.Listener] // nil before clients are served
 	pacer     pacer.Pacer
+	rate      rate // of requests
 
 	mutex    sync.Mutex
 	planning map[netip.AddrPort]messenger.Planning
@@ -117,7 +119,7 @@
 func New(settings Settings, path string, log zerolog.Logger, clock clockwork.Clock) *Director {
 	d := &Director{
 		settings: settings, path: path, log: log, clock: clock,
-		balancer: &balancer.Balancer{}, client: &forwarder.Client{Clock: clock},
+		balancer: &balancer.Balancer{Zone: settings.Zone, Seed: xxhash.Sum64String(settings.Name)}, client: &forwarder.Client{Clock: clock},
 		budget:   &budgeter.Budgeter{Bound: settings.Retry.bound()},
 		shares:   &apportioner.Apportioner{},
 		planning: make(map[netip.AddrPort]messenger.Planning),
@@ -127,7 +129,7 @@
 	dialect := platform.Dialect{}
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
-		Endpoint: d.endpoint, Plan: d.plan, Routers: d.routers,
+		Endpoints: d.endpoints, Plan: d.plan, Routers: d.routers,
 		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Unread, Fleet: d.fleet,
 		Backlog:   func() time.Duration { return d.backlog(clock.Now()) },
 		Evacuated: func(zones []string) { d.balancer.Evacuate(clock.Now(), zones) },
@@ -147,9 +149,10 @@
 		Gather:  time.Duration(gatherShare * float64(settings.Pass.Duration)),
 		// The bound on what is under way comes before the lag: a process lags only
 		// when it has taken too much already, and stays late for as long as that takes.
-		Most:   d.mostRunning(),
-		Lags:   d.pacer.Lags,
-		Starts: d.pacer.Starts,
+		Most:      d.mostRunning(),
+		HeldBytes: passer.HeldBytes(settings.Memory),
+		Lags:      d.pacer.Lags,
+		Starts:    d.pacer.Starts,
 	})
 	d.registerGauges()
 	return d
@@ -167,11 +170,13 @@
 	return known
 }
 
-// endpoint takes news of an endpoint.
-func (d *Director) endpoint(listing lister.Listing) {
-	if d.balancer.Update(listing) {
-		d.client.Forget(listing.Address)
-		d.log.Info().Str("endpoint", listing.ID).Time("started", listing.Started).Msg("endpoint has started again")
+// endpoints takes news of endpoints.
+func (d *Director) endpoints(listings []lister.Listing) {
+	for _, listing := range listings {
+		if d.balancer.Update(listing) {
+			d.client.Forget(listing.Address)
+			d.log.Info().Str("endpoint", listing.ID).Time("started", listing.Started).Msg("endpoint has started again")
+		}
 	}
 }
 
@@ -217,13 +222,14 @@
 	d.budget.Share(count)
 	d.shares.Routers(count)
 	d.balancer.Routers(count)
-	d.news.Pace(d.waits(count, d.news.Answering()))
+	rate := d.rate.take(d.clock.Now(), d.passer.Taken())
+	d.news.Pace(d.waits(rate, count, d.news.Keepers()))
 }
 
-// waits returns how long keepers are to hold this router's polls, in a fleet of so many
-// routers and keepers.
-func (d *Director) waits(routers, keepers int) (primary, others time.Duration) {
-	primary, others = subscriber.WaitFor(routers, keepers), subscriber.BriefWaitFor(routers, keepers)
+// waits returns how long keepers are to hold this router's polls if it has so many requests a
+// second, in a fleet of so many routers and keepers.
+func (d *Director) waits(requests float64, routers, keepers int) (primary, others time.Duration) {
+	primary, others = subscriber.ReportWaitFor(requests, routers, keepers), subscriber.BriefWaitFor(routers, keepers)
 	if d.pacer.Late() > pacer.Calm {
 		primary = max(primary, subscriber.LateWait)
 	}
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -20,6 +20,7 @@
 
 	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/balancer"
+	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
@@ -49,8 +50,8 @@
 	Clock   clockwork.Clock
 	Log     zerolog.Logger
 	Dial    func(address netip.AddrPort) messenger.Planning
-	// Endpoint is told of every change of an endpoint.
-	Endpoint func(listing lister.Listing)
+	// Endpoints is told of changes of endpoints, in their order.
+	Endpoints func(listings []lister.Listing)
 	// Plan is told of every configuration before it is in force.
 	Plan func(table *resolver.Table)
 	// Routers is told how many routers the fleet has.
@@ -97,6 +98,8 @@
 	evacuations uint64                       // revision of the evacuated zones
 	asked       map[netip.AddrPort]time.Time // when the keepers' polls under way were sent
 	fetching    sync.Mutex
+	lines       damper.Damper // of endpoints
+	dropped     time.Time     // when endpoints that are gone were dropped last
 	enforced    chan struct{} // closed when another configuration is in force
 }
 
@@ -111,7 +114,7 @@
 		options: options, silent: make(map[string]map[netip.AddrPort]bool), told: make(map[string]bool),
 		contacts: make(map[netip.AddrPort]bool), begun: make(chan struct{}), enforced: make(chan struct{}),
 		crashes: make(map[uint64]*crash), quarantined: make(map[uint64]time.Time),
-		asked: make(map[netip.AddrPort]time.Time),
+		asked: make(map[netip.AddrPort]time.Time), lines: damper.Damper{Most: mostLogged},
 	}
 }
 
@@ -265,7 +268,7 @@
 func fleetOf(news *messenger.FollowResponse) Fleet {
 	scale := 1.0
 	if counted := news.GetReporting(); counted > 0 {
-		scale = min(max(float64(news.GetRouters())/float64(counted), 1), mostScaled)
+		scale = min(max(float64(news.GetExpected())/float64(counted), 1), mostScaled)
 	}
 	fleet := Fleet{
 		Uses:    make(map[string]apportioner.Use, len(news.GetUses())),
@@ -329,16 +332,10 @@
 	delete(r.told, id)
 }
 
-// tell hands on what this router believes anew of endpoints, and logs each once, however
-// many keepers say it.
+// tell hands on what this router believes anew of endpoints.
 func (r *Reader) tell(keeper netip.AddrPort, changed []lister.Listing) {
-	for _, listing := range changed {
-		r.options.Log.Info().Str("endpoint", listing.ID).Str("service", listing.Service).Stringer("address", listing.Address).
-			Uint8("state", uint8(listing.State)).Bool("silent", listing.Silent).Uint64("sequence", listing.Sequence).
-			Time("started", listing.Started).
-			Stringer("keeper", keeper).Msg("endpoint changed")
-		r.options.Endpoint(listing)
-	}
+	r.log(keeper, changed)
+	r.options.Endpoints(changed)
 }
 
 // isSilent tells whether all keepers that answer hear nothing of an instance. A
@@ -359,6 +356,7 @@
 	}
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
+	r.dropGone(now)
 	before := r.list.Revision()
 	said := make(map[string]bool, len(listings))
 	for _, wire := range listings {
@@ -384,6 +382,23 @@
 	r.tell(keeper, changed)
 }
 
+// goneMemory is for how long an endpoint that is gone is remembered: longer than by any keeper,
+// whose late news must not bring it back.
+const goneMemory = 10 * time.Minute
+
+// dropGone forgets endpoints that have long been gone. Else their number, as replacements go on,
+// would fill the list in some weeks, and no new ones would be taken.
+func (r *Reader) dropGone(now time.Time) {
+	if now.Sub(r.dropped) < goneMemory/10 {
+		return
+	}
+	r.dropped = now
+	for _, id := range r.list.Drop(now, goneMemory) {
+		delete(r.silent, id)
+		delete(r.told, id)
+	}
+}
+
 // noteSilence remembers which keepers hear nothing of an instance. What a keeper
 // says of a life that is over says nothing of the one that followed.
 func (r *Reader) noteSilence(keeper netip.AddrPort, listing lister.Listing) {
--- a/router/internal/newsreader/newsreader_test.go
+++ b/router/internal/newsreader/newsreader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -56,10 +57,12 @@
 		Name: "router", Dialect: platform.Dialect{}, Clock: b.clock, Log: zerolog.Nop(),
 		Dial: func(address netip.AddrPort) messenger.Planning { return b.keepers[address] },
 		Plan: func(*resolver.Table) {},
-		Endpoint: func(listing lister.Listing) {
+		Endpoints: func(listings []lister.Listing) {
 			b.mutex.Lock()
 			defer b.mutex.Unlock()
-			b.known[listing.ID] = listing
+			for _, listing := range listings {
+				b.known[listing.ID] = listing
+			}
 		},
 		Evacuated: func(zones []string) { b.zones = append(b.zones, zones) },
 		Rations: func(asked time.Time, keeper netip.AddrPort, leases []balancer.Ration) {
@@ -260,3 +263,26 @@
 	b.clock.Advance(6 * time.Second)
 	require.False(t, b.reader.Quarantined(7))
 }
+
+// Guards against a router that takes no new endpoints after some weeks of replacements, because
+// its list is full of those that are gone.
+func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
+	b := newBed(t)
+	replace := func(i int) {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 80)
+		for _, state := range []lister.State{lister.Ready, lister.Gone} {
+			listing := lister.Listing{ID: fmt.Sprint("i-", i), Service: "desk", Address: address, State: state, Sequence: uint64(state)}
+			b.news(1, &messenger.FollowResponse{Listings: []*messenger.Listing{lister.ToWire(listing, b.clock.Now())}})
+		}
+	}
+	replace(0)
+	b.clock.Advance(goneMemory / 2)
+	replace(1)
+	_, found := b.reader.list.Find("i-0")
+	require.True(t, found, "late news of it must not bring it back")
+	for i := 2; i < 200; i++ {
+		b.clock.Advance(goneMemory / 10)
+		replace(i)
+	}
+	require.LessOrEqual(t, len(b.reader.list.Since(0)), 15)
+}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -97,7 +97,8 @@
 	quietly damper.Damper
 	returns returns
 	ledger  ledger
-	pressed atomic.Int64 // when a request was refused last for want of room or share, in ns of the Unix time
+	taken   atomic.Uint64 // requests that came
+	pressed atomic.Int64  // when a request was refused last for want of room or share, in ns of the Unix time
 }
 
 // New returns a passer.
@@ -150,6 +151,7 @@
 // ServeHTTP serves one request.
 func (p *Passer) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	q := &request{http: h, writer: w, received: p.options.Clock.Now()}
+	p.taken.Add(1)
 	p.drain.enter()
 	defer p.drain.leave()
 	if p.drain.stopping() || p.options.Crowded != nil && p.options.Crowded() {
@@ -175,6 +177,11 @@
 	}
 }
 
+// Taken returns how many requests have come since the start.
+func (p *Passer) Taken() uint64 {
+	return p.taken.Load()
+}
+
 // pass sends the request until it has its ending.
 func (p *Passer) pass(q *request) {
 	p.options.Starts.Take(q.received, q.workspace)
