--- a/lib/subscriber/selection.go
+++ b/lib/subscriber/selection.go
@@ -38,14 +38,6 @@
 	passed time.Time // until when it is passed over for that
 }
 
-// followedOf returns how many of a group's keepers a router follows.
-func followedOf(keepers int) int {
-	if keepers <= fewKeepers {
-		return keepers
-	}
-	return followedMost
-}
-
 // selected returns the keepers that a router is to follow.
 //
 // In a small group these are all. In a larger one a router follows a few, so that what a keeper
