Gather news of new endpoints for longer, and tell the next life of one at once

Hypothesis: in the fleet's first seconds thousands of endpoints announce themselves, and each of 142 followers of a keeper is answered five times a second for them; nobody is served later if a new endpoint is known some tenths of a second later. An endpoint that has started again is no such news: its requests have ended. Up to 20 followers nothing is gathered, as before.

--- a/keeper/internal/server/bulletin.go
+++ b/keeper/internal/server/bulletin.go
@@ -10,8 +10,10 @@
 const (
 	// fewReaders are told of each change by itself.
 	fewReaders = 20
-	// mostAnswers bounds the answers a second that changes alone lead to.
+	// mostAnswers bounds the answers a second that urgent changes lead to, and calmAnswers those
+	// that the others do.
 	mostAnswers = 600
+	calmAnswers = 150
 	// mostPause bounds the pause before news that speaks against an endpoint, and calmPause
 	// before other news: an endpoint that leaves has told so, and is to get no more work, while
 	// a new one is only not used yet.
@@ -57,11 +59,11 @@
 
 // pauseOf returns the pause between two wake-ups of so many readers.
 func pauseOf(readers int, urgent bool) time.Duration {
-	most := calmPause
+	many := time.Duration(max(readers-fewReaders, 0)) * time.Second
 	if urgent {
-		most = mostPause
+		return min(many/mostAnswers, mostPause)
 	}
-	return min(time.Duration(max(readers-fewReaders, 0))*time.Second/mostAnswers, most)
+	return min(many/calmAnswers, calmPause)
 }
 
 // tell ends a gathering that is due.
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -73,11 +73,13 @@
 	guilty bool // it is quarantined
 }
 
-// beat takes a heartbeat from an instance.
-func (d *directory) beat(now time.Time, beat lister.Listing) bool {
+// beat takes a heartbeat from an instance. It tells whether the list changed, and whether by
+// something urgent.
+func (d *directory) beat(now time.Time, beat lister.Listing) (changed, urgent bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	changed := d.list.Beat(now, beat)
+	urgent = d.urgent(beat)
+	changed = d.list.Beat(now, beat)
 	d.sources.direct(beat.ID)
 	if d.heard == nil {
 		d.heard = make(map[string]heard)
@@ -85,7 +87,14 @@
 	if !beat.Started.Before(d.heard[beat.ID].started) {
 		d.heard[beat.ID] = heard{started: beat.Started, sequence: beat.Sequence, at: now}
 	}
-	return changed
+	return changed, urgent
+}
+
+// urgent tells whether a listing speaks against an endpoint that may be in use: it leaves or is
+// gone, or another life of it has begun.
+func (d *directory) urgent(l lister.Listing) bool {
+	known, found := d.list.Find(l.ID)
+	return l.State > lister.Ready || found && !known.Started.Equal(l.Started)
 }
 
 // lists tells whether an instance is listed under a service.
@@ -148,9 +157,10 @@
 		}
 		// Whether it is silent is for each keeper to say: this one may hear it.
 		listing.Silent = false
+		urgent := d.urgent(listing)
 		if d.list.Beat(now, listing) {
 			d.sources.told(listing.ID, keeper)
-			m.any, m.urgent = true, m.urgent || listing.State > lister.Ready
+			m.any, m.urgent = true, m.urgent || urgent
 		}
 	}
 	return m
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -155,11 +155,11 @@
 		return
 	}
 	beat.ColdUntil = coldest(p.clock.Now(), beat.ColdUntil, service)
-	if p.directory.beat(p.clock.Now(), beat) {
+	if changed, urgent := p.directory.beat(p.clock.Now(), beat); changed {
 		p.log.Info().Str("endpoint", beat.ID).Str("service", beat.Service).Stringer("address", beat.Address).
 			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Time("started", beat.Started).
 			Msg("endpoint changed")
-		p.bulletin.wake(beat.State > lister.Ready)
+		p.bulletin.wake(urgent)
 	}
 }
 
--- a/keeper/internal/server/sources_test.go
+++ b/keeper/internal/server/sources_test.go
@@ -111,3 +111,35 @@
 	m.exchange()
 	require.Equal(t, lister.Ready, state(m.keepers[0], 3))
 }
+
+// Guards against routers that go on sending to a life of an endpoint that is over until the next
+// calm news.
+func TestWhatSpeaksAgainstAnEndpointIsUrgent(t *testing.T) {
+	later := heardAt(1, lister.Ready, 1)
+	later.Started = began.Add(time.Minute)
+	tests := map[string]struct {
+		known   []lister.Listing
+		listing lister.Listing
+		urgent  bool
+	}{
+		"a new endpoint":   {nil, heardAt(1, lister.Ready, 1), false},
+		"one that leaves":  {[]lister.Listing{heardAt(1, lister.Ready, 1)}, heardAt(1, lister.Leaving, 2), true},
+		"its next life":    {[]lister.Listing{heardAt(1, lister.Ready, 1)}, later, true},
+		"one more of its":  {[]lister.Listing{heardAt(1, lister.Ready, 1)}, heardAt(1, lister.Ready, 2), false},
+		"another endpoint": {[]lister.Listing{heardAt(1, lister.Ready, 1)}, heardAt(2, lister.Ready, 1), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(2)
+			for _, listing := range test.known {
+				for _, d := range m.keepers {
+					d.beat(began, listing)
+				}
+			}
+			_, urgent := m.keepers[0].beat(began, test.listing)
+			require.Equal(t, test.urgent, urgent)
+			told := m.keepers[1].merge(began, "keeper-0", []*messenger.Listing{lister.ToWire(test.listing, began)})
+			require.Equal(t, test.urgent && told.any, told.urgent)
+		})
+	}
+}
