Tell routers of silence in their subset only, and try only keepers that would come first

Change: silence is told of a router's subset, leaving of all; a failed keeper is tried again only if it would come before one that is followed.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -326,8 +326,8 @@
 }
 
 // unknown returns the part of the list that a follower does not know yet. A router is told of
-// its subset of those that are well. One that follows briefly has these from its primary: from
-// here it only hears what speaks against an endpoint, or no longer does. Else each endpoint
+// its subset, and of all that leave. One that follows briefly has the subset from its primary:
+// from here it only hears what speaks against an endpoint, or no longer does. Else each endpoint
 // that announces itself would be told to every router by every keeper. A keeper is told what
 // no other one tells it.
 func (d *directory) unknown(request *messenger.FollowRequest, epoch uint64) []lister.Listing {
@@ -340,7 +340,7 @@
 	}
 	router := d.subset.of(request.GetNode(), request.GetZone())
 	return d.list.Select(after, func(l *lister.Listing) bool {
-		return !l.Well() || !request.GetBrief() && router.has(l)
+		return l.State > lister.Ready || (!request.GetBrief() || !l.Well()) && router.has(l)
 	})
 }
 
--- a/keeper/internal/server/subset.go
+++ b/keeper/internal/server/subset.go
@@ -18,14 +18,15 @@
 	narrowShare = 0.75
 )
 
-// subset decides of which endpoints that are well a router is told: those of its own zone, and
+// subset decides of which endpoints a router is told: those of its own zone, and
 // where a service has many a stable sample of the others, different for each router. With these
 // it serves if its zone's are lost, evacuated or busy, without asking anybody first. Told of
 // all, each router would hold the whole fleet, and each endpoint's start would be a message to
 // every router.
 //
-// What speaks against an endpoint is told of all of them, so that a router that knows one from
-// before, or from another keeper, never takes it for well for too long.
+// That an endpoint leaves or is gone is told of all of them, so that a router that knows one from
+// before, or from another keeper, sends it nothing more. That one is silent is not: after a cut
+// between zones it is said of most of them, and what a router knows besides its subset is little.
 //
 // Its zero value tells of all.
 type subset struct {
--- a/keeper/internal/server/subset_test.go
+++ b/keeper/internal/server/subset_test.go
@@ -95,3 +95,19 @@
 	require.Len(t, told, 100, "all that are left")
 	require.False(t, d.pass(began), "once")
 }
+
+// Guards against routers that are each told of the whole fleet when a zone has been cut off for a
+// while: to its keepers all others' endpoints are silent, and then they are not.
+func TestSilenceIsToldOfTheSubsetOnly(t *testing.T) {
+	var d directory
+	spread(&d, "models", 4000, 5)
+	request := &messenger.FollowRequest{Node: "router", Zone: "zone-1", Epoch: epoch, After: d.list.Revision()}
+	brief := &messenger.FollowRequest{Node: "router", Zone: "zone-1", Epoch: epoch, After: d.list.Revision(), Brief: true}
+	later := began.Add((lister.SilentBeats + 1) * time.Second)
+	require.True(t, d.pass(later), "all are silent")
+	for _, asked := range []*messenger.FollowRequest{request, brief} {
+		told := len(d.news(later, asked, epoch).GetListings())
+		require.Greater(t, told, 800)
+		require.LessOrEqual(t, told, 800+2*sampled)
+	}
+}
--- a/lib/subscriber/selection.go
+++ b/lib/subscriber/selection.go
@@ -62,8 +62,8 @@
 }
 
 // take returns so many keepers that have not failed, as far as there are, and how many they are;
-// beside them those that are to be tried again. Where none is sound many are tried, the one that
-// failed longest ago first.
+// beside them those that are to be tried again because they would come first if they answered.
+// Where none is sound many are tried, the one that failed longest ago first.
 func take(now time.Time, of []standing, want int) (taken []standing, sound int) {
 	slices.SortFunc(of, func(a, b standing) int {
 		return cmp.Or(
@@ -71,15 +71,17 @@
 			cmp.Compare(b.rank, a.rank), a.address.Compare(b.address),
 		)
 	})
-	tried := 0
+	tried, last := 0, uint64(0) // last is the rank of the last sound one
 	for _, s := range of {
 		switch {
 		case !s.failed && sound < want:
-			sound++
+			sound, last = sound+1, s.rank
 		case !s.failed:
 			continue
 		case sound > 0 && (tried == triedMost || now.Before(s.passed)), len(taken) >= want+triedMost:
 			return taken, sound
+		case sound == want && s.rank < last:
+			continue
 		default:
 			tried++
 		}
