Let all routers of a large fleet agree on where shared parts of prompts are read

Cause: each zone read each shared part for itself, since its routers knew only their own zone's engines alike.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -311,6 +311,7 @@
 			response.Uses = d.whole.uses.told()
 			response.Loads = d.whole.loads.others(request.GetLoads())
 			response.BacklogMs = census.backlog
+			response.Homes = d.subset.homes()
 		}
 	}
 	for digest, c := range d.crashes {
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -231,19 +231,19 @@
 	if listed == nil {
 		return offer{}
 	}
-	first := b.home(listed, work)
+	home := b.home(listed, work)
 	if len(listed.all) > mostWalked {
-		best := b.cheapest(now, service, b.shortlist(listed, first, work), first, work, excluded)
+		best := b.cheapest(now, service, b.shortlist(listed, home, work), home, work, excluded)
 		if best.endpoint != nil && best.doubt == none {
 			return best
 		}
 	}
-	return b.cheapest(now, service, listed.all, first, work, excluded)
+	return b.cheapest(now, service, listed.all, home, work, excluded)
 }
 
 // cheapest returns the cheapest of some endpoints.
 func (b *Balancer) cheapest(
-	now time.Time, service string, candidates []*endpoint, first *endpoint, work *Work, excluded func(id string) bool,
+	now time.Time, service string, candidates []*endpoint, home homes, work *Work, excluded func(id string) bool,
 ) offer {
 	fit := b.fit(service)
 	var best offer
@@ -251,7 +251,7 @@
 		if !b.takes(now, e) || excluded != nil && excluded(e.ID) {
 			continue
 		}
-		o := b.price(now, e, fit, work, e == first)
+		o := b.price(now, e, fit, work, home.guess(e))
 		if best.endpoint == nil || o.price < best.price || o.price == best.price && e.before(best.endpoint) {
 			best = o
 		}
--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -12,10 +12,8 @@
 	// drawn is how many endpoints of a larger service are priced by chance. Of so many one has
 	// little to do, unless nearly all have much.
 	drawn = 8
-	// leastHomes is how many engines of the router's own zone make the zone large enough to
-	// read the prompts of its routers by itself. Each zone then reads a shared part for itself,
-	// and no prompt crosses zones for it.
-	leastHomes = 64
+	// leastNear is how many endpoints of the router's own zone are enough to draw from.
+	leastNear = 64
 	// buckets is into how many groups the engines are divided for ranking.
 	buckets = 64
 )
@@ -24,7 +22,28 @@
 type pool struct {
 	all   []*endpoint // sorted by id
 	near  []*endpoint // those of the router's own zone, likewise
-	ranks [buckets][]*endpoint
+	zone  ranking     // of these
+	homes ranking     // of those that all routers know, if they do not know all
+	// shift tells which those are: one in 1<<shift. It is 0 for a service of which routers
+	// know all, and as long as nobody has told.
+	shift   int
+	partial bool // routers do not know all
+}
+
+// ranking is engines in buckets, by the hash of their ids.
+type ranking [buckets][]*endpoint
+
+func (r *ranking) add(e *endpoint) {
+	r[e.seed%buckets] = append(r[e.seed%buckets], e)
+}
+
+func (r *ranking) remove(e *endpoint) {
+	r[e.seed%buckets] = slices.DeleteFunc(r[e.seed%buckets], func(x *endpoint) bool { return x == e })
+}
+
+// Sampled tells whether a hash is one of those of one endpoint in 1<<shift.
+func Sampled(hash uint64, shift int) bool {
+	return hash>>(64-shift) == 0
 }
 
 // add takes an endpoint into the pool.
@@ -32,7 +51,10 @@
 	p.all = insert(p.all, e)
 	if near {
 		p.near = insert(p.near, e)
-		p.ranks[e.seed%buckets] = append(p.ranks[e.seed%buckets], e)
+		p.zone.add(e)
+	}
+	if p.partial && Sampled(e.seed, p.shift) {
+		p.homes.add(e)
 	}
 }
 
@@ -40,7 +62,32 @@
 func (p *pool) remove(e *endpoint) {
 	p.all = drop(p.all, e)
 	p.near = drop(p.near, e)
-	p.ranks[e.seed%buckets] = slices.DeleteFunc(p.ranks[e.seed%buckets], func(x *endpoint) bool { return x == e })
+	p.zone.remove(e)
+	p.homes.remove(e)
+}
+
+// know sets which part of the endpoints all routers know.
+func (p *pool) know(partial bool, shift int) {
+	if p.partial == partial && p.shift == shift {
+		return
+	}
+	p.partial, p.shift, p.homes = partial, shift, ranking{}
+	for _, e := range p.all {
+		if partial && Sampled(e.seed, shift) {
+			p.homes.add(e)
+		}
+	}
+}
+
+// Homes sets, by service, which part of the endpoints all routers know: one in 1<<shift. Of
+// services that are left out they know all.
+func (b *Balancer) Homes(shifts map[string]int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for service, listed := range b.services {
+		shift, partial := shifts[service]
+		listed.know(partial, shift)
+	}
 }
 
 func insert(listed []*endpoint, e *endpoint) []*endpoint {
@@ -70,21 +117,38 @@
 	return all[from : from+mostWalked]
 }
 
-// home returns the engine that ranks first for the last part that requests share,
-// nil if there is none. All routers of a zone agree on it as long as they know the same
-// endpoints of the zone, all routers of the fleet where zones are small.
-func (b *Balancer) home(listed *pool, work *Work) *endpoint {
+// homes are the engines that probably hold the parts of a prompt that other requests share.
+type homes struct {
+	// fleet is the one that all routers send to first, zone the one to which those of the
+	// router's own zone go where that one would be late. Either may be nil.
+	fleet, zone *endpoint
+}
+
+// home returns the engines that rank first for the last part that requests share. All routers
+// agree on them as long as they know the same endpoints. Where a service has so many that routers
+// know a part only, the first is one of those that all of them know.
+func (b *Balancer) home(listed *pool, work *Work) homes {
 	shared := work.shared()
 	if len(shared) == 0 {
-		return nil
+		return homes{}
 	}
 	last := shared[len(shared)-1].ID
-	if len(listed.near) >= leastHomes {
-		if e := b.ranked(listed, last); e != nil {
-			return e
-		}
+	if !listed.partial {
+		return homes{fleet: b.first(listed.all, last)}
+	}
+	return homes{fleet: b.ranked(&listed.homes, last), zone: b.ranked(&listed.zone, last)}
+}
+
+// guess is which part of what requests share an engine probably holds that nobody here has
+// sent it to.
+func (h homes) guess(e *endpoint) float64 {
+	switch e {
+	case h.fleet:
+		return guessed
+	case h.zone:
+		return zoneGuessed
 	}
-	return b.first(listed.all, last)
+	return 0
 }
 
 // first returns the open endpoint that ranks first for a part.
@@ -102,12 +166,12 @@
 	return best
 }
 
-// ranked returns the open endpoint of the own zone that ranks first for a part, nil if none of
-// its bucket is open. Buckets are ranked by their sizes, so that each endpoint is as likely as
-// any other; then those in the bucket are.
-func (b *Balancer) ranked(listed *pool, part uint64) *endpoint {
+// ranked returns the open endpoint that ranks first for a part, nil if none of its bucket is open.
+// Buckets are ranked by their sizes, so that each endpoint is as likely as any other; then those in
+// the bucket are.
+func (b *Balancer) ranked(of *ranking, part uint64) *endpoint {
 	best, bestScore := 0, -1.0
-	for i, members := range listed.ranks {
+	for i, members := range of {
 		if len(members) == 0 {
 			continue
 		}
@@ -116,14 +180,16 @@
 			best, bestScore = i, score
 		}
 	}
-	return b.first(listed.ranks[best], part)
+	return b.first(of[best], part)
 }
 
 // shortlist returns the endpoints of a large service that are priced for a request.
-func (b *Balancer) shortlist(listed *pool, home *endpoint, work *Work) []*endpoint {
-	chosen := make([]*endpoint, 0, drawn+recentEach+1)
-	if home != nil {
-		chosen = append(chosen, home)
+func (b *Balancer) shortlist(listed *pool, home homes, work *Work) []*endpoint {
+	chosen := make([]*endpoint, 0, drawn+recentEach+2)
+	for _, e := range []*endpoint{home.fleet, home.zone} {
+		if e != nil {
+			chosen = append(chosen, e)
+		}
 	}
 	for _, e := range b.recent.get(work) {
 		if b.byID[e.ID] == e {
@@ -131,7 +197,7 @@
 		}
 	}
 	from := listed.near
-	if len(from) < leastHomes {
+	if len(from) < leastNear {
 		from = listed.all
 	}
 	for i := range uint64(drawn) {
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -38,6 +38,9 @@
 	// that an engine holds a part: other routers send there too, but this one
 	// has not seen it.
 	guessed = 0.6
+	// zoneGuessed is the same of an engine that only routers of one zone choose by its
+	// ranking, and after another one.
+	zoneGuessed = 0.3
 	// usualTarget stands for the target of a request that has none.
 	usualTarget = 500 * time.Millisecond
 )
@@ -54,7 +57,7 @@
 }
 
 // price returns what a candidate would mean for a request.
-func (b *Balancer) price(now time.Time, e *endpoint, fit *predictor.Fit, work *Work, home bool) offer {
+func (b *Balancer) price(now time.Time, e *endpoint, fit *predictor.Fit, work *Work, guess float64) offer {
 	weights := b.Weights
 	if weights == (Weights{}) {
 		weights = DefaultWeights
@@ -66,8 +69,8 @@
 		return o
 	}
 	kept := e.held.kept(work)
-	if guess := sum(work.shared()); home && kept < guess {
-		kept += int(guessed * float64(guess-kept))
+	if shared := sum(work.shared()); kept < shared {
+		kept += int(guess * float64(shared-kept))
 	}
 	o.reading = max(work.Prompt-kept, 0)
 	o.ahead = b.unread(now, e)
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -132,6 +132,7 @@
 		Endpoints: d.endpoints, Plan: d.plan, Routers: d.routers,
 		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Unread, Fleet: d.fleet,
 		Backlog:   func() time.Duration { return d.backlog(clock.Now()) },
+		Homes:     d.balancer.Homes,
 		Evacuated: func(zones []string) { d.balancer.Evacuate(clock.Now(), zones) },
 		Rations: func(asked time.Time, keeper netip.AddrPort, rations []balancer.Ration) {
 			d.balancer.Take(clock.Now(), asked, keeper, rations)
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -65,6 +65,9 @@
 	Backlog func() time.Duration
 	// Fleet is told of the whole fleet.
 	Fleet func(fleet Fleet)
+	// Homes is told, by service, which part of the endpoints all routers know, one in
+	// 1<<shift; a service of which they know all is left out.
+	Homes func(shifts map[string]int)
 	// Evacuated is told of the zones whose endpoints get no new work, with each change.
 	Evacuated func(zones []string)
 	// Rations is told of the leases on cold endpoints that a keeper has given which was
@@ -188,12 +191,22 @@
 	if r.options.Fleet != nil && !news.GetBrief() {
 		r.options.Fleet(fleetOf(news))
 	}
+	if r.options.Homes != nil && !news.GetBrief() {
+		shifts := make(map[string]int, len(news.GetHomes()))
+		for _, sample := range news.GetHomes() {
+			shifts[sample.GetService()] = int(min(sample.GetShift(), mostShift))
+		}
+		r.options.Homes(shifts)
+	}
 	if news.GetPlan() <= r.version() || news.GetBrief() && r.awaited(ctx, news.GetPlan()) {
 		return
 	}
 	r.fetch(ctx, keeper)
 }
 
+// mostShift bounds the shift of a sample: of no fleet only one endpoint in a million is told of.
+const mostShift = 20
+
 // takeEvacuations takes the zones whose endpoints get no new work. A keeper that is behind
 // the others may tell of former ones.
 func (r *Reader) takeEvacuations(keeper netip.AddrPort, news *messenger.FollowResponse) {
