--- a/lib/subscriber/members.go
+++ b/lib/subscriber/members.go
@@ -17,7 +17,7 @@
 	}
 	now := s.options.Clock.Now()
 	for _, address := range addresses {
-		s.name(now, address, "")
+		s.note(now, address, "")
 	}
 	s.review(now)
 	s.choose()
@@ -57,8 +57,8 @@
 	return s.options.Primary != nil && len(s.members) > fewKeepers
 }
 
-// name notes that a keeper was named, and tells whether that is news.
-func (s *Subscriber) name(now time.Time, address netip.AddrPort, zone string) bool {
+// note notes that a keeper was named, and tells whether that is news.
+func (s *Subscriber) note(now time.Time, address netip.AddrPort, zone string) bool {
 	if !address.IsValid() || address == s.options.Own {
 		return false
 	}
@@ -87,7 +87,7 @@
 func (s *Subscriber) learn(now time.Time, f *followed, news *messenger.FollowResponse) bool {
 	if len(news.GetKeepers()) == 0 {
 		for _, address := range f.names {
-			s.name(now, address, "")
+			s.note(now, address, "")
 		}
 		return false
 	}
@@ -104,7 +104,7 @@
 			zone = news.GetZones()[i]
 		}
 		f.names = append(f.names, address)
-		changed = s.name(now, address, zone) || changed
+		changed = s.note(now, address, zone) || changed
 	}
 	return changed
 }
