--- a/keeper/internal/server/census.go
+++ b/keeper/internal/server/census.go
@@ -22,6 +22,12 @@
 	directBacklog, backlog uint32
 }
 
+// fleet is how many routers there are, as far as they are heard: each follows this keeper, or
+// reports to one that is heard.
+func (c census) fleet() uint32 {
+	return max(c.routers, c.reporting)
+}
+
 // belief is what some routers report of one thing that all of them estimate.
 type belief struct {
 	value  uint32
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -199,7 +199,8 @@
 	return changed
 }
 
-// place notes the zone of another keeper.
+// place notes the zone of another keeper. It is remembered when that one follows no more: the
+// group is told anew to all routers when anything of it changes.
 func (d *directory) place(address, zone string) {
 	if d.zones == nil || len(d.zones) >= maxKeepers {
 		d.zones = make(map[string]string)
@@ -305,7 +306,7 @@
 		census := d.taker.take(now, d.followers)
 		response.Routers, response.Expected, response.Reporting = census.routers, census.routers, census.reporting
 		if request.GetPartial() {
-			response.Routers, response.Expected = d.fleet.sizes(now, max(census.routers, census.reporting))
+			response.Routers, response.Expected = d.fleet.sizes(now, census.fleet())
 		}
 		if !request.GetBrief() {
 			response.Uses = d.whole.uses.told()
@@ -370,8 +371,7 @@
 func (d *directory) routers(now time.Time) int {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	census := d.taker.take(now, d.followers)
-	return int(max(census.routers, census.reporting))
+	return int(d.taker.take(now, d.followers).fleet())
 }
 
 // recent returns the direct heartbeats since a time, of the last intervals at most.
--- a/keeper/internal/server/maintaining.go
+++ b/keeper/internal/server/maintaining.go
@@ -45,33 +45,6 @@
 	guests     guests
 }
 
-// guests are keepers that no settings name and that have said that they are blank, by their
-// addresses.
-type guests map[string]guest
-
-type guest struct {
-	disk  uint64
-	since time.Time
-}
-
-// note takes what such keepers answer, and returns those that have said it for a time.
-func (g *guests) note(now time.Time, answers []answer, patience time.Duration) []answer {
-	before := *g
-	*g = make(guests)
-	var patient []answer
-	for _, a := range answers {
-		known, found := before[a.address]
-		if !found || known.disk != a.GetDisk() {
-			known = guest{disk: a.GetDisk(), since: now}
-		}
-		(*g)[a.address] = known
-		if now.Sub(known.since) >= patience {
-			patient = append(patient, a)
-		}
-	}
-	return patient
-}
-
 func (s *Server) look(ctx context.Context, m *maintenance) error {
 	now := s.clock.Now()
 	status := s.view.Load().status
@@ -185,20 +158,6 @@
 	}
 }
 
-// guests asks keepers that follow this one and that no settings name. Only the one that founds
-// the group needs them: each that is a member from the start need not join by changes of the
-// membership, one after the other, while all routers of the fleet ask the few first members.
-func (s *Server) guests(ctx context.Context) []answer {
-	if !s.founds() || len(s.settings.Seeds) == 0 {
-		return nil
-	}
-	named := s.peerAddresses()
-	guests := slices.DeleteFunc(s.directory.keepers(), func(address string) bool {
-		return slices.Contains(named, address) || address == s.settings.Address().String()
-	})
-	return s.statuses(ctx, guests[:min(len(guests), replicator.MaxReplicas-len(named)-1)])
-}
-
 // found makes the first group of all keepers that the settings name, and of others that are
 // there. It needs every one that is named to have said twice, an election timeout apart, that
 // it is blank: if this keeper had founded a group before and lost its disk, then a majority
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -116,13 +116,14 @@
 		}
 		if last || p.newer(request) || !gathered && p.directory.fresh(request, p.epoch) {
 			leaveTurn(ctx, turn)
-			response := p.directory.news(p.clock.Now(), request, p.epoch)
+			now := p.clock.Now()
+			response := p.directory.news(now, request, p.epoch)
 			shown := p.view.Load()
 			response.Plan, response.Zone = shown.plan.GetVersion(), p.settings.Zone
 			response.Evacuations, response.Evacuated = shown.zones.Revision, shown.zones.Zones
 			response.Rations = p.rations(arrived, request)
-			p.nameKeepers(p.clock.Now(), request, response)
-			response.Isolated = p.isolated(p.clock.Now())
+			p.nameKeepers(now, request, response)
+			response.Isolated = p.isolated(now)
 			return response, nil
 		}
 		turn.end()
--- a/keeper/internal/server/sources.go
+++ b/keeper/internal/server/sources.go
@@ -31,11 +31,7 @@
 // untold returns what a keeper is to be told of what changed behind a revision. What it does not
 // hear any more from another one it is told whole, because until now that was left to the other.
 func (d *directory) untold(request *messenger.FollowRequest, after uint64) []lister.Listing {
-	var missed []string
-	if known, found := d.followers[request.GetNode()]; found {
-		missed = known.missed
-	}
-	if len(missed) > 0 {
+	if known, found := d.followers[request.GetNode()]; found && len(known.missed) > 0 {
 		after = 0
 	}
 	return d.list.Select(after, func(l *lister.Listing) bool {
--- a/keeper/internal/server/turns.go
+++ b/keeper/internal/server/turns.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 )
 
 // pollsAtOnce bounds the polls that are worked on at a time.
@@ -15,29 +14,29 @@
 // all be worked on.
 type turns chan struct{}
 
-// turn is one poll's. Its zero value is of a poll that needs none.
+// turn is one poll's, and belongs to its goroutine. Its zero value is of a poll that needs none.
 type turn struct {
-	of   turns
-	once *sync.Once
+	of turns
 }
 
 // take waits for a turn. It returns false if the context ends before.
-func (t turns) take(ctx context.Context) (turn, bool) {
+func (t turns) take(ctx context.Context) (*turn, bool) {
 	if t == nil {
-		return turn{}, true
+		return &turn{}, true
 	}
 	select {
 	case <-ctx.Done():
-		return turn{}, false
+		return nil, false
 	case t <- struct{}{}:
-		return turn{of: t, once: &sync.Once{}}, true
+		return &turn{of: t}, true
 	}
 }
 
 // end ends a turn. Later calls do nothing.
-func (t turn) end() {
+func (t *turn) end() {
 	if t.of != nil {
-		t.once.Do(func() { <-t.of })
+		<-t.of
+		t.of = nil
 	}
 }
 
@@ -48,16 +47,16 @@
 func withTurns(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := &turn{}
-		defer func() { held.end() }()
+		defer held.end()
 		r = r.WithContext(context.WithValue(r.Context(), turnKey{}, held))
 		next.ServeHTTP(&turnWriter{ResponseWriter: w, turn: held}, r)
 	})
 }
 
 // leaveTurn leaves a turn to the moment at which the answer is written, or ends it.
-func leaveTurn(ctx context.Context, t turn) {
+func leaveTurn(ctx context.Context, t *turn) {
 	if held, found := ctx.Value(turnKey{}).(*turn); found {
-		*held = t
+		*held = *t
 		return
 	}
 	t.end()
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -142,11 +142,7 @@
 	case listing.State == lister.Gone:
 	case !found:
 		b.add(listing)
-	case known.Service != listing.Service:
-		b.unlist(known)
-		known.Listing = listing
-		b.list(known)
-	case known.Zone != listing.Zone:
+	case known.Service != listing.Service, known.Zone != listing.Zone:
 		b.unlist(known)
 		known.Listing = listing
 		b.list(known)
@@ -282,7 +278,9 @@
 	if len(work.Parts) > 0 {
 		e.unread = append(e.unread, slot)
 		e.held.note(work, b.caps[e.Service])
-		b.recent.note(work, e)
+		if len(b.all(e.Service)) > mostWalked {
+			b.recent.note(work, e)
+		}
 	}
 	return slot
 }
--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
+
+	"shallotkeel.example/lib/rationer"
 )
 
 const (
@@ -175,8 +176,7 @@
 		if len(members) == 0 {
 			continue
 		}
-		unit := (float64(mix(uint64(i), part)>>11) + 0.5) / (1 << 53)
-		if score := float64(len(members)) / -math.Log(unit); score > bestScore {
+		if score := rationer.Score(float64(len(members)), mix(uint64(i), part)); score > bestScore {
 			best, bestScore = i, score
 		}
 	}
--- a/lib/rationer/lessor.go
+++ b/lib/rationer/lessor.go
@@ -76,7 +76,7 @@
 func choose(endpoint uint64, candidates []Candidate) string {
 	best, bestScore := "", 0.0
 	for _, c := range candidates {
-		score := max(c.Asked, math.SmallestNonzeroFloat32) / -math.Log(unit(c.Name, endpoint))
+		score := Score(max(c.Asked, math.SmallestNonzeroFloat32), digest(c.Name, endpoint))
 		if best == "" || score > bestScore {
 			best, bestScore = c.Name, score
 		}
@@ -84,21 +84,31 @@
 	return best
 }
 
-// unit hashes a name and a number to a number between 0 and 1.
-func unit(name string, number uint64) float64 {
-	text := binary.LittleEndian.AppendUint64([]byte(name), number)
-	return (float64(xxhash.Sum64(text)>>11) + 0.5) / (1 << 53)
+// Score ranks candidates of different weights by rendezvous hashing: each comes first as often as
+// its weight is of all. Hash is of the candidate and of what is given out.
+func Score(weight float64, hash uint64) float64 {
+	return weight / -math.Log(unit(hash))
+}
+
+// unit turns a hash into a number between 0 and 1.
+func unit(hash uint64) float64 {
+	return (float64(hash>>11) + 0.5) / (1 << 53)
+}
+
+// digest hashes a name and a number.
+func digest(name string, number uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(name), number))
 }
 
 // Owns tells whether the keeper of a name has one of so many parts of an endpoint, ranked by
 // rendezvous hashing over the names of all keepers.
 func Owns(name string, keepers []string, endpoint uint64, parts int) bool {
-	own, before := unit(name, endpoint), 0
+	own, before := unit(digest(name, endpoint)), 0
 	member := false
 	for _, other := range keepers {
 		if other == name {
 			member = true
-		} else if rank := unit(other, endpoint); rank > own || rank == own && other < name {
+		} else if rank := unit(digest(other, endpoint)); rank > own || rank == own && other < name {
 			before++
 		}
 	}
--- a/lib/subscriber/pace.go
+++ b/lib/subscriber/pace.go
@@ -39,7 +39,7 @@
 	if keepers > fewKeepers {
 		return mostBriefWait // of so many only some are followed, and what they hear others hear as well
 	}
-	others := time.Duration(max(keepers-1, 0)) * reporting(routers, keepers)
+	others := time.Duration(routers)*time.Second - reporting(routers, keepers)
 	return min(max(others/mostBriefs, DefaultWait), mostBriefWait)
 }
 
