Tell why a key is refused, and what a router that refuses rests on

What was missing: the entry of a workspace that got nothing for six seconds names a revoked key as its cause, and no line could show it: refusals with 401 name neither the workspace nor whether a change took the key, and are damped among a flood's. Nor could the log tell a flooded router that does too little from one that gets too much.

Now a refused key names the version that decided and, where this router has known a version that held the key, the workspace and the version without it; refusals for want of a configuration, for an unknown key and by other rules are counted apart. Once a second a router that refuses for want of room tells its lateness, its starts, what is under way and what became of connections.

No decision changes.

--- a/lib/resolver/table.go
+++ b/lib/resolver/table.go
@@ -15,6 +15,7 @@
 	services   map[string]*Service
 	workspaces map[[sha256.Size]byte]*Workspace
 	guarded    bool
+	former     map[[sha256.Size]byte]Former
 }
 
 // Compile checks a plan and prepares it for lookups.
--- a/router/internal/director/connections.go
+++ b/router/internal/director/connections.go
@@ -11,6 +11,7 @@
 type connections struct {
 	mutex sync.Mutex
 	open  int
+	made  uint64 // since the start
 	idle  map[net.Conn]struct{}
 }
 
@@ -25,6 +26,7 @@
 	switch state {
 	case http.StateNew:
 		c.open++
+		c.made++
 	case http.StateIdle:
 		c.idle[conn] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
@@ -39,3 +41,10 @@
 	defer c.mutex.Unlock()
 	return c.open, c.open - len(c.idle)
 }
+
+// total returns how many connections there have been.
+func (c *connections) total() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.made
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -105,6 +105,7 @@
 	screened  atomic.Pointer[screener.Listener] // nil before clients are served
 	pacer     pacer.Pacer
 	rate      rate // of requests
+	pressure  pressure
 
 	mutex    sync.Mutex
 	planning map[netip.AddrPort]messenger.Planning
@@ -354,6 +355,7 @@
 			return
 		case <-ticker.Chan():
 			d.client.Sweep()
+			d.tellPressure()
 		}
 	}
 }
--- /dev/null
+++ b/router/internal/director/pressure.go
@@ -0,0 +1,78 @@
+package director
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"shallotkeel.example/router/internal/screener"
+)
+
+// pressureSpan is how much time a line on pressure covers.
+const pressureSpan = time.Second
+
+// counts are figures that only rise.
+type counts struct {
+	full    uint64 // requests that were refused for want of room
+	taken   uint64 // requests that the server took
+	made    uint64 // connections that the server took
+	refused uint64 // requests that were refused before the server took them
+	left    uint64 // connections whose clients had left before their request was judged
+	unread  uint64 // connections that were closed unread
+}
+
+// since returns what has come since other figures.
+func (c counts) since(before counts) counts {
+	return counts{
+		full: c.full - before.full, taken: c.taken - before.taken, made: c.made - before.made,
+		refused: c.refused - before.refused, left: c.left - before.left, unread: c.unread - before.unread,
+	}
+}
+
+// pressure writes, while a router refuses for want of room, what that rests on: its
+// lateness, the starts it allows itself, and what became of the connections that came. Lines
+// of single requests do not tell a router that does too little from one that gets too much:
+// in a flood they are damped. Its zero value has seen nothing.
+type pressure struct {
+	at     time.Time
+	before counts
+}
+
+// look writes a line if a span is over in which requests were refused.
+func (p *pressure) look(now time.Time, seen counts, line *zerolog.Event) {
+	span := now.Sub(p.at)
+	if span < pressureSpan {
+		return
+	}
+	came := seen.since(p.before)
+	p.at, p.before = now, seen
+	if came.full == 0 {
+		return
+	}
+	line.Dur("span_ms", span).Uint64("refused", came.full).Uint64("taken", came.taken).Uint64("connections", came.made).
+		Uint64("screened", came.refused).Uint64("left", came.left).Uint64("unread", came.unread).Msg("under pressure")
+}
+
+// counts returns what has come so far.
+func (d *Director) counts() counts {
+	return counts{
+		full:    d.passer.Roomless(),
+		taken:   d.passer.Taken(),
+		made:    d.connected.total(),
+		refused: d.screener((*screener.Listener).Refused)(),
+		left:    d.screener((*screener.Listener).Left)(),
+		unread:  d.screener((*screener.Listener).Unread)(),
+	}
+}
+
+// tellPressure writes what the router does while it is pressed.
+func (d *Director) tellPressure() {
+	open, busy := d.connected.counts()
+	waiting := 0
+	if screened := d.screened.Load(); screened != nil {
+		waiting = screened.Waiting()
+	}
+	line := d.log.Info().Dur("late_ms", d.pacer.Late()).Float64("starts", d.pacer.Starts.Value()).
+		Int("running", d.passer.Running()).Int("open", open).Int("busy", busy).Int("waiting", waiting)
+	d.pressure.look(d.clock.Now(), d.counts(), line)
+}
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -30,6 +30,7 @@
 	// tooMuch and noShare are what clients are told most often.
 	tooMuch = "this router has too much to do"
 	noShare = "the workspace has used its share"
+	noKey   = "no workspace holds the key"
 	// defaultBody bounds a request's body where the configuration does not.
 	defaultBody = 4 << 20
 )
@@ -39,7 +40,7 @@
 func (p *Passer) admit(q *request) bool {
 	q.table = p.firstTable(q)
 	if q.table == nil {
-		p.refuse(q, byRule, http.StatusServiceUnavailable, "no configuration yet", retryStart)
+		p.refuse(q, byConfiguration, http.StatusServiceUnavailable, "no configuration yet", retryStart)
 		return false
 	}
 	if !p.locate(q) {
@@ -47,7 +48,8 @@
 		return false
 	}
 	if !p.identify(q) {
-		p.refuse(q, byRule, http.StatusUnauthorized, "no workspace holds the key", 0)
+		p.refuse(q, byKey, http.StatusUnauthorized, noKey, 0)
+		p.tellKey(q)
 		return false
 	}
 	if p.busy(q) {
@@ -198,6 +200,23 @@
 	return found || q.route.Anonymous
 }
 
+// mostKeyLines bounds the lines a second on keys that nobody holds: a workspace that has lost
+// its keys may go on as a flood.
+const mostKeyLines = 5
+
+// tellKey writes why a key is refused: which version decided, and who held the key before.
+func (p *Passer) tellKey(q *request) {
+	q.told = true
+	if !p.keys.Admit(q.received, p.options.Log) {
+		return
+	}
+	line := p.options.Log.Warn().Str("id", q.in.ID).Uint64("plan", q.table.Version()).Str("route", q.route.Name).Int("status", q.status)
+	if former, found := q.table.Former(q.in.Key); found {
+		line = line.Str("held_by", former.Workspace).Uint64("until", former.Since)
+	}
+	line.Msg("key refused")
+}
+
 // fingerprint names a request that may come again under another id.
 func fingerprint(q *request) uint64 {
 	var digest xxhash.Digest
--- a/router/internal/passer/ledger.go
+++ b/router/internal/passer/ledger.go
@@ -24,13 +24,18 @@
 	byRouter
 	// byEndpoints: no endpoint could be reached, or each said that it did not run it.
 	byEndpoints
-	// byRule: it can not be served at all, or not yet.
+	// byConfiguration: there is no configuration yet.
+	byConfiguration
+	// byKey: no workspace holds its key.
+	byKey
+	// byRule: it can not be served at all.
 	byRule
 )
 
 // labels name verdicts in metrics.
 var labels = map[verdict]string{
-	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints", byRule: "rule",
+	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints",
+	byConfiguration: "configuration", byKey: "key", byRule: "rule",
 }
 
 const (
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -91,19 +91,21 @@
 
 // Passer is an http.Handler.
 type Passer struct {
-	options Options
-	drain   drain
-	holding holding
-	quietly damper.Damper
-	returns returns
-	ledger  ledger
-	taken   atomic.Uint64 // requests that came
-	pressed atomic.Int64  // when a request was refused last for want of room or share, in ns of the Unix time
+	options  Options
+	drain    drain
+	holding  holding
+	quietly  damper.Damper
+	keys     damper.Damper // of lines on keys that nobody holds
+	returns  returns
+	ledger   ledger
+	taken    atomic.Uint64 // requests that came
+	roomless atomic.Uint64 // requests that were refused for want of room
+	pressed  atomic.Int64  // when a request was refused last for want of room or share, in ns of the Unix time
 }
 
 // New returns a passer.
 func New(options Options) *Passer {
-	p := &Passer{options: options, holding: holding{most: options.HeldBytes}}
+	p := &Passer{options: options, holding: holding{most: options.HeldBytes}, keys: damper.Damper{Most: mostKeyLines}}
 	options.Client.OwnAnswer = options.Dialect.Own
 	return p
 }
@@ -182,6 +184,11 @@
 	return p.taken.Load()
 }
 
+// Roomless returns how many requests were refused for want of room since the start.
+func (p *Passer) Roomless() uint64 {
+	return p.roomless.Load()
+}
+
 // pass sends the request until it has its ending.
 func (p *Passer) pass(q *request) {
 	p.options.Starts.Take(q.received, q.workspace)
--- a/router/internal/passer/screen.go
+++ b/router/internal/passer/screen.go
@@ -64,9 +64,10 @@
 	return &screener.Refusal{Status: http.StatusTooManyRequests, Reason: noShare, Retry: max(d.Pause, retrySoon)}
 }
 
-// unheard counts what a request that the router has no room for asks of its workspace's
-// share: the fleet must know that the workspace waits.
+// unheard counts a request that the router has no room for, and what it asks of its
+// workspace's share: the fleet must know that the workspace waits.
 func (p *Passer) unheard(q *request) {
+	p.roomless.Add(1)
 	if p.sharesEngines(q) {
 		p.options.Shares.Ask(q.received, q.workspace, float64(q.tokens()))
 	}
