--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -31,7 +31,6 @@
 	return f
 }
 
-// ask sends one request and lets time pass at the keepers.
 // ask sends a request that begins to be answered at once if it is let in.
 func (f *fleet) ask(router int, name string, tokens float64) {
 	if f.admit(router, name, tokens) {
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -27,21 +26,6 @@
 	"shallotkeel.example/lib/resolver"
 )
 
-// fetchTimeout bounds the transfer of a configuration, a few hundred KB.
-const fetchTimeout = 1500 * time.Millisecond
-
-// otherPause is how long a newer configuration that a keeper names is waited for from the
-// primary, which names it at the same moment if it hears the others. Then it is fetched from
-// the one that named it.
-const otherPause = 400 * time.Millisecond
-
-// crashMemory is how long a crash that was seen here is reported. Polls come
-// twice a second, and a keeper that is back within that time hears of it too.
-const crashMemory = 30 * time.Second
-
-// maxCrashes bounds the crashes that are reported, 12 bytes each on the way.
-const maxCrashes = 1024
-
 // Options are what a Reader is made of.
 type Options struct {
 	Name    string
@@ -75,16 +59,6 @@
 	Rations func(asked time.Time, keeper netip.AddrPort, rations []balancer.Ration)
 }
 
-// Fleet is what keepers add up of all routers' reports.
-type Fleet struct {
-	// Uses is what becomes of what the workspaces ask for.
-	Uses map[string]apportioner.Use
-	// Loads is how many unread tokens all other routers have at the engines.
-	Loads map[uint64]int
-	// Backlog is for how long engines still read, as the median router believes.
-	Backlog time.Duration
-}
-
 // Reader implements subscriber.Host.
 type Reader struct {
 	options Options
@@ -106,11 +80,6 @@
 	enforced    chan struct{} // closed when another configuration is in force
 }
 
-type crash struct {
-	at    time.Time
-	count uint32
-}
-
 // New returns a reader that knows nothing yet.
 func New(options Options) *Reader {
 	return &Reader{
@@ -243,126 +212,12 @@
 	r.options.Rations(asked, keeper, rations)
 }
 
-// awaited waits for a version to come from the primary, and tells whether it has come.
-//
-// A configuration is hundreds of kilobytes. Fetched from whichever keeper names it first,
-// four of five copies go from zone to zone, to every router, with each change.
-func (r *Reader) awaited(ctx context.Context, version uint64) bool {
-	if r.version() == 0 {
-		return false // whoever has one first
-	}
-	limit := r.options.Clock.After(otherPause)
-	for {
-		r.mutex.Lock()
-		enforced := r.enforced
-		r.mutex.Unlock()
-		if r.version() >= version {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return true
-		case <-limit:
-			return false
-		case <-enforced:
-		}
-	}
-}
-
-// mostScaled bounds by how much sums are scaled up for routers that are not in them. Half
-// of the fleet is missing where keepers are cut in two; a larger part only for moments, as
-// when all start, and then the few that are heard say little of the rest.
-const mostScaled = 2
-
-// fleetOf returns the whole fleet's sums. Where keepers do not hear one another, a keeper
-// has the reports of some routers only, while the others still serve: taken for the whole
-// fleet, they would make everybody's share here twice what it is. The others are taken to
-// do as these do.
-func fleetOf(news *messenger.FollowResponse) Fleet {
-	scale := 1.0
-	if counted := news.GetReporting(); counted > 0 {
-		scale = min(max(float64(news.GetExpected())/float64(counted), 1), mostScaled)
-	}
-	fleet := Fleet{
-		Uses:    make(map[string]apportioner.Use, len(news.GetUses())),
-		Loads:   make(map[uint64]int, len(news.GetLoads())),
-		Backlog: time.Duration(news.GetBacklogMs()) * time.Millisecond,
-	}
-	for _, use := range news.GetUses() {
-		fleet.Uses[use.GetWorkspace()] = apportioner.Use{
-			Asked: scaled(use.GetAsked(), scale), Got: scaled(use.GetGot(), scale), Unheard: scaled(use.GetUnheard(), scale),
-		}
-	}
-	for _, at := range news.GetLoads() {
-		fleet.Loads[at.GetEndpoint()] = scaled(int(at.GetUnread()), scale)
-	}
-	return fleet
-}
-
-func scaled[T int | uint64](value T, by float64) T {
-	return T(math.Round(float64(value) * by))
-}
-
-// Lost notes that a keeper does not answer. Nothing that it said is forgotten but
-// the silences, which it can no longer take back.
-func (r *Reader) Lost(keeper netip.AddrPort, _ error) {
-	r.mutex.Lock()
-	delete(r.contacts, keeper)
-	ids := make(map[string]bool)
-	for id, by := range r.silent {
-		delete(by, keeper)
-		ids[id] = true
-	}
-	changed := r.verdicts(ids)
-	r.mutex.Unlock()
-	r.tell(keeper, changed)
-}
-
-// verdicts returns those of some instances on which this router's word on their silence
-// has changed.
-func (r *Reader) verdicts(ids map[string]bool) []lister.Listing {
-	var changed []lister.Listing
-	for id := range ids {
-		listing, found := r.list.Find(id)
-		if !found {
-			continue
-		}
-		if silent := r.isSilent(id); silent != r.told[id] {
-			listing.Silent = silent
-			r.note(id, silent)
-			changed = append(changed, listing)
-		}
-	}
-	return changed
-}
-
-// note remembers what is told on of an instance's silence.
-func (r *Reader) note(id string, silent bool) {
-	if silent {
-		r.told[id] = true
-		return
-	}
-	delete(r.told, id)
-}
-
 // tell hands on what this router believes anew of endpoints.
 func (r *Reader) tell(keeper netip.AddrPort, changed []lister.Listing) {
 	r.log(keeper, changed)
 	r.options.Endpoints(changed)
 }
 
-// isSilent tells whether all keepers that answer hear nothing of an instance. A
-// keeper that is cut off from the others misses the heartbeats that they get;
-// believing it alone would move all work to the few endpoints that it hears.
-func (r *Reader) isSilent(id string) bool {
-	for keeper := range r.contacts {
-		if !r.silent[id][keeper] {
-			return false
-		}
-	}
-	return len(r.contacts) > 0
-}
-
 func (r *Reader) takeListings(keeper netip.AddrPort, listings []*messenger.Listing) {
 	if len(listings) == 0 {
 		return
@@ -411,105 +266,3 @@
 		delete(r.told, id)
 	}
 }
-
-// noteSilence remembers which keepers hear nothing of an instance. What a keeper
-// says of a life that is over says nothing of the one that followed.
-func (r *Reader) noteSilence(keeper netip.AddrPort, listing lister.Listing) {
-	known, found := r.list.Find(listing.ID)
-	if found && listing.Started.Before(known.Started) {
-		return
-	}
-	if found && listing.Started.After(known.Started) {
-		delete(r.silent, listing.ID)
-	}
-	if !listing.Silent {
-		delete(r.silent[listing.ID], keeper)
-		return
-	}
-	if r.silent[listing.ID] == nil {
-		r.silent[listing.ID] = make(map[netip.AddrPort]bool)
-	}
-	r.silent[listing.ID][keeper] = true
-}
-
-func (r *Reader) takeQuarantine(fingerprints []*messenger.Fingerprint) {
-	if len(fingerprints) == 0 {
-		return
-	}
-	now := r.options.Clock.Now()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, fingerprint := range fingerprints {
-		r.quarantined[fingerprint.GetDigest()] = now.Add(time.Duration(fingerprint.GetLeftMs()) * time.Millisecond)
-	}
-	for digest, until := range r.quarantined {
-		if now.After(until) {
-			delete(r.quarantined, digest)
-		}
-	}
-}
-
-// Quarantined tells whether a request has crashed endpoints and must not run.
-func (r *Reader) Quarantined(digest uint64) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	until, found := r.quarantined[digest]
-	return found && r.options.Clock.Now().Before(until)
-}
-
-// Crashed notes that an endpoint's connection broke under a request.
-func (r *Reader) Crashed(digest uint64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	known, found := r.crashes[digest]
-	if !found {
-		if len(r.crashes) >= maxCrashes {
-			return
-		}
-		known = &crash{}
-		r.crashes[digest] = known
-	}
-	known.at = r.options.Clock.Now()
-	known.count++
-}
-
-// fetch gets the configuration from a keeper that has a newer one.
-func (r *Reader) fetch(ctx context.Context, keeper netip.AddrPort) {
-	r.fetching.Lock()
-	defer r.fetching.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	plan, err := r.options.Dial(keeper).Fetch(ctx, &messenger.CurrentRequest{})
-	if err != nil {
-		r.options.Log.Warn().Err(err).Stringer("keeper", keeper).Msg("the configuration was not fetched; another answer brings it")
-		return
-	}
-	if plan.GetVersion() <= r.version() {
-		return
-	}
-	r.enforce(keeper, plan)
-}
-
-func (r *Reader) enforce(keeper netip.AddrPort, plan *messenger.Plan) {
-	decoded, err := r.options.Dialect.Plan(plan.GetText())
-	if err == nil {
-		var table *resolver.Table
-		if table, err = resolver.Compile(decoded); err == nil {
-			table.Succeed(r.table.Load())
-			r.options.Plan(table)
-			before := r.version()
-			if r.table.Swap(table) == nil {
-				close(r.begun)
-			}
-			r.mutex.Lock()
-			close(r.enforced)
-			r.enforced = make(chan struct{})
-			r.mutex.Unlock()
-			r.options.Log.Info().Uint64("version", plan.GetVersion()).Uint64("before", before).
-				Stringer("keeper", keeper).Msg("configuration in force")
-			return
-		}
-	}
-	// Keepers accept only what the same code has checked.
-	r.options.Log.Error().Err(err).Uint64("version", plan.GetVersion()).Msg("an accepted configuration cannot be used; run one version of all programs")
-}
