Reproduce that others are bounded by what a flooded router told a second ago

What callers see where processor time is dear (ten plays at once and more on five cores): the workspace of a flooded router gets 0.42 to 0.47 of what others get.

Evidence (trials that log what routers hear): the flooded router's reports come 0.25 to 0.8 s apart; in one second all routers believed in 999 thousand tokens a second while 400 began, and others had shares of 1,599 thousand, 1.6 times that. Once its reports moved to another keeper and counted twice for 0.1 s.

The model lets the flooded router report every 0.7 s in the mean: under half on 3 of 100 schedules of eight routers (least 0.477) and 3 of 100 of sixteen (0.468). What is owed to each bounds how far others can be held back, so a smaller constant moves the edge; not taken.

--- a/lib/apportioner/schedules_test.go
+++ b/lib/apportioner/schedules_test.go
@@ -17,12 +17,15 @@
 // their shares. What routers hear of each other is late, lost, or comes twice.
 type flooded struct {
 	*fleet
-	random *rand.Rand
-	passes float64 // tokens a second that the flooded router has time for
-	room   float64
-	others int    // workspaces beside it
-	spread []bool // which of the others reach all routers
-	late   []telling
+	random  *rand.Rand
+	passes  float64 // tokens a second that the flooded router has time for
+	room    float64
+	others  int    // workspaces beside it
+	spread  []bool // which of the others reach all routers
+	late    []telling
+	reports time.Duration  // between reports of the flooded router, in the mean
+	said    map[string]Use // what the flooded router told last
+	says    time.Time      // when it tells again
 }
 
 // telling is what a router is to hear, and when.
@@ -42,8 +45,8 @@
 	leastPasses = 0.6
 )
 
-func newFlooded(seed uint64, routers, others int) *flooded {
-	f := &flooded{random: rand.New(rand.NewPCG(seed, 1))}
+func newFlooded(seed uint64, routers, others int, reports time.Duration) *flooded {
+	f := &flooded{random: rand.New(rand.NewPCG(seed, 1)), reports: reports}
 	f.others = 1 + f.random.IntN(others)
 	capacity := floodOwed * float64(f.others+1) / stretchOwed * stretchLeast
 	f.fleet = newFleet(routers, capacity)
@@ -100,7 +103,7 @@
 // schedule tells the routers the sums of now, each after a time of its own.
 func (f *flooded) schedule() {
 	f.told = f.now
-	sums := f.sums()
+	sums := f.reported()
 	for router := range f.routers {
 		if f.random.IntN(10) == 0 {
 			continue // it is lost
@@ -116,6 +119,23 @@
 	}
 }
 
+// reported is what keepers add up. The flooded router, which is late with all that it does, tells
+// them less often than others.
+func (f *flooded) reported() map[string]Use {
+	if !f.says.After(f.now) {
+		f.said = f.routers[0].Uses(f.now)
+		f.says = f.now.Add(f.reports/2 + time.Duration(f.random.Float64()*float64(f.reports)))
+	}
+	sums := maps.Clone(f.said)
+	for _, a := range f.routers[1:] {
+		for name, use := range a.Uses(f.now) {
+			sum := sums[name]
+			sums[name] = Use{Asked: sum.Asked + use.Asked, Got: sum.Got + use.Got, Unheard: sum.Unheard + use.Unheard}
+		}
+	}
+	return sums
+}
+
 // deliver tells the routers what is due.
 func (f *flooded) deliver() {
 	waiting := f.late[:0]
@@ -132,12 +152,7 @@
 // Guards against a workspace that waits and gets less than half of what others get over six
 // seconds, whatever its router can do from second to second and however late that is heard.
 func TestNobodyGetsTwiceAsMuchUnderAnySchedule(t *testing.T) {
-	const (
-		schedules = 12
-		length    = 18 // seconds
-		known     = 4  // the second from which on the sums are known
-		window    = 6
-	)
+	const schedules = 12
 	tests := map[string]struct{ routers, others int }{
 		"a fleet":              {routers: 8, others: 4},
 		"one of twice as many": {routers: 16, others: 8},
@@ -146,25 +161,57 @@
 		t.Run(name, func(t *testing.T) {
 			least := math.Inf(1)
 			for seed := range uint64(schedules) {
-				f := newFlooded(seed, test.routers, test.others)
-				var got, best []float64
-				for range length {
-					began := f.second()
-					got = append(got, began["gathered"])
-					best = append(best, slices.Max(slices.Collect(maps.Values(began))))
-				}
-				for from := known; from+window <= length; from++ {
-					// Single requests count in no comparison.
-					ratio := (sum(got[from:from+window]) + 3*floodRequest) / sum(best[from:from+window])
-					require.GreaterOrEqual(t, ratio, 0.5, "schedule %d, from second %d on: half is due", seed, from)
-					least = min(least, ratio)
-				}
+				ratio := newFlooded(seed, test.routers, test.others, 0).leastRatio()
+				require.GreaterOrEqual(t, ratio, 0.5, "schedule %d: half is due", seed)
+				least = min(least, ratio)
 			}
 			t.Logf("least ratio of %d schedules: %.3f", schedules, least)
 		})
 	}
 }
 
+// Guards against the same where the flooded router, late with all that it does, reports late as
+// well: others are bounded by what its workspace got a second ago.
+func TestNobodyGetsTwiceAsMuchBesideARouterThatReportsLate(t *testing.T) {
+	const reports = 700 * time.Millisecond
+	tests := map[string]struct {
+		seed            uint64
+		routers, others int
+	}{
+		"a fleet":                {seed: 34, routers: 8, others: 4},
+		"one of twice as many":   {seed: 36, routers: 16, others: 8},
+		"the same, another time": {seed: 31, routers: 16, others: 8},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ratio := newFlooded(test.seed, test.routers, test.others, reports).leastRatio()
+			require.GreaterOrEqual(t, ratio, 0.5, "half is due")
+		})
+	}
+}
+
+// leastRatio plays some seconds and returns what the flooded workspace got of what was got best
+// in each second, the least of any six of them.
+func (f *flooded) leastRatio() float64 {
+	const (
+		length = 18 // seconds
+		known  = 4  // the second from which on the sums are known
+		window = 6
+	)
+	var got, best []float64
+	for range length {
+		began := f.second()
+		got = append(got, began["gathered"])
+		best = append(best, slices.Max(slices.Collect(maps.Values(began))))
+	}
+	least := math.Inf(1)
+	for from := known; from+window <= length; from++ {
+		// Single requests count in no comparison.
+		least = min(least, (sum(got[from:from+window])+3*floodRequest)/sum(best[from:from+window]))
+	}
+	return least
+}
+
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, value := range values {
