Let a router that was held up refuse what has gathered, and only its starts follow what stands

Cause: with the moments left out a router hardly ever lagged, so that it neither refused nor closed what had gathered while it was held up, and its queue of new connections overflowed.

Now whether a process lags is told by the mean again, the time until its turn included, and only starts follow the lateness that stands.

--- a/lib/pacer/pacer.go
+++ b/lib/pacer/pacer.go
@@ -4,9 +4,9 @@
 //
 // A process that has more to do than it can is late at every look. One that was held up for
 // a moment, by a collection of garbage or by requests that came all at once, is late at one
-// or two and soon catches up. Only the first has to do less, so that what counts is the
-// lateness that stands: the least within an interval (K. Nichols and V. Jacobson,
-// "Controlling Queue Delay", 2012).
+// or two and soon catches up. Both lag, and had better refuse what has gathered meanwhile; only
+// the first has to start less from then on. So starts follow the lateness that stands: the
+// least within an interval (K. Nichols and V. Jacobson, "Controlling Queue Delay", 2012).
 //
 // Invariant: a process that keeps up is never taken for one that lags; one that
 // lags is noticed within some steps, and so is the end of it.
@@ -24,17 +24,20 @@
 const (
 	// step is the pause between two looks.
 	step = 25 * time.Millisecond
-	// interval is for how long a process has to be late before that counts: longer than it
+	// interval is for how long a process has to be late before it starts less: longer than it
 	// is held up for by single events.
 	interval = 100 * time.Millisecond
 	// leastLooks and mostLooks make up an interval: each look covers a step and what it is
 	// late by. A single one never shows more than a moment.
 	leastLooks = 2
 	mostLooks  = int(interval / step)
-	// TooLate is the standing lateness from which a process lags: a tenth of the time
+	// TooLate is the mean lateness from which a process lags: a tenth of the time
 	// within which the shortest answers are due. A process that keeps up is a
 	// millisecond late.
 	TooLate = 25 * time.Millisecond
+	// weight of the latest look in the mean: a lag that lasts is noticed within
+	// four looks, a single late one of 80 ms is not.
+	weight = 0.3
 )
 
 // Pacer measures. Its zero value does not lag.
@@ -44,7 +47,7 @@
 
 	yield func()                   // waits for a turn; runtime.Gosched if nil
 	looks [mostLooks]time.Duration // how late, the latest first; used by Look only
-	late  atomic.Int64             // standing lateness
+	late  atomic.Int64             // mean lateness
 }
 
 // Run measures until the context ends.
@@ -71,8 +74,9 @@
 func (p *Pacer) Look(late time.Duration) {
 	copy(p.looks[1:], p.looks[:])
 	p.looks[0] = max(late, 0)
-	p.late.Store(int64(p.standing()))
-	p.Starts.Look(p.Late())
+	mean := p.Late()
+	p.late.Store(int64(mean + time.Duration(weight*float64(p.looks[0]-mean))))
+	p.Starts.Look(p.standing())
 }
 
 // standing returns the least lateness within the interval that has just passed.
@@ -88,7 +92,7 @@
 	return least
 }
 
-// Late returns the standing lateness.
+// Late returns the mean lateness.
 func (p *Pacer) Late() time.Duration {
 	return time.Duration(p.late.Load())
 }
--- a/lib/pacer/pacer_test.go
+++ b/lib/pacer/pacer_test.go
@@ -20,6 +20,7 @@
 	}{
 		"keeps up":             {late: []time.Duration{time.Millisecond, 0, 2 * time.Millisecond, time.Millisecond}},
 		"early":                {late: []time.Duration{-time.Second, -time.Second}},
+		"one look, very late":  {late: []time.Duration{0, 150 * time.Millisecond}, lags: true}, // what has gathered is refused
 		"one late look":        {late: []time.Duration{0, 80 * time.Millisecond, 0}},
 		"late again and again": {late: []time.Duration{60 * time.Millisecond, 60 * time.Millisecond, 60 * time.Millisecond, 60 * time.Millisecond}, lags: true},
 		"it has recovered":     {late: []time.Duration{time.Second, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}},
@@ -51,5 +52,6 @@
 	require.NoError(t, clock.BlockUntilContext(ctx, 1))
 	cancel()
 	group.Wait()
-	require.Equal(t, wait, p.Late())
+	require.Equal(t, wait, p.standing())
+	require.True(t, p.Lags())
 }
--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// Calm is the standing lateness up to which a process keeps up, and more may be started.
+	// Calm is the lateness up to which a process keeps up, and more may be started.
 	Calm = 6 * time.Millisecond
 	// strained is the standing lateness from which less is started: half of TooLate, at
 	// which everybody is refused.
