--- a/lib/resolver/former.go
+++ b/lib/resolver/former.go
@@ -23,12 +23,12 @@
 		return
 	}
 	t.former = make(map[[sha256.Size]byte]Former)
-	for digest, former := range earlier.former {
-		t.remember(digest, former)
-	}
 	for digest, workspace := range earlier.workspaces {
 		t.remember(digest, Former{Workspace: workspace.Name, Since: t.version})
 	}
+	for digest, former := range earlier.former {
+		t.remember(digest, former)
+	}
 }
 
 // remember notes a key unless it is held, or too many are noted.
--- a/lib/resolver/former_test.go
+++ b/lib/resolver/former_test.go
@@ -56,4 +56,11 @@
 	require.NoError(t, err)
 	after.Succeed(before)
 	require.Len(t, after.former, maxFormer)
+	last, err := Compile(Plan{Version: 8})
+	require.NoError(t, err)
+	last.Succeed(after)
+	require.Len(t, last.former, maxFormer)
+	former, found := last.Former("k1")
+	require.True(t, found, "those that went last are remembered")
+	require.Equal(t, Former{Workspace: "club", Since: 8}, former)
 }
