--- a/lib/apportioner/apportioner_test.go
+++ b/lib/apportioner/apportioner_test.go
@@ -61,17 +61,22 @@
 func (f *fleet) sums() map[string]Use {
 	sums := make(map[string]Use)
 	for _, a := range f.routers {
-		for name, use := range a.Uses(f.now) {
-			sum := sums[name]
-			sum.Asked += use.Asked
-			sum.Got += use.Got
-			sum.Unheard += use.Unheard
-			sums[name] = sum
-		}
+		add(sums, a.Uses(f.now))
 	}
 	return sums
 }
 
+// add adds a router's report to the sums.
+func add(sums, report map[string]Use) {
+	for name, use := range report {
+		sum := sums[name]
+		sum.Asked += use.Asked
+		sum.Got += use.Got
+		sum.Unheard += use.Unheard
+		sums[name] = sum
+	}
+}
+
 // tell lets all routers hear the sums.
 func (f *fleet) tell() {
 	f.told = f.now
--- a/lib/apportioner/schedules_test.go
+++ b/lib/apportioner/schedules_test.go
@@ -128,10 +128,7 @@
 	}
 	sums := maps.Clone(f.said)
 	for _, a := range f.routers[1:] {
-		for name, use := range a.Uses(f.now) {
-			sum := sums[name]
-			sums[name] = Use{Asked: sum.Asked + use.Asked, Got: sum.Got + use.Got, Unheard: sum.Unheard + use.Unheard}
-		}
+		add(sums, a.Uses(f.now))
 	}
 	return sums
 }
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -30,7 +30,6 @@
 	// tooMuch and noShare are what clients are told most often.
 	tooMuch = "this router has too much to do"
 	noShare = "the workspace has used its share"
-	noKey   = "no workspace holds the key"
 	// defaultBody bounds a request's body where the configuration does not.
 	defaultBody = 4 << 20
 )
@@ -48,7 +47,7 @@
 		return false
 	}
 	if !p.identify(q) {
-		p.refuse(q, byKey, http.StatusUnauthorized, noKey, 0)
+		p.refuse(q, byKey, http.StatusUnauthorized, "no workspace holds the key", 0)
 		p.tellKey(q)
 		return false
 	}
