Tell beside what a router begins what the fleet believes, what others are held to, and its processor time

Logs did not tell whether others take more than their share because of what a flooded router told too late, or what is owed to them while it brings out too little; nor whether a router that refuses uses its processor up or is not let run.

No decision changes. What it costs: one call of getrusage in half a second, and one look at the shares a line.

--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -18,6 +18,7 @@
 package apportioner
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -148,6 +149,27 @@
 	return now.Sub(a.told)
 }
 
+// Standing is how a workspace stands in the whole fleet as told last, in tokens a second.
+type Standing struct {
+	// Got is what has begun to be answered. While its routers have no room for it, others are
+	// held to a multiple of that.
+	Got uint64
+	// Owed is its share whatever engines have to do, and Most its share while they bear it. A
+	// share without a bound is +Inf.
+	Owed, Most float64
+}
+
+// Standing returns how a workspace stands, as nobody if it is not known.
+func (a *Apportioner) Standing(name string) Standing {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	w, found := a.workspaces[name]
+	if !found {
+		return Standing{Owed: math.Inf(1), Most: math.Inf(1)}
+	}
+	return Standing{Got: w.told.Got, Owed: w.owed.share, Most: w.most.share}
+}
+
 // Decision is the answer to a request, with what it rests on.
 type Decision struct {
 	Admitted bool
--- a/router/internal/director/pressure.go
+++ b/router/internal/director/pressure.go
@@ -11,19 +11,20 @@
 
 // counts are figures that only rise.
 type counts struct {
-	full    uint64 // requests that were refused for want of room
-	taken   uint64 // requests that the server took
-	made    uint64 // connections that the server took
-	refused uint64 // requests that were refused before the server took them
-	left    uint64 // connections whose clients had left before their request was judged
-	unread  uint64 // connections that were closed unread
+	full    uint64        // requests that were refused for want of room
+	taken   uint64        // requests that the server took
+	made    uint64        // connections that the server took
+	refused uint64        // requests that were refused before the server took them
+	left    uint64        // connections whose clients had left before their request was judged
+	unread  uint64        // connections that were closed unread
+	used    time.Duration // processor time
 }
 
 // since returns what has come since other figures.
 func (c counts) since(before counts) counts {
 	return counts{
 		full: c.full - before.full, taken: c.taken - before.taken, made: c.made - before.made,
-		refused: c.refused - before.refused, left: c.left - before.left, unread: c.unread - before.unread,
+		refused: c.refused - before.refused, left: c.left - before.left, unread: c.unread - before.unread, used: c.used - before.used,
 	}
 }
 
@@ -60,6 +61,7 @@
 		refused: d.screener((*screener.Listener).Refused)(),
 		left:    d.screener((*screener.Listener).Left)(),
 		unread:  d.screener((*screener.Listener).Unread)(),
+		used:    d.used(),
 	}
 }
 
@@ -77,5 +79,6 @@
 	d.log.Info().Dur("late_ms", d.pacer.Late()).Float64("starts", d.pacer.Starts.Value()).
 		Int("running", d.passer.Running()).Int("open", open).Int("busy", busy).Int("waiting", waiting).
 		Dur("span_ms", span).Uint64("refused", came.full).Uint64("taken", came.taken).Uint64("connections", came.made).
-		Uint64("screened", came.refused).Uint64("left", came.left).Uint64("unread", came.unread).Msg("under pressure")
+		Uint64("screened", came.refused).Uint64("left", came.left).Uint64("unread", came.unread).
+		Dur("processor_ms", came.used).Msg("under pressure")
 }
--- a/router/internal/passer/ledger.go
+++ b/router/internal/passer/ledger.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"shallotkeel.example/lib/apportioner"
 )
 
 // verdict is what refused a request.
@@ -76,14 +78,14 @@
 }
 
 // add counts a request that has ended, and writes the lines of a span that is over.
-func (l *ledger) add(now time.Time, log zerolog.Logger, q *request) {
+func (l *ledger) add(now time.Time, log zerolog.Logger, shares *apportioner.Apportioner, q *request) {
 	if q.workspace == "" {
 		return
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if now.Sub(l.since) >= ledgerSpan {
-		l.write(now, log)
+		l.write(now, log, shares)
 		l.since, l.entries = now, make(map[string]*entry)
 	}
 	e, found := l.entries[q.workspace]
@@ -101,14 +103,18 @@
 	}
 }
 
-func (l *ledger) write(now time.Time, log zerolog.Logger) {
+// write writes what became of the workspaces that wait most here, beside what is believed of
+// them in the whole fleet: others are held to that, and it is as late as what their routers tell.
+func (l *ledger) write(now time.Time, log zerolog.Logger, shares *apportioner.Apportioner) {
 	waiting := slices.SortedFunc(maps.Values(l.entries), func(a, b *entry) int { return cmp.Compare(b.held(), a.held()) })
 	for _, e := range waiting[:min(len(waiting), ledgerLines)] {
 		if e.held() == 0 {
 			return
 		}
+		standing := shares.Standing(e.workspace)
 		log.Info().Str("workspace", e.workspace).Dur("span_ms", now.Sub(l.since)).Int("begun", e.begun).
 			Int("by_share", e.refused[byShare]).Int("by_engines", e.refused[byEngines]).Int("by_router", e.refused[byRouter]).
-			Int("by_endpoints", e.refused[byEndpoints]).Int("unanswered", e.refused[passed]).Msg("workspace held back")
+			Int("by_endpoints", e.refused[byEndpoints]).Int("unanswered", e.refused[passed]).
+			Uint64("fleet", standing.Got).Float64("owed", standing.Owed).Float64("most", standing.Most).Msg("workspace held back")
 	}
 }
--- a/router/internal/passer/ledger_test.go
+++ b/router/internal/passer/ledger_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
 )
@@ -20,9 +21,12 @@
 	var written bytes.Buffer
 	log := zerolog.New(&written)
 	var l ledger
+	var shares apportioner.Apportioner
 	now := time.Unix(1000, 0)
+	shares.Capacity(1000)
+	shares.Demand(now, map[string]apportioner.Use{"club": {Asked: 9000, Got: 250}}, 0)
 	add := func(workspace string, tokens, sends int, by verdict) {
-		l.add(now, log, &request{
+		l.add(now, log, &shares, &request{
 			workspace: workspace, sends: sends, refused: by,
 			in: forwarder.Incoming{Work: balancer.Work{Prompt: tokens}},
 		})
@@ -41,6 +45,6 @@
 	lines := strings.Split(strings.TrimSpace(written.String()), "\n")
 	require.Len(t, lines, ledgerLines)
 	require.JSONEq(t, `{"level":"info","workspace":"club","span_ms":1000,"begun":100,"by_share":20,"by_engines":0,"by_router":3,
-		"by_endpoints":0,"unanswered":0,"message":"workspace held back"}`, lines[0])
+		"by_endpoints":0,"unanswered":0,"fleet":250,"owed":1100,"most":2500,"message":"workspace held back"}`, lines[0])
 	require.NotContains(t, written.String(), "served")
 }
--- a/router/internal/passer/record.go
+++ b/router/internal/passer/record.go
@@ -15,7 +15,7 @@
 	now := p.options.Clock.Now()
 	took := now.Sub(q.received)
 	p.options.Metrics.ended(q, took)
-	p.ledger.add(now, p.options.Log, q)
+	p.ledger.add(now, p.options.Log, p.options.Shares, q)
 	if q.told || q.sends == 0 && q.unsent == 0 && !p.quietly.Admit(now, p.options.Log) {
 		return
 	}
