Let a late router do less of what takes more than its part: refusing no longer stops what is to be served

What callers saw: a workspace all of whose clients reach one router was refused almost whole, 0.52 beside 5.38 million tokens in six seconds, while neighbours and engines had next to nothing to do.

Cause: starts were cut whenever the router was late, whatever made it late. 3,700 refusals a second, at some 45 us of a core each, make 0.192 cores late; each start less is one refusal more, so starts were cut to their least (19 a second) and stayed there. The class: a controller that lowers what does not cause the error that it measures.

Now refusing has a part of the processor, half of it, counted by what a refusal takes. While it takes more, lateness of 12 ms lowers nothing, and 25 ms lowers how many new connections are read; starts are lowered when refusing is within its part, or is least already. Nothing is lowered while lateness falls.

--- a/lib/pacer/pacer.go
+++ b/lib/pacer/pacer.go
@@ -8,6 +8,10 @@
 // the first has to start less from then on. So starts follow the lateness that stands: the
 // least within an interval (K. Nichols and V. Jacobson, "Controlling Queue Delay", 2012).
 //
+// Refusing takes time as well. A process that is late because of what it refuses does not catch
+// up by starting less: it refuses more instead, until it starts next to nothing. So each has a
+// part of the time that the other can not take, and of the two the one beyond its part yields.
+//
 // Invariant: a process that keeps up is never taken for one that lags; one that
 // lags is noticed within some steps, and so is the end of it.
 package pacer
@@ -42,8 +46,11 @@
 
 // Pacer measures. Its zero value does not lag.
 type Pacer struct {
-	// Starts is adapted at each look; it may be nil.
-	Starts *Rate
+	// Starts is how many requests are served, and Entries how many connections are read while
+	// others are refused. Both are adapted at each look; they may be nil.
+	Starts, Entries *Rate
+	// Refusing is the part of the time beyond which refusing yields, and not starts.
+	Refusing Part
 
 	yield func()                   // waits for a turn; runtime.Gosched if nil
 	looks [mostLooks]time.Duration // how late, the latest first; used by Look only
@@ -76,7 +83,29 @@
 	p.looks[0] = max(late, 0)
 	mean := p.Late()
 	p.late.Store(int64(mean + time.Duration(weight*float64(p.looks[0]-mean))))
-	p.Starts.Look(p.standing())
+	p.adapt(p.standing())
+}
+
+// adapt lowers the rates of a process that is late, or lets them grow if it keeps up.
+func (p *Pacer) adapt(late time.Duration) {
+	refuses := p.Refusing.takeExceeded()
+	switch {
+	case p.catchesUp():
+	case late < strained:
+		p.Starts.Look(late)
+		p.Entries.change(quickGrowth)
+	case !refuses || !p.Entries.reducible():
+		p.Starts.Look(late)
+	case late >= TooLate:
+		// Later than starts would be lowered: whose connection is closed unread learns nothing.
+		p.Entries.change(cut)
+	}
+}
+
+// catchesUp tells whether lateness falls: what is started and read is less than is possible
+// already, and what is late is what came before.
+func (p *Pacer) catchesUp() bool {
+	return p.looks[mostLooks-1]-p.looks[0] >= strained
 }
 
 // standing returns the least lateness within the interval that has just passed.
--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -15,6 +15,8 @@
 	// holds somebody up, and halves in 0.14 s.
 	growth = 1.025
 	cut    = 0.88
+	// quickGrowth is that of what is read: who is closed unread is told nothing.
+	quickGrowth = 1.08
 	// startBurst is how much of a second's starts may follow one another at once.
 	startBurst = 0.04
 	// span is the time over which starts are counted by who asked for them: long enough
@@ -117,20 +119,39 @@
 
 // Look adapts the rate to the process's standing lateness.
 func (r *Rate) Look(late time.Duration) {
+	switch {
+	case late >= strained:
+		r.change(cut)
+	case late <= Calm:
+		r.change(growth)
+	default:
+		r.change(1)
+	}
+}
+
+// change multiplies the rate, and raises it only if it has held somebody up since the last time.
+func (r *Rate) change(by float64) {
 	if r.unbounded() {
 		return
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	switch {
-	case late >= strained:
-		r.rate = max(r.current()*cut, r.Least)
-	case late <= Calm && r.starved:
-		r.rate = r.current() * growth
+	if by < 1 || r.starved {
+		r.rate = max(r.current()*by, r.Least)
 	}
 	r.starved = false
 }
 
+// reducible tells whether the rate is above its least.
+func (r *Rate) reducible() bool {
+	if r.unbounded() {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.current() > r.Least
+}
+
 func (r *Rate) current() float64 {
 	if r.rate == 0 {
 		return r.Begin
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -52,6 +52,16 @@
 	// known, and leastStartsPerCore however late it is.
 	startsPerCore      = 800
 	leastStartsPerCore = 100
+	// refusalsPerCore is how many requests a core refuses in a second, and closingsPerCore how
+	// many connections it closes unread.
+	refusalsPerCore = 20_000
+	closingsPerCore = 60_000
+	// refusingShare is what refusing may take of the processor's time before a late router
+	// reads less: half is left to those that are served.
+	refusingShare = 0.5
+	// leastEntriesPerCore is how many new connections are read in a second however late the
+	// process is, of all that it could refuse.
+	leastEntriesPerCore = 2000
 	// waitingPerCore bounds the connections of clients whose requests have not been read
 	// yet while the process lags, by processor time: they are refused within some 20 ms.
 	waitingPerCore = 300
@@ -144,6 +154,8 @@
 		Primary: &subscriber.Primary{Name: settings.Name, Zone: settings.Zone},
 	})
 	d.pacer.Starts = &pacer.Rate{Least: settings.Processors * leastStartsPerCore, Begin: settings.Processors * startsPerCore}
+	d.pacer.Entries = &pacer.Rate{Least: settings.Processors * leastEntriesPerCore, Begin: settings.Processors * refusalsPerCore}
+	d.pacer.Refusing.Share = refusingShare
 	d.passer = passer.New(passer.Options{
 		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
@@ -155,6 +167,7 @@
 		HeldBytes: passer.HeldBytes(settings.Memory),
 		Lags:      d.pacer.Lags,
 		Starts:    d.pacer.Starts,
+		Refused:   func() { d.spend(refusalsPerCore) },
 	})
 	d.registerGauges()
 	return d
@@ -316,10 +329,19 @@
 	return nil
 }
 
-// room tells whether one more client may connect. While the process lags only so
-// many connections may be busy as requests may be under way: each that is taken
-// beyond that makes all others later, until nobody is served in time.
+// room tells whether one more client may connect, and counts it.
 func (d *Director) room() bool {
+	room := d.holds() && (!d.passer.Screens() || d.enters())
+	if !room {
+		d.spend(closingsPerCore)
+	}
+	return room
+}
+
+// holds tells whether one more client may be connected. While the process lags
+// only so many connections may be busy as requests may be under way: each that is taken
+// beyond that makes all others later, until nobody is served in time.
+func (d *Director) holds() bool {
 	open, busy := d.connected.counts()
 	if d.pacer.Lags() && busy-d.passer.Running() >= d.mostWaiting() {
 		return false
@@ -329,6 +351,22 @@
 	return open < min(byMemory, byDescriptors)
 }
 
+// enters tells whether one more connection may be read while requests are refused, and takes it.
+func (d *Director) enters() bool {
+	now := d.clock.Now()
+	if !d.pacer.Entries.Room(now) {
+		return false
+	}
+	d.pacer.Entries.Take(now, "")
+	return true
+}
+
+// spend counts something that refuses a client and of which a core does so many in a second.
+func (d *Director) spend(perCore float64) {
+	took := time.Duration(float64(time.Second) / (perCore * d.settings.Processors))
+	d.pacer.Refusing.Spend(d.clock.Now(), took)
+}
+
 // crowded tells whether connections are closed behind their answers.
 func (d *Director) crowded() bool {
 	open, _ := d.connected.counts()
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -44,6 +44,7 @@
 		return float64(d.balancer.BackedOff(d.clock.Now()))
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_entries", Help: "New connections a second that this router may read while it refuses."}, d.pacer.Entries.Value)
 	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "shallotkeel_direct_processor_seconds_total", Help: "Processor time that this process has used.",
 	}, func() float64 { return d.used().Seconds() }))
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -87,6 +87,8 @@
 	Lags func() bool
 	// Starts paces how many requests begin. It may be nil.
 	Starts *pacer.Rate
+	// Refused is called at each refusal, for the time that it takes. It may be nil.
+	Refused func()
 }
 
 // Passer is an http.Handler.
--- a/router/internal/passer/record.go
+++ b/router/internal/passer/record.go
@@ -16,6 +16,9 @@
 	took := now.Sub(q.received)
 	p.options.Metrics.ended(q, took)
 	p.ledger.add(now, p.options.Log, p.options.Shares, q)
+	if q.refused != passed && p.options.Refused != nil {
+		p.options.Refused()
+	}
 	if q.told || q.sends == 0 && q.unsent == 0 && !p.quietly.Admit(now, p.options.Log) {
 		return
 	}
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -30,6 +30,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
 )
 
@@ -53,6 +54,8 @@
 	turn = 32
 	// handed is how many connections may wait for the server to take them.
 	handed = 64
+	// mostRoomLines bounds the lines a second on room that comes and goes.
+	mostRoomLines = 2
 )
 
 // Refusal is the answer to a request that has not run and will not.
@@ -68,7 +71,7 @@
 
 // Options are what a Listener is made of.
 type Options struct {
-	// Room tells whether one more connection may be taken at all.
+	// Room tells whether one more connection may be taken at all. It is asked once for each.
 	Room func() bool
 	// Screens tells whether requests on new connections are judged now.
 	Screens func() bool
@@ -88,7 +91,8 @@
 	done    chan struct{}
 	close   sync.Once
 	waiting atomic.Int64
-	full    bool // used by accept only
+	full    bool // used by accept only, as is lines
+	lines   damper.Damper
 	unread  atomic.Uint64
 	refused atomic.Uint64
 	left    atomic.Uint64
@@ -99,6 +103,7 @@
 	l := &Listener{
 		Listener: inner, options: options,
 		passed: make(chan net.Conn, handed), failed: make(chan error, 1), done: make(chan struct{}),
+		lines: damper.Damper{Most: mostRoomLines},
 	}
 	go l.accept()
 	return l
@@ -183,7 +188,7 @@
 func (l *Listener) take(conn net.Conn) {
 	screens := l.options.Screens()
 	room := l.options.Room() && (!screens || l.Waiting() < l.options.Most)
-	if room == l.full {
+	if room == l.full && l.lines.Admit(l.options.Clock.Now(), l.options.Log) {
 		l.full = !room
 		l.options.Log.Warn().Bool("full", l.full).Msg("room for clients' connections changed")
 	}
