Let those who are refused for want of room come back the later, the more are refused

What callers saw: a router that let one request in twenty in told all others to come back after 60 to 90 ms, and refused most of them again. Each such try takes from the time in which somebody could be served.

Cause: the pause was a constant, whatever the chance to be served at the next try. It is now that constant by the part of those who asked in the last half to whole second that was not refused for want of room, one second at the most (clients believe a third of their time).

--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -52,10 +52,9 @@
 		return false
 	}
 	if p.busy(q) {
-		// Whoever comes back reaches another router. Taking the request here would
-		// make it late, and every other one with it.
+		// Taking the request here would make it late, and every other one with it.
 		p.unheard(q)
-		p.refuse(q, byRouter, http.StatusServiceUnavailable, tooMuch, retrySoon)
+		p.refuse(q, byRouter, http.StatusServiceUnavailable, tooMuch, p.roomPause(q.received))
 		return false
 	}
 	if !p.readBody(q) {
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -100,6 +100,7 @@
 	keys    damper.Damper // of lines on keys that nobody holds
 	returns returns
 	ledger  ledger
+	odds    odds
 	taken   atomic.Uint64 // requests that came
 	forRoom atomic.Uint64 // requests that were refused for want of room
 	pressed atomic.Int64  // when a request was refused last for want of room or share, in ns of the Unix time
--- a/router/internal/passer/record.go
+++ b/router/internal/passer/record.go
@@ -16,6 +16,7 @@
 	took := now.Sub(q.received)
 	p.options.Metrics.ended(q, took)
 	p.ledger.add(now, p.options.Log, p.options.Shares, q)
+	p.odds.add(now, q.refused == byRouter)
 	if q.refused != passed && p.options.Refused != nil {
 		p.options.Refused()
 	}
--- a/router/internal/passer/screen.go
+++ b/router/internal/passer/screen.go
@@ -51,7 +51,7 @@
 	if p.busy(q) {
 		q.refused = byRouter
 		p.unheard(q)
-		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: tooMuch, Retry: retrySoon}
+		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: tooMuch, Retry: p.roomPause(q.received)}
 	}
 	if !p.sharesEngines(q) {
 		return nil
