Let a flooded router send new clients to its neighbours while they have room

What callers saw: 61,434 of 72,604 requests of one zone refused, by one of its 21 routers, while routers used 0.016 of their 0.192 cores in the mean.

Cause: a router told the platform that it was ready whatever it refused, and the platform sends all clients of a workspace to one router for as long as that says so. The class: overload that is not told to whoever distributes the load.

A router that refused more than half of what came in the last half to whole second for want of room is now not ready for 3.5 s (the platform needs two of them to notice), and closes connections behind such refusals meanwhile. It does so only if what it has no room for is a good part of what the whole fleet has none for: by that at most an eighth of the routers are away at once, at any size, and no zone is emptied by a flood that all its routers share.

A flood of requests that no share bounds (plain services) still stays where it is.

--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -116,6 +116,7 @@
 	pacer     pacer.Pacer
 	rate      rate // of requests
 	pressure  pressure
+	shedder   shedder
 
 	mutex    sync.Mutex
 	planning map[netip.AddrPort]messenger.Planning
@@ -160,6 +161,7 @@
 		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
 		Crowded: d.crowded,
+		Away:    d.shedder.away.Load,
 		Gather:  time.Duration(gatherShare * float64(settings.Pass.Duration)),
 		// The bound on what is under way comes before the lag: a process lags only
 		// when it has taken too much already, and stays late for as long as that takes.
@@ -213,6 +215,7 @@
 func (d *Director) fleet(fleet newsreader.Fleet) {
 	now := d.clock.Now()
 	d.balancer.Others(now, fleet.Loads)
+	d.shedder.fleet.Store(unheard(fleet.Uses))
 	d.shares.Demand(now, fleet.Uses, fleet.Backlog)
 }
 
@@ -234,6 +237,7 @@
 
 // routers takes how many routers the fleet has.
 func (d *Director) routers(count int) {
+	d.shedder.routers.Store(int64(count))
 	d.budget.Share(count)
 	d.shares.Routers(count)
 	d.balancer.Routers(count)
@@ -257,7 +261,7 @@
 	case <-d.stopping:
 		return false
 	default:
-		return d.reader.Table() != nil
+		return d.reader.Table() != nil && !d.shedder.away.Load()
 	}
 }
 
@@ -394,6 +398,7 @@
 		case <-ticker.Chan():
 			d.client.Sweep()
 			d.tellPressure()
+			d.shed()
 		}
 	}
 }
--- a/router/internal/director/flooded_test.go
+++ b/router/internal/director/flooded_test.go
@@ -32,13 +32,19 @@
 }
 
 func newInstance(t *testing.T) *instance {
+	t.Helper()
+	return newInstanceOf(t, `{"name":"desk"}`)
+}
+
+// newInstanceOf returns an instance before a service.
+func newInstanceOf(t *testing.T, service string) *instance {
 	t.Helper()
 	settings := sound(t)
 	settings.Processors = smallCores
 	clock := clockwork.NewFakeClock()
 	i := &instance{Director: New(settings, "settings.json", zerolog.Nop(), clock), clock: clock}
 	keeper := netip.MustParseAddrPort("127.0.0.1:1")
-	i.planning[keeper] = fixed{plan: `{"version":1,"services":[{"name":"desk"}],
+	i.planning[keeper] = fixed{plan: `{"version":1,"services":[` + service + `],
 		"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"idempotent","timeout_ms":1000,"service":"desk"}],
 		"tenants":[{"name":"flood","api_keys":["flood"]}]}`}
 	i.reader.News(t.Context(), keeper, &messenger.FollowResponse{Plan: 1})
@@ -55,6 +61,7 @@
 		require.NoError(t, err)
 		h.RequestURI = "/x"
 		h.Header.Set("Authorization", "Bearer "+workspace)
+		h.Header.Set("X-Shallotkeel-Token-Counts", "1000,10")
 		i.heard++
 		cost = refusingCost
 		if i.passer.Screen(h) == nil {
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -44,6 +44,12 @@
 		return float64(d.balancer.BackedOff(d.clock.Now()))
 	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_away", Help: "1 while new clients are sent to other routers."}, func() float64 {
+		if d.shedder.away.Load() {
+			return 1
+		}
+		return 0
+	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_entries", Help: "New connections a second that this router may read while it refuses."}, d.pacer.Entries.Value)
 	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "shallotkeel_direct_processor_seconds_total", Help: "Processor time that this process has used.",
--- /dev/null
+++ b/router/internal/director/shedder.go
@@ -0,0 +1,66 @@
+package director
+
+import (
+	"sync/atomic"
+	"time"
+
+	"shallotkeel.example/lib/apportioner"
+)
+
+const (
+	// shedShare is the part of the requests refused for want of room from which new clients had
+	// better go to other routers.
+	shedShare = 0.5
+	// shedTime is for how long they are sent there. The platform takes up to two seconds to do so.
+	shedTime = 3500 * time.Millisecond
+	// awayShare is the part of a fleet's routers that may be away at once.
+	awayShare = 0.125
+)
+
+// shedder decides when a router that is flooded tells that it is not ready, so that new clients
+// go to its neighbours. Only one that refuses a good part of what the whole fleet has no room
+// for may do so: where all are flooded, neighbours have no room either, and a zone without
+// routers would burden another one. Its zero value stays.
+type shedder struct {
+	fleet   atomic.Uint64 // tokens a second that all routers have no room for, as told last
+	routers atomic.Int64  // of the fleet
+	away    atomic.Bool   // new clients are sent elsewhere
+
+	until time.Time // it is away; used by look only
+}
+
+// look decides by the part of this router's requests that it refuses for want of room, 0 to 1,
+// and by what it has no room for, in tokens a second. It tells whether that changes anything.
+func (s *shedder) look(now time.Time, refused float64, own uint64) (changed bool) {
+	if !now.Before(s.until) && refused >= shedShare && s.local(own) {
+		s.until = now.Add(shedTime)
+	}
+	away := now.Before(s.until)
+	return s.away.Swap(away) != away
+}
+
+// local tells whether so few routers can be as crowded as this one that all of them may leave.
+func (s *shedder) local(own uint64) bool {
+	routers := s.routers.Load()
+	most := max(awayShare*float64(routers), 1)
+	return routers > 1 && own > 0 && float64(own)*most >= float64(s.fleet.Load())
+}
+
+// shed looks whether new clients had better go to other routers.
+func (d *Director) shed() {
+	now := d.clock.Now()
+	refused, own := d.passer.Crowding(now), unheard(d.shares.Uses(now))
+	if d.shedder.look(now, refused, own) {
+		d.log.Warn().Bool("away", d.shedder.away.Load()).Float64("refused", refused).Uint64("own", own).
+			Uint64("fleet", d.shedder.fleet.Load()).Int64("routers", d.shedder.routers.Load()).Msg("readiness for new clients changed")
+	}
+}
+
+// unheard adds up what there was no room for, in tokens a second.
+func unheard(uses map[string]apportioner.Use) uint64 {
+	sum := uint64(0)
+	for _, use := range uses {
+		sum += use.Unheard
+	}
+	return sum
+}
--- a/router/internal/passer/odds.go
+++ b/router/internal/passer/odds.go
@@ -61,9 +61,14 @@
 	o.begun, o.young = now, tally{}
 }
 
-// roomPause returns when a client may come back that was refused for want of room. It is as
-// likely to be refused again as those who ask now are. Where one in twenty is let in, the others
-// that come back at once only take the time in which one more could be served.
+// Crowding returns the part of the requests that were refused for want of room lately, 0 to 1.
+func (p *Passer) Crowding(now time.Time) float64 {
+	return p.odds.refused(now)
+}
+
+// roomPause returns when a client may come back that was refused for want of room. Who comes
+// back is as likely to be refused as those who ask now. Where one in twenty is let in, all others
+// that come back at once only take the time in which somebody could be served.
 func (p *Passer) roomPause(now time.Time) time.Duration {
 	left := 1 - p.odds.refused(now)
 	if retrySoon.Seconds() >= left*longestRoomPause.Seconds() {
--- a/router/internal/passer/odds_test.go
+++ b/router/internal/passer/odds_test.go
@@ -1,6 +1,7 @@
 package passer
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -41,3 +42,34 @@
 		})
 	}
 }
+
+// Guards against clients that stay with a flooded router on the connections that they have, while
+// new ones reach routers with room.
+func TestAwayRouterClosesBehindItsRefusals(t *testing.T) {
+	tests := map[string]struct {
+		away, full bool
+		status     int
+		closes     bool
+	}{
+		"full":                  {full: true, status: http.StatusServiceUnavailable},
+		"full and away":         {full: true, away: true, status: http.StatusServiceUnavailable, closes: true},
+		"away, but it has room": {away: true, status: http.StatusOK},
+		"neither full nor away": {status: http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.endpoint(answering("served"))
+			b.passer.options.Away = func() bool { return test.away }
+			b.passer.options.Most = 1
+			b.passer.options.Lags = func() bool { return test.full }
+			b.passer.drain.enterFor("club")
+			b.passer.drain.enterFor("club")
+			response, err := b.try(t.Context(), http.MethodPost, "/book/", "")
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, test.status, response.StatusCode)
+			require.Equal(t, test.closes, response.Close)
+		})
+	}
+}
