--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -86,6 +86,7 @@
 type Listener struct {
 	net.Listener
 	options Options
+	sockets *sockets // of the inner listener, nil if it has none
 	passed  chan net.Conn
 	failed  chan error
 	done    chan struct{}
@@ -105,6 +106,10 @@
 		passed: make(chan net.Conn, handed), failed: make(chan error, 1), done: make(chan struct{}),
 		lines: damper.Damper{Most: mostRoomLines},
 	}
+	var err error
+	if l.sockets, err = openSockets(inner); err != nil {
+		options.Log.Warn().Err(err).Msg("refusing takes longer than it has to")
+	}
 	go l.accept()
 	return l
 }
@@ -145,7 +150,7 @@
 // clients learn at once that nobody reads their requests.
 func (l *Listener) Close() error {
 	l.close.Do(func() { close(l.done) })
-	err := l.Listener.Close()
+	err := errors.Join(l.Listener.Close(), l.sockets.Close())
 	for {
 		select {
 		case conn := <-l.passed:
@@ -158,11 +163,11 @@
 
 // accept takes connections until the listener ends.
 func (l *Listener) accept() {
+	b := newBuffer()
 	for taken := 1; ; taken++ {
-		conn, err := l.Listener.Accept()
+		err := l.next(b)
 		switch {
 		case err == nil:
-			l.take(conn)
 		case passes(err):
 			l.options.Log.Warn().Err(err).Msg("a connection was not accepted; the next one is tried")
 			<-l.options.Clock.After(acceptPause)
@@ -176,6 +181,22 @@
 	}
 }
 
+// next takes one connection.
+func (l *Listener) next(b *buffer) error {
+	if l.sockets != nil && l.options.Screens() {
+		s, err := l.sockets.accept()
+		if err == nil {
+			l.takeSocket(s, b)
+		}
+		return err
+	}
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.take(conn)
+	}
+	return err
+}
+
 // passing are the errors of an accept that say nothing of the next one. A router whose
 // listener ended with one of them would say that it is ready and take no connection more.
 var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET}
@@ -187,23 +208,28 @@
 // take decides what becomes of a connection.
 func (l *Listener) take(conn net.Conn) {
 	screens := l.options.Screens()
-	room := l.options.Room() && (!screens || l.Waiting() < l.options.Most)
-	if room == l.full && l.lines.Admit(l.options.Clock.Now(), l.options.Log) {
-		l.full = !room
-		l.options.Log.Warn().Bool("full", l.full).Msg("room for clients' connections changed")
-	}
 	switch {
-	case !room:
+	case !l.room(screens):
 		l.unread.Add(1)
 		conn.Close()
 	case screens:
 		l.waiting.Add(1)
-		go l.meet(conn)
+		go l.meet(conn, nil)
 	default:
 		l.pass(conn)
 	}
 }
 
+// room tells whether there is room for one more connection.
+func (l *Listener) room(screens bool) bool {
+	room := l.options.Room() && (!screens || l.Waiting() < l.options.Most)
+	if room == l.full && l.lines.Admit(l.options.Clock.Now(), l.options.Log) {
+		l.full = !room
+		l.options.Log.Warn().Bool("full", l.full).Msg("room for clients' connections changed")
+	}
+	return room
+}
+
 // pass hands a connection to the server, or closes it if the listener has ended.
 func (l *Listener) pass(conn net.Conn) {
 	select {
@@ -220,9 +246,11 @@
 }
 
 // buffers are what requests are read into and parsed with.
-var buffers = sync.Pool{New: func() any {
+var buffers = sync.Pool{New: func() any { return newBuffer() }}
+
+func newBuffer() *buffer {
 	return &buffer{bytes: make([]byte, bufferSize), reader: bufio.NewReaderSize(nil, bufferSize)}
-}}
+}
 
 type buffer struct {
 	bytes  []byte
@@ -230,12 +258,15 @@
 	reader *bufio.Reader
 }
 
-// meet reads a connection's first request and has it judged.
-func (l *Listener) meet(conn net.Conn) {
+// meet reads a connection's first request, of which some may have been read, and has it judged.
+func (l *Listener) meet(conn net.Conn, first []byte) {
 	defer l.waiting.Add(-1)
 	b := buffers.Get().(*buffer)
 	defer buffers.Put(b)
-	read, err := l.first(conn, b)
+	read, err := copy(b.bytes, first), error(nil)
+	if read == 0 {
+		read, err = l.first(conn, b)
+	}
 	if read == 0 {
 		if err != nil {
 			l.options.Log.Debug().Err(err).Msg("a new connection said nothing; it is closed")
@@ -275,13 +306,23 @@
 // judge parses what has been read. A request whose head is not whole yet, or whose body
 // has no known length, is for the server.
 func (l *Listener) judge(b *buffer, read int) (refusal *Refusal, rest int64) {
+	h, rest := b.parse(read)
+	if h == nil {
+		return nil, 0
+	}
+	return l.options.Judge(h), rest
+}
+
+// parse returns the request that begins with what has been read, and what is still to come of its
+// body. It is nil if its head is not whole, or if its body has no known length.
+func (b *buffer) parse(read int) (h *http.Request, rest int64) {
 	b.source.Reset(b.bytes[:read])
 	b.reader.Reset(&b.source)
 	h, err := http.ReadRequest(b.reader)
 	if err != nil || h.ContentLength < 0 {
 		return nil, 0
 	}
-	return l.options.Judge(h), h.ContentLength - int64(b.reader.Buffered())
+	return h, h.ContentLength - int64(b.reader.Buffered())
 }
 
 // refuse answers, and reads what is still to come of the body.
