Hold nobody to a multiple of what it gets itself

Cause: while a router holds a workspace back, others may get a multiple of what that one gets, or what they are owed. The same bound was put on the waiting workspace itself, so that once it found room it got no more than it is owed, and was caught in that for as long as anybody refused a quarter of what it asks. The class: a bound computed from its own effect.

Now the bound of each rests on the others that wait. TestNobodyIsHeldToWhatItGetsItself fails without it (366,667 where 833,333 are due).

--- a/lib/apportioner/beside_test.go
+++ b/lib/apportioner/beside_test.go
@@ -67,3 +67,45 @@
 		})
 	}
 }
+
+// Guards against a workspace that its router has held back and that is then held to what it got
+// meanwhile, although its clients have found another router.
+func TestNobodyIsHeldToWhatItGetsItself(t *testing.T) {
+	const (
+		capacity  = 1_000_000
+		owed      = capacity * stretchOwed / 3
+		stretched = capacity * stretchMost / 3
+	)
+	waiting := func(got uint64) Use { return Use{Asked: 5e6, Got: got, Unheard: 4e6} }
+	tests := map[string]struct {
+		uses map[string]Use
+		most map[string]float64
+	}{
+		"nobody waits": {
+			uses: map[string]Use{"a": {Asked: 5e6}, "b": {Asked: 5e6}, "c": {Asked: 5e6}},
+			most: map[string]float64{"a": stretched, "b": stretched, "c": stretched},
+		},
+		"one waits": {
+			uses: map[string]Use{"a": waiting(300_000), "b": {Asked: 5e6}, "c": {Asked: 5e6}},
+			most: map[string]float64{"a": stretched, "b": besides * 300_000, "c": besides * 300_000},
+		},
+		"others get what they are owed": {
+			uses: map[string]Use{"a": waiting(100_000), "b": {Asked: 5e6}, "c": {Asked: 5e6}},
+			most: map[string]float64{"a": stretched, "b": owed, "c": owed},
+		},
+		"two wait": {
+			uses: map[string]Use{"a": waiting(300_000), "b": waiting(400_000), "c": {Asked: 5e6}},
+			most: map[string]float64{"a": besides * 400_000, "b": besides * 300_000, "c": besides * 300_000},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var a Apportioner
+			a.Capacity(capacity)
+			a.Demand(start, test.uses, 0)
+			for name, most := range test.most {
+				require.InDelta(t, most, a.Standing(name).Most, 1, name)
+			}
+		})
+	}
+}
--- a/lib/apportioner/divide.go
+++ b/lib/apportioner/divide.go
@@ -32,21 +32,41 @@
 func (a *Apportioner) divide() {
 	asking := slices.SortedFunc(maps.Values(a.workspaces), func(x, y *workspace) int { return cmp.Compare(x.whole, y.whole) })
 	owed := level(asking, a.capacity*stretchOwed)
+	most := level(asking, a.capacity*stretch(a.backlog))
 	beside := a.beside(asking, owed)
-	most := min(level(asking, a.capacity*stretch(a.backlog)), max(owed, beside))
-	begins := !math.IsInf(beside, 1) && !a.held
-	a.held = !math.IsInf(beside, 1)
+	begins := beside.held() && !a.held
+	a.held = beside.held()
 	for _, w := range asking {
 		w.owed.share, w.most.share = math.Inf(1), math.Inf(1)
 		if w.whole > owed {
-			w.owed.share, w.most.share = owed, most
-			w.most.settle = w.most.settle || begins
+			w.owed.share, w.most.share = owed, min(most, max(owed, beside.bound(w)))
+			w.most.settle = w.most.settle || begins && w != beside.least
 		}
 	}
 }
 
-// beside is what a workspace may get beside those that ask for more than they are owed and
-// are held back by their routers, +Inf if there is none.
+// beside is what workspaces may get beside those that wait, in tokens a second.
+type beside struct {
+	least *workspace // the waiting one that gets least, nil if none waits
+	most  float64    // for all others
+	own   float64    // for that one, beside those that wait as well
+}
+
+func (b beside) held() bool {
+	return b.least != nil
+}
+
+// bound is what a workspace may get. None is bound by what it gets itself: once its router has
+// room it would get no more than before.
+func (b beside) bound(w *workspace) float64 {
+	if w == b.least {
+		return b.own
+	}
+	return b.most
+}
+
+// beside returns what workspaces may get beside those that ask for more than they are owed and
+// are held back by their routers.
 //
 // All clients of a workspace may reach one small router, and what that one can pass on
 // bounds what it gets, whatever its share. Others that reach all routers would get all that
@@ -56,8 +76,8 @@
 // The bound follows what it has led to: a router that gets later passes less on each second,
 // and what is known of that is late as well. The further the best served ones were beyond the
 // bound over the last seconds, the lower it is.
-func (a *Apportioner) beside(asking []*workspace, owed float64) float64 {
-	least := math.Inf(1)
+func (a *Apportioner) beside(asking []*workspace, owed float64) beside {
+	b := beside{most: math.Inf(1), own: math.Inf(1)}
 	for _, w := range asking {
 		if w.whole <= owed || float64(w.told.Unheard) <= unheardPart*w.whole {
 			continue
@@ -66,9 +86,13 @@
 		if a.best > 0 {
 			correction = min(max(besides*w.served/a.best, leastCorrection), 1)
 		}
-		least = min(least, besides*correction*float64(w.told.Got))
+		if bound := besides * correction * float64(w.told.Got); bound < b.most {
+			b = beside{least: w, most: bound, own: b.most}
+		} else {
+			b.own = min(b.own, bound)
+		}
 	}
-	return least
+	return b
 }
 
 // remember notes over seconds what each workspace got in the whole fleet, and what the one
