Let others pay back what they took until a router's loss of room was known

Cause: what was taken beyond the bound was paid back when a workspace began to be held back, and not when it got less from then on. News is late by 0.4 to 1 s, and what was taken meanwhile stayed taken.

Whenever the bound on others falls below 0.8 of what it was, what was taken beyond it in the last second is paid back, half a second's share at the most, so that over the seconds that callers feel nobody gets less than it is owed.

--- a/lib/apportioner/allowance.go
+++ b/lib/apportioner/allowance.go
@@ -25,8 +25,9 @@
 // hear of one another's demand half a second late, and a flood that begins at all of them
 // takes several seconds' shares until then, while others wait.
 //
-// The same holds, for less, where another workspace begins to be held back by its router:
-// until that is known others take what engines have to spare, and after that a burst.
+// The same holds, for less, where another workspace begins to be held back by its router, or gets
+// far less there than before: until that is known others take what engines have to spare, or
+// what was due beside more, and after that a burst.
 func (l *allowance) grow(local, elapsed float64) {
 	l.taken *= fading(elapsed, halfLife)
 	switch {
--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -55,7 +55,7 @@
 	began      time.Time // of the first request
 	backlog    time.Duration
 	best       float64 // tokens a second of whoever got most at each moment, over seconds
-	held       bool    // a workspace is held back by its routers, as told last
+	bound      float64 // tokens a second beside one that is held back by its routers, 0 if none is
 }
 
 // Capacity sets what the fleet yields, in tokens a second.
--- a/lib/apportioner/divide.go
+++ b/lib/apportioner/divide.go
@@ -19,6 +19,9 @@
 	// leastCorrection is how far the bound on others falls below that: to what the waiting
 	// workspace gets itself.
 	leastCorrection = 1 / besides
+	// fallen is the part of what others might have beside one that waits from which on they pay
+	// back what they took until its fall was known. Smaller falls are the noise of what it gets.
+	fallen = 0.8
 	// servedHalfLife is over which time workspaces are compared by what they got. Callers
 	// feel seconds; a shorter one follows single large requests.
 	servedHalfLife = 2 * time.Second
@@ -34,17 +37,28 @@
 	owed := level(asking, a.capacity*stretchOwed)
 	most := level(asking, a.capacity*stretch(a.backlog))
 	beside := a.beside(asking, owed)
-	begins := beside.held() && !a.held
-	a.held = beside.held()
+	falls := a.falls(beside, owed)
 	for _, w := range asking {
 		w.owed.share, w.most.share = math.Inf(1), math.Inf(1)
 		if w.whole > owed {
 			w.owed.share, w.most.share = owed, min(most, max(owed, beside.bound(w)))
-			w.most.settle = w.most.settle || begins && w != beside.least
+			w.most.settle = w.most.settle || falls && w != beside.least
 		}
 	}
 }
 
+// falls tells whether others may from now on have less than before, because one that waits is
+// held back, or gets less.
+func (a *Apportioner) falls(b beside, owed float64) bool {
+	before := a.bound
+	a.bound = 0
+	if !b.held() {
+		return false
+	}
+	a.bound = max(owed, b.most)
+	return before == 0 || a.bound < fallen*before
+}
+
 // beside is what workspaces may get beside those that wait, in tokens a second.
 type beside struct {
 	least *workspace // the waiting one that gets least, nil if none waits
