Let a workspace's share follow its clients when they turn to another router

Cause: shares are parted by what is asked, measured with a half-life of a second and as old as what the sums tell. What clients no longer ask at the router that they left is kept there for as long.

While the fleet brings out less than a workspace is owed, a router parts its share by what is asked for here in the last third of a second as well. Then nothing is lost if two count the same: there is room for both.

--- a/lib/apportioner/local.go
+++ b/lib/apportioner/local.go
@@ -14,7 +14,20 @@
 	if math.IsInf(share, 1) || w.whole <= 0 {
 		return math.Inf(1)
 	}
-	return share * w.part
+	return share * max(w.part, a.fresh(now, w))
+}
+
+// fresh is the part of a workspace's demand that is asked for here now, 0 if the fleet brings out
+// what the workspace is owed.
+//
+// What is told of other routers falls over a second once clients have left them, and w.part grows
+// as slowly. Meanwhile what is owed would be kept where nobody asks for it.
+func (a *Apportioner) fresh(now time.Time, w *workspace) float64 {
+	if float64(w.told.Got) >= w.owed.share {
+		return 0
+	}
+	here := w.asks.latest(now)
+	return here / max(w.whole, here, 1)
 }
 
 // alone is what a workspace may use at a router that hears no keeper, in tokens a second:
--- a/lib/apportioner/meter.go
+++ b/lib/apportioner/meter.go
@@ -6,10 +6,10 @@
 // workspace that asks for much.
 const fastHalfLife = 300 * time.Millisecond
 
-// meter measures, in tokens a second, what of a workspace's requests has begun to be
-// answered. Its zero value has measured nothing.
+// meter measures, in tokens a second, what of a workspace's requests is asked for, or has begun to
+// be answered. Its zero value has measured nothing.
 //
-// What was let in is not it: clients leave, endpoints fail, and a router that is late sends
+// What was let in is not what has begun: clients leave, endpoints fail, and a router that is late sends
 // on what nobody waits for any more. Others are held to a multiple of what a workspace gets
 // that waits; with what it was let in for that was a third too much.
 type meter struct {
@@ -31,6 +31,12 @@
 	return min(m.slow, m.fast)
 }
 
+// latest returns what the shorter measure tells.
+func (m *meter) latest(now time.Time) float64 {
+	m.fade(now)
+	return m.fast
+}
+
 func (m *meter) fade(now time.Time) {
 	elapsed := max(now.Sub(m.at), 0).Seconds()
 	m.slow *= fading(elapsed, halfLife)
--- a/lib/apportioner/workspace.go
+++ b/lib/apportioner/workspace.go
@@ -33,6 +33,7 @@
 	lost   float64   // tokens a second asked for here for which this router had no room
 	told   Use       // the whole fleet's, as told last
 	served float64   // tokens a second begun by the whole fleet, over seconds
+	asks   meter     // what of it is asked for here
 	begun  meter     // what of it has begun to be answered here
 	filled time.Time
 	owed   allowance // what it has a right to
@@ -87,6 +88,7 @@
 	w.decay(now)
 	w.asked = now
 	w.rate += asRate(tokens, halfLife)
+	w.asks.add(now, tokens)
 }
 
 // decay lets a measured rate fall with time.
