Send a flood's clients on only if their workspace gets less than it is owed

A flooded router that brings out what its workspace is owed gains nobody anything by sending its clients on: their share has to follow them, and the next router is flooded as well. Now only what there is no room for of workspaces that have got less than they are owed over the last seconds counts.

--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -95,6 +95,23 @@
 	return uses
 }
 
+// Unheard returns what routers have no room for, in tokens a second, of the workspaces that have
+// got less than they are owed over the last seconds: what of it is asked for here, and of the whole
+// fleet as told last.
+func (a *Apportioner) Unheard(now time.Time) (here, fleet float64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, w := range a.workspaces {
+		if w.served >= w.owed.share {
+			continue
+		}
+		w.decay(now)
+		here += w.lost
+		fleet += float64(w.told.Unheard)
+	}
+	return here, fleet
+}
+
 // Ask counts a request that was refused because the router had no room for it.
 func (a *Apportioner) Ask(now time.Time, name string, tokens float64) {
 	a.mutex.Lock()
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -214,7 +214,6 @@
 func (d *Director) fleet(fleet newsreader.Fleet) {
 	now := d.clock.Now()
 	d.balancer.Others(now, fleet.Loads)
-	d.shedder.fleet.Store(unheard(fleet.Uses))
 	d.shares.Demand(now, fleet.Uses, fleet.Backlog)
 }
 
--- a/router/internal/director/shedder.go
+++ b/router/internal/director/shedder.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"shallotkeel.example/lib/apportioner"
 )
 
 const (
@@ -18,21 +16,22 @@
 )
 
 // shedder decides when a router that is flooded tells that it is not ready, so that new clients
-// go to its neighbours. Only one that refuses a good part of what the whole fleet has no room
-// for may do so: where all are flooded, neighbours have no room either, and a zone without
-// routers would burden another one. Its zero value stays.
+// go to its neighbours. It does so only for workspaces that get less than they are owed, as clients
+// that turn to another router wait until their share has followed them. Only one that refuses a
+// good part of what the whole fleet has no room for may do so: where all are flooded, neighbours
+// have no room either, and a zone without routers would burden another one. Its zero value stays.
 type shedder struct {
-	fleet   atomic.Uint64 // tokens a second that all routers have no room for, as told last
-	routers atomic.Int64  // of the fleet
-	away    atomic.Bool   // new clients are sent elsewhere
+	routers atomic.Int64 // of the fleet
+	away    atomic.Bool  // new clients are sent elsewhere
 
 	until time.Time // it is away; used by look only
 }
 
 // look decides by the part of this router's requests that it refuses for want of room, 0 to 1,
-// and by what it has no room for, in tokens a second. It tells whether that changes anything.
-func (s *shedder) look(now time.Time, refused float64, own uint64) (changed bool) {
-	if !now.Before(s.until) && refused >= shedShare && s.local(own) {
+// and by what it and the whole fleet have no room for of workspaces that get less than they are
+// owed, in tokens a second. It tells whether that changes anything.
+func (s *shedder) look(now time.Time, refused, own, fleet float64) (changed bool) {
+	if !now.Before(s.until) && refused >= shedShare && s.local(own, fleet) {
 		s.until = now.Add(shedTime)
 	}
 	away := now.Before(s.until)
@@ -40,27 +39,19 @@
 }
 
 // local tells whether so few routers can be as crowded as this one that all of them may leave.
-func (s *shedder) local(own uint64) bool {
+func (s *shedder) local(own, fleet float64) bool {
 	routers := s.routers.Load()
 	most := max(awayShare*float64(routers), 1)
-	return routers > 1 && own > 0 && float64(own)*most >= float64(s.fleet.Load())
+	return routers > 1 && own > 0 && own*most >= fleet
 }
 
 // shed looks whether new clients had better go to other routers.
 func (d *Director) shed() {
 	now := d.clock.Now()
-	refused, own := d.passer.Crowding(now), unheard(d.shares.Uses(now))
-	if d.shedder.look(now, refused, own) {
-		d.log.Warn().Bool("away", d.shedder.away.Load()).Float64("refused", refused).Uint64("own", own).
-			Uint64("fleet", d.shedder.fleet.Load()).Int64("routers", d.shedder.routers.Load()).Msg("readiness for new clients changed")
-	}
-}
-
-// unheard adds up what there was no room for, in tokens a second.
-func unheard(uses map[string]apportioner.Use) uint64 {
-	sum := uint64(0)
-	for _, use := range uses {
-		sum += use.Unheard
+	refused := d.passer.Crowding(now)
+	own, fleet := d.shares.Unheard(now)
+	if d.shedder.look(now, refused, own, fleet) {
+		d.log.Warn().Bool("away", d.shedder.away.Load()).Float64("refused", refused).Float64("own", own).Float64("fleet", fleet).
+			Int64("routers", d.shedder.routers.Load()).Msg("readiness for new clients changed")
 	}
-	return sum
 }
--- a/router/internal/director/shedder_test.go
+++ b/router/internal/director/shedder_test.go
@@ -12,7 +12,7 @@
 func TestFloodedRouterSendsNewClientsElsewhere(t *testing.T) {
 	tests := map[string]struct {
 		refused    float64
-		own, fleet uint64
+		own, fleet float64
 		routers    int64
 		away       bool
 	}{
@@ -31,13 +31,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var s shedder
-			s.fleet.Store(test.fleet)
 			s.routers.Store(test.routers)
 			now := time.Unix(1000, 0)
-			require.Equal(t, test.away, s.look(now, test.refused, test.own))
+			require.Equal(t, test.away, s.look(now, test.refused, test.own, test.fleet))
 			require.Equal(t, test.away, s.away.Load())
-			require.False(t, s.look(now.Add(shedTime-1), 0, 0), "it stays away for its time")
-			require.Equal(t, test.away, s.look(now.Add(shedTime), 0, 0))
+			require.False(t, s.look(now.Add(shedTime-1), 0, 0, 0), "it stays away for its time")
+			require.Equal(t, test.away, s.look(now.Add(shedTime), 0, 0, 0))
 			require.False(t, s.away.Load())
 		})
 	}
