Keep half of the processor for what is served, by what a request has cost, in place of halves by count

Cause: while refusing took more than its half, starts were not lowered at all, whatever they took. Both were over their halves; the router stood at 25 to 45 ms of lateness, of which each answer bears several. And closing unread relieves little: at 5,588 closings a second the process counts 0.092 of 0.192 cores and is 44 ms late, so that some 15 us of a core are charged for a connection besides.

Starts are now lowered as before, and no further than to half of the processor, by what a request that is served has cost here over the last seconds, its whole stream included (153 a second of 0.192 cores until that is known). The parts by count, and what a refusal is taken to cost for them, are gone.

The model: 154 and 105 starts a second (102 asked) at 4,000 and 8,000 connections.

--- a/lib/pacer/pacer.go
+++ b/lib/pacer/pacer.go
@@ -9,8 +9,8 @@
 // least within an interval (K. Nichols and V. Jacobson, "Controlling Queue Delay", 2012).
 //
 // Refusing takes time as well. A process that is late because of what it refuses does not catch
-// up by starting less: it refuses more instead, until it starts next to nothing. So each has a
-// part of the time that the other can not take, and of the two the one beyond its part yields.
+// up by starting less: it refuses more instead, until it starts next to nothing. So starts are
+// lowered to what is kept for them; then less is read of those who come, and starts only last.
 //
 // Invariant: a process that keeps up is never taken for one that lags; one that
 // lags is noticed within some steps, and so is the end of it.
@@ -49,8 +49,6 @@
 	// Starts is how many requests are served, and Entries how many connections are read while
 	// others are refused. Both are adapted at each look; they may be nil.
 	Starts, Entries *Rate
-	// Refusing is the part of the time beyond which refusing yields, and not starts.
-	Refusing Part
 
 	yield func()                   // waits for a turn; runtime.Gosched if nil
 	looks [mostLooks]time.Duration // how late, the latest first; used by Look only
@@ -88,17 +86,18 @@
 
 // adapt lowers the rates of a process that is late, or lets them grow if it keeps up.
 func (p *Pacer) adapt(late time.Duration) {
-	refuses := p.Refusing.takeExceeded()
 	switch {
 	case p.catchesUp():
 	case late < strained:
 		p.Starts.Look(late)
 		p.Entries.change(quickGrowth)
-	case !refuses || !p.Entries.reducible():
-		p.Starts.Look(late)
-	case late >= TooLate:
-		// Later than starts would be lowered: whose connection is closed unread learns nothing.
-		p.Entries.change(cut)
+	case p.Starts.lower(p.Starts.floor()):
+	case late < TooLate && p.Entries.reducible():
+		// Whose connection is closed unread learns nothing: a process that is a little late
+		// bears it.
+	case p.Entries.lower(p.Entries.least()):
+	default:
+		p.Starts.lower(p.Starts.least())
 	}
 }
 
--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -41,6 +41,7 @@
 
 	mutex   sync.Mutex
 	rate    float64
+	kept    float64
 	tokens  float64
 	filled  time.Time
 	starved bool // somebody was held up since the last look
@@ -142,14 +143,52 @@
 	r.starved = false
 }
 
-// reducible tells whether the rate is above its least.
-func (r *Rate) reducible() bool {
+// Keep sets how many starts a second are kept in a process that is late because of what it refuses;
+// until then that is Begin.
+func (r *Rate) Keep(perSecond float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kept = perSecond
+}
+
+// lower cuts the rate, down to a floor, and tells whether it was above that.
+func (r *Rate) lower(floor float64) bool {
 	if r.unbounded() {
 		return false
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.current() > r.Least
+	r.starved = false
+	if r.current() <= floor {
+		return false
+	}
+	r.rate = max(r.current()*cut, floor)
+	return true
+}
+
+// floor returns what is kept, not below the least nor above Begin.
+func (r *Rate) floor() float64 {
+	if r.unbounded() {
+		return 0
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.kept == 0 {
+		return r.Begin
+	}
+	return min(max(r.kept, r.Least), r.Begin)
+}
+
+func (r *Rate) least() float64 {
+	if r.unbounded() {
+		return 0
+	}
+	return r.Least
+}
+
+// reducible tells whether the rate is above its least.
+func (r *Rate) reducible() bool {
+	return r.Value() > r.least()
 }
 
 func (r *Rate) current() float64 {
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -52,15 +52,9 @@
 	// known, and leastStartsPerCore however late it is.
 	startsPerCore      = 800
 	leastStartsPerCore = 100
-	// refusalsPerCore is how many requests a core refuses in a second, and closingsPerCore how
-	// many connections it closes unread.
-	refusalsPerCore = 20_000
-	closingsPerCore = 60_000
-	// refusingShare is what refusing may take of the processor's time before a late router
-	// reads less: half is left to those that are served.
-	refusingShare = 0.5
-	// leastEntriesPerCore is how many new connections are read in a second however late the
-	// process is, of all that it could refuse.
+	// refusalsPerCore is how many requests a core refuses in a second: more new connections are
+	// not read while requests are refused, and leastEntriesPerCore are however late the process is.
+	refusalsPerCore     = 20_000
 	leastEntriesPerCore = 2000
 	// waitingPerCore bounds the connections of clients whose requests have not been read
 	// yet while the process lags, by processor time: they are refused within some 20 ms.
@@ -116,6 +110,7 @@
 	pacer     pacer.Pacer
 	rate      rate // of requests
 	pressure  pressure
+	serving   serving
 	shedder   shedder
 
 	mutex    sync.Mutex
@@ -156,7 +151,6 @@
 	})
 	d.pacer.Starts = &pacer.Rate{Least: settings.Processors * leastStartsPerCore, Begin: settings.Processors * startsPerCore}
 	d.pacer.Entries = &pacer.Rate{Least: settings.Processors * leastEntriesPerCore, Begin: settings.Processors * refusalsPerCore}
-	d.pacer.Refusing.Share = refusingShare
 	d.passer = passer.New(passer.Options{
 		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
@@ -168,7 +162,6 @@
 		HeldBytes: passer.HeldBytes(settings.Memory),
 		Lags:      d.pacer.Lags,
 		Starts:    d.pacer.Starts,
-		Refused:   func() { d.spend(refusalsPerCore) },
 	})
 	d.registerGauges()
 	return d
@@ -333,11 +326,7 @@
 
 // room tells whether one more client may connect, and counts it.
 func (d *Director) room() bool {
-	room := d.holds() && (!d.passer.Screens() || d.enters())
-	if !room {
-		d.spend(closingsPerCore)
-	}
-	return room
+	return d.holds() && (!d.passer.Screens() || d.enters())
 }
 
 // holds tells whether one more client may be connected. While the process lags
@@ -363,12 +352,6 @@
 	return true
 }
 
-// spend counts something that refuses a client and of which a core does so many in a second.
-func (d *Director) spend(perCore float64) {
-	took := time.Duration(float64(time.Second) / (perCore * d.settings.Processors))
-	d.pacer.Refusing.Spend(d.clock.Now(), took)
-}
-
 // crowded tells whether connections are closed behind their answers.
 func (d *Director) crowded() bool {
 	open, _ := d.connected.counts()
@@ -395,6 +378,7 @@
 			return
 		case <-ticker.Chan():
 			d.client.Sweep()
+			d.keepStarts()
 			d.tellPressure()
 			d.shed()
 		}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -87,8 +87,6 @@
 	Lags func() bool
 	// Starts paces how many requests begin. It may be nil.
 	Starts *pacer.Rate
-	// Refused is called at each refusal, for the time that it takes. It may be nil.
-	Refused func()
 }
 
 // Passer is an http.Handler.
@@ -102,6 +100,8 @@
 	ledger  ledger
 	odds    odds
 	taken   atomic.Uint64 // requests that came
+	refused atomic.Uint64 // and were refused, those that were only screened included
+	started atomic.Uint64 // and were sent to endpoints
 	forRoom atomic.Uint64 // requests that were refused for want of room
 	pressed atomic.Int64  // when a request was refused last for want of room or share, in ns of the Unix time
 }
@@ -187,6 +187,16 @@
 	return p.taken.Load()
 }
 
+// Started returns how many requests were let in since the start, and Refused how many were not.
+func (p *Passer) Started() uint64 {
+	return p.started.Load()
+}
+
+// Refused returns how many requests were refused since the start.
+func (p *Passer) Refused() uint64 {
+	return p.refused.Load()
+}
+
 // RefusedForRoom returns how many requests were refused for want of room since the start.
 func (p *Passer) RefusedForRoom() uint64 {
 	return p.forRoom.Load()
@@ -194,6 +204,7 @@
 
 // pass sends the request until it has its ending.
 func (p *Passer) pass(q *request) {
+	p.started.Add(1)
 	p.options.Starts.Take(q.received, q.workspace)
 	p.options.Budget.Request(q.received, q.service)
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.until.Sub(p.options.Clock.Now()))
--- a/router/internal/passer/record.go
+++ b/router/internal/passer/record.go
@@ -17,8 +17,8 @@
 	p.options.Metrics.ended(q, took)
 	p.ledger.add(now, p.options.Log, p.options.Shares, q)
 	p.odds.add(now, q.refused == byRouter)
-	if q.refused != passed && p.options.Refused != nil {
-		p.options.Refused()
+	if q.refused != passed {
+		p.refused.Add(1)
 	}
 	if q.told || q.sends == 0 && q.unsent == 0 && !p.quietly.Admit(now, p.options.Log) {
 		return
