Refuse at once on the connection, not on a bare descriptor

Connections are accepted as before, and what has come is read, judged and answered without a goroutine.

--- a/lib/forwarder/quiet.go
+++ b/lib/forwarder/quiet.go
@@ -44,25 +44,16 @@
 	// Control and not Read: the server's own reader of the connection may hold the
 	// descriptor's read lock for as long as the request takes.
 	err = raw.Control(func(descriptor uintptr) {
-		seen = peekSocket(int(descriptor))
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			seen = open
+		case err != nil || n == 0:
+			seen = ended
+		default:
+			seen = readable
+		}
 	})
 	return seen, err
 }
-
-func peekSocket(descriptor int) state {
-	var one [1]byte
-	n, _, err := syscall.Recvfrom(descriptor, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case errors.Is(err, syscall.EAGAIN):
-		return open
-	case err != nil || n == 0:
-		return ended
-	default:
-		return readable
-	}
-}
-
-// SocketEnded is Ended of a descriptor that nothing watches.
-func SocketEnded(descriptor int) bool {
-	return peekSocket(descriptor) == ended
-}
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -86,7 +86,6 @@
 type Listener struct {
 	net.Listener
 	options Options
-	sockets *sockets // of the inner listener, nil if it has none
 	passed  chan net.Conn
 	failed  chan error
 	done    chan struct{}
@@ -106,10 +105,6 @@
 		passed: make(chan net.Conn, handed), failed: make(chan error, 1), done: make(chan struct{}),
 		lines: damper.Damper{Most: mostRoomLines},
 	}
-	var err error
-	if l.sockets, err = openSockets(inner); err != nil {
-		options.Log.Warn().Err(err).Msg("refusing takes longer than it has to")
-	}
 	go l.accept()
 	return l
 }
@@ -150,7 +145,7 @@
 // clients learn at once that nobody reads their requests.
 func (l *Listener) Close() error {
 	l.close.Do(func() { close(l.done) })
-	err := errors.Join(l.Listener.Close(), l.sockets.Close())
+	err := l.Listener.Close()
 	for {
 		select {
 		case conn := <-l.passed:
@@ -165,9 +160,10 @@
 func (l *Listener) accept() {
 	b := newBuffer()
 	for taken := 1; ; taken++ {
-		err := l.next(b)
+		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			l.take(conn, b)
 		case passes(err):
 			l.options.Log.Warn().Err(err).Msg("a connection was not accepted; the next one is tried")
 			<-l.options.Clock.After(acceptPause)
@@ -181,22 +177,6 @@
 	}
 }
 
-// next takes one connection.
-func (l *Listener) next(b *buffer) error {
-	if l.sockets != nil && l.options.Screens() {
-		s, err := l.sockets.accept()
-		if err == nil {
-			l.takeSocket(s, b)
-		}
-		return err
-	}
-	conn, err := l.Listener.Accept()
-	if err == nil {
-		l.take(conn)
-	}
-	return err
-}
-
 // passing are the errors of an accept that say nothing of the next one. A router whose
 // listener ended with one of them would say that it is ready and take no connection more.
 var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET}
@@ -206,15 +186,14 @@
 }
 
 // take decides what becomes of a connection.
-func (l *Listener) take(conn net.Conn) {
+func (l *Listener) take(conn net.Conn, b *buffer) {
 	screens := l.options.Screens()
 	switch {
 	case !l.room(screens):
 		l.unread.Add(1)
 		conn.Close()
 	case screens:
-		l.waiting.Add(1)
-		go l.meet(conn, nil)
+		l.screen(conn, b)
 	default:
 		l.pass(conn)
 	}
@@ -230,6 +209,55 @@
 	return room
 }
 
+// screen refuses a request that has come whole at once, which takes no goroutine. All others are
+// waited for.
+func (l *Listener) screen(conn net.Conn, b *buffer) {
+	read := readNow(conn, b.bytes)
+	if read > 0 && forwarder.Ended(conn) {
+		l.left.Add(1)
+		conn.Close()
+		return
+	}
+	if refusal := l.judgeWhole(b, read); refusal != nil {
+		l.refused.Add(1)
+		l.refuse(conn, b, refusal, 0)
+		return
+	}
+	l.waiting.Add(1)
+	go l.meet(conn, bytes.Clone(b.bytes[:read]))
+}
+
+// readNow reads what has come already, and does not wait.
+func readNow(conn net.Conn, into []byte) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	read := 0
+	err = raw.Read(func(descriptor uintptr) bool {
+		// Who waits for more finds the same error.
+		read, _ = syscall.Read(int(descriptor), into)
+		return true
+	})
+	if err != nil {
+		return 0
+	}
+	return max(read, 0)
+}
+
+// judgeWhole returns the refusal of a request that has come whole, nil of any other.
+func (l *Listener) judgeWhole(b *buffer, read int) *Refusal {
+	h, rest := b.parse(read)
+	if h == nil || rest > 0 {
+		return nil
+	}
+	return l.options.Judge(h)
+}
+
 // pass hands a connection to the server, or closes it if the listener has ended.
 func (l *Listener) pass(conn net.Conn) {
 	select {
