Let the share of a workspace that waits follow its clients up to what is due to it

All workspaces, so tried first, let those that ask by turns go beyond half (TestWhoWaitsGetsHalfOfTheBestOverSeconds).

--- a/lib/apportioner/divide.go
+++ b/lib/apportioner/divide.go
@@ -93,7 +93,8 @@
 func (a *Apportioner) beside(asking []*workspace, owed float64) beside {
 	b := beside{most: math.Inf(1), own: math.Inf(1)}
 	for _, w := range asking {
-		if w.whole <= owed || float64(w.told.Unheard) <= unheardPart*w.whole {
+		w.waits = w.whole > owed && float64(w.told.Unheard) > unheardPart*w.whole
+		if !w.waits {
 			continue
 		}
 		correction := 1.0
--- a/lib/apportioner/local.go
+++ b/lib/apportioner/local.go
@@ -18,12 +18,16 @@
 }
 
 // fresh is the part of a workspace's demand that is asked for here now, 0 if the fleet brings out
-// what the workspace is owed.
+// what is due to it.
 //
 // What is told of other routers falls over a second once clients have left them, and w.part grows
 // as slowly. Meanwhile what is owed would be kept where nobody asks for it.
 func (a *Apportioner) fresh(now time.Time, w *workspace) float64 {
-	if float64(w.told.Got) >= w.owed.share {
+	due := w.owed.share
+	if w.waits {
+		due = w.most.share // its routers hold it back more than its share does
+	}
+	if float64(w.told.Got) >= due {
 		return 0
 	}
 	here := w.asks.latest(now)
--- a/lib/apportioner/workspace.go
+++ b/lib/apportioner/workspace.go
@@ -35,6 +35,7 @@
 	served float64   // tokens a second begun by the whole fleet, over seconds
 	asks   meter     // what of it is asked for here
 	begun  meter     // what of it has begun to be answered here
+	waits  bool      // it is held back by its routers, as told last
 	filled time.Time
 	owed   allowance // what it has a right to
 	most   allowance // what it may have while engines bear it
