--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -95,14 +95,14 @@
 	return uses
 }
 
-// Unheard returns what routers have no room for, in tokens a second, of the workspaces that have
-// got less than they are owed over the last seconds: what of it is asked for here, and of the whole
+// Unheard returns what routers have no room for, in tokens a second, of the workspaces that get less
+// than they are owed, now and over the last seconds: what of it is asked for here, and of the whole
 // fleet as told last.
 func (a *Apportioner) Unheard(now time.Time) (here, fleet float64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, w := range a.workspaces {
-		if w.served >= w.owed.share {
+		if max(w.served, float64(w.told.Got)) >= w.owed.share {
 			continue
 		}
 		w.decay(now)
--- a/lib/apportioner/moving_test.go
+++ b/lib/apportioner/moving_test.go
@@ -46,3 +46,34 @@
 		})
 	}
 }
+
+// Guards against clients that are sent to another router although this one brings out what is due.
+func TestOnlyWhoGetsTooLittleIsUnheard(t *testing.T) {
+	const capacity, owed = 1_000_000, 1_000_000 * stretchOwed / 2
+	tests := map[string]struct {
+		got  float64 // of what is owed
+		want bool
+	}{
+		"nothing":           {got: 0, want: true},
+		"half":              {got: 0.5, want: true},
+		"most of it":        {got: 0.9, want: true},
+		"what is owed":      {got: 1},
+		"more than is owed": {got: 1.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var a Apportioner
+			a.Capacity(capacity)
+			a.Ask(start, "waits", 10_000)
+			now := start
+			for range 40 {
+				now = now.Add(100 * time.Millisecond)
+				a.Ask(now, "waits", 100_000)
+				a.Demand(now, map[string]Use{"waits": {Asked: 2e6, Got: uint64(test.got * owed), Unheard: 1e6}, "other": {Asked: 2e6, Got: owed}}, 0)
+			}
+			here, fleet := a.Unheard(now)
+			require.Equal(t, test.want, here > 0)
+			require.Equal(t, test.want, fleet > 0)
+		})
+	}
+}
--- a/router/internal/director/shedder.go
+++ b/router/internal/director/shedder.go
@@ -11,30 +11,39 @@
 	shedShare = 0.5
 	// shedTime is for how long they are sent there. The platform takes up to two seconds to do so.
 	shedTime = 3500 * time.Millisecond
+	// crowdedTime is for how long a router is crowded before that: what has just begun may be over
+	// soon, and its workspace's share is known only after a second.
+	crowdedTime = time.Second
 	// awayShare is the part of a fleet's routers that may be away at once.
 	awayShare = 0.125
 )
 
 // shedder decides when a router that is flooded tells that it is not ready, so that new clients
-// go to its neighbours. It does so only for workspaces that get less than they are owed, as clients
-// that turn to another router wait until their share has followed them. Only one that refuses a
-// good part of what the whole fleet has no room for may do so: where all are flooded, neighbours
-// have no room either, and a zone without routers would burden another one. Its zero value stays.
+// go to its neighbours. It does so only for workspaces that get less than they are owed: clients
+// that turn to another router wait until their share has followed them, and the next one is
+// flooded as well. Only one that refuses a good part of what the whole fleet has no room for may do
+// so: where all are flooded, neighbours have no room either, and a zone without routers would
+// burden another one. Its zero value stays.
 type shedder struct {
 	routers atomic.Int64 // of the fleet
 	away    atomic.Bool  // new clients are sent elsewhere
 
-	until time.Time // it is away; used by look only
+	since, until time.Time // it is crowded, and away; used by look only
 }
 
 // look decides by the part of this router's requests that it refuses for want of room, 0 to 1,
-// and by what it and the whole fleet have no room for of workspaces that get less than they are
-// owed, in tokens a second. It tells whether that changes anything.
+// and by what it and the whole fleet have no room for of workspaces that get too little, in
+// tokens a second. It tells whether that changes anything.
 func (s *shedder) look(now time.Time, refused, own, fleet float64) (changed bool) {
-	if !now.Before(s.until) && refused >= shedShare && s.local(own, fleet) {
-		s.until = now.Add(shedTime)
-	}
 	away := now.Before(s.until)
+	switch {
+	case away || refused < shedShare || !s.local(own, fleet):
+		s.since = time.Time{}
+	case s.since.IsZero():
+		s.since = now
+	case now.Sub(s.since) >= crowdedTime:
+		s.until, away = now.Add(shedTime), true
+	}
 	return s.away.Swap(away) != away
 }
 
