--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -13,7 +13,6 @@
 package screener
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"net"
@@ -41,8 +40,6 @@
 	// restWait is how long the rest of a refused request's body is read. A connection
 	// that is closed with bytes unread is reset, and its client may lose the answer.
 	restWait = 200 * time.Millisecond
-	// bufferSize holds a request's head and a usual body.
-	bufferSize = 16 << 10
 	// acceptPause is the pause after an accept that failed for a cause that passes, such as
 	// a lack of descriptors.
 	acceptPause = 10 * time.Millisecond
@@ -227,28 +224,6 @@
 	go l.meet(conn, bytes.Clone(b.bytes[:read]))
 }
 
-// readNow reads what has come already, and does not wait.
-func readNow(conn net.Conn, into []byte) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	read := 0
-	err = raw.Read(func(descriptor uintptr) bool {
-		// Who waits for more finds the same error.
-		read, _ = syscall.Read(int(descriptor), into)
-		return true
-	})
-	if err != nil {
-		return 0
-	}
-	return max(read, 0)
-}
-
 // judgeWhole returns the refusal of a request that has come whole, nil of any other.
 func (l *Listener) judgeWhole(b *buffer, read int) *Refusal {
 	h, rest := b.parse(read)
@@ -273,19 +248,6 @@
 	}
 }
 
-// buffers are what requests are read into and parsed with.
-var buffers = sync.Pool{New: func() any { return newBuffer() }}
-
-func newBuffer() *buffer {
-	return &buffer{bytes: make([]byte, bufferSize), reader: bufio.NewReaderSize(nil, bufferSize)}
-}
-
-type buffer struct {
-	bytes  []byte
-	source bytes.Reader
-	reader *bufio.Reader
-}
-
 // meet reads a connection's first request, of which some may have been read, and has it judged.
 func (l *Listener) meet(conn net.Conn, first []byte) {
 	defer l.waiting.Add(-1)
@@ -341,18 +303,6 @@
 	return l.options.Judge(h), rest
 }
 
-// parse returns the request that begins with what has been read, and what is still to come of its
-// body. It is nil if its head is not whole, or if its body has no known length.
-func (b *buffer) parse(read int) (h *http.Request, rest int64) {
-	b.source.Reset(b.bytes[:read])
-	b.reader.Reset(&b.source)
-	h, err := http.ReadRequest(b.reader)
-	if err != nil || h.ContentLength < 0 {
-		return nil, 0
-	}
-	return h, h.ContentLength - int64(b.reader.Buffered())
-}
-
 // refuse answers, and reads what is still to come of the body.
 func (l *Listener) refuse(conn net.Conn, b *buffer, refusal *Refusal, rest int64) {
 	defer conn.Close()
