--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -41,7 +41,7 @@
 
 	mutex   sync.Mutex
 	rate    float64
-	kept    float64
+	kept    float64 // starts a second, however much is refused; 0 if nobody has told
 	tokens  float64
 	filled  time.Time
 	starved bool // somebody was held up since the last look
