Begin a call between processes once

Cause: a peer that stops sends GOAWAY. The transport then begins the call again by itself, and if the caller's context ends at that moment it does not wait for the first try to be over (waitDone in net/http returns with the context). Sender.Close and a stop of its peers come at once in those tests, and in a fleet that is rolled.

Mend: calls have no way to read their body anew, so that the transport neither rewinds nor repeats; the agreement and the routers have retries of their own. Looked for elsewhere: the other transports speak HTTP/1, where a try is over before it is repeated.

--- a/lib/dialer/dialer.go
+++ b/lib/dialer/dialer.go
@@ -2,7 +2,8 @@
 // unencrypted HTTP/2 on kept connections, authenticated by a shared secret,
 // with every byte counted.
 //
-// Invariants: a call without the secret reaches no handler; the secret is
+// Invariants: a call without the secret reaches no handler; a call is begun once, and
+// whoever makes it decides whether it is made again; the secret is
 // compared in constant time; counters see the bytes on the wire, framing
 // included, so that control traffic is measured and not estimated.
 package dialer
@@ -70,6 +71,9 @@
 	signed.Header.Set("Authorization", s.secret)
 	signed.Header.Set("User-Agent", "")
 	signed.Header.Set("Accept-Encoding", "identity")
+	// Without a way to read the body anew the transport does not repeat what a peer that stops
+	// did not take. It would begin again while the first try may still read the body.
+	signed.GetBody = nil
 	return s.next.RoundTrip(signed)
 }
 
