Keep calls away from plain services whose queues stand full

Cause: nothing bounds what is sent to plain services, and each of 70 routers has less than one call at a time there. The endpoint's queue stands full, so that each answer waits for all of it, while no more are answered. Evidence: 145 ms to the first byte in place of 28 to 44, 200 answers a second as with a short queue, 19,427 of 34,032 arrivals turned away. Ruled out: a slow endpoint (it brings out what six at a time do), repeats (211 of 14,153 arrivals).

Mend: each router keeps a part of the calls away from an endpoint by its own answers and refusals there, as a congestion window follows them; whoever finds no room is refused at once.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -41,6 +41,11 @@
 	Output int // tokens out, at most
 	// Target is within which time the first token should come, 0 if none is set.
 	Target time.Duration
+	// Objective is what was to be kept from the request's first attempt on: the whole of the time of
+	// which Target is what is left. It is 0 if none is set.
+	Objective time.Duration
+	// Late tells that it came so long ago for the first time that it can hardly be answered within that.
+	Late bool
 }
 
 // shared returns the parts that other requests have too: all but the last.
@@ -84,6 +89,7 @@
 	told     time.Time                 // when others' loads were told last
 	routers  int
 	turns    uint64 // choices so far
+	draws    uint64 // numbers drawn so far
 	recent   recent
 
 	evacuated map[string]bool          // zones
@@ -108,9 +114,11 @@
 	probing bool            // one request tries it after its pause
 	closed  bool            // no connection could be made when it was tried last
 	leases  rationer.Holder // for the time that it is cold
-	heard   time.Time       // when it last sent anything, or had nothing to do before
-	life    context.Context // done once the endpoint has started again
-	end     context.CancelFunc
+	// pressure is of the calls of a plain service.
+	pressure backpressure
+	heard    time.Time       // when it last sent anything, or had nothing to do before
+	life     context.Context // done once the endpoint has started again
+	end      context.CancelFunc
 }
 
 // Update takes news of an endpoint, and tells whether it has started again.
@@ -197,10 +205,14 @@
 }
 
 // Pick takes a slot at the cheapest endpoint that is not excluded; of several, at
-// the one that was chosen longest ago. It returns nil if there is none.
+// the one that was chosen longest ago. It returns nil if there is none, or none of a plain
+// service that has room.
 func (b *Balancer) Pick(now time.Time, service string, work *Work, excluded func(id string) bool) *Slot {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if b.plain(service, work) {
+		return b.pickPlain(now, service, work, excluded)
+	}
 	best := b.choose(now, service, work, excluded)
 	if best.endpoint == nil {
 		return nil
@@ -262,6 +274,9 @@
 		Doubt: o.doubt.String(), Pause: max(e.until.Sub(now), 0),
 		balancer: b, endpoint: e, sent: now, ahead: o.ahead, reading: true,
 	}
+	if b.plain(e.Service, work) {
+		slot.objective = work.Objective
+	}
 	if !e.until.IsZero() && !now.Before(e.until) && !e.probing {
 		slot.probe, e.probing = true, true
 	}
--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -28,7 +28,8 @@
 	// shift tells which those are: one in 1<<shift. It is 0 for a service of which routers
 	// know all, and as long as nobody has told.
 	shift   int
-	partial bool // routers do not know all
+	partial bool    // routers do not know all
+	pressed float64 // part of the calls that found no endpoint with room, weighted to the latest
 }
 
 // ranking is engines in buckets, by the hash of their ids.
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -25,9 +25,11 @@
 	endpoint *endpoint
 	sent     time.Time
 	ahead    int // tokens that were unread there
-	reading  bool
-	ended    bool
-	probe    bool
+	// objective is that of a call of a plain service, 0 for others.
+	objective time.Duration
+	reading   bool
+	ended     bool
+	probe     bool
 }
 
 // Outcome says how a request left its endpoint.
@@ -68,6 +70,9 @@
 	if s.reading && len(s.endpoint.unread) > 0 {
 		s.learn(now)
 	}
+	if s.reading && s.objective > 0 {
+		s.endpoint.pressure.answered(now.Sub(s.sent), s.objective)
+	}
 	s.began()
 }
 
@@ -147,6 +152,9 @@
 		s.balancer.unreached(now, e)
 	case Full, Wrong, Late:
 		e.pause(now)
+		if outcome == Full && s.objective > 0 {
+			e.pressure.turnedAway(s.objective)
+		}
 	}
 }
 
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -43,6 +43,9 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_backed_off_endpoints", Help: "Endpoints that have asked this router for backoff and get nothing from it."}, func() float64 {
 		return float64(d.balancer.BackedOff(d.clock.Now()))
 	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_pressed_endpoints", Help: "Endpoints of plain services from which this router keeps a part of the calls away, as they answer late or have no room."}, func() float64 {
+		return float64(d.balancer.Pressing())
+	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_away", Help: "1 while new clients are sent to other routers."}, func() float64 {
 		if d.shedder.away.Load() {
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -29,6 +29,7 @@
 	outputPrice = 2
 	// tooMuch and noShare are what clients are told most often.
 	tooMuch = "this router has too much to do"
+	noRoom  = "the service is asked for more than it can answer in time"
 	noShare = "the workspace has used its share"
 	// defaultBody bounds a request's body where the configuration does not.
 	defaultBody = 4 << 20
@@ -64,7 +65,8 @@
 	if q.in.Deadline > 0 && q.in.Deadline < q.route.Timeout {
 		q.until = q.received.Add(q.in.Deadline)
 	}
-	q.in.Work.Target = q.left()
+	q.in.Work.Target, q.in.Work.Objective = q.left(), q.route.Target
+	q.in.Work.Late = q.late()
 	q.digest = fingerprint(q)
 	if p.options.News.Quarantined(q.digest) {
 		p.refuse(q, byRule, http.StatusServiceUnavailable, "it has crashed the endpoints that ran it", 0)
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -43,7 +43,7 @@
 func (p *Passer) attempt(ctx context.Context, q *request) *ending {
 	slot := p.options.Balancer.Pick(p.options.Clock.Now(), q.service, &q.in.Work, func(id string) bool { return q.tried[id] })
 	if slot == nil {
-		return &ending{unsent: true, nowhere: true, reason: "no endpoint of the service takes work"}
+		return p.withoutEndpoint(q)
 	}
 	q.tried[slot.ID] = true
 	q.endpoint, q.reading, q.queue, q.expected = slot.ID, slot.Reading, slot.Queue, slot.Wait
@@ -68,6 +68,14 @@
 	return next
 }
 
+// withoutEndpoint is the ending of an attempt for which there is no endpoint.
+func (p *Passer) withoutEndpoint(q *request) *ending {
+	if p.options.Balancer.Pressed(q.service) > 0 {
+		return &ending{unsent: true, nowhere: true, pressed: true, reason: noRoom}
+	}
+	return &ending{unsent: true, nowhere: true, reason: "no endpoint of the service takes work"}
+}
+
 func (p *Passer) exchange(ctx context.Context, cancel context.CancelCauseFunc, q *request, slot *balancer.Slot) *ending {
 	out := &forwarder.Outgoing{
 		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body,
--- a/router/internal/passer/ledger.go
+++ b/router/internal/passer/ledger.go
@@ -26,6 +26,8 @@
 	byRouter
 	// byEndpoints: no endpoint could be reached, or each said that it did not run it.
 	byEndpoints
+	// byPressure: its plain service is asked for more than it answers in time.
+	byPressure
 	// byConfiguration: there is no configuration yet.
 	byConfiguration
 	// byKey: no workspace holds its key.
@@ -36,7 +38,7 @@
 
 // labels name verdicts in metrics.
 var labels = map[verdict]string{
-	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints",
+	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints", byPressure: "pressure",
 	byConfiguration: "configuration", byKey: "key", byRule: "rule",
 }
 
--- a/router/internal/passer/odds.go
+++ b/router/internal/passer/odds.go
@@ -14,6 +14,9 @@
 	// longestRoomPause is the longest pause for want of room. Clients believe at most a third of
 	// their time, and by then others may have the room.
 	longestRoomPause = time.Second
+	// likelyRefused is the part of the calls from which on one that comes back is more likely to be
+	// refused again than not.
+	likelyRefused = 0.5
 )
 
 // odds tells how likely it is to be refused for want of room. Its zero value has seen nobody.
@@ -70,9 +73,24 @@
 // back is as likely to be refused as those who ask now. Where one in twenty is let in, all others
 // that come back at once only take the time in which somebody could be served.
 func (p *Passer) roomPause(now time.Time) time.Duration {
-	left := 1 - p.odds.refused(now)
+	return pauseFor(p.odds.refused(now))
+}
+
+// pauseFor returns when to come back if a part of the requests, 0 to 1, is refused.
+func pauseFor(refused float64) time.Duration {
+	left := 1 - refused
 	if retrySoon.Seconds() >= left*longestRoomPause.Seconds() {
 		return longestRoomPause
 	}
 	return time.Duration(float64(retrySoon) / left)
 }
+
+// pressurePause returns when a client may come back whose call found no room at a plain service. As long
+// as it is likely to be let in then, it comes back soon enough to be in time.
+func (p *Passer) pressurePause(q *request) time.Duration {
+	pressed := p.options.Balancer.Pressed(q.service)
+	if pressed <= likelyRefused && !q.late() {
+		return retrySoon
+	}
+	return pauseFor(pressed)
+}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -234,6 +234,7 @@
 	outcome balancer.Outcome
 	unsent  bool // no byte left
 	nowhere bool // and there is no endpoint to try
+	pressed bool // those that there are have no room
 	notRun  bool // the endpoint said so
 	reason  string
 	// kept is an endpoint's own failure that is passed on if nothing better comes.
@@ -272,6 +273,8 @@
 		panic(http.ErrAbortHandler) // a part must not look like the whole
 	case e.kept != nil:
 		p.answer(q, e.kept)
+	case !q.ran && e.pressed:
+		p.refuse(q, byPressure, http.StatusServiceUnavailable, e.reason, p.pressurePause(q))
 	case !q.ran:
 		left := p.options.Balancer.BackoffLeft(p.options.Clock.Now(), q.service)
 		p.refuse(q, byEndpoints, http.StatusServiceUnavailable, e.reason, max(retrySoon, left))
--- /dev/null
+++ b/router/internal/passer/pressure_test.go
@@ -0,0 +1,51 @@
+package passer
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against clients of a full service waiting for its refusal, or being told to come back at
+// once when hardly anybody is let in.
+func TestCallsOfAFullServiceAreRefusedHere(t *testing.T) {
+	b := newBed(t)
+	var arrivals atomic.Int64
+	b.endpoint(func(conn net.Conn, request *http.Request) {
+		arrivals.Add(1)
+		shed(conn, request)
+	})
+	const calls = 100
+	var last *http.Response
+	for range calls {
+		last = b.ask(http.MethodPost, "/bid/1", "")
+		_, err := text(last)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, last.StatusCode)
+	}
+	require.Less(t, arrivals.Load(), int64(calls/4))
+	pause, err := strconv.ParseFloat(last.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, pause, 3*retrySoon.Seconds())
+	require.LessOrEqual(t, pause, (1+retrySpread)*longestRoomPause.Seconds())
+}
+
+// Guards against a service without a target, whose calls can't be late, being kept from its endpoints.
+func TestCallsWithoutATargetReachTheirEndpoint(t *testing.T) {
+	b := newBed(t)
+	var arrivals atomic.Int64
+	b.endpoint(func(conn net.Conn, request *http.Request) {
+		arrivals.Add(1)
+		shed(conn, request)
+	})
+	const calls = 20
+	for range calls {
+		_, err := b.fetch(http.MethodPost, "/book/1", "")
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, calls, arrivals.Load())
+}
