Count what engines decline against the share

Cause: what no engine ran was given back to its workspace's share, so that a flood tried ten to twenty times as often, and got the same 1 to 4 in 100 of its tries as everybody. Evidence: tokens declined and begun by half seconds and workspace, in the logs of all routers (docs/incidents/tried-at-will.md). Ruled out: a router without room, shares.

Why this works: while engines decline, tries are what is scarce, and shares bound them now. Red before: TestWhatEnginesDeclineCountsAgainstTheShare (200 tries, under 50 asked).

--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -220,7 +220,9 @@
 		}
 		q.ran = q.ran || !next.unsent && !next.notRun
 		if !p.again(ctx, q, *next) {
-			if !q.answered && p.sharesEngines(q) {
+			// What engines decline stays counted. While they take little, that goes by how often it is
+			// tried, and a flood would try many times as often as everybody else.
+			if !q.answered && !next.notRun && p.sharesEngines(q) {
 				p.options.Shares.Return(q.workspace, float64(q.tokens()), q.spare)
 			}
 			p.giveUp(ctx, q, *next)
