Tell a service without endpoints from one whose endpoints have no room

A client was told to come back as from a full service for as long as that service had ever been full, also when none of its endpoints took work and a backoff told when the first one would.

--- a/lib/balancer/backpressure.go
+++ b/lib/balancer/backpressure.go
@@ -153,6 +153,19 @@
 	return 0
 }
 
+// Takes tells whether a service has an endpoint that is not excluded and takes work, whether or not
+// there is room at it.
+func (b *Balancer) Takes(now time.Time, service string, excluded func(id string) bool) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, e := range b.all(service) {
+		if b.takes(now, e) && !excluded(e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pressing returns how many endpoints of plain services get less than what is meant for them.
 func (b *Balancer) Pressing() int {
 	return b.count(func(e *endpoint) bool { return e.pressure.kept > 0 })
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -41,9 +41,15 @@
 // attempt sends the request to one endpoint. It returns nil once the client has
 // its answer.
 func (p *Passer) attempt(ctx context.Context, q *request) *ending {
-	slot := p.options.Balancer.Pick(p.options.Clock.Now(), q.service, &q.in.Work, func(id string) bool { return q.tried[id] })
+	tried := func(id string) bool { return q.tried[id] }
+	now := p.options.Clock.Now()
+	slot := p.options.Balancer.Pick(now, q.service, &q.in.Work, tried)
 	if slot == nil {
-		return p.withoutEndpoint(q)
+		e := &ending{unsent: true, nowhere: true, reason: "no endpoint of the service takes work"}
+		if p.options.Balancer.Takes(now, q.service, tried) {
+			e.pressed, e.reason = true, noRoom
+		}
+		return e
 	}
 	q.tried[slot.ID] = true
 	q.endpoint, q.reading, q.queue, q.expected = slot.ID, slot.Reading, slot.Queue, slot.Wait
@@ -68,14 +74,6 @@
 	return next
 }
 
-// withoutEndpoint is the ending of an attempt for which there is no endpoint.
-func (p *Passer) withoutEndpoint(q *request) *ending {
-	if p.options.Balancer.Pressed(q.service) > 0 {
-		return &ending{unsent: true, nowhere: true, pressed: true, reason: noRoom}
-	}
-	return &ending{unsent: true, nowhere: true, reason: "no endpoint of the service takes work"}
-}
-
 func (p *Passer) exchange(ctx context.Context, cancel context.CancelCauseFunc, q *request, slot *balancer.Slot) *ending {
 	out := &forwarder.Outgoing{
 		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body,
--- a/router/internal/passer/pressure_test.go
+++ b/router/internal/passer/pressure_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
 )
 
 // Guards against clients of a full service waiting for its refusal, or being told to come back at
@@ -15,7 +17,7 @@
 func TestCallsOfAFullServiceAreRefusedHere(t *testing.T) {
 	b := newBed(t)
 	var arrivals atomic.Int64
-	b.endpoint(func(conn net.Conn, request *http.Request) {
+	id := b.endpoint(func(conn net.Conn, request *http.Request) {
 		arrivals.Add(1)
 		shed(conn, request)
 	})
@@ -32,6 +34,11 @@
 	require.NoError(t, err)
 	require.Greater(t, pause, 3*retrySoon.Seconds())
 	require.LessOrEqual(t, pause, (1+retrySpread)*longestRoomPause.Seconds())
+
+	b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Gone})
+	reason, err := b.fetch(http.MethodPost, "/bid/1", "")
+	require.NoError(t, err)
+	require.NotContains(t, reason, noRoom, "there is no endpoint any more")
 }
 
 // Guards against a service without a target, whose calls can't be late, being kept from its endpoints.
