--- a/lib/apportioner/stretch.go
+++ b/lib/apportioner/stretch.go
@@ -24,9 +24,8 @@
 // promise, not a limit: engines often yield more, and then nobody should be refused.
 //
 // It follows how long engines still read what they have been sent, which all routers
-// know within a tenth of a second. Following the answers' waits instead, as a
-// congestion window does, it swung between its bounds with a period of eight seconds:
-// a queue is felt in answers only when it has grown, and one slow engine looks like all.
+// know within a tenth of a second. Answers' waits, as a congestion window follows them, show
+// a queue only when it has grown, and one slow engine looks like all.
 func stretch(backlog time.Duration) float64 {
 	part := float64(backlog-IdleBacklog) / float64(fullBacklog-IdleBacklog)
 	part = min(max(part, 0), 1)
--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -30,9 +30,9 @@
 //
 // A bound on what is under way does not see how much of it has yet to be worked on: streams
 // that run take little, as many that begin at one moment keep a small instance busy for a
-// second, and all of them are late. Most of a request's
-// processor time goes into its begin, so that this is what has to be paced. Least and
-// Begin are starts a second; the zero value bounds nothing.
+// second, and all of them are late. Most of a request's processor time goes into its begin, so
+// that this is what has to be paced. Least and Begin are starts a second; the zero value bounds
+// nothing.
 //
 // Who has started less than an even part of what is possible may start more also when
 // nothing is left: otherwise one that floods a process would keep all others out.
--- a/router/internal/passer/begun_test.go
+++ b/router/internal/passer/begun_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"shallotkeel.example/lib/resolver"
 )
 
 // Guards against a workspace that is taken to get what was let in for clients that left: others
@@ -34,16 +32,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t)
-			compiled, err := resolver.Compile(resolver.Plan{
-				Version: 1, Services: []resolver.Service{{Name: "desk", Engine: &resolver.Engine{Slots: 4, Tokens: 1e6}}},
-				Workspaces: []resolver.Workspace{{Name: "club", Keys: []string{"key"}}}, Limits: resolver.Limits{BodyBytes: 1 << 20},
-				Routes: []resolver.Route{{
-					Name: "draft", Host: "h", Prefix: "/draft/", Kind: resolver.Stream, Attempts: 1, Timeout: time.Minute,
-					Shares: []resolver.Share{{Service: "desk", Weight: 1}},
-				}},
-			})
-			require.NoError(t, err)
-			b.news.table.Store(compiled)
+			b.news.table.Store(engineTable(t))
 			b.shares.Capacity(1e6)
 			ctx, cancel := context.WithCancel(t.Context())
 			b.endpoint(func(conn net.Conn, request *http.Request) {
--- a/router/internal/passer/harness_test.go
+++ b/router/internal/passer/harness_test.go
@@ -115,6 +115,21 @@
 	return compiled
 }
 
+// engineTable has one route to a service of engines.
+func engineTable(t *testing.T) *resolver.Table {
+	t.Helper()
+	compiled, err := resolver.Compile(resolver.Plan{
+		Version: 1, Services: []resolver.Service{{Name: "desk", Engine: &resolver.Engine{Slots: 4, Tokens: 1e6}}},
+		Workspaces: []resolver.Workspace{{Name: "club", Keys: []string{"key"}}}, Limits: resolver.Limits{BodyBytes: 1 << 20},
+		Routes: []resolver.Route{{
+			Name: "draft", Host: "h", Prefix: "/draft/", Kind: resolver.Stream, Attempts: 1, Timeout: time.Minute,
+			Shares: []resolver.Share{{Service: "desk", Weight: 1}},
+		}},
+	})
+	require.NoError(t, err)
+	return compiled
+}
+
 func newBed(t *testing.T) *bed {
 	t.Helper()
 	return newBedAt(t, clockwork.NewRealClock())
@@ -210,6 +225,16 @@
 	conn.Close()
 }
 
+// shedding starts an endpoint that turns everything away, and counts what reaches it.
+func (b *bed) shedding() (id string, arrivals *atomic.Int64) {
+	arrivals = &atomic.Int64{}
+	id = b.endpoint(func(conn net.Conn, request *http.Request) {
+		arrivals.Add(1)
+		shed(conn, request)
+	})
+	return id, arrivals
+}
+
 // beginStream sends a stream's head and events from one number up to another.
 func beginStream(conn net.Conn, request *http.Request, from, to int) {
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/router/internal/passer/pressure_test.go
+++ b/router/internal/passer/pressure_test.go
@@ -1,10 +1,8 @@
 package passer
 
 import (
-	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,11 +14,7 @@
 // once when hardly anybody is let in.
 func TestCallsOfAFullServiceAreRefusedHere(t *testing.T) {
 	b := newBed(t)
-	var arrivals atomic.Int64
-	id := b.endpoint(func(conn net.Conn, request *http.Request) {
-		arrivals.Add(1)
-		shed(conn, request)
-	})
+	id, arrivals := b.shedding()
 	const calls = 100
 	var last *http.Response
 	for range calls {
@@ -44,11 +38,7 @@
 // Guards against a service without a target, whose calls can't be late, being kept from its endpoints.
 func TestCallsWithoutATargetReachTheirEndpoint(t *testing.T) {
 	b := newBed(t)
-	var arrivals atomic.Int64
-	b.endpoint(func(conn net.Conn, request *http.Request) {
-		arrivals.Add(1)
-		shed(conn, request)
-	})
+	_, arrivals := b.shedding()
 	const calls = 20
 	for range calls {
 		_, err := b.fetch(http.MethodPost, "/book/1", "")
