--- a/lib/balancer/backpressure.go
+++ b/lib/balancer/backpressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -19,8 +20,8 @@
 	// in ten be slow.
 	decrease = 0.8
 	increase = 0.02
-	// leastSent is the part that is sent however slow calls are: without any, nobody would find out
-	// that the endpoint has room again.
+	// leastSent is the part that is sent however slow calls are: else nobody would find out that the
+	// endpoint has room again.
 	leastSent = 0.05
 	// fullMemory is the weight of the latest call in the share that found an endpoint full, and fullLately
 	// the share from which it counts as full of late: one call in the last fifteen.
@@ -103,7 +104,8 @@
 	var without []*endpoint
 	for len(without) < triedForRoom {
 		best := b.choose(now, service, work, func(id string) bool {
-			return excluded != nil && excluded(id) || contains(without, id)
+			return excluded != nil && excluded(id) ||
+				slices.ContainsFunc(without, func(e *endpoint) bool { return e.ID == id })
 		})
 		if best.endpoint == nil {
 			break
@@ -120,15 +122,6 @@
 	return nil
 }
 
-func contains(endpoints []*endpoint, id string) bool {
-	for _, e := range endpoints {
-		if e.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // draw returns the next of a series of even numbers from 0 up to 1.
 func (b *Balancer) draw() float64 {
 	b.draws++
--- a/lib/dialer/dialer.go
+++ b/lib/dialer/dialer.go
@@ -3,8 +3,8 @@
 // with every byte counted.
 //
 // Invariants: a call without the secret reaches no handler; a call is begun once, and
-// whoever makes it decides whether it is made again; the secret is
-// compared in constant time; counters see the bytes on the wire, framing
+// whoever makes it decides whether it is made again; the secret is compared in constant
+// time; counters see the bytes on the wire, framing
 // included, so that control traffic is measured and not estimated.
 package dialer
 
