Wait for requests at their endpoint in the test of a full router

Cause: it waited until two requests were running, and a request counts as running before it counts against its workspace; a third that comes between is let in, as the workspace's part is not yet used. With 50 ms put between the two the old test fails each time with the same 504, and the new one, which waits for both at their endpoint, passes; 20 runs with the race detector pass. As strict: what is asked of the third request is unchanged, and that two are running is checked.

--- a/router/internal/passer/drain_test.go
+++ b/router/internal/passer/drain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -50,7 +51,9 @@
 	b.passer.options.Lags = func() bool { return false }
 	end := make(chan struct{})
 	var once sync.Once
+	var arrived atomic.Int64
 	b.endpoint(func(conn net.Conn, request *http.Request) {
+		arrived.Add(1)
 		<-end
 		reply(conn, request, http.StatusOK, "")
 	})
@@ -65,7 +68,9 @@
 			}
 		}()
 	}
-	require.Eventually(t, func() bool { return b.passer.Running() == 2 }, patience, tick)
+	// One that is running may not yet count against its workspace; one at its endpoint does.
+	require.Eventually(t, func() bool { return arrived.Load() == 2 }, patience, tick)
+	require.Equal(t, 2, b.passer.Running())
 	response := b.ask("POST", "/book/", "")
 	_, err := text(response)
 	require.NoError(t, err)
