Set a call's objective where it is picked

Whether a service is plain was asked twice for each choice, engines' included. Behaviour is the same; the tests of balancer and passer pass with the race detector.

--- a/lib/balancer/backpressure.go
+++ b/lib/balancer/backpressure.go
@@ -112,7 +112,9 @@
 		}
 		if b.draw() < best.endpoint.pressure.lets(work.Late) {
 			b.services[service].press(false)
-			return b.enter(now, best, work)
+			slot := b.enter(now, best, work)
+			slot.objective = work.Objective
+			return slot
 		}
 		without = append(without, best.endpoint)
 	}
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -274,9 +274,6 @@
 		Doubt: o.doubt.String(), Pause: max(e.until.Sub(now), 0),
 		balancer: b, endpoint: e, sent: now, ahead: o.ahead, reading: true,
 	}
-	if b.plain(e.Service, work) {
-		slot.objective = work.Objective
-	}
 	if !e.until.IsZero() && !now.Before(e.until) && !e.probing {
 		slot.probe, e.probing = true, true
 	}
