--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -16,6 +16,7 @@
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/resolver"
 )
 
@@ -97,6 +98,7 @@
 		return p.failed(ctx, q, err)
 	}
 	defer x.Close()
+	q.framing = framer.Of(q.http.Method, x.Response)
 	answer := p.options.Dialect.Answer(x.Response)
 	p.noteSaid(q, slot, answer)
 	if answer.NotRun {
--- a/router/internal/passer/metrics.go
+++ b/router/internal/passer/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"shallotkeel.example/lib/framer"
 )
 
 // Metrics counts what became of requests. A nil *Metrics counts nothing.
@@ -12,6 +14,7 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	sends    prometheus.Counter
+	unframed prometheus.Counter
 	first    prometheus.Histogram
 	took     prometheus.Histogram
 }
@@ -28,6 +31,9 @@
 		sends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_sends_total", Help: "Requests written to endpoints, repeats included.",
 		}),
+		unframed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_unframed_total", Help: "Requests whose last answer ended with its endpoint's connection.",
+		}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "shallotkeel_passed_first_seconds", Help: "Time until the first part of an answer.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
@@ -37,7 +43,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
 		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.first, m.took)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.first, m.took)
 	return m
 }
 
@@ -50,6 +56,9 @@
 		m.refusals.WithLabelValues(labels[q.refused]).Inc()
 	}
 	m.sends.Add(float64(q.sends))
+	if q.framing == framer.ByConnection {
+		m.unframed.Inc()
+	}
 	if q.first > 0 {
 		m.first.Observe(q.first.Seconds())
 	}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -33,6 +33,7 @@
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/pacer"
 	"shallotkeel.example/lib/resolver"
 )
@@ -141,6 +142,7 @@
 	begun    bool             // the client has a part of the answer
 	answered bool             // an endpoint has begun to answer
 	said     forwarder.Answer // what the last endpoint said of itself
+	framing  framer.Framing   // of the last endpoint's answer
 	tried    map[string]bool  // instances
 	endpoint string
 	spare    bool          // it is beyond what its workspace has a right to
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -294,6 +294,7 @@
 	headers http.Header
 	body    string
 	cut     bool // the connection was aborted
+	framed  bool // its end can be told from that of its connection
 	failure reporter.FailureBody
 }
 
@@ -318,6 +319,7 @@
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	got := answer{status: response.StatusCode, headers: response.Header, body: string(text), cut: err != nil}
+	got.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	var failure reporter.Failure
 	if json.Unmarshal(text, &failure) == nil {
 		got.failure = failure.Error
