Pass on what ends with its connection as such, and cut streams that end inside an event

Cause: the end of a connection was taken for the end of a message. An answer with neither a length nor chunks ends where its connection does; the router read that as an ordinary end and gave its own answer a length or a last chunk, which says that it is whole. Streams were not looked at for where they end.

Mend: an answer that ends with its connection is passed on as one that does. Until it has been read to its end, whatever closes the client's connection resets it (linger 0), the process's death included, since an ordinary close would tell an end; that holds for clients of HTTP/1.0 as well. A stream that ends inside an event has been broken off, whatever frames it, and goes on elsewhere or is cut. One that began in chunks and went on at an endpoint without framing is cut at its end. Considered: resetting every doubtful end. Callers would lose each whole answer of such an endpoint, and nothing could be repeated that must not run twice; so a reset is kept for what is known to be a break.

Own interface: such an answer's outcome is told as unknown, and it is not recorded as one to give again.

The test of a client that reads nothing sends events now: bytes without any event are refused sooner.

--- a/lib/tracker/event.go
+++ b/lib/tracker/event.go
@@ -26,6 +26,7 @@
 	Rejected                           // the endpoint said so too, and that no endpoint will: Code says why
 	Began                              // the caller has the first part of the answer
 	Whole                              // the answer is whole
+	Closed                             // the answer ended with its connection: nobody knows whether it is whole
 	Broken                             // the endpoint failed or the answer was cut
 	CallerLost                         // the caller went away or takes no more of the answer
 	TimedOut                           // the request's time is over
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -192,7 +192,9 @@
 		t.begun = true
 		return Action{Step: Relay}
 	case Whole:
-		return t.whole()
+		return t.whole(OutcomeAnswered, "")
+	case Closed:
+		return t.whole(OutcomeUnknown, CodeEndpointFailed)
 	case Broken:
 		return t.broken(now, event.Code)
 	}
@@ -214,8 +216,8 @@
 	}
 }
 
-func (t *Tracker) whole() Action {
-	action := Action{Step: Complete, Slot: scheduler.Done, Outcome: OutcomeAnswered}
+func (t *Tracker) whole(outcome Outcome, code Code) Action {
+	action := Action{Step: Complete, Slot: scheduler.Done, Outcome: outcome, Code: code}
 	if t.detached {
 		action.Step = Vanish
 	}
--- a/lib/tracker/tracker_test.go
+++ b/lib/tracker/tracker_test.go
@@ -233,6 +233,11 @@
 		"done": {chat, then(answering, tracker.Whole), nil},
 	} {
 		t.Run(name, func(t *testing.T) {
+			if closed, whole := test.wants[tracker.Whole]; whole {
+				// An end that tells nothing is as an end, but for what the caller is told.
+				closed.outcome, closed.code = tracker.OutcomeUnknown, tracker.CodeEndpointFailed
+				test.wants[tracker.Closed] = closed
+			}
 			for _, kind := range every() {
 				budget := retries(10)
 				machine := tracker.New(test.nature, &budget)
--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -29,6 +29,7 @@
 	"golang.org/x/net/netutil"
 
 	"shallotkeel.example/lib/dialer"
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/tracer"
 	"shallotkeel.example/router/internal/administrator"
 	"shallotkeel.example/router/internal/claimant"
@@ -124,7 +125,7 @@
 	})
 	r.public = &http.Server{
 		Handler: r.leaving(r.publicHandler(keepers)), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders, ConnContext: framer.WithConn,
 	}
 	controlMux := http.NewServeMux()
 	r.conductor.Register(controlMux, r.follower)
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -23,6 +23,7 @@
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/loader"
 	"shallotkeel.example/lib/messenger"
@@ -253,7 +254,7 @@
 	}
 	defer watched.Close()
 	front := &http.Server{
-		ConnContext: passer.WithConn, ConnState: d.connected.change, ErrorLog: stdlog.New(d.log, "", 0),
+		ConnContext: framer.WithConn, ConnState: d.connected.change, ErrorLog: stdlog.New(d.log, "", 0),
 		Handler: d.passer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -177,9 +177,9 @@
 
 // whole is an answer that was read to its end.
 type whole struct {
-	status int
-	header http.Header
-	body   []byte
+	exchange *forwarder.Exchange // closed by now
+	framing  framer.Framing
+	body     []byte
 }
 
 // relayWhole passes on an answer that is no stream of events.
@@ -193,7 +193,7 @@
 	if len(body) == wholeBytes {
 		return p.relayLong(ctx, q, x, body)
 	}
-	read := &whole{status: x.StatusCode, header: x.Header, body: body}
+	read := &whole{exchange: x, framing: q.framing, body: body}
 	if x.StatusCode >= http.StatusInternalServerError {
 		return &ending{outcome: balancer.Faulty, reason: "the endpoint failed with " + strconv.Itoa(x.StatusCode), kept: read}
 	}
@@ -216,26 +216,65 @@
 
 // answer gives the client an endpoint's answer.
 func (p *Passer) answer(q *request, a *whole) {
-	q.status = a.status
-	copyHeader(q.writer.Header(), a.header)
-	q.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	q.writer.WriteHeader(a.status)
-	if _, err := q.writer.Write(a.body); err != nil {
+	q.framing = a.framing
+	length := int64(len(a.body))
+	if a.framing == framer.ByConnection {
+		length = unknownLength
+	}
+	err := p.begin(q, a.exchange, length)
+	if errors.Is(err, framer.ErrNoReset) {
+		p.fail(q, http.StatusBadGateway, err.Error())
+		return
+	}
+	if err == nil {
+		_, err = q.writer.Write(a.body)
+	}
+	if err == nil {
+		err = q.end.Whole(http.NewResponseController(q.writer))
+	}
+	if err != nil {
 		q.reason = "the client left: " + err.Error()
 	}
 }
 
-// relayLong passes on an answer piece by piece. Its length goes ahead of it, or
-// it is sent in chunks: either way its client sees whether it was cut.
-func (p *Passer) relayLong(ctx context.Context, q *request, x *forwarder.Exchange, begin []byte) *ending {
-	q.status = x.StatusCode
+// unknownLength is that of an answer whose begin is passed on before its end has come.
+const unknownLength = -1
+
+// begin sends the head of an answer, once: a stream that goes on at another endpoint keeps that
+// of its first. Without a length the answer is sent in chunks, unless its client knows none or
+// its endpoint's answer ends with its connection; then it ends with the client's.
+func (p *Passer) begin(q *request, x *forwarder.Exchange, length int64) error {
+	if q.begun {
+		return nil
+	}
+	if length == unknownLength && (q.framing == framer.ByConnection || !q.http.ProtoAtLeast(1, 1)) {
+		end, err := framer.Unframe(q.writer, q.http)
+		if err != nil {
+			return err
+		}
+		q.end = end
+	}
+	q.begun, q.status = true, x.StatusCode
+	if q.first == 0 {
+		q.first = p.options.Clock.Since(q.received)
+	}
 	copyHeader(q.writer.Header(), x.Header)
-	if x.ContentLength >= 0 {
-		q.writer.Header().Set("Content-Length", strconv.FormatInt(x.ContentLength, 10))
+	if length != unknownLength {
+		q.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	q.begun = true
 	q.writer.WriteHeader(x.StatusCode)
-	if _, err := q.writer.Write(begin); err != nil {
+	return nil
+}
+
+// relayLong passes on an answer piece by piece. Its length goes ahead of it, or it is sent in
+// chunks, so that its client sees whether it was cut; one that ends with its connection is passed
+// on as such, and reset where it breaks.
+func (p *Passer) relayLong(ctx context.Context, q *request, x *forwarder.Exchange, begin []byte) *ending {
+	err := p.begin(q, x, x.ContentLength)
+	if err == nil {
+		_, err = q.writer.Write(begin)
+	}
+	if err != nil {
 		return &ending{outcome: balancer.Withdrawn, reason: "the client left: " + err.Error()}
 	}
 	if _, err := io.Copy(q.writer, x.Body); err != nil {
@@ -244,21 +283,22 @@
 		q.sends = q.route.Attempts // it cannot go on elsewhere
 		return e
 	}
+	if err := q.end.Whole(http.NewResponseController(q.writer)); err != nil {
+		return &ending{outcome: balancer.Withdrawn, reason: "the client left: " + err.Error()}
+	}
 	return nil
 }
 
 // connectionHeaders concern the connection to the endpoint only.
-var connectionHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "Trailer"}
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true, "Upgrade": true, "Trailer": true,
+}
 
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range connectionHeaders {
-		if name == "Connection" && to.Get(name) == "close" && from.Get(name) == "" {
-			continue // the router's own
+		if !connectionHeaders[name] {
+			to[name] = values
 		}
-		to.Del(name)
 	}
 }
 
--- a/router/internal/passer/ends_test.go
+++ b/router/internal/passer/ends_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/budgeter"
 )
 
 // endsSeed is of how answers are cut into pieces.
@@ -50,14 +52,23 @@
 	},
 }
 
-// write sends the first bytes of an answer, in pieces.
-func (w wire) write(conn net.Conn, count int, draw *rand.Rand) {
+// cutAt returns the first bytes of an answer, in the pieces in which they are written.
+func (w wire) cutAt(count int, draw *rand.Rand) *[]string {
 	all := w.head + strings.Join(w.body, "")
+	var pieces []string
 	for rest := all[:count]; rest != ""; {
 		n := min(1+draw.IntN(len(all)), len(rest))
-		io.WriteString(conn, rest[:n]) //nolint:errcheck // the reader may be gone
+		pieces = append(pieces, rest[:n])
 		rest = rest[n:]
 	}
+	return &pieces
+}
+
+// write writes an answer's pieces.
+func write(conn net.Conn, pieces []string) {
+	for _, piece := range pieces {
+		io.WriteString(conn, piece) //nolint:errcheck // the reader may be gone
+	}
 }
 
 func (w wire) size() int {
@@ -89,14 +100,24 @@
 
 // concluded is what a client may conclude from an answer.
 type concluded struct {
+	status int // 0 if no head of an answer came
 	body   string
 	ended  bool // it saw a clean end
 	framed bool // and can tell that the answer is whole
 }
 
-func conclude(response *http.Response) concluded {
+// conclude sends a client's request and reads what comes.
+func (b *bed) conclude(method, path string) concluded {
+	response, err := b.try(b.t.Context(), method, path, "prompt")
+	if err != nil {
+		return concluded{}
+	}
+	defer response.Body.Close()
 	body, err := text(response)
-	return concluded{body: body, ended: err == nil, framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0}
+	return concluded{
+		status: response.StatusCode, body: body, ended: err == nil,
+		framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+	}
 }
 
 // An answer that was broken off reached its caller as if it were complete.
@@ -127,16 +148,16 @@
 					}
 					b := newBed(t)
 					answer := frame(stampHeader+": stamp\r\n"+kind, test.text, draw)
+					var pieces atomic.Pointer[[]string]
+					address := b.listen(func(conn net.Conn, request *http.Request) {
+						write(conn, *pieces.Load())
+						end(conn, request)
+					})
 					for _, place := range answer.places(draw) {
-						id := b.endpoint(func(conn net.Conn, request *http.Request) {
-							answer.write(conn, place, draw)
-							end(conn, request)
-						})
-						response, err := b.try(t.Context(), test.method, test.path, "prompt")
-						if err == nil {
-							requireTrue(t, answer, place, ending == "closed", test.events, conclude(response), response.StatusCode)
-						}
-						b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Gone})
+						pieces.Store(answer.cutAt(place, draw))
+						id := b.add(address)
+						requireTrue(t, answer, place, ending == "closed", test.events, b.conclude(test.method, test.path))
+						b.remove(id)
 					}
 				})
 			}
@@ -145,12 +166,12 @@
 }
 
 // requireTrue checks what a client was told of an answer of which so many bytes were sent.
-func requireTrue(t *testing.T, w wire, count int, closed, events bool, got concluded, status int) {
+func requireTrue(t *testing.T, w wire, count int, closed, events bool, got concluded) {
 	t.Helper()
 	where := fmt.Sprintf("cut behind byte %d of %d", count, w.size())
 	whole := w.framed && count == w.size() && (!events || between(w.text))
-	if status != http.StatusOK {
-		require.GreaterOrEqual(t, status, 500, where)
+	if got.status != http.StatusOK {
+		require.GreaterOrEqual(t, got.status, 500, where)
 		require.False(t, whole && closed, "%s: a whole answer was not passed on", where)
 		return
 	}
@@ -184,32 +205,29 @@
 			t.Run(first+", "+second, func(t *testing.T) {
 				t.Parallel()
 				draw := rand.New(rand.NewPCG(endsSeed, 1))
-				head := stampHeader + ": stamp\r\nContent-Type: text/event-stream\r\n"
+				head := stampHeader + ": stamp\r\nConnection: close\r\nContent-Type: text/event-stream\r\n"
 				begun := begin(head, events1to(3), draw)
-				for place := range begun.size() {
-					b := newBed(t)
-					rest := wire{}
-					serve := func(conn net.Conn, request *http.Request) {
-						from := 1
-						if _, err := fmt.Sscan(request.Header.Get("Last-Event-Id"), &from); err == nil {
-							from++
-						}
-						if rest.head == "" {
-							rest = goOn(head, "", draw)
-							begun.write(conn, place, draw)
-							conn.Close()
-							return
-						}
-						rest = goOn(head, strings.TrimPrefix(events1to(last), events1to(from-1)), draw)
-						rest.write(conn, rest.size(), draw)
-						conn.Close()
+				b := newBed(t)
+				b.passer.options.Budget = &budgeter.Budgeter{Bound: budgeter.Bound{Slack: 1 << 20, Window: time.Minute}}
+				var broken atomic.Pointer[[]string] // what the first try gets
+				address := b.listen(func(conn net.Conn, request *http.Request) {
+					defer conn.Close()
+					if pieces := broken.Swap(nil); pieces != nil {
+						write(conn, *pieces)
+						return
 					}
-					b.endpoint(serve)
-					b.endpoint(serve)
-					response := b.ask("POST", "/list/", "prompt")
-					got := conclude(response)
+					from := 0                                             // the last event that the client has
+					fmt.Sscan(request.Header.Get("Last-Event-Id"), &from) //nolint:errcheck // without one it begins
+					rest := goOn(head, strings.TrimPrefix(events1to(last), events1to(from)), rand.New(rand.NewPCG(endsSeed, uint64(from))))
+					write(conn, []string{rest.head + strings.Join(rest.body, "")})
+				})
+				for place := range begun.size() {
+					broken.Store(begun.cutAt(place, draw))
+					ids := []string{b.add(address), b.add(address)}
+					got := b.conclude("POST", "/list/")
+					b.remove(ids...)
 					where := fmt.Sprintf("cut behind byte %d of %d", place, begun.size())
-					require.Equal(t, http.StatusOK, response.StatusCode, where)
+					require.Equal(t, http.StatusOK, got.status, where)
 					alone := !begun.framed && place >= len(begun.head) && between(begun.sent(place))
 					if alone {
 						require.Equal(t, begun.sent(place), got.body, where)
@@ -217,9 +235,56 @@
 						continue
 					}
 					require.Equal(t, events1to(last), got.body, where)
-					require.Equal(t, rest.framed || !got.framed, got.ended, "%s: its end is told as it is", where)
+					require.Equal(t, goOn(head, "", draw).framed || !got.framed, got.ended, "%s: its end is told as it is", where)
 				}
 			})
 		}
 	}
 }
+
+// A client that knows no chunks took the end of a broken stream for the end of the answer: its
+// connection was closed as behind a whole one.
+func TestBrokenStreamResetsAClientWithoutChunks(t *testing.T) {
+	for name, test := range map[string]struct {
+		end   func(net.Conn)
+		whole bool
+	}{
+		"whole":  {end: endStream, whole: true},
+		"broken": {end: func(conn net.Conn) { conn.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.endpoint(func(conn net.Conn, request *http.Request) {
+				beginStream(conn, request, 1, 3)
+				test.end(conn)
+			})
+			conn, err := net.Dial("tcp", b.address)
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST /draft/ HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+			got, err := io.ReadAll(conn)
+			require.Equal(t, test.whole, err == nil, "%v", err)
+			require.Contains(t, string(got), events1to(3))
+		})
+	}
+}
+
+// A client that read too slowly saw an answer that ends with its connection cut as if it had ended.
+func TestSlowReaderOfAnAnswerWithoutFramingIsReset(t *testing.T) {
+	const size = 64 << 20 // more than any buffer between the two
+	b := newBed(t)
+	b.endpoint(func(conn net.Conn, _ *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: stamp\r\n\r\n", stampHeader)
+		conn.Write(make([]byte, size)) //nolint:errcheck // the reader may be gone
+		conn.Close()
+	})
+	conn, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /brief/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.passer.Running() == 0 && b.passer.Taken() == 1 }, patience, tick)
+	_, err = io.Copy(io.Discard, conn)
+	require.Error(t, err, "an end that is none")
+}
--- a/router/internal/passer/harness_test.go
+++ b/router/internal/passer/harness_test.go
@@ -22,6 +22,7 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/platform"
@@ -151,7 +152,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	b.address = listener.Addr().String()
-	b.server = &http.Server{Handler: b.passer, ConnContext: WithConn, ReadHeaderTimeout: time.Minute}
+	b.server = &http.Server{Handler: b.passer, ConnContext: framer.WithConn, ReadHeaderTimeout: time.Minute}
 	go b.server.Serve(listener) //nolint:errcheck // it ends with the test
 	t.Cleanup(func() { b.server.Close() })
 	return b
@@ -160,12 +161,24 @@
 // endpoint starts an endpoint with a script and lists it.
 func (b *bed) endpoint(serve func(conn net.Conn, request *http.Request)) string {
 	b.t.Helper()
+	return b.add(b.listen(serve))
+}
+
+// add lists a new endpoint at an address.
+func (b *bed) add(address netip.AddrPort) string {
 	b.next++
 	id := fmt.Sprint("i-", b.next)
-	b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: b.listen(serve)})
+	b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: address})
 	return id
 }
 
+// remove takes endpoints off the list.
+func (b *bed) remove(ids ...string) {
+	for _, id := range ids {
+		b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Gone})
+	}
+}
+
 // listen serves a script at an address that no list holds yet.
 func (b *bed) listen(serve func(conn net.Conn, request *http.Request)) netip.AddrPort {
 	b.t.Helper()
--- a/router/internal/passer/holding_test.go
+++ b/router/internal/passer/holding_test.go
@@ -100,7 +100,7 @@
 	b := newBed(t)
 	b.endpoint(func(conn net.Conn, request *http.Request) {
 		beginStream(conn, request, 1, 1)
-		piece := strings.Repeat("x", 32<<10)
+		piece := strings.Repeat("x", 32<<10) + "\n\n"
 		for {
 			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(piece), piece); err != nil {
 				return
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -140,6 +140,7 @@
 	ran      bool             // an endpoint may have run it
 	prepaid  atomic.Bool      // its next attempt has been taken off the budget
 	begun    bool             // the client has a part of the answer
+	end      *framer.End      // of an answer that ends with the client's connection
 	answered bool             // an endpoint has begun to answer
 	said     forwarder.Answer // what the last endpoint said of itself
 	framing  framer.Framing   // of the last endpoint's answer
--- a/router/internal/passer/passer_test.go
+++ b/router/internal/passer/passer_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
 )
 
 func TestRequestsArePassedOnAsTheyCame(t *testing.T) {
@@ -264,7 +265,7 @@
 
 	time.Sleep(20 * time.Millisecond) // the end stands behind the request, where nothing shows it
 	served := make(chan struct{})
-	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnContext: WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnContext: framer.WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
 		defer close(served)
 		b.passer.ServeHTTP(w, h)
 	})}
--- a/router/internal/passer/stream.go
+++ b/router/internal/passer/stream.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
 )
 
 // maxEvent bounds an event that is held back until it is whole.
@@ -53,19 +55,30 @@
 	return end
 }
 
-// relayStream passes events on as they come. The stream of a route that may be
-// resumed is passed on by whole events.
+// errInside means that a stream ended where none ends: its endpoint broke it off, however
+// cleanly its connection or its framing says so.
+var errInside = merry.Sentinel("the stream ended inside an event")
+
+// hasEvents tells whether an answer is a stream of events, as it is unless it says otherwise.
+func hasEvents(header http.Header) bool {
+	kind := header.Get("Content-Type")
+	media, _, err := mime.ParseMediaType(kind)
+	return kind == "" || err == nil && media == "text/event-stream"
+}
+
+// relayStream passes a stream on as it comes, by whole events.
 func (p *Passer) relayStream(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, watch *watch) *ending {
 	buffer := make([]byte, readSize)
 	flusher := http.NewResponseController(q.writer)
 	q.stream.held = nil
+	split := hasEvents(x.Header)
 	for {
 		n, readErr := x.Body.Read(buffer)
 		if n > 0 {
 			watch.touch()
 			p.heard(q, slot)
 			piece := buffer[:n]
-			if q.route.Resumable {
+			if split {
 				var err error
 				if piece, err = q.stream.take(piece); err != nil {
 					return &ending{outcome: balancer.Broken, reason: err.Error()}
@@ -79,9 +92,15 @@
 			p.gather(q)
 			continue
 		}
-		if errors.Is(readErr, io.EOF) {
+		if errors.Is(readErr, io.EOF) && len(q.stream.held) == 0 {
 			return p.endStream(q, flusher, x)
 		}
+		if errors.Is(readErr, io.EOF) {
+			readErr = errInside
+		}
+		if !split && q.begun {
+			q.sends = q.route.Attempts // it cannot go on elsewhere
+		}
 		return p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, readErr))
 	}
 }
@@ -105,34 +124,26 @@
 	if len(piece) == 0 {
 		return nil
 	}
-	p.beginStream(q, x)
+	if err := p.begin(q, x, unknownLength); err != nil {
+		return err
+	}
 	if _, err := q.writer.Write(piece); err != nil {
 		return err
 	}
 	return flusher.Flush()
 }
 
-// beginStream sends the header of the first endpoint, once. A stream that goes
-// on at another endpoint keeps it.
-func (p *Passer) beginStream(q *request, x *forwarder.Exchange) {
-	if q.begun {
-		return
-	}
-	q.begun = true
-	q.status = x.StatusCode
-	now := p.options.Clock.Now()
-	q.first = now.Sub(q.received)
-	copyHeader(q.writer.Header(), x.Header)
-	q.writer.WriteHeader(x.StatusCode)
-}
-
-// endStream passes on what stands behind the last whole event: the endpoint
-// ended its answer there, so that it belongs to it.
+// endStream ends the stream as its endpoint did. A stream that began with framing and whose last
+// endpoint gave none is cut: its end would say that it is whole, and nobody knows.
 func (p *Passer) endStream(q *request, flusher *http.ResponseController, x *forwarder.Exchange) *ending {
-	p.beginStream(q, x)
-	rest := q.stream.held
-	q.stream.held = nil
-	if err := p.relayPiece(q, flusher, x, rest); err != nil {
+	if q.begun && q.end == nil && q.framing == framer.ByConnection {
+		return &ending{outcome: balancer.Served, reason: "the stream went on at an endpoint whose end tells nothing"}
+	}
+	err := p.begin(q, x, unknownLength)
+	if err == nil {
+		err = q.end.Whole(flusher)
+	}
+	if err != nil {
 		return &ending{outcome: balancer.Withdrawn, reason: "the client left: " + err.Error()}
 	}
 	return nil
--- a/router/internal/relayer/caller.go
+++ b/router/internal/relayer/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/tracker"
 )
 
@@ -44,8 +45,9 @@
 	lock    sync.Mutex
 	waiting bool // for a read or write, which expire may cut short
 
-	begun   bool // a byte of the answer has been handed to the connection
-	discard bool // the caller has gone; what follows is thrown away
+	end     *framer.End // of an answer that ends with the caller's connection
+	begun   bool        // a byte of the answer has been handed to the connection
+	discard bool        // the caller has gone; what follows is thrown away
 }
 
 func newCaller(w http.ResponseWriter, stall time.Duration) *caller {
@@ -54,14 +56,42 @@
 
 // begin sends the headers of an answer that will be whole.
 func (c *caller) begin(status int) {
+	c.beginAs(tracker.OutcomeAnswered, status)
+}
+
+func (c *caller) beginAs(outcome tracker.Outcome, status int) {
 	if c.begun || c.discard {
 		return
 	}
 	c.begun = true
-	c.writer.Header().Set(headerOutcome, string(tracker.OutcomeAnswered))
+	c.writer.Header().Set(headerOutcome, string(outcome))
 	c.writer.WriteHeader(status)
 }
 
+// unframe makes an answer end with the caller's connection. The error is an errCaller.
+func (c *caller) unframe(h *http.Request) error {
+	if c.begun || c.discard {
+		return nil
+	}
+	end, err := framer.Unframe(c.writer, h)
+	if err != nil {
+		return merry.Errorf("%w: %w", errCaller, err)
+	}
+	c.end = end
+	return nil
+}
+
+// finish ends an answer that ends with the caller's connection.
+func (c *caller) finish() error {
+	if c.discard {
+		return nil
+	}
+	if err := c.end.Whole(c.control); err != nil {
+		return merry.Errorf("%w: %w", errCaller, err)
+	}
+	return nil
+}
+
 // write sends a part of the answer and flushes it.
 func (c *caller) write(part []byte) error {
 	if c.discard {
--- a/router/internal/relayer/claim.go
+++ b/router/internal/relayer/claim.go
@@ -122,7 +122,7 @@
 func (r *Relayer) replay(q *request, action tracker.Action) tracker.Action {
 	var answer messenger.Answer
 	if err := proto.Unmarshal(q.keep.recorded, &answer); err != nil || answer.Omitted {
-		q.reason = "an earlier request with this Idempotency-Key ran and was answered, but its answer was too large to keep"
+		q.reason = "an earlier request with this Idempotency-Key ran and was answered, but its answer was too large to keep, or ended with its connection, so that it may not be whole"
 		return tracker.Action{Step: tracker.Tell, Outcome: tracker.OutcomeUnknown, Code: tracker.CodeKeySpent}
 	}
 	headers := q.caller.writer.Header()
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -23,6 +23,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"shallotkeel.example/lib/describer"
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/matcher"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/reporter"
@@ -77,7 +78,9 @@
 	})
 	mux := http.NewServeMux()
 	f.relayer.Register(mux)
-	server := httptest.NewServer(mux)
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.ConnContext = framer.WithConn
+	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
 	return f
--- a/router/internal/relayer/request.go
+++ b/router/internal/relayer/request.go
@@ -74,6 +74,7 @@
 	connected bool // a connection was made
 	crashed   bool // it broke as it does when a process dies
 	passed    bool // the endpoint's answer was handed on as it was
+	unframed  bool // and ends with its connection
 }
 
 // Causes for which a request's context ends.
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/tracer"
 	"shallotkeel.example/lib/tracker"
 )
@@ -107,6 +108,8 @@
 		err = r.relayBody(q, response)
 	}
 	switch {
+	case err == nil && q.spent.unframed:
+		return tracker.Event{Kind: tracker.Closed}, ""
 	case err == nil:
 		return tracker.Event{Kind: tracker.Whole}, ""
 	case errors.Is(err, errTooLong):
@@ -234,9 +237,11 @@
 
 const copyPiece = 32 << 10
 
-// relayBody relays an answer as it is. It returns no error when it is whole.
+// relayBody relays an answer as it is. It returns no error when it has come to its end.
 func (r *Relayer) relayBody(q *request, response *http.Response) error {
 	q.keep.status, q.keep.kind = response.StatusCode, response.Header.Get("Content-Type")
+	q.spent.unframed = framer.Of(q.http.Method, response) == framer.ByConnection
+	q.keep.omitted = q.spent.unframed
 	err := r.deliver(q, true, func() error { return q.passHeaders(response) })
 	if err != nil {
 		return err
@@ -252,7 +257,7 @@
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
-			return nil
+			return r.deliver(q, true, q.caller.finish)
 		}
 		if readErr != nil {
 			return readErr
@@ -265,6 +270,9 @@
 	if q.caller.discard {
 		return nil
 	}
+	if q.spent.unframed {
+		return q.passUnframed(response)
+	}
 	to := q.caller.writer.Header()
 	copyHeaders(to, response.Header)
 	if response.ContentLength >= 0 && q.http.Method != http.MethodHead {
@@ -275,6 +283,17 @@
 	return q.caller.write(nil)
 }
 
+// passUnframed sends the headers of an answer that ends with its connection. Nobody knows whether
+// it will be whole, so that its outcome is not told as answered.
+func (q *request) passUnframed(response *http.Response) error {
+	if err := q.caller.unframe(q.http); err != nil {
+		return err
+	}
+	copyHeaders(q.caller.writer.Header(), response.Header)
+	q.caller.beginAs(tracker.OutcomeUnknown, response.StatusCode)
+	return q.caller.write(nil)
+}
+
 // private headers belong to one connection, or to the router itself.
 var private = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
