Keep the version of an endpoint's software that its heartbeats name

It was read, checked for its length and thrown away, so that neither logs nor decisions knew it. A listing holds it now and hands it on between keepers and routers; both log it. A life has one: a late heartbeat, a process that leaves it out and a former life change nothing, and a life that names two counts as of an unknown one. No decision asks for it yet.

--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -158,7 +158,7 @@
 	beat.ColdUntil = coldest(p.clock.Now(), beat.ColdUntil, service)
 	if changed, urgent := p.directory.beat(p.clock.Now(), beat); changed {
 		p.log.Info().Str("endpoint", beat.ID).Str("service", beat.Service).Stringer("address", beat.Address).
-			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Time("started", beat.Started).
+			Uint8("state", uint8(beat.State)).Uint64("sequence", beat.Sequence).Time("started", beat.Started).Str("version", beat.Version).
 			Msg("endpoint changed")
 		p.bulletin.wake(urgent)
 	}
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -52,6 +52,8 @@
 	Zone    string
 	Address netip.AddrPort
 	Slots   int
+	// Version is that of the instance's software, empty if it is not known.
+	Version string
 	// Started is when this life began, by the instance's own clock. It is zero for
 	// an instance that does not tell: such a one has one life only.
 	Started  time.Time
@@ -123,6 +125,7 @@
 	revision uint64 // of the list, when this entry changed last
 	change   *list.Element
 	pending  bool // it may be a late heartbeat of an instance that is gone
+	disagree bool // its heartbeats named several versions of its software
 }
 
 // Revision is the number of the list's latest change.
@@ -212,7 +215,7 @@
 // before had said, that it leaves or is gone included, says nothing of this one.
 func (l *List) restart(now time.Time, known *entry, beat Listing) bool {
 	l.release(known)
-	known.Listing, known.heard, known.pending = beat, now, false
+	known.Listing, known.heard, known.pending, known.disagree = beat, now, false, false
 	l.noteCold(known)
 	l.hold(now, known)
 	l.touch(known)
@@ -221,13 +224,28 @@
 
 // update takes what an instance may say anew, and tells whether it differs.
 func (e *entry) update(beat Listing) bool {
+	changed := e.updateVersion(beat.Version)
 	if beat.Service == "" || beat.Service == e.Service && beat.Slots == e.Slots {
-		return false
+		return changed
 	}
 	e.Service, e.Slots = beat.Service, beat.Slots
 	return true
 }
 
+// updateVersion takes the version of an instance's software, which some of those who tell of it
+// leave out. One life has one: of an instance that named two nobody knows which runs.
+func (e *entry) updateVersion(version string) bool {
+	switch {
+	case version == "" || version == e.Version || e.disagree:
+		return false
+	case e.Version == "":
+		e.Version = version
+	default:
+		e.Version, e.disagree = "", true
+	}
+	return true
+}
+
 // Heard takes the news that another list has had a heartbeat of a life. The first
 // heartbeat of a life comes as a listing.
 func (l *List) Heard(now time.Time, id string, started time.Time, sequence uint64) bool {
--- a/router/internal/newsreader/log.go
+++ b/router/internal/newsreader/log.go
@@ -23,7 +23,7 @@
 		}
 		r.options.Log.Info().Str("endpoint", listing.ID).Str("service", listing.Service).Stringer("address", listing.Address).
 			Uint8("state", uint8(listing.State)).Bool("silent", listing.Silent).Uint64("sequence", listing.Sequence).
-			Time("started", listing.Started).
+			Time("started", listing.Started).Str("version", listing.Version).
 			Stringer("keeper", keeper).Msg("endpoint changed")
 	}
 }
