Let a stream go on only at the software version that began it

Cause: nothing knew versions. Within one answer a stream whose endpoint was lost went on at the cheapest one; a client that took its stream up, mostly after routers were killed, was served like a new request, and its Resumes was read nowhere.

Mend: an endpoint takes a stream's second try only if it has the version that brought the first event. Each router notes its resumable streams (hash of the request's id, service, version) and tells them with the reports that it sends its keeper anyway; keepers tell them on with the polls between them. Whoever is asked for a stream looks at its own and then asks the keepers that answer it. A stream that nobody knows, that began at a version nobody named, or of whose version nothing is left, is refused at once, without a time to come back.

A seeded test plays 20 times 400 steps of kills, cuts, lost reports and answers: no router ever believes in another version than began a stream. Endpoints of the passer's other tests have a version now, as all do; without one no stream may go on elsewhere.

--- a/keeper/internal/server/colleagues.go
+++ b/keeper/internal/server/colleagues.go
@@ -59,10 +59,11 @@
 // that report here.
 func (c colleagues) Report(keeper netip.AddrPort, _ bool) *messenger.FollowRequest {
 	now := c.clock.Now()
+	since := c.heard.begin(now, keeper)
 	report := &messenger.FollowRequest{
 		Node: c.settings.Name, Zone: c.settings.Zone, Keeper: true, Address: c.settings.Address().String(),
-		Plan: c.view.Load().plan.GetVersion(), Heard: c.directory.recent(now, c.heard.begin(now, keeper)),
-		Unheard: c.followed.Unheard(),
+		Plan: c.view.Load().plan.GetVersion(), Heard: c.directory.recent(now, since),
+		Unheard: c.followed.Unheard(), Begun: c.directory.streams.since(now, since),
 	}
 	c.directory.summary(now, report)
 	return report
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -48,6 +48,7 @@
 	sources   sources
 	fleet     fleet
 	subset    subset
+	streams   streams
 }
 
 // heard is an instance's latest heartbeat.
@@ -193,6 +194,8 @@
 			changed = true
 		}
 	}
+	d.streams.take(now, request)
+	request.Begun = nil // it is not kept with the rest of the report
 	if request.GetKeeper() {
 		d.place(request.GetAddress(), request.GetZone())
 	}
--- a/lib/balancer/backoff.go
+++ b/lib/balancer/backoff.go
@@ -54,13 +54,14 @@
 }
 
 // BackoffLeft returns for how long this router backs off at all endpoints of a service that
-// could take work, 0 if one does take work.
-func (b *Balancer) BackoffLeft(now time.Time, service string) time.Duration {
+// could take a request, 0 if one does take it.
+func (b *Balancer) BackoffLeft(now time.Time, service string, work *Work) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	first := time.Duration(0)
 	for _, e := range b.all(service) {
 		switch {
+		case !work.suits(e):
 		case b.takes(now, e):
 			return 0
 		case b.open(e) && e.backsOff(now) && (first == 0 || e.backoff.Sub(now) < first):
--- a/lib/balancer/backoff_test.go
+++ b/lib/balancer/backoff_test.go
@@ -43,11 +43,11 @@
 			happens(b, first, start.Add(backoff/4))
 			for passed := time.Duration(0); passed < backoff; passed += backoff / 16 {
 				require.Nil(t, b.Pick(start.Add(passed), "desk", &Work{}, nil), "after %s", passed)
-				require.Equal(t, backoff-passed, b.BackoffLeft(start.Add(passed), "desk"))
+				require.Equal(t, backoff-passed, b.BackoffLeft(start.Add(passed), "desk", &Work{}))
 				require.False(t, first.Open(start.Add(passed)))
 			}
 			require.NotNil(t, b.Pick(start.Add(backoff), "desk", &Work{}, nil))
-			require.Zero(t, b.BackoffLeft(start.Add(backoff), "desk"))
+			require.Zero(t, b.BackoffLeft(start.Add(backoff), "desk", &Work{}))
 		})
 	}
 }
--- a/lib/balancer/backpressure.go
+++ b/lib/balancer/backpressure.go
@@ -148,13 +148,26 @@
 	return 0
 }
 
-// Takes tells whether a service has an endpoint that is not excluded and takes work, whether or not
-// there is room at it.
-func (b *Balancer) Takes(now time.Time, service string, excluded func(id string) bool) bool {
+// Offers tells whether a service has an endpoint that does not leave and suits a request, whether or
+// not it takes any now.
+func (b *Balancer) Offers(service string, work *Work) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, e := range b.all(service) {
-		if b.takes(now, e) && !excluded(e.ID) {
+		if work.suits(e) && b.open(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// Takes tells whether a service has an endpoint that is not excluded and takes a request, whether
+// or not there is room at it.
+func (b *Balancer) Takes(now time.Time, service string, work *Work, excluded func(id string) bool) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, e := range b.all(service) {
+		if work.suits(e) && b.takes(now, e) && !excluded(e.ID) {
 			return true
 		}
 	}
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -39,6 +39,8 @@
 	Parts  []Part
 	Prompt int // tokens in
 	Output int // tokens out, at most
+	// Version is the only one of the endpoints' software that may take it, empty if any may.
+	Version string
 	// Target is within which time the first token should come, 0 if none is set.
 	Target time.Duration
 	// Objective is what was to be kept from the request's first attempt on: the whole of the time of
@@ -48,6 +50,11 @@
 	Late bool
 }
 
+// suits tells whether an endpoint has the software that may take the request.
+func (w *Work) suits(e *endpoint) bool {
+	return w.Version == "" || w.Version == e.Version
+}
+
 // shared returns the parts that other requests have too: all but the last.
 func (w *Work) shared() []Part {
 	if len(w.Parts) == 0 {
@@ -233,14 +240,15 @@
 // choose returns the cheapest candidate, one without an endpoint if there is none.
 //
 // Of many endpoints a few are priced: those that may hold parts of the prompt, and some by
-// chance. Where nothing is to be said for any of them, all are.
+// chance. Where nothing is to be said for any of them, all are. So are those of the only version
+// that may take the request: they may be a few among many.
 func (b *Balancer) choose(now time.Time, service string, work *Work, excluded func(id string) bool) offer {
 	listed := b.services[service]
 	if listed == nil {
 		return offer{}
 	}
 	home := b.home(listed, work)
-	if len(listed.all) > mostWalked {
+	if len(listed.all) > mostWalked && work.Version == "" {
 		best := b.cheapest(now, service, b.shortlist(listed, home, work), home, work, excluded)
 		if best.endpoint != nil && best.doubt == none {
 			return best
@@ -256,7 +264,7 @@
 	fit := b.fit(service)
 	var best offer
 	for _, e := range candidates {
-		if !b.takes(now, e) || excluded != nil && excluded(e.ID) {
+		if !work.suits(e) || !b.takes(now, e) || excluded != nil && excluded(e.ID) {
 			continue
 		}
 		o := b.price(now, e, fit, work, home.guess(e))
@@ -270,7 +278,7 @@
 func (b *Balancer) enter(now time.Time, o offer, work *Work) *Slot {
 	e := o.endpoint
 	slot := &Slot{
-		ID: e.ID, Address: e.Address, Reading: o.reading, Wait: o.wait, Queue: o.queue,
+		ID: e.ID, Address: e.Address, Version: e.Version, Reading: o.reading, Wait: o.wait, Queue: o.queue,
 		Doubt: o.doubt.String(), Pause: max(e.until.Sub(now), 0),
 		balancer: b, endpoint: e, sent: now, ahead: o.ahead, reading: true,
 	}
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -11,6 +11,8 @@
 type Slot struct {
 	ID      string
 	Address netip.AddrPort
+	// Version is that of the endpoint's software, empty if it is not known.
+	Version string
 	// Reading is how many tokens the engine probably has to read.
 	Reading int
 	// Wait is how long the first token probably takes, and Queue the part of it for
--- a/lib/forwarder/dialect.go
+++ b/lib/forwarder/dialect.go
@@ -17,7 +17,10 @@
 	Deadline time.Duration
 	// Resume is the id of the last event that the client has, "" for a new stream.
 	Resume string
-	Work   balancer.Work
+	// Resumes is the id of the client's request that brought the first event of the stream that
+	// it takes up, "" for a new one.
+	Resumes string
+	Work    balancer.Work
 }
 
 // Mark is what the system itself tells an endpoint with a request.
--- a/lib/resolver/table.go
+++ b/lib/resolver/table.go
@@ -103,6 +103,11 @@
 	return workspace, found
 }
 
+// Shared tells whether a service has a part of the route's requests.
+func (r *Route) Shared(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // Pick returns the service for a draw from 0 up to 1.
 func (r *Route) Pick(draw float64) string {
 	total := 0
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -164,6 +164,19 @@
 	s.group.Wait()
 }
 
+// Answerers returns the keepers that answered their last poll.
+func (s *Subscriber) Answerers() []netip.AddrPort {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var keepers []netip.AddrPort
+	for address, known := range s.followed {
+		if known.answer {
+			keepers = append(keepers, address)
+		}
+	}
+	return keepers
+}
+
 // Answering returns how many keepers answered their last poll.
 func (s *Subscriber) Answering() int {
 	s.mutex.Lock()
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -35,6 +35,7 @@
 	"shallotkeel.example/platform"
 	"shallotkeel.example/router/internal/newsreader"
 	"shallotkeel.example/router/internal/passer"
+	"shallotkeel.example/router/internal/recaller"
 	"shallotkeel.example/router/internal/screener"
 )
 
@@ -77,6 +78,7 @@
 	shares   *apportioner.Apportioner
 	client   *forwarder.Client
 	reader   *newsreader.Reader
+	streams  *recaller.Recaller
 	passer   *passer.Passer
 	news     *subscriber.Subscriber
 
@@ -109,12 +111,14 @@
 	}
 	d.control = dialer.Client(settings.Secret, &d.bytes)
 	dialect := platform.Dialect{}
+	d.streams = recaller.New(recaller.Options{Keepers: d.answerers, Dial: d.dial, Clock: clock, Log: log})
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoints: d.endpoints, Plan: d.plan, Routers: d.routers,
 		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Unread, Fleet: d.fleet,
-		Backlog:   func() time.Duration { return d.backlog(clock.Now()) },
-		Homes:     d.balancer.Homes,
+		Backlog: func() time.Duration { return d.backlog(clock.Now()) },
+		Homes:   d.balancer.Homes,
+		Begun:   d.streams.Report, Told: d.streams.Told, Untold: d.streams.Lost,
 		Evacuated: func(zones []string) { d.balancer.Evacuate(clock.Now(), zones) },
 		Rations: func(asked time.Time, keeper netip.AddrPort, rations []balancer.Ration) {
 			d.balancer.Take(clock.Now(), asked, keeper, rations)
@@ -127,7 +131,7 @@
 	d.pacer.Starts = &pacer.Rate{Least: settings.Processors * leastStartsPerCore, Begin: settings.Processors * startsPerCore}
 	d.pacer.Entries = &pacer.Rate{Least: settings.Processors * leastEntriesPerCore, Begin: settings.Processors * refusalsPerCore}
 	d.passer = passer.New(passer.Options{
-		Dialect: dialect, News: d.reader, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
+		Dialect: dialect, News: d.reader, Streams: d.streams, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: passer.NewMetrics(d.registry),
 		Crowded: d.crowded,
 		Away:    d.shedder.away.Load,
@@ -155,6 +159,11 @@
 	return known
 }
 
+// answerers returns the keepers that answer. None does before the news are followed.
+func (d *Director) answerers() []netip.AddrPort {
+	return d.news.Answerers()
+}
+
 // endpoints takes news of endpoints.
 func (d *Director) endpoints(listings []lister.Listing) {
 	for _, listing := range listings {
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -52,6 +52,11 @@
 	// Homes is told, by service, which part of the endpoints all routers know, one in
 	// 1<<shift; a service of which they know all is left out.
 	Homes func(shifts map[string]int)
+	// Begun returns the streams that began here and that a keeper does not know yet. Told is
+	// called when it has answered, Untold when it does not.
+	Begun  func(keeper netip.AddrPort) []*messenger.Begun
+	Told   func(keeper netip.AddrPort)
+	Untold func(keeper netip.AddrPort)
 	// Evacuated is told of the zones whose endpoints get no new work, with each change.
 	Evacuated func(zones []string)
 	// Rations is told of the leases on cold endpoints that a keeper has given which was
@@ -106,6 +111,9 @@
 	request := &messenger.FollowRequest{Node: r.options.Name, Zone: r.options.Zone, Plan: r.version()}
 	if !brief {
 		r.account(request)
+		if r.options.Begun != nil {
+			request.Begun = r.options.Begun(keeper)
+		}
 	}
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
@@ -150,6 +158,9 @@
 	r.mutex.Lock()
 	r.contacts[keeper] = true
 	r.mutex.Unlock()
+	if r.options.Told != nil {
+		r.options.Told(keeper)
+	}
 	r.takeEvacuations(keeper, news)
 	r.takeListings(keeper, news.GetListings())
 	r.takeRations(keeper, news.GetRations())
--- a/router/internal/newsreader/silence.go
+++ b/router/internal/newsreader/silence.go
@@ -9,6 +9,9 @@
 // Lost notes that a keeper does not answer. Nothing that it said is forgotten but
 // the silences, which it can no longer take back.
 func (r *Reader) Lost(keeper netip.AddrPort, _ error) {
+	if r.options.Untold != nil {
+		r.options.Untold(keeper)
+	}
 	r.mutex.Lock()
 	delete(r.contacts, keeper)
 	ids := make(map[string]bool)
--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -47,7 +47,7 @@
 	slot := p.options.Balancer.Pick(now, q.service, &q.in.Work, tried)
 	if slot == nil {
 		e := &ending{unsent: true, nowhere: true, reason: "no endpoint of the service takes work"}
-		if p.options.Balancer.Takes(now, q.service, tried) {
+		if p.options.Balancer.Takes(now, q.service, &q.in.Work, tried) {
 			e.pressed, e.reason = true, noRoom
 		}
 		return e
--- a/router/internal/passer/harness_test.go
+++ b/router/internal/passer/harness_test.go
@@ -26,6 +26,7 @@
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/platform"
+	"shallotkeel.example/router/internal/recaller"
 )
 
 const (
@@ -145,7 +146,7 @@
 	}
 	b.news.table.Store(table(t, 1))
 	b.passer = New(Options{
-		Dialect: platform.Dialect{}, News: b.news, Balancer: b.balance, Shares: b.shares,
+		Dialect: platform.Dialect{}, News: b.news, Streams: recaller.New(recaller.Options{Clock: clock}), Balancer: b.balance, Shares: b.shares,
 		Budget: &budgeter.Budgeter{Bound: budgeter.Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}},
 		Client: &forwarder.Client{Clock: clock}, Clock: clock, Log: zerolog.Nop(),
 	})
@@ -168,7 +169,7 @@
 func (b *bed) add(address netip.AddrPort) string {
 	b.next++
 	id := fmt.Sprint("i-", b.next)
-	b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: address})
+	b.balance.Update(lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: address, Version: "v1"})
 	return id
 }
 
--- a/router/internal/passer/ledger.go
+++ b/router/internal/passer/ledger.go
@@ -32,6 +32,8 @@
 	byConfiguration
 	// byKey: no workspace holds its key.
 	byKey
+	// byVersion: it takes a stream up, and no endpoint is known that may go on with it.
+	byVersion
 	// byRule: it can not be served at all.
 	byRule
 )
@@ -39,7 +41,7 @@
 // labels name verdicts in metrics.
 var labels = map[verdict]string{
 	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints", byPressure: "pressure",
-	byConfiguration: "configuration", byKey: "key", byRule: "rule",
+	byConfiguration: "configuration", byKey: "key", byVersion: "version", byRule: "rule",
 }
 
 const (
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -36,6 +36,7 @@
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/pacer"
 	"shallotkeel.example/lib/resolver"
+	"shallotkeel.example/lib/versioner"
 )
 
 const (
@@ -62,10 +63,19 @@
 	Crashed(digest uint64)
 }
 
+// Streams knows at which software version streams began.
+type Streams interface {
+	// Begun notes where the stream whose first event a request brought began or goes on.
+	Begun(request string, origin versioner.Origin)
+	// Find returns where the stream began whose first event a request brought, if that is known.
+	Find(ctx context.Context, request string) (versioner.Origin, bool)
+}
+
 // Options are what a Passer is made of.
 type Options struct {
 	Dialect  forwarder.Dialect
 	News     News
+	Streams  Streams
 	Balancer *balancer.Balancer
 	Budget   *budgeter.Budgeter
 	Shares   *apportioner.Apportioner
@@ -251,8 +261,8 @@
 	if ctx.Err() != nil || gone(q.http.Context()) {
 		return false // asked again for nobody, each endpoint would get a connection
 	}
-	if e.nowhere {
-		return false
+	if e.nowhere || q.begun && q.in.Work.Version == "" {
+		return false // of what began at a version that nobody knows, nobody knows where it may go on
 	}
 	if e.unsent {
 		q.unsent++
@@ -281,7 +291,7 @@
 	case !q.ran && e.pressed:
 		p.refuse(q, byPressure, http.StatusServiceUnavailable, e.reason, p.pressurePause(q))
 	case !q.ran:
-		left := p.options.Balancer.BackoffLeft(p.options.Clock.Now(), q.service)
+		left := p.options.Balancer.BackoffLeft(p.options.Clock.Now(), q.service, &q.in.Work)
 		p.refuse(q, byEndpoints, http.StatusServiceUnavailable, e.reason, max(retrySoon, left))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		p.fail(q, http.StatusGatewayTimeout, "no answer in time")
--- a/router/internal/passer/record.go
+++ b/router/internal/passer/record.go
@@ -33,7 +33,7 @@
 	if q.route != nil {
 		line = line.Str("route", q.route.Name)
 	}
-	line.Str("id", q.in.ID).Str("workspace", q.workspace).Str("service", q.service).Str("endpoint", q.endpoint).
+	line.Str("id", q.in.ID).Str("resumes", q.in.Resumes).Str("version", q.in.Work.Version).Str("workspace", q.workspace).Str("service", q.service).Str("endpoint", q.endpoint).
 		Int("sends", q.sends).Int("unreached", q.unsent).Int("status", q.status).Str("framing", q.framing.String()).Str("reason", q.reason).
 		Int("tokens", q.tokens()).Int("reading", q.reading).Bool("spare", q.spare).Dur("target_ms", q.in.Work.Target).
 		Dur("queue_ms", q.queue).Dur("expected_ms", q.expected).Dur("since_ms", q.since()).
--- a/router/internal/passer/stream.go
+++ b/router/internal/passer/stream.go
@@ -13,6 +13,7 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/versioner"
 )
 
 // maxEvent bounds an event that is held back until it is whole.
@@ -21,8 +22,9 @@
 // events splits a stream, so that a resumed one goes on between two events. Its
 // zero value is a stream of which nothing has come.
 type events struct {
-	last string // id of the last event that was passed on
-	held []byte // the begin of an event whose end has not come
+	last  string // id of the last event that was passed on
+	held  []byte // the begin of an event whose end has not come
+	noted bool   // the version of the software that began it has been noted
 }
 
 // take returns the whole events that stand so far. What it returns is valid
@@ -84,6 +86,9 @@
 					return &ending{outcome: balancer.Broken, reason: err.Error()}
 				}
 			}
+			if split && len(piece) > 0 {
+				p.noteVersion(q, slot)
+			}
 			if err := p.relayPiece(q, flusher, x, piece); err != nil {
 				q.sends = q.route.Attempts // what it would go on behind may not have arrived
 				return &ending{outcome: balancer.Withdrawn, reason: "the client left: " + err.Error()}
@@ -106,6 +111,24 @@
 	}
 }
 
+// noteVersion notes at which software version a stream begins or goes on, so that it goes on
+// nowhere else: within this answer, or where its client takes it up.
+func (p *Passer) noteVersion(q *request, slot *balancer.Slot) {
+	if q.stream.noted {
+		return
+	}
+	q.stream.noted = true
+	q.in.Work.Version = slot.Version
+	if slot.Version == "" || !q.route.Resumable {
+		return
+	}
+	name := q.in.Resumes
+	if name == "" {
+		name = q.in.ID
+	}
+	p.options.Streams.Begun(name, versioner.Origin{Service: q.service, Version: slot.Version})
+}
+
 // gather waits while there is much to do, so that the next read brings several
 // events. Passed on one by one, each costs two system calls and two wake-ups.
 func (p *Passer) gather(q *request) {
--- a/router/internal/passer/stream_test.go
+++ b/router/internal/passer/stream_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"shallotkeel.example/lib/versioner"
 )
 
 func TestEventsArePassedOnAsTheyCome(t *testing.T) {
@@ -93,7 +95,8 @@
 		beginStream(conn, request, 3, 4)
 		endStream(conn)
 	})
-	body, err := b.fetch("POST", "/list/", "prompt", "Last-Event-Id", "2")
+	b.passer.options.Streams.Begun("first", versioner.Origin{Service: "desk", Version: "v1"})
+	body, err := b.fetch("POST", "/list/", "prompt", "Last-Event-Id", "2", resumesHeader, "first")
 	require.NoError(t, err)
 	require.Equal(t, event(3)+event(4), body)
 }
--- /dev/null
+++ b/router/internal/recaller/recaller.go
@@ -0,0 +1,146 @@
+// Package recaller knows at which software version streams began: those that this router began,
+// and by asking keepers those of others.
+//
+// Each stream's record goes to the keeper that this router reports to, with its next report, and
+// from there to the other keepers. So a client may take its stream up at any router, also when the
+// one that began it is gone. The first event of a stream waits for none of this: a record that is
+// lost costs its stream, which is refused, and never lets two versions meet.
+//
+// Invariants: what neither this router nor a keeper knows is not known; records that a keeper has
+// not acknowledged are told again.
+package recaller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"shallotkeel.example/lib/damper"
+	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/versioner"
+)
+
+const (
+	// patience is how long keepers are waited for: a few times what they take in another zone.
+	patience = 200 * time.Millisecond
+	// mostUntold bounds the records that wait for a keeper that takes reports.
+	mostUntold = 1 << 14
+)
+
+// Options are what a Recaller is made of.
+type Options struct {
+	// Keepers returns those that answer. Without it none is asked.
+	Keepers func() []netip.AddrPort
+	Dial    func(address netip.AddrPort) messenger.Planning
+	Clock   clockwork.Clock
+	Log     zerolog.Logger
+}
+
+// Recaller is safe for concurrent use.
+type Recaller struct {
+	options Options
+	memory  versioner.Memory
+	lines   damper.Damper
+
+	mutex  sync.Mutex
+	untold []versioner.Record
+	first  uint64                    // number of the first of them, counted over all
+	asked  map[netip.AddrPort]uint64 // number behind the last one that the keeper's poll under way tells
+}
+
+// New returns a recaller that knows no stream.
+func New(options Options) *Recaller {
+	return &Recaller{options: options, asked: make(map[netip.AddrPort]uint64)}
+}
+
+// Begun notes that a request has brought the first event of a stream, or that its stream goes on.
+func (r *Recaller) Begun(request string, origin versioner.Origin) {
+	stream := versioner.Stream(request)
+	if !r.memory.Note(r.options.Clock.Now(), stream, origin) {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.untold) >= mostUntold {
+		r.untold = r.untold[1:]
+		r.first++
+	}
+	r.untold = append(r.untold, versioner.Record{Stream: stream, Origin: origin})
+}
+
+// Report returns what the keeper that is reported to does not know yet.
+func (r *Recaller) Report(keeper netip.AddrPort) []*messenger.Begun {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.asked[keeper] = r.first + uint64(len(r.untold))
+	return versioner.ToWire(r.untold)
+}
+
+// Told notes that a keeper has answered a report.
+func (r *Recaller) Told(keeper netip.AddrPort) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if behind := r.asked[keeper]; behind > r.first {
+		r.untold = r.untold[behind-r.first:]
+		r.first = behind
+	}
+}
+
+// Lost forgets a report that was not answered.
+func (r *Recaller) Lost(keeper netip.AddrPort) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.asked, keeper)
+}
+
+// Find returns where a stream began, if this router or a keeper that answers knows it.
+func (r *Recaller) Find(ctx context.Context, request string) (versioner.Origin, bool) {
+	if request == "" {
+		return versioner.Origin{}, false
+	}
+	stream := versioner.Stream(request)
+	if origin, found := r.memory.Find(r.options.Clock.Now(), stream); found {
+		return origin, true
+	}
+	origin, found := r.ask(ctx, stream)
+	if found {
+		r.memory.Note(r.options.Clock.Now(), stream, origin)
+	}
+	return origin, found
+}
+
+// ask asks all keepers that answer, and returns the first that knows.
+func (r *Recaller) ask(ctx context.Context, stream uint64) (versioner.Origin, bool) {
+	if r.options.Keepers == nil {
+		return versioner.Origin{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	keepers := r.options.Keepers()
+	answers := make(chan versioner.Origin, len(keepers))
+	for _, keeper := range keepers {
+		go func() { answers <- r.askOne(ctx, keeper, stream) }()
+	}
+	for range keepers {
+		if origin := <-answers; origin.Version != "" {
+			return origin, true
+		}
+	}
+	return versioner.Origin{}, false
+}
+
+// askOne returns what one keeper knows, without a version if it knows nothing.
+func (r *Recaller) askOne(ctx context.Context, keeper netip.AddrPort, stream uint64) versioner.Origin {
+	answer, err := r.options.Dial(keeper).Recall(ctx, &messenger.RecallRequest{Stream: stream})
+	if err != nil {
+		if r.lines.Admit(r.options.Clock.Now(), r.options.Log) {
+			r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("a keeper does not tell where a stream began")
+		}
+		return versioner.Origin{}
+	}
+	return versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
+}
--- /dev/null
+++ b/router/internal/recaller/recaller_test.go
@@ -0,0 +1,263 @@
+package recaller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/versioner"
+)
+
+var (
+	one = versioner.Origin{Service: "desk", Version: "v1"}
+	two = versioner.Origin{Service: "desk", Version: "v2"}
+
+	errCut = merry.Sentinel("there is no way there")
+)
+
+// fleet is keepers and which routers reach them.
+type fleet struct {
+	clock *clockwork.FakeClock
+
+	mutex   sync.Mutex
+	keepers map[netip.AddrPort]*versioner.Memory
+	cut     map[string]bool // "router address"
+}
+
+func newFleet(keepers int) *fleet {
+	f := &fleet{clock: clockwork.NewFakeClock(), keepers: make(map[netip.AddrPort]*versioner.Memory), cut: make(map[string]bool)}
+	for i := range keepers {
+		f.keepers[address(i)] = &versioner.Memory{}
+	}
+	return f
+}
+
+func address(keeper int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(keeper + 1)}), 7400)
+}
+
+// router returns a router that has just started.
+func (f *fleet) router(name string) *Recaller {
+	return New(Options{
+		Clock: f.clock, Log: zerolog.Nop(),
+		Keepers: func() []netip.AddrPort {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			var answering []netip.AddrPort
+			for keeper := range f.keepers {
+				if !f.cut[name+keeper.String()] {
+					answering = append(answering, keeper)
+				}
+			}
+			return answering
+		},
+		Dial: func(keeper netip.AddrPort) messenger.Planning { return &path{fleet: f, router: name, keeper: keeper} },
+	})
+}
+
+// path is the way from a router to a keeper.
+type path struct {
+	messenger.Planning
+	fleet  *fleet
+	router string
+	keeper netip.AddrPort
+}
+
+func (p *path) Recall(_ context.Context, request *messenger.RecallRequest) (*messenger.RecallResponse, error) {
+	p.fleet.mutex.Lock()
+	defer p.fleet.mutex.Unlock()
+	if p.fleet.cut[p.router+p.keeper.String()] {
+		return nil, errCut
+	}
+	origin, found := p.fleet.keepers[p.keeper].Find(p.fleet.clock.Now(), request.GetStream())
+	if !found {
+		return &messenger.RecallResponse{}, nil
+	}
+	return &messenger.RecallResponse{Service: origin.Service, Version: origin.Version}, nil
+}
+
+// restart lets a keeper start again, without memory.
+func (f *fleet) restart(keeper int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.keepers[address(keeper)] = &versioner.Memory{}
+}
+
+// set cuts a router from a keeper, or joins them.
+func (f *fleet) set(router string, keeper int, cut bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cut[router+address(keeper).String()] = cut
+}
+
+// report lets a router report to a keeper. The keeper may get the report and its answer be lost.
+func (f *fleet) report(r *Recaller, keeper int, arrives, answered bool) {
+	begun := r.Report(address(keeper))
+	if arrives {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		for _, record := range versioner.FromWire(begun) {
+			f.keepers[address(keeper)].Note(f.clock.Now(), record.Stream, record.Origin)
+		}
+	}
+	if answered {
+		r.Told(address(keeper))
+		return
+	}
+	r.Lost(address(keeper))
+}
+
+// Streams of a router that was killed, or that is cut off, went on at any version, or nowhere though
+// a keeper knew where they began.
+func TestStreamsAreFoundAtAnotherRouter(t *testing.T) {
+	for name, test := range map[string]struct {
+		do    func(f *fleet, began *Recaller)
+		found bool
+	}{
+		"reported, its router is killed": {func(f *fleet, began *Recaller) { f.report(began, 0, true, true) }, true},
+		"not reported":                   {func(*fleet, *Recaller) {}, false},
+		"the report is lost":             {func(f *fleet, began *Recaller) { f.report(began, 0, false, false) }, false},
+		"the report is lost, and sent again": {func(f *fleet, began *Recaller) {
+			f.report(began, 0, false, false)
+			f.report(began, 0, true, true)
+		}, true},
+		"the report is lost, and another keeper gets it": {func(f *fleet, began *Recaller) {
+			f.report(began, 0, false, false)
+			f.report(began, 1, true, true)
+		}, true},
+		"the answer is lost": {func(f *fleet, began *Recaller) { f.report(began, 0, true, false) }, true},
+		"its keeper has forgotten": {func(f *fleet, began *Recaller) {
+			f.report(began, 0, true, true)
+			f.restart(0)
+		}, false},
+		"the other side of a cut knows": {func(f *fleet, began *Recaller) {
+			f.report(began, 0, true, true)
+			f.set("other", 0, true)
+		}, false},
+		"a keeper on this side knows as well": {func(f *fleet, began *Recaller) {
+			f.report(began, 0, true, true)
+			f.keepers[address(1)].Note(f.clock.Now(), versioner.Stream("first"), one)
+			f.set("other", 0, true)
+		}, true},
+		"long ago": {func(f *fleet, began *Recaller) {
+			f.report(began, 0, true, true)
+			f.clock.Advance(2 * versioner.Span)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2)
+			began := f.router("began")
+			began.Begun("first", one)
+			test.do(f, began)
+			origin, found := f.router("other").Find(t.Context(), "first")
+			require.Equal(t, test.found, found)
+			if found {
+				require.Equal(t, one, origin)
+			}
+			_, found = f.router("other").Find(t.Context(), "")
+			require.False(t, found, "a stream without a name")
+		})
+	}
+}
+
+// A router that is cut off from all keepers still knows its own.
+func TestOwnStreamsNeedNobody(t *testing.T) {
+	f := newFleet(0)
+	r := f.router("began")
+	r.Begun("first", one)
+	origin, found := r.Find(t.Context(), "first")
+	require.True(t, found)
+	require.Equal(t, one, origin)
+}
+
+func TestRecordsAreToldOnce(t *testing.T) {
+	f := newFleet(1)
+	r := f.router("began")
+	r.Begun("first", one)
+	require.Len(t, r.Report(address(0)), 1)
+	r.Begun("second", two) // while the poll is under way
+	r.Told(address(0))
+	told := versioner.FromWire(r.Report(address(0)))
+	require.Equal(t, []versioner.Record{{Stream: versioner.Stream("second"), Origin: two}}, told)
+	r.Told(address(0))
+	require.Empty(t, r.Report(address(0)))
+	r.Begun("first", one) // it goes on
+	require.Empty(t, r.Report(address(0)))
+}
+
+func TestUntoldRecordsAreBounded(t *testing.T) {
+	f := newFleet(1)
+	r := f.router("began")
+	for i := range mostUntold + 5 {
+		r.Begun(fmt.Sprint(i), one)
+	}
+	require.Len(t, versioner.FromWire(r.Report(address(0))), mostUntold)
+	r.Told(address(0))
+	require.Empty(t, r.Report(address(0)))
+}
+
+// Whatever is killed, cut off and lost, in any order, no router believes in another version than
+// that which began a stream, and with everything in reach and reported all streams are known.
+func TestNoFaultMakesAStreamsVersionWrong(t *testing.T) {
+	const routers, keepers, steps = 5, 3, 400
+	for seed := range uint64(20) {
+		draw := rand.New(rand.NewPCG(57, seed))
+		f := newFleet(keepers)
+		living := make([]*Recaller, routers)
+		for i := range living {
+			living[i] = f.router(fmt.Sprint(i))
+		}
+		began := make(map[string]versioner.Origin)
+		cuts := make(map[[2]int]bool)
+		for step := range steps {
+			i, keeper := draw.IntN(routers), draw.IntN(keepers)
+			cut := cuts[[2]int{i, keeper}]
+			switch draw.IntN(10) {
+			case 0:
+				living[i] = f.router(fmt.Sprint(i)) // killed, and back
+			case 1:
+				f.restart(keeper)
+			case 2:
+				cuts[[2]int{i, keeper}] = !cut
+				f.set(fmt.Sprint(i), keeper, !cut)
+			case 3, 4, 5:
+				name := fmt.Sprint("stream-", step)
+				began[name] = []versioner.Origin{one, two}[draw.IntN(2)]
+				living[i].Begun(name, began[name])
+			case 6, 7:
+				f.report(living[i], keeper, !cut, !cut && draw.IntN(3) > 0)
+			default:
+				for range len(began) / 4 {
+					name := fmt.Sprint("stream-", draw.IntN(step))
+					if got, found := living[i].Find(t.Context(), name); found {
+						require.Equal(t, began[name], got, "seed %d, step %d", seed, step)
+					}
+				}
+			}
+			f.clock.Advance(time.Duration(draw.IntN(20)) * time.Millisecond)
+		}
+		for way := range cuts {
+			f.set(fmt.Sprint(way[0]), way[1], false)
+		}
+		for i := range living {
+			name := fmt.Sprint("last-", i)
+			living[i].Begun(name, two)
+			f.report(living[i], draw.IntN(keepers), true, true)
+		}
+		for i := range living {
+			origin, found := f.router("new").Find(t.Context(), fmt.Sprint("last-", i))
+			require.True(t, found)
+			require.Equal(t, two, origin)
+		}
+	}
+}
