Pass the length of an answer to HEAD on

An answer to HEAD told a length of 0 whatever its endpoint said: the body that was read is empty, and its length was told. Found in looking at how answers tell their end.

--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -218,7 +218,10 @@
 func (p *Passer) answer(q *request, a *whole) {
 	q.framing = a.framing
 	length := int64(len(a.body))
-	if a.framing == framer.ByConnection {
+	switch {
+	case q.http.Method == http.MethodHead:
+		length = a.exchange.ContentLength // of what a GET would get
+	case a.framing == framer.ByConnection:
 		length = unknownLength
 	}
 	err := p.begin(q, a.exchange, length)
--- a/router/internal/passer/passer_test.go
+++ b/router/internal/passer/passer_test.go
@@ -351,3 +351,27 @@
 	require.True(t, response.Close)
 	require.Eventually(t, func() bool { return b.passer.Running() == 0 }, patience, tick)
 }
+
+// The answer to a HEAD told that there is nothing, whatever its endpoint said.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	for name, test := range map[string]struct {
+		header string
+		length int64
+	}{
+		"told":     {header: "Content-Length: 1234\r\n", length: 1234},
+		"not told": {length: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.endpoint(func(conn net.Conn, request *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: stamp\r\n%s\r\n", stampHeader, test.header)
+			})
+			for range 2 { // the second one shows that the connection is still good
+				response := b.ask("HEAD", "/read/", "")
+				response.Body.Close()
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				require.Equal(t, test.length, response.ContentLength)
+			}
+		})
+	}
+}
