Keep the address taken at which no endpoint of a test listens

TestRetryBudgetOfWorkspace failed once, beside the tests of the passer, which then opened some 16,000 listeners; its output was not kept. The port is bound and not listened at now: nobody else gets it, and connections are refused.

--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -436,11 +437,18 @@
 	}
 }
 
-// unreachable replaces the n-th endpoint's address by one where nobody listens.
+// unreachable replaces the n-th endpoint's address by one where nobody listens. It stays taken,
+// so that no other test gets it meanwhile.
 func (f *fleet) unreachable(n int) {
-	server := httptest.NewServer(nil)
-	f.enroller.addresses[n-1] = netip.MustParseAddrPort(server.Listener.Addr().String())
-	server.Close()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(f, err)
+	f.Cleanup(func() { syscall.Close(socket) }) //nolint:errcheck // nothing was written
+	require.NoError(f, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(socket)
+	require.NoError(f, err)
+	address, ok := bound.(*syscall.SockaddrInet4)
+	require.True(f, ok)
+	f.enroller.addresses[n-1] = netip.AddrPortFrom(netip.AddrFrom4(address.Addr), uint16(address.Port))
 }
 
 // metric returns a counter's value, by name and labels as in the text format.
