Know a stream by what it asks where its client does not name it

A record is told under a hash of what the stream asks as well. That is no guess: where streams that ask the same began at several versions, it names none of them, and who names its stream is looked up by that name alone.

TestStreamsAreKnownByWhatTheyAskWhereThatTellsThemApart; the first case was refused before.

--- a/lib/versioner/versioner.go
+++ b/lib/versioner/versioner.go
@@ -1,7 +1,8 @@
 // Package versioner remembers at which software version streams began.
 //
 // What two versions write does not fit together, so that a stream goes on only at the version that
-// began it. Streams are known by a hash of the request that brought their first event.
+// began it. A stream is known by the request that brought its first event, and to clients that do not
+// name that one, by what it asks.
 //
 // Invariants: what is not remembered is not known, and never worked out from anything else; a
 // stream of which two origins are told is not known any more; memory is bounded.
@@ -31,9 +32,27 @@
 	Version string
 }
 
-// Stream names a stream by the id of the request that brought its first event.
-func Stream(request string) uint64 {
-	return xxhash.Sum64String(request)
+// Name is by what a stream is known.
+type Name struct {
+	// Request is the id of the request that brought its first event, empty if its client does not
+	// say.
+	Request string
+	// Content is a hash of what it asks. Streams that ask the same share it; where they began at
+	// several versions it names none.
+	Content uint64
+}
+
+// Stream returns what a stream is looked up by.
+func (n Name) Stream() uint64 {
+	if n.Request == "" {
+		return n.Content
+	}
+	return xxhash.Sum64String(n.Request)
+}
+
+// Streams returns all that it may be looked up by.
+func (n Name) Streams() []uint64 {
+	return []uint64{n.Stream(), n.Content}
 }
 
 // Memory remembers streams. Its zero value remembers none. It is safe for concurrent use.
--- a/lib/versioner/versioner_test.go
+++ b/lib/versioner/versioner_test.go
@@ -41,14 +41,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var m Memory
-			stream := Stream("request")
+			stream := Name{Request: "request"}.Stream()
 			for _, told := range test.told {
 				m.Note(start.Add(told.at), stream, told.origin)
 			}
 			origin, found := m.Find(start.Add(test.at), stream)
 			require.Equal(t, test.found, found)
 			require.Equal(t, test.want, origin)
-			_, found = m.Find(start.Add(test.at), Stream("another"))
+			_, found = m.Find(start.Add(test.at), Name{Request: "another"}.Stream())
 			require.False(t, found)
 		})
 	}
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -11,6 +11,7 @@
 
 	"shallotkeel.example/lib/apportioner"
 	"shallotkeel.example/lib/resolver"
+	"shallotkeel.example/lib/versioner"
 )
 
 const (
@@ -83,7 +84,7 @@
 	if q.route.Kind != resolver.Stream || q.in.Resume == "" && q.in.Resumes == "" {
 		return true
 	}
-	origin, found := p.options.Streams.Find(q.http.Context(), q.in.Resumes)
+	origin, found := p.options.Streams.Find(q.http.Context(), versioner.Name{Request: q.in.Resumes, Content: q.digest})
 	q.service, q.in.Work.Version = origin.Service, origin.Version
 	reason := ""
 	switch {
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -65,10 +65,10 @@
 
 // Streams knows at which software version streams began.
 type Streams interface {
-	// Begun notes where the stream whose first event a request brought began or goes on.
-	Begun(request string, origin versioner.Origin)
-	// Find returns where the stream began whose first event a request brought, if that is known.
-	Find(ctx context.Context, request string) (versioner.Origin, bool)
+	// Begun notes where a stream began or goes on.
+	Begun(name versioner.Name, origin versioner.Origin)
+	// Find returns where a stream began, if that is known.
+	Find(ctx context.Context, name versioner.Name) (versioner.Origin, bool)
 }
 
 // Options are what a Passer is made of.
--- a/router/internal/passer/stream.go
+++ b/router/internal/passer/stream.go
@@ -122,9 +122,9 @@
 	if slot.Version == "" || !q.route.Resumable {
 		return
 	}
-	name := q.in.Resumes
-	if name == "" {
-		name = q.in.ID
+	name := versioner.Name{Request: q.in.Resumes, Content: q.digest}
+	if q.in.Resumes == "" {
+		name.Request = q.in.ID
 	}
 	p.options.Streams.Begun(name, versioner.Origin{Service: q.service, Version: slot.Version})
 }
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -57,19 +57,24 @@
 	return &Recaller{options: options, asked: make(map[netip.AddrPort]uint64)}
 }
 
-// Begun notes that a request has brought the first event of a stream, or that its stream goes on.
-func (r *Recaller) Begun(request string, origin versioner.Origin) {
-	stream := versioner.Stream(request)
-	if !r.memory.Note(r.options.Clock.Now(), stream, origin) {
-		return
+// Begun notes where a stream has begun or goes on.
+func (r *Recaller) Begun(name versioner.Name, origin versioner.Origin) {
+	for _, stream := range name.Streams() {
+		if r.memory.Note(r.options.Clock.Now(), stream, origin) {
+			r.queue(versioner.Record{Stream: stream, Origin: origin})
+		}
 	}
+}
+
+// queue keeps a record for the keeper that is reported to.
+func (r *Recaller) queue(record versioner.Record) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if len(r.untold) >= mostUntold {
 		r.untold = r.untold[1:]
 		r.first++
 	}
-	r.untold = append(r.untold, versioner.Record{Stream: stream, Origin: origin})
+	r.untold = append(r.untold, record)
 }
 
 // Report returns what the keeper that is reported to does not know yet.
@@ -98,11 +103,8 @@
 }
 
 // Find returns where a stream began, if this router or a keeper that answers knows it.
-func (r *Recaller) Find(ctx context.Context, request string) (versioner.Origin, bool) {
-	if request == "" {
-		return versioner.Origin{}, false
-	}
-	stream := versioner.Stream(request)
+func (r *Recaller) Find(ctx context.Context, name versioner.Name) (versioner.Origin, bool) {
+	stream := name.Stream()
 	if origin, found := r.memory.Find(r.options.Clock.Now(), stream); found {
 		return origin, true
 	}
--- a/router/internal/recaller/recaller_test.go
+++ b/router/internal/recaller/recaller_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -25,6 +26,11 @@
 	errCut = merry.Sentinel("there is no way there")
 )
 
+// named returns the name of a stream whose content no other one has.
+func named(request string) versioner.Name {
+	return versioner.Name{Request: request, Content: xxhash.Sum64String("content of " + request)}
+}
+
 // fleet is keepers and which routers reach them.
 type fleet struct {
 	clock *clockwork.FakeClock
@@ -146,7 +152,7 @@
 		}, false},
 		"a keeper on this side knows as well": {func(f *fleet, began *Recaller) {
 			f.report(began, 0, true, true)
-			f.keepers[address(1)].Note(f.clock.Now(), versioner.Stream("first"), one)
+			f.keepers[address(1)].Note(f.clock.Now(), named("first").Stream(), one)
 			f.set("other", 0, true)
 		}, true},
 		"long ago": {func(f *fleet, began *Recaller) {
@@ -157,15 +163,15 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(2)
 			began := f.router("began")
-			began.Begun("first", one)
+			began.Begun(named("first"), one)
 			test.do(f, began)
-			origin, found := f.router("other").Find(t.Context(), "first")
+			origin, found := f.router("other").Find(t.Context(), named("first"))
 			require.Equal(t, test.found, found)
 			if found {
 				require.Equal(t, one, origin)
 			}
-			_, found = f.router("other").Find(t.Context(), "")
-			require.False(t, found, "a stream without a name")
+			_, found = f.router("other").Find(t.Context(), versioner.Name{Content: 2})
+			require.False(t, found, "a stream that nobody names")
 		})
 	}
 }
@@ -174,8 +180,8 @@
 func TestOwnStreamsNeedNobody(t *testing.T) {
 	f := newFleet(0)
 	r := f.router("began")
-	r.Begun("first", one)
-	origin, found := r.Find(t.Context(), "first")
+	r.Begun(named("first"), one)
+	origin, found := r.Find(t.Context(), named("first"))
 	require.True(t, found)
 	require.Equal(t, one, origin)
 }
@@ -183,15 +189,15 @@
 func TestRecordsAreToldOnce(t *testing.T) {
 	f := newFleet(1)
 	r := f.router("began")
-	r.Begun("first", one)
-	require.Len(t, r.Report(address(0)), 1)
-	r.Begun("second", two) // while the poll is under way
+	r.Begun(named("first"), one)
+	require.Len(t, versioner.FromWire(r.Report(address(0))), 2, "by its request and by what it asks")
+	r.Begun(named("second"), two) // while the poll is under way
 	r.Told(address(0))
 	told := versioner.FromWire(r.Report(address(0)))
-	require.Equal(t, []versioner.Record{{Stream: versioner.Stream("second"), Origin: two}}, told)
+	require.Equal(t, []versioner.Record{{Stream: named("second").Stream(), Origin: two}, {Stream: named("second").Content, Origin: two}}, told)
 	r.Told(address(0))
 	require.Empty(t, r.Report(address(0)))
-	r.Begun("first", one) // it goes on
+	r.Begun(named("first"), one) // it goes on
 	require.Empty(t, r.Report(address(0)))
 }
 
@@ -199,7 +205,7 @@
 	f := newFleet(1)
 	r := f.router("began")
 	for i := range mostUntold + 5 {
-		r.Begun(fmt.Sprint(i), one)
+		r.Begun(named(fmt.Sprint(i)), one)
 	}
 	require.Len(t, versioner.FromWire(r.Report(address(0))), mostUntold)
 	r.Told(address(0))
@@ -233,13 +239,13 @@
 			case 3, 4, 5:
 				name := fmt.Sprint("stream-", step)
 				began[name] = []versioner.Origin{one, two}[draw.IntN(2)]
-				living[i].Begun(name, began[name])
+				living[i].Begun(named(name), began[name])
 			case 6, 7:
 				f.report(living[i], keeper, !cut, !cut && draw.IntN(3) > 0)
 			default:
 				for range len(began) / 4 {
 					name := fmt.Sprint("stream-", draw.IntN(step))
-					if got, found := living[i].Find(t.Context(), name); found {
+					if got, found := living[i].Find(t.Context(), named(name)); found {
 						require.Equal(t, began[name], got, "seed %d, step %d", seed, step)
 					}
 				}
@@ -251,13 +257,47 @@
 		}
 		for i := range living {
 			name := fmt.Sprint("last-", i)
-			living[i].Begun(name, two)
+			living[i].Begun(named(name), two)
 			f.report(living[i], draw.IntN(keepers), true, true)
 		}
 		for i := range living {
-			origin, found := f.router("new").Find(t.Context(), fmt.Sprint("last-", i))
+			origin, found := f.router("new").Find(t.Context(), named(fmt.Sprint("last-", i)))
 			require.True(t, found)
 			require.Equal(t, two, origin)
 		}
 	}
 }
+
+// A client that does not name its stream was refused though nothing else asks the same, or was taken
+// to another one's version.
+func TestStreamsAreKnownByWhatTheyAskWhereThatTellsThemApart(t *testing.T) {
+	ask := versioner.Name{Content: 7}
+	for name, test := range map[string]struct {
+		begun map[string]versioner.Origin
+		found bool
+	}{
+		"one stream":              {begun: map[string]versioner.Origin{"first": one}, found: true},
+		"several at one version":  {begun: map[string]versioner.Origin{"first": one, "second": one}, found: true},
+		"several at two versions": {begun: map[string]versioner.Origin{"first": one, "second": two}},
+		"none":                    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1)
+			for request, origin := range test.begun {
+				r := f.router(request)
+				r.Begun(versioner.Name{Request: request, Content: ask.Content}, origin)
+				f.report(r, 0, true, true)
+			}
+			origin, found := f.router("other").Find(t.Context(), ask)
+			require.Equal(t, test.found, found)
+			if found {
+				require.Equal(t, one, origin)
+			}
+			for request, origin := range test.begun {
+				got, found := f.router("other").Find(t.Context(), versioner.Name{Request: request, Content: ask.Content})
+				require.True(t, found, "by its request")
+				require.Equal(t, origin, got)
+			}
+		})
+	}
+}
