Learn of endpoints where a stream may go on

A router of a large fleet is told of a part of a service's endpoints, and of a version that has just begun or is nearly gone that may be none: it refused streams that other routers could go on with. It asks its keepers for some of that version then; they go through the list of endpoints, so that what has been heard of one that leaves stands. Each router is named others.

TestStreamGoesOnAtAnEndpointThatIsLearntOf (503 before), TestEndpointsOfAnOriginAreLearnt, TestEndpointsOfAVersionAreLocated.

--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -1,12 +1,16 @@
 package server
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
+	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/versioner"
 )
@@ -71,6 +75,34 @@
 	return versioner.ToWire(records)
 }
 
+// mostLocated bounds the endpoints that are named to a router that knows none of a version. So many
+// bear what one router brings; others are named others.
+const mostLocated = 8
+
+// Locate names endpoints of one software version.
+func (p planning) Locate(_ context.Context, request *messenger.LocateRequest) (*messenger.LocateResponse, error) {
+	if request.GetVersion() == "" {
+		return nil, twirp.RequiredArgumentError("version")
+	}
+	response := &messenger.LocateResponse{}
+	for _, listing := range p.directory.locate(request) {
+		response.Listings = append(response.Listings, lister.ToWire(listing, p.clock.Now()))
+	}
+	return response, nil
+}
+
+// locate returns some of the endpoints of a version that take work, others for each router.
+func (d *directory) locate(request *messenger.LocateRequest) []lister.Listing {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	located := d.list.Select(0, func(l *lister.Listing) bool {
+		return l.State == lister.Ready && !l.Silent && l.Service == request.GetService() && l.Version == request.GetVersion()
+	})
+	rank := func(l lister.Listing) uint64 { return xxhash.Sum64String(request.GetNode() + " " + l.ID) }
+	slices.SortFunc(located, func(a, b lister.Listing) int { return cmp.Compare(rank(a), rank(b)) })
+	return located[:min(len(located), mostLocated)]
+}
+
 // Recall tells where a stream began.
 func (p planning) Recall(_ context.Context, request *messenger.RecallRequest) (*messenger.RecallResponse, error) {
 	if request.GetStream() == 0 {
--- a/keeper/internal/server/recalling_test.go
+++ b/keeper/internal/server/recalling_test.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/versioner"
 )
@@ -57,3 +60,32 @@
 	tell(now, 1, false)
 	require.Empty(t, told(now, now), "it was told before")
 }
+
+// A router was told of no endpoint of a rare version, or of one that takes no work.
+func TestEndpointsOfAVersionAreLocated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &directory{}
+	d.list.Interval = time.Second
+	beat := func(id, version string, state lister.State) {
+		d.beat(now, lister.Listing{
+			ID: id, Service: "desk", Zone: "hall", Slots: 4, State: state, Version: version, Sequence: 1, Started: now,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(d.heard) + 1)}), 80),
+		})
+	}
+	for i := range 20 {
+		beat(fmt.Sprint("common-", i), "v1", lister.Ready)
+	}
+	beat("rare", "v2", lister.Ready)
+	beat("leaving", "v2", lister.Leaving)
+	beat("unknown", "", lister.Ready)
+	locate := func(node, version string) (ids []string) {
+		for _, l := range d.locate(&messenger.LocateRequest{Service: "desk", Version: version, Node: node}) {
+			ids = append(ids, l.ID)
+		}
+		return ids
+	}
+	require.Equal(t, []string{"rare"}, locate("router-1", "v2"))
+	require.Len(t, locate("router-1", "v1"), mostLocated)
+	require.NotEqual(t, locate("router-1", "v1"), locate("router-2", "v1"), "each router uses others")
+	require.Empty(t, locate("router-1", "v3"))
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -111,7 +111,9 @@
 	}
 	d.control = dialer.Client(settings.Secret, &d.bytes)
 	dialect := platform.Dialect{}
-	d.streams = recaller.New(recaller.Options{Keepers: d.answerers, Dial: d.dial, Clock: clock, Log: log})
+	d.streams = recaller.New(recaller.Options{
+		Name: settings.Name, Keepers: d.answerers, Dial: d.dial, Learn: d.learn, Clock: clock, Log: log,
+	})
 	d.reader = newsreader.New(newsreader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Endpoints: d.endpoints, Plan: d.plan, Routers: d.routers,
@@ -164,6 +166,11 @@
 	return d.news.Answerers()
 }
 
+// learn takes endpoints that a keeper has named besides its news.
+func (d *Director) learn(keeper netip.AddrPort, listings []*messenger.Listing) {
+	d.reader.Learn(keeper, listings)
+}
+
 // endpoints takes news of endpoints.
 func (d *Director) endpoints(listings []lister.Listing) {
 	for _, listing := range listings {
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -229,6 +229,12 @@
 	r.options.Endpoints(changed)
 }
 
+// Learn takes endpoints that a keeper has named besides its news. What is known of one that leaves
+// or is gone stands.
+func (r *Reader) Learn(keeper netip.AddrPort, listings []*messenger.Listing) {
+	r.takeListings(keeper, listings)
+}
+
 func (r *Reader) takeListings(keeper netip.AddrPort, listings []*messenger.Listing) {
 	if len(listings) == 0 {
 		return
--- a/router/internal/passer/admission.go
+++ b/router/internal/passer/admission.go
@@ -92,7 +92,7 @@
 		reason = "nobody here knows which software began the stream; begin it anew"
 	case !q.route.Shared(origin.Service):
 		reason = "the stream began at a service that has this route no more; begin it anew"
-	case !p.options.Balancer.Offers(origin.Service, &q.in.Work):
+	case !p.offers(q, origin):
 		reason = "no endpoint has the software any more that began the stream; begin it anew"
 	default:
 		return true
@@ -101,6 +101,15 @@
 	return false
 }
 
+// offers tells whether there is an endpoint where a stream of an origin may go on.
+func (p *Passer) offers(q *request, origin versioner.Origin) bool {
+	if p.options.Balancer.Offers(origin.Service, &q.in.Work) {
+		return true
+	}
+	p.options.Streams.Widen(q.http.Context(), origin)
+	return p.options.Balancer.Offers(origin.Service, &q.in.Work)
+}
+
 // locate finds the request's route and service, and when it came first.
 func (p *Passer) locate(q *request) bool {
 	q.target = targetOf(q.http)
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -69,6 +69,8 @@
 	Begun(name versioner.Name, origin versioner.Origin)
 	// Find returns where a stream began, if that is known.
 	Find(ctx context.Context, name versioner.Name) (versioner.Origin, bool)
+	// Widen learns of endpoints where streams of an origin may go on, if there are any.
+	Widen(ctx context.Context, origin versioner.Origin)
 }
 
 // Options are what a Passer is made of.
--- a/router/internal/passer/passer_test.go
+++ b/router/internal/passer/passer_test.go
@@ -363,7 +363,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t)
-			b.endpoint(func(conn net.Conn, request *http.Request) {
+			b.endpoint(func(conn net.Conn, _ *http.Request) {
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: stamp\r\n%s\r\n", stampHeader, test.header)
 			})
 			for range 2 { // the second one shows that the connection is still good
--- a/router/internal/passer/versions_test.go
+++ b/router/internal/passer/versions_test.go
@@ -1,6 +1,7 @@
 package passer
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/versioner"
 )
 
 const resumesHeader = "Resumes"
@@ -121,3 +123,43 @@
 	}
 	require.EqualValues(t, 6, asked.Load())
 }
+
+// A stream was refused at a router that had been told of no endpoint of its version, though there are
+// some.
+func TestStreamGoesOnAtAnEndpointThatIsLearntOf(t *testing.T) {
+	for name, learns := range map[string]bool{"there is one": true, "there is none": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.addVersion("v2", func(net.Conn, *http.Request) { t.Error("it went on at other software") })
+			b.passer.options.Streams = wider{known: versioner.Origin{Service: "desk", Version: "v1"}, widen: func() {
+				if !learns {
+					return
+				}
+				b.addVersion("v1", func(conn net.Conn, request *http.Request) {
+					beginStream(conn, request, 4, 6)
+					endStream(conn)
+				})
+			}}
+			response := b.ask("POST", "/list/", "prompt", "Last-Event-Id", "3", resumesHeader, "first")
+			defer response.Body.Close()
+			if learns {
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Empty(t, response.Header.Get("Retry-After"), "the last one is gone")
+		})
+	}
+}
+
+// wider knows one origin, and learns of endpoints when it is asked for more.
+type wider struct {
+	known versioner.Origin
+	widen func()
+}
+
+func (w wider) Begun(versioner.Name, versioner.Origin) {}
+
+func (w wider) Find(context.Context, versioner.Name) (versioner.Origin, bool) { return w.known, true }
+
+func (w wider) Widen(context.Context, versioner.Origin) { w.widen() }
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -36,8 +36,11 @@
 	// Keepers returns those that answer. Without it none is asked.
 	Keepers func() []netip.AddrPort
 	Dial    func(address netip.AddrPort) messenger.Planning
-	Clock   clockwork.Clock
-	Log     zerolog.Logger
+	// Name is the router's own. Learn is told of the endpoints that a keeper has named.
+	Name  string
+	Learn func(keeper netip.AddrPort, listings []*messenger.Listing)
+	Clock clockwork.Clock
+	Log   zerolog.Logger
 }
 
 // Recaller is safe for concurrent use.
@@ -115,34 +118,61 @@
 	return origin, found
 }
 
-// ask asks all keepers that answer, and returns the first that knows.
+// ask asks the keepers where a stream began.
 func (r *Recaller) ask(ctx context.Context, stream uint64) (versioner.Origin, bool) {
+	return first(ctx, r, func(ctx context.Context, keeper netip.AddrPort) (versioner.Origin, bool, error) {
+		answer, err := r.options.Dial(keeper).Recall(ctx, &messenger.RecallRequest{Stream: stream})
+		return versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}, answer.GetVersion() != "", err
+	})
+}
+
+// Widen learns of endpoints where streams of an origin may go on. Of a service with many a router
+// is told of a part only, and of one version that may be none.
+func (r *Recaller) Widen(ctx context.Context, origin versioner.Origin) {
+	request := &messenger.LocateRequest{Service: origin.Service, Version: origin.Version, Node: r.options.Name}
+	named, found := first(ctx, r, func(ctx context.Context, keeper netip.AddrPort) (named, bool, error) {
+		answer, err := r.options.Dial(keeper).Locate(ctx, request)
+		return named{by: keeper, listings: answer.GetListings()}, len(answer.GetListings()) > 0, err
+	})
+	if found {
+		r.options.Learn(named.by, named.listings)
+	}
+}
+
+// named is endpoints that a keeper has named.
+type named struct {
+	by       netip.AddrPort
+	listings []*messenger.Listing
+}
+
+// first asks all keepers that answer at once, and returns what the first says that knows.
+func first[T any](
+	ctx context.Context, r *Recaller, ask func(ctx context.Context, keeper netip.AddrPort) (T, bool, error),
+) (known T, found bool) {
 	if r.options.Keepers == nil {
-		return versioner.Origin{}, false
+		return known, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	keepers := r.options.Keepers()
-	answers := make(chan versioner.Origin, len(keepers))
+	answers := make(chan *T, len(keepers))
 	for _, keeper := range keepers {
-		go func() { answers <- r.askOne(ctx, keeper, stream) }()
+		go func() {
+			answer, knows, err := ask(ctx, keeper)
+			if err != nil && ctx.Err() == nil && r.lines.Admit(r.options.Clock.Now(), r.options.Log) {
+				r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("a keeper does not tell of a stream's version")
+			}
+			if err != nil || !knows {
+				answers <- nil
+				return
+			}
+			answers <- &answer
+		}()
 	}
 	for range keepers {
-		if origin := <-answers; origin.Version != "" {
-			return origin, true
-		}
-	}
-	return versioner.Origin{}, false
-}
-
-// askOne returns what one keeper knows, without a version if it knows nothing.
-func (r *Recaller) askOne(ctx context.Context, keeper netip.AddrPort, stream uint64) versioner.Origin {
-	answer, err := r.options.Dial(keeper).Recall(ctx, &messenger.RecallRequest{Stream: stream})
-	if err != nil {
-		if r.lines.Admit(r.options.Clock.Now(), r.options.Log) {
-			r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("a keeper does not tell where a stream began")
+		if answer := <-answers; answer != nil {
+			return *answer, true
 		}
-		return versioner.Origin{}
 	}
-	return versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
+	return known, false
 }
--- a/router/internal/recaller/recaller_test.go
+++ b/router/internal/recaller/recaller_test.go
@@ -26,8 +26,8 @@
 	errCut = merry.Sentinel("there is no way there")
 )
 
-// named returns the name of a stream whose content no other one has.
-func named(request string) versioner.Name {
+// nameOf returns the name of a stream whose content no other one has.
+func nameOf(request string) versioner.Name {
 	return versioner.Name{Request: request, Content: xxhash.Sum64String("content of " + request)}
 }
 
@@ -38,6 +38,7 @@
 	mutex   sync.Mutex
 	keepers map[netip.AddrPort]*versioner.Memory
 	cut     map[string]bool // "router address"
+	listed  []*messenger.Listing
 }
 
 func newFleet(keepers int) *fleet {
@@ -106,6 +107,21 @@
 	f.cut[router+address(keeper).String()] = cut
 }
 
+func (p *path) Locate(_ context.Context, request *messenger.LocateRequest) (*messenger.LocateResponse, error) {
+	p.fleet.mutex.Lock()
+	defer p.fleet.mutex.Unlock()
+	if p.fleet.cut[p.router+p.keeper.String()] {
+		return nil, errCut
+	}
+	response := &messenger.LocateResponse{}
+	for _, listing := range p.fleet.listed {
+		if listing.GetService() == request.GetService() && listing.GetVersion() == request.GetVersion() {
+			response.Listings = append(response.Listings, listing)
+		}
+	}
+	return response, nil
+}
+
 // report lets a router report to a keeper. The keeper may get the report and its answer be lost.
 func (f *fleet) report(r *Recaller, keeper int, arrives, answered bool) {
 	begun := r.Report(address(keeper))
@@ -152,7 +168,7 @@
 		}, false},
 		"a keeper on this side knows as well": {func(f *fleet, began *Recaller) {
 			f.report(began, 0, true, true)
-			f.keepers[address(1)].Note(f.clock.Now(), named("first").Stream(), one)
+			f.keepers[address(1)].Note(f.clock.Now(), nameOf("first").Stream(), one)
 			f.set("other", 0, true)
 		}, true},
 		"long ago": {func(f *fleet, began *Recaller) {
@@ -163,9 +179,9 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(2)
 			began := f.router("began")
-			began.Begun(named("first"), one)
+			began.Begun(nameOf("first"), one)
 			test.do(f, began)
-			origin, found := f.router("other").Find(t.Context(), named("first"))
+			origin, found := f.router("other").Find(t.Context(), nameOf("first"))
 			require.Equal(t, test.found, found)
 			if found {
 				require.Equal(t, one, origin)
@@ -180,8 +196,8 @@
 func TestOwnStreamsNeedNobody(t *testing.T) {
 	f := newFleet(0)
 	r := f.router("began")
-	r.Begun(named("first"), one)
-	origin, found := r.Find(t.Context(), named("first"))
+	r.Begun(nameOf("first"), one)
+	origin, found := r.Find(t.Context(), nameOf("first"))
 	require.True(t, found)
 	require.Equal(t, one, origin)
 }
@@ -189,15 +205,15 @@
 func TestRecordsAreToldOnce(t *testing.T) {
 	f := newFleet(1)
 	r := f.router("began")
-	r.Begun(named("first"), one)
+	r.Begun(nameOf("first"), one)
 	require.Len(t, versioner.FromWire(r.Report(address(0))), 2, "by its request and by what it asks")
-	r.Begun(named("second"), two) // while the poll is under way
+	r.Begun(nameOf("second"), two) // while the poll is under way
 	r.Told(address(0))
 	told := versioner.FromWire(r.Report(address(0)))
-	require.Equal(t, []versioner.Record{{Stream: named("second").Stream(), Origin: two}, {Stream: named("second").Content, Origin: two}}, told)
+	require.Equal(t, []versioner.Record{{Stream: nameOf("second").Stream(), Origin: two}, {Stream: nameOf("second").Content, Origin: two}}, told)
 	r.Told(address(0))
 	require.Empty(t, r.Report(address(0)))
-	r.Begun(named("first"), one) // it goes on
+	r.Begun(nameOf("first"), one) // it goes on
 	require.Empty(t, r.Report(address(0)))
 }
 
@@ -205,7 +221,7 @@
 	f := newFleet(1)
 	r := f.router("began")
 	for i := range mostUntold + 5 {
-		r.Begun(named(fmt.Sprint(i)), one)
+		r.Begun(nameOf(fmt.Sprint(i)), one)
 	}
 	require.Len(t, versioner.FromWire(r.Report(address(0))), mostUntold)
 	r.Told(address(0))
@@ -239,13 +255,13 @@
 			case 3, 4, 5:
 				name := fmt.Sprint("stream-", step)
 				began[name] = []versioner.Origin{one, two}[draw.IntN(2)]
-				living[i].Begun(named(name), began[name])
+				living[i].Begun(nameOf(name), began[name])
 			case 6, 7:
 				f.report(living[i], keeper, !cut, !cut && draw.IntN(3) > 0)
 			default:
 				for range len(began) / 4 {
 					name := fmt.Sprint("stream-", draw.IntN(step))
-					if got, found := living[i].Find(t.Context(), named(name)); found {
+					if got, found := living[i].Find(t.Context(), nameOf(name)); found {
 						require.Equal(t, began[name], got, "seed %d, step %d", seed, step)
 					}
 				}
@@ -257,11 +273,11 @@
 		}
 		for i := range living {
 			name := fmt.Sprint("last-", i)
-			living[i].Begun(named(name), two)
+			living[i].Begun(nameOf(name), two)
 			f.report(living[i], draw.IntN(keepers), true, true)
 		}
 		for i := range living {
-			origin, found := f.router("new").Find(t.Context(), named(fmt.Sprint("last-", i)))
+			origin, found := f.router("new").Find(t.Context(), nameOf(fmt.Sprint("last-", i)))
 			require.True(t, found)
 			require.Equal(t, two, origin)
 		}
@@ -301,3 +317,33 @@
 		})
 	}
 }
+
+// A router of a large fleet refused streams of a version of which it had been told no endpoint.
+func TestEndpointsOfAnOriginAreLearnt(t *testing.T) {
+	for name, test := range map[string]struct {
+		listed []*messenger.Listing
+		cut    bool
+		want   []string
+	}{
+		"one of that version": {listed: []*messenger.Listing{{Id: "a", Service: "desk", Version: "v2"}, {Id: "b", Service: "desk", Version: "v1"}}, want: []string{"b"}},
+		"of another service":  {listed: []*messenger.Listing{{Id: "a", Service: "other", Version: "v1"}}},
+		"none":                {},
+		"cut off":             {listed: []*messenger.Listing{{Id: "b", Service: "desk", Version: "v1"}}, cut: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2)
+			f.listed = test.listed
+			f.set("router", 0, test.cut)
+			f.set("router", 1, test.cut)
+			r := f.router("router")
+			var learnt []string
+			r.options.Learn = func(_ netip.AddrPort, listings []*messenger.Listing) {
+				for _, listing := range listings {
+					learnt = append(learnt, listing.GetId())
+				}
+			}
+			r.Widen(t.Context(), one)
+			require.Equal(t, test.want, learnt)
+		})
+	}
+}
