--- a/lib/versioner/versioner.go
+++ b/lib/versioner/versioner.go
@@ -20,8 +20,8 @@
 const (
 	// Span is for how long a stream is remembered at least, and up to twice as long: longer than
 	// streams last together with the patience of their clients.
-	Span = 20 * time.Second
-	// most bounds the streams of one span, some 30 bytes each.
+	Span = 15 * time.Second
+	// most bounds the records of one span, some 30 bytes each.
 	most = 1 << 19
 )
 
--- a/router/internal/newsreader/newsreader.go
+++ b/router/internal/newsreader/newsreader.go
@@ -52,8 +52,8 @@
 	// Homes is told, by service, which part of the endpoints all routers know, one in
 	// 1<<shift; a service of which they know all is left out.
 	Homes func(shifts map[string]int)
-	// Begun returns the streams that began here and that a keeper does not know yet. Told is
-	// called when it has answered, Untold when it does not.
+	// Begun returns the streams that began here and that the keeper which is reported to does not
+	// know yet. Told is called when it has answered the report, Untold when it does not.
 	Begun  func(keeper netip.AddrPort) []*messenger.Begun
 	Told   func(keeper netip.AddrPort)
 	Untold func(keeper netip.AddrPort)
@@ -158,7 +158,7 @@
 	r.mutex.Lock()
 	r.contacts[keeper] = true
 	r.mutex.Unlock()
-	if r.options.Told != nil {
+	if r.options.Told != nil && !news.GetBrief() {
 		r.options.Told(keeper)
 	}
 	r.takeEvacuations(keeper, news)
--- a/router/internal/newsreader/newsreader_test.go
+++ b/router/internal/newsreader/newsreader_test.go
@@ -286,3 +286,23 @@
 	}
 	require.LessOrEqual(t, len(b.reader.list.Since(0)), 15)
 }
+
+// Records of streams were forgotten though their report had not arrived: a brief poll's answer, which
+// follows where another keeper takes the reports, counted as the answer to it.
+func TestOnlyAnswersToReportsCountAsTold(t *testing.T) {
+	b := newBed(t)
+	var told, untold []netip.AddrPort
+	b.reader.options.Begun = func(netip.AddrPort) []*messenger.Begun {
+		return []*messenger.Begun{{Service: "desk", Version: "v1", Streams: []uint64{7}}}
+	}
+	b.reader.options.Told = func(keeper netip.AddrPort) { told = append(told, keeper) }
+	b.reader.options.Untold = func(keeper netip.AddrPort) { untold = append(untold, keeper) }
+	require.Len(t, b.reader.Report(at(1), false).GetBegun(), 1)
+	require.Empty(t, b.reader.Report(at(1), true).GetBegun())
+	b.news(1, &messenger.FollowResponse{Brief: true})
+	require.Empty(t, told)
+	b.news(1, &messenger.FollowResponse{})
+	require.Equal(t, []netip.AddrPort{at(1)}, told)
+	b.reader.Lost(at(1), nil)
+	require.Equal(t, []netip.AddrPort{at(1)}, untold)
+}
