--- a/router/internal/passer/attempt.go
+++ b/router/internal/passer/attempt.go
@@ -8,11 +8,8 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
-	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/jonboulle/clockwork"
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
@@ -20,16 +17,6 @@
 	"shallotkeel.example/lib/resolver"
 )
 
-const (
-	// stall is how long an endpoint may send nothing before a request that may be
-	// resumed goes on elsewhere. Clients leave a stream after two seconds.
-	stall = 1200 * time.Millisecond
-	// wholeBytes is up to which size an answer that is no stream is read to its
-	// end before the client gets any of it. One that breaks off can then still be
-	// sent again or be told as a failure.
-	wholeBytes = 64 << 10
-)
-
 // The reasons for which an attempt is ended while its client waits.
 var (
 	// errStalled ends an attempt whose endpoint has been silent for too long.
@@ -175,32 +162,6 @@
 	return e
 }
 
-// whole is an answer that was read to its end.
-type whole struct {
-	exchange *forwarder.Exchange // closed by now
-	framing  framer.Framing
-	body     []byte
-}
-
-// relayWhole passes on an answer that is no stream of events.
-func (p *Passer) relayWhole(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange) *ending {
-	body, err := io.ReadAll(io.LimitReader(x.Body, wholeBytes))
-	if err != nil {
-		return p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
-	}
-	p.heard(q, slot)
-	q.first = p.options.Clock.Since(q.received)
-	if len(body) == wholeBytes {
-		return p.relayLong(ctx, q, x, body)
-	}
-	read := &whole{exchange: x, framing: q.framing, body: body}
-	if x.StatusCode >= http.StatusInternalServerError {
-		return &ending{outcome: balancer.Faulty, reason: "the endpoint failed with " + strconv.Itoa(x.StatusCode), kept: read}
-	}
-	p.answer(q, read)
-	return nil
-}
-
 // heard notes that the endpoint sends its answer.
 func (p *Passer) heard(q *request, slot *balancer.Slot) {
 	now := p.options.Clock.Now()
@@ -213,138 +174,3 @@
 		p.options.Shares.Begin(now, q.workspace, float64(q.tokens()))
 	}
 }
-
-// answer gives the client an endpoint's answer.
-func (p *Passer) answer(q *request, a *whole) {
-	q.framing = a.framing
-	length := int64(len(a.body))
-	switch {
-	case q.http.Method == http.MethodHead:
-		length = a.exchange.ContentLength // of what a GET would get
-	case a.framing == framer.ByConnection:
-		length = unknownLength
-	}
-	err := p.begin(q, a.exchange, length)
-	if errors.Is(err, framer.ErrNoReset) {
-		p.fail(q, http.StatusBadGateway, err.Error())
-		return
-	}
-	if err == nil {
-		_, err = q.writer.Write(a.body)
-	}
-	if err == nil {
-		err = q.end.Whole(http.NewResponseController(q.writer))
-	}
-	if err != nil {
-		q.reason = "the client left: " + err.Error()
-	}
-}
-
-// unknownLength is that of an answer whose begin is passed on before its end has come.
-const unknownLength = -1
-
-// begin sends the head of an answer, once: a stream that goes on at another endpoint keeps that
-// of its first. Without a length the answer is sent in chunks, unless its client knows none or
-// its endpoint's answer ends with its connection; then it ends with the client's.
-func (p *Passer) begin(q *request, x *forwarder.Exchange, length int64) error {
-	if q.begun {
-		return nil
-	}
-	if length == unknownLength && (q.framing == framer.ByConnection || !q.http.ProtoAtLeast(1, 1)) {
-		end, err := framer.Unframe(q.writer, q.http)
-		if err != nil {
-			return err
-		}
-		q.end = end
-	}
-	q.begun, q.status = true, x.StatusCode
-	if q.first == 0 {
-		q.first = p.options.Clock.Since(q.received)
-	}
-	copyHeader(q.writer.Header(), x.Header)
-	if length != unknownLength {
-		q.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	q.writer.WriteHeader(x.StatusCode)
-	return nil
-}
-
-// relayLong passes on an answer piece by piece. Its length goes ahead of it, or it is sent in
-// chunks, so that its client sees whether it was cut; one that ends with its connection is passed
-// on as such, and reset where it breaks.
-func (p *Passer) relayLong(ctx context.Context, q *request, x *forwarder.Exchange, begin []byte) *ending {
-	err := p.begin(q, x, x.ContentLength)
-	if err == nil {
-		_, err = q.writer.Write(begin)
-	}
-	if err != nil {
-		return &ending{outcome: balancer.Withdrawn, reason: "the client left: " + err.Error()}
-	}
-	if _, err := io.Copy(q.writer, x.Body); err != nil {
-		e := p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
-		e.reason = "the answer broke off"
-		q.sends = q.route.Attempts // it cannot go on elsewhere
-		return e
-	}
-	if err := q.end.Whole(http.NewResponseController(q.writer)); err != nil {
-		return &ending{outcome: balancer.Withdrawn, reason: "the client left: " + err.Error()}
-	}
-	return nil
-}
-
-// connectionHeaders concern the connection to the endpoint only.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true, "Upgrade": true, "Trailer": true,
-}
-
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if !connectionHeaders[name] {
-			to[name] = values
-		}
-	}
-}
-
-// watch ends an attempt whose endpoint has gone dark.
-type watch struct {
-	timer clockwork.Timer
-	done  atomic.Bool
-}
-
-// watch starts a watch over a stream that may go on elsewhere. Others wait for
-// as long as their time lasts: ending them would lose them.
-//
-// An endpoint that is only slow is left alone. Ending its streams would make it
-// read the same prompts elsewhere while all endpoints are busy, and a stream that
-// cannot go on, because repeats are used up, would be lost.
-func (p *Passer) watch(q *request, slot *balancer.Slot, cancel context.CancelCauseFunc) *watch {
-	w := &watch{}
-	if q.route.Kind != resolver.Stream || !q.route.Resumable || q.sends+1 >= q.route.Attempts {
-		return w
-	}
-	w.timer = p.options.Clock.AfterFunc(stall, func() {
-		now := p.options.Clock.Now()
-		switch {
-		case w.done.Load():
-		case slot.Dark(now, stall) && p.options.Budget.Spend(now, q.service):
-			q.prepaid.Store(true)
-			cancel(errStalled)
-		default:
-			w.timer.Reset(stall / 2)
-		}
-	})
-	return w
-}
-
-func (w *watch) touch() {
-	if w.timer != nil {
-		w.timer.Reset(stall)
-	}
-}
-
-func (w *watch) stop() {
-	w.done.Store(true)
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/router/internal/passer/passer.go
+++ b/router/internal/passer/passer.go
@@ -11,6 +11,7 @@
 //     that got it said so, and nothing of it is sent afterwards;
 //   - a client gets an answer whole, or sees it cut: one that ends early never
 //     looks complete;
+//   - a stream holds events of one version of the endpoints' software;
 //   - nothing is sent for a client that has gone, and what runs for it is ended;
 //   - every request has its final answer when its route's timeout is over.
 package passer
--- a/router/internal/passer/record.go
+++ b/router/internal/passer/record.go
@@ -33,8 +33,10 @@
 	if q.route != nil {
 		line = line.Str("route", q.route.Name)
 	}
-	line.Str("id", q.in.ID).Str("resumes", q.in.Resumes).Str("version", q.in.Work.Version).Str("workspace", q.workspace).Str("service", q.service).Str("endpoint", q.endpoint).
-		Int("sends", q.sends).Int("unreached", q.unsent).Int("status", q.status).Str("framing", q.framing.String()).Str("reason", q.reason).
+	line.Str("id", q.in.ID).Str("resumes", q.in.Resumes).Str("workspace", q.workspace).
+		Str("service", q.service).Str("endpoint", q.endpoint).Str("version", q.in.Work.Version).
+		Int("sends", q.sends).Int("unreached", q.unsent).Int("status", q.status).
+		Str("framing", q.framing.String()).Str("reason", q.reason).
 		Int("tokens", q.tokens()).Int("reading", q.reading).Bool("spare", q.spare).Dur("target_ms", q.in.Work.Target).
 		Dur("queue_ms", q.queue).Dur("expected_ms", q.expected).Dur("since_ms", q.since()).
 		Dur("first_ms", q.first).Dur("took_ms", took).Msg("request")
--- a/router/internal/passer/stream.go
+++ b/router/internal/passer/stream.go
@@ -13,7 +13,6 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
-	"shallotkeel.example/lib/versioner"
 )
 
 // maxEvent bounds an event that is held back until it is whole.
@@ -111,24 +110,6 @@
 	}
 }
 
-// noteVersion notes at which software version a stream begins or goes on, so that it goes on
-// nowhere else: within this answer, or where its client takes it up.
-func (p *Passer) noteVersion(q *request, slot *balancer.Slot) {
-	if q.stream.noted {
-		return
-	}
-	q.stream.noted = true
-	q.in.Work.Version = slot.Version
-	if slot.Version == "" || !q.route.Resumable {
-		return
-	}
-	name := versioner.Name{Request: q.in.Resumes, Content: q.digest}
-	if q.in.Resumes == "" {
-		name.Request = q.in.ID
-	}
-	p.options.Streams.Begun(name, versioner.Origin{Service: q.service, Version: slot.Version})
-}
-
 // gather waits while there is much to do, so that the next read brings several
 // events. Passed on one by one, each costs two system calls and two wake-ups.
 func (p *Passer) gather(q *request) {
