Count answering keepers by their list; drop a case that the zero value covers

Answering walked the keepers as Answerers does. Recall's answer for a stream that is not known is that of an origin without a version. Behaviour is the same; subscriber's tests and those of records, versions and zones at keepers pass.

--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -108,9 +108,6 @@
 	if request.GetStream() == 0 {
 		return nil, twirp.RequiredArgumentError("stream")
 	}
-	origin, found := p.directory.streams.memory.Find(p.clock.Now(), request.GetStream())
-	if !found {
-		return &messenger.RecallResponse{}, nil
-	}
+	origin, _ := p.directory.streams.memory.Find(p.clock.Now(), request.GetStream())
 	return &messenger.RecallResponse{Service: origin.Service, Version: origin.Version}, nil
 }
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -179,15 +179,7 @@
 
 // Answering returns how many keepers answered their last poll.
 func (s *Subscriber) Answering() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	count := 0
-	for _, known := range s.followed {
-		if known.answer {
-			count++
-		}
-	}
-	return count
+	return len(s.Answerers())
 }
 
 // follow polls one keeper until the context ends.
