--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -52,6 +52,7 @@
 	mutex       sync.Mutex
 	crashed     []uint64
 	quarantined map[uint64]bool
+	shared      *sharedCrashes // nil unless several routers report to the same keeper
 }
 
 func (s *stubFleetState) Table() *resolver.Table { return s.table.Load() }
@@ -61,13 +62,16 @@
 func (s *stubFleetState) Quarantined(digest uint64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.quarantined[digest]
+	return s.quarantined[digest] || s.shared != nil && s.shared.quarantined(digest)
 }
 
 func (s *stubFleetState) Crashed(digest uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.crashed = append(s.crashed, digest)
+	if s.shared != nil {
+		s.shared.add(digest)
+	}
 }
 
 func (s *stubFleetState) crashes() []uint64 {
@@ -192,14 +196,14 @@
 			if err != nil {
 				return
 			}
-			go f.serveConn(conn, serve)
+			go serveScript(conn, serve)
 		}
 	}()
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-// serveConn calls a script for each request of a connection, with the body already read.
-func (f *fixture) serveConn(conn net.Conn, serve func(conn net.Conn, request *http.Request)) {
+// serveScript calls a script for each request of a connection, with the body already read.
+func serveScript(conn net.Conn, serve func(conn net.Conn, request *http.Request)) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
