--- a/keeper/internal/applier/quarantine.go
+++ b/keeper/internal/applier/quarantine.go
@@ -20,19 +20,24 @@
 // quarantine holds the fingerprints of requests that crash endpoints.
 type quarantine struct {
 	expires  map[uint64]time.Duration // by digest, on the replicated clock
-	revision uint64                   // rises with each fingerprint that is added
+	revision uint64                   // rises with each fingerprint that is added or removed
 }
 
-// add adds fingerprints. The expiry of a present fingerprint never moves earlier.
+// add adds fingerprints, and removes those with no time left. The expiry of a present fingerprint
+// never moves earlier otherwise.
 func (q *quarantine) add(now time.Duration, fingerprints []*messenger.Fingerprint) {
 	q.expire(now)
 	if q.expires == nil {
 		q.expires = make(map[uint64]time.Duration)
 	}
 	for _, fingerprint := range fingerprints {
+		q.revision++
+		if fingerprint.GetLeftMs() == 0 {
+			delete(q.expires, fingerprint.GetDigest())
+			continue
+		}
 		remaining := min(time.Duration(fingerprint.GetLeftMs())*time.Millisecond, MaxQuarantine)
 		q.expires[fingerprint.GetDigest()] = max(q.expires[fingerprint.GetDigest()], now+remaining)
-		q.revision++
 	}
 	for len(q.expires) > MaxQuarantined {
 		delete(q.expires, q.firstToExpire())
--- /dev/null
+++ b/keeper/internal/server/crashes_test.go
@@ -0,0 +1,118 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/localizer"
+	"shallotkeel.example/lib/messenger"
+)
+
+// badFeature is the feature that crashes endpoints in these tests.
+const badFeature = 7
+
+// reportCrash has a router report the crash of one lifetime under the bad feature.
+func reportCrash(d *directory, now time.Time, node string, lifetime uint64) (changed bool) {
+	report := &messenger.FollowRequest{Node: node, Crashes: []*messenger.Crash{{Endpoint: lifetime, Service: 1, Features: []uint64{badFeature}}}}
+	return d.follow(now, report)
+}
+
+// quarantine has three routers report a crash each, and returns the time at which the feature is
+// quarantined.
+func quarantine(t *testing.T, d *directory) time.Time {
+	t.Helper()
+	now, changed := testStart, false
+	for n, node := range []string{"a", "b", "c"} {
+		require.False(t, reportCrash(d, now, node, uint64(n+1)))
+		require.False(t, reportCrash(d, now, "other", uint64(n+1)), "another router saw the same crash")
+		require.Empty(t, quarantinedIn(d, now))
+		now = now.Add(2 * time.Second)
+		changed = d.expire(now)
+	}
+	require.True(t, changed, "the quarantine is sent to all followers at once")
+	return now
+}
+
+// quarantinedIn returns the quarantines in the answer to a router's poll.
+func quarantinedIn(d *directory, now time.Time) []*messenger.Fingerprint {
+	return d.updatesFor(now, &messenger.FollowRequest{Node: "other", Epoch: epoch}, epoch).GetQuarantined()
+}
+
+// Guards against a feature that crashes an endpoint after the other through a different router each
+// time, because each router counts its own crashes only.
+func TestCrashesAreCountedOverAllRouters(t *testing.T) {
+	var d directory
+	now := quarantine(t, &d)
+	require.Len(t, quarantinedIn(&d, now), 1)
+	require.Equal(t, []localizer.Quarantine{{Feature: badFeature, Left: localizer.DefaultQuarantine}}, d.takeUnreplicated())
+	require.Empty(t, d.takeUnreplicated(), "each change is replicated once")
+	d.follow(now, &messenger.FollowRequest{Node: "late"})
+	request := &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}
+	require.True(t, d.hasFollowUpdate(request, epoch), "the quarantine is sent to followers that join later, too")
+	d.updatesFor(now, request, epoch)
+	require.False(t, d.hasFollowUpdate(request, epoch))
+	now = now.Add(localizer.DefaultQuarantine + time.Second)
+	d.expire(now)
+	require.Empty(t, quarantinedIn(&d, now), "a quarantine expires")
+}
+
+// Guards against keepers that each know only the crashes that the routers reported to them: what a
+// router reported is sent on, and what another keeper sent is not.
+func TestReportsOfCrashesAreRelayedOnce(t *testing.T) {
+	var first, second directory
+	reportCrash(&first, testStart, "a", 1)
+	relay := func(d *directory, since time.Time) *messenger.FollowRequest {
+		report := &messenger.FollowRequest{Node: "keeper", Keeper: true}
+		d.summarize(testStart.Add(time.Second), since, report)
+		return report
+	}
+	report := relay(&first, testStart)
+	require.Len(t, report.GetCrashes(), 1)
+	require.EqualValues(t, 1000, report.GetCrashes()[0].GetAgeMs())
+	second.follow(testStart.Add(time.Second), report)
+	require.Empty(t, relay(&second, time.Time{}).GetCrashes())
+	require.Empty(t, relay(&first, testStart.Add(time.Millisecond)).GetCrashes(), "the other keeper has got it")
+}
+
+// Guards against sound features that stay quarantined although requests with them are answered, and
+// against a lifted quarantine that another keeper brings back.
+func TestAnswerLiftsTheQuarantineEverywhere(t *testing.T) {
+	var d, other directory
+	now := quarantine(t, &d)
+	replicated := []*messenger.Fingerprint{{Digest: badFeature, LeftMs: 60_000}}
+	require.False(t, d.applyReplicated(now, replicated), "this keeper has begun it")
+	require.True(t, other.applyReplicated(now, replicated))
+	require.Len(t, quarantinedIn(&other, now), 1)
+
+	now = now.Add(2 * time.Second)
+	answered := &messenger.FollowRequest{Node: "a", Answered: []*messenger.Answered{{Feature: badFeature, AgeMs: 100}}}
+	require.True(t, d.follow(now, answered))
+	require.Equal(t, []localizer.Quarantine{{Feature: badFeature}}, d.takeUnreplicated()[1:])
+	require.Zero(t, quarantinedIn(&d, now)[0].GetLeftMs(), "routers are told that it is lifted")
+	require.False(t, d.applyReplicated(now, replicated), "the order to lift it is on its way")
+	require.True(t, other.applyReplicated(now, nil))
+	require.Zero(t, quarantinedIn(&other, now)[0].GetLeftMs())
+}
+
+// Guards against trials that every keeper grants, or that follow each other: each may crash an endpoint.
+func TestOnlyTheLeaderGrantsTrials(t *testing.T) {
+	var d directory
+	now := quarantine(t, &d)
+	refusing := &messenger.FollowRequest{Node: "a", Epoch: epoch, Refused: []uint64{badFeature}}
+	trials := func(during time.Duration) int {
+		granted := 0
+		for until := now.Add(during); now.Before(until); now = now.Add(500 * time.Millisecond) {
+			if d.updatesFor(now, refusing, epoch).GetQuarantined()[0].GetTrial() {
+				granted++
+			}
+		}
+		return granted
+	}
+	require.Zero(t, trials(40*time.Second))
+	d.setLeads(true)
+	require.Equal(t, 1, trials(40*time.Second))
+	refusing.Refused = nil
+	require.Zero(t, trials(5*time.Minute), "it refuses nothing")
+}
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -11,16 +11,6 @@
 )
 
 const (
-	// crashesToQuarantine is the number of endpoint crashes under one request after
-	// which no router sends that request again. A single crash may be a coincidence:
-	// every other request on that endpoint fails in the same way. Waiting for a
-	// third crash would cost another endpoint.
-	crashesToQuarantine = 2
-	// crashMemory is how long a crash counts, and how long a quarantine lasts
-	// after the last crash.
-	crashMemory = 60 * time.Second
-	// maxCrashes bounds the request fingerprints that are kept, at about 100 bytes each.
-	maxCrashes = 8192
 	// followerMemory is how long a follower counts after its last poll. Followers
 	// poll twice a second.
 	followerMemory = 2500 * time.Millisecond
@@ -33,23 +23,22 @@
 // It has a lock of its own and is not part of the control loop, because the control
 // loop waits for the disk, and heartbeats must be answered while a disk hangs.
 type directory struct {
-	lock               sync.Mutex
-	list               lister.List
-	heartbeats         map[string]latestHeartbeat // received from the instances themselves, by instance id
-	followers          map[string]*follower
-	directSums         sums               // over the routers that report to this keeper
-	totalSums          sums               // directSums plus the sums that the other keepers report
-	summaryCache       routerSummaryCache // summary of the routers' reports
-	lessor             rationer.Lessor    // leases this keeper's parts of cold endpoints to routers
-	parts              []part
-	partsAt            time.Time // when parts was last computed
-	crashes            map[uint64]*crashes
-	quarantineRevision uint64            // increases with every quarantined fingerprint
-	keeperZones        map[string]string // zones of the other keepers, by control address
-	sources            sources
-	fleet              fleetSize
-	subset             subset
-	streamOrigins      streamOrigins
+	lock          sync.Mutex
+	list          lister.List
+	heartbeats    map[string]latestHeartbeat // received from the instances themselves, by instance id
+	followers     map[string]*follower
+	directSums    sums               // over the routers that report to this keeper
+	totalSums     sums               // directSums plus the sums that the other keepers report
+	summaryCache  routerSummaryCache // summary of the routers' reports
+	lessor        rationer.Lessor    // leases this keeper's parts of cold endpoints to routers
+	parts         []part
+	partsAt       time.Time // when parts was last computed
+	crashes       crashReports
+	keeperZones   map[string]string // zones of the other keepers, by control address
+	sources       sources
+	fleet         fleetSize
+	subset        subset
+	streamOrigins streamOrigins
 }
 
 // latestHeartbeat identifies the latest heartbeat that this keeper received from an instance.
@@ -64,19 +53,10 @@
 	at               time.Time
 	keeper           bool
 	report           *messenger.FollowRequest
-	sentQuarantine   uint64   // quarantineRevision as of the follower's last answer
+	sentQuarantine   uint64   // revision of the quarantines in the follower's last answer
 	newlyUnreachable []string // for a keeper: the keepers it reports as unreachable since this poll
 }
 
-// crashes counts the endpoint crashes under the requests of one fingerprint.
-type crashes struct {
-	at           time.Time
-	byRouter     map[string]uint32 // reported crashes by router
-	reportedHere map[string]bool   // routers that reported to this keeper, not through another
-	total        uint32
-	quarantined  bool
-}
-
 // receiveHeartbeat records a heartbeat that an instance sent to this keeper. It reports whether the
 // list changed, and whether the change is urgent.
 func (d *directory) receiveHeartbeat(now time.Time, heartbeat lister.Listing) (changed, urgent bool) {
@@ -133,18 +113,14 @@
 			delete(d.followers, name)
 		}
 	}
-	for digest, c := range d.crashes {
-		if now.Sub(c.at) > crashMemory {
-			delete(d.crashes, digest)
-		}
-	}
+	quarantinesChanged := d.crashes.expire(now)
 	d.summaryCache = routerSummaryCache{}
 	d.lessor.DropExpired(now)
 	widened := d.subset.updateSizes(d.list.Services())
 	for _, service := range widened {
 		d.list.Resend(service)
 	}
-	return d.list.Expire(now) || len(widened) > 0
+	return d.list.Expire(now) || len(widened) > 0 || quarantinesChanged
 }
 
 // mergeResult is the effect of another keeper's update on the list.
@@ -198,13 +174,12 @@
 			changed = true
 		}
 	}
-	for _, crash := range request.GetCrashes() {
-		if d.countCrashes(now, request, crash) {
-			changed = true
-		}
+	if d.crashes.receive(now, request) {
+		changed = true
 	}
 	d.streamOrigins.receive(now, request)
-	request.Begun = nil // the records are kept in streamOrigins, not with the report
+	// The records are kept in streamOrigins and crashes, not with the report.
+	request.Begun, request.Crashes, request.Answered = nil, nil, nil
 	if request.GetKeeper() {
 		d.recordZone(request.GetAddress(), request.GetZone())
 	}
@@ -249,42 +224,6 @@
 	}
 }
 
-// countCrashes records the number of endpoint crashes that a router has seen under a
-// request, and reports whether the request becomes quarantined by it.
-func (d *directory) countCrashes(now time.Time, report *messenger.FollowRequest, crash *messenger.Crash) bool {
-	node := report.GetNode()
-	if report.GetKeeper() {
-		node = crash.GetNode()
-	}
-	if d.crashes == nil {
-		d.crashes = make(map[uint64]*crashes)
-	}
-	known, found := d.crashes[crash.GetDigest()]
-	if !found {
-		if len(d.crashes) >= maxCrashes {
-			return false
-		}
-		known = &crashes{byRouter: make(map[string]uint32), reportedHere: make(map[string]bool)}
-		d.crashes[crash.GetDigest()] = known
-	}
-	if !report.GetKeeper() {
-		known.reportedHere[node] = true
-	}
-	before := known.byRouter[node]
-	if crash.GetCount() <= before {
-		return false
-	}
-	known.byRouter[node] = crash.GetCount()
-	known.total += crash.GetCount() - before
-	known.at = now
-	if known.total < crashesToQuarantine || known.quarantined {
-		return false
-	}
-	known.quarantined = true
-	d.quarantineRevision++
-	return true
-}
-
 // maxSkippedChanges bounds the list changes that do not concern a follower before it gets an
 // empty answer that moves its revision past them. Until then each wake-up filters these changes
 // again.
@@ -297,7 +236,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	known, found := d.followers[request.GetNode()]
-	if request.GetEpoch() != epoch || found && known.sentQuarantine != d.quarantineRevision {
+	if request.GetEpoch() != epoch || found && known.sentQuarantine != d.crashes.revision() {
 		return true
 	}
 	skipped := d.list.Revision() - request.GetAfter()
@@ -329,14 +268,9 @@
 			response.Homes = d.subset.homeSamples()
 		}
 	}
-	for digest, c := range d.crashes {
-		if c.quarantined {
-			remaining := crashMemory - now.Sub(c.at)
-			response.Quarantined = append(response.Quarantined, &messenger.Fingerprint{Digest: digest, LeftMs: uint32(max(remaining, 0) / time.Millisecond)})
-		}
-	}
+	d.crashes.answer(now, request, response)
 	if known, found := d.followers[request.GetNode()]; found {
-		known.sentQuarantine = d.quarantineRevision
+		known.sentQuarantine = d.crashes.revision()
 	}
 	return response
 }
@@ -361,18 +295,14 @@
 }
 
 // summarize adds the reports of the routers that report to this keeper to its own report, which
-// it sends to another keeper.
-func (d *directory) summarize(now time.Time, report *messenger.FollowRequest) {
+// it sends to another keeper. Reports of crashes are added if they arrived from a time on.
+func (d *directory) summarize(now, since time.Time, report *messenger.FollowRequest) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	summary := d.summaryCache.get(now, d.followers)
 	report.Reporting, report.BacklogMs = summary.direct, summary.directBacklog
 	report.Uses, report.Loads = d.directSums.uses.toWire(), d.directSums.loads.excluding(nil)
-	for digest, c := range d.crashes {
-		for node := range c.reportedHere {
-			report.Crashes = append(report.Crashes, &messenger.Crash{Digest: digest, Count: c.byRouter[node], Node: node})
-		}
-	}
+	d.crashes.relay(now, since, report)
 }
 
 // followerCount returns the number of followers, routers and keepers.
--- a/keeper/internal/server/directory_test.go
+++ b/keeper/internal/server/directory_test.go
@@ -15,31 +15,6 @@
 
 var testStart = time.Unix(1000, 0)
 
-// Guards against one request that crashes an endpoint after the other through a
-// different router each time, because each router counts its own crashes only.
-func TestCrashesAreCountedOverAllRouters(t *testing.T) {
-	var d directory
-	report := func(node string, count uint32) bool {
-		return d.follow(testStart, &messenger.FollowRequest{Node: node, Crashes: []*messenger.Crash{{Digest: 7, Count: count}}})
-	}
-	quarantined := func() int {
-		response := d.updatesFor(testStart, &messenger.FollowRequest{Node: "other", Epoch: epoch}, epoch)
-		return len(response.GetQuarantined())
-	}
-	require.False(t, report("a", 1))
-	require.False(t, report("a", 1), "the same report again counts nothing")
-	require.Zero(t, quarantined())
-	require.True(t, report("b", 1), "the quarantine is sent to all followers at once")
-	require.Equal(t, 1, quarantined())
-	d.follow(testStart, &messenger.FollowRequest{Node: "late"})
-	request := &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}
-	require.True(t, d.hasFollowUpdate(request, epoch), "the quarantine is sent to followers that join later, too")
-	d.updatesFor(testStart, request, epoch)
-	require.False(t, d.hasFollowUpdate(request, epoch))
-	d.expire(testStart.Add(crashMemory + time.Second))
-	require.Zero(t, quarantined(), "a quarantine expires")
-}
-
 // Guards against uses of routers that no longer report, and against keepers that count as routers.
 func TestUsesAreSummedOverReportingRouters(t *testing.T) {
 	var d directory
--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -67,7 +67,7 @@
 		Plan: c.view.Load().plan.GetVersion(), Heard: c.directory.recentHeartbeats(now, since),
 		Unheard: c.subscriber.UnansweringKeepers(), Begun: c.directory.streamOrigins.since(now, since),
 	}
-	c.directory.summarize(now, report)
+	c.directory.summarize(now, since, report)
 	return report
 }
 
@@ -98,6 +98,7 @@
 			if s.directory.expire(s.clock.Now()) {
 				s.updates.notify(true)
 			}
+			s.replicateQuarantines()
 			s.subscriber.AddKeepers(s.memberAddresses()...)
 			wait := subscriber.ExchangeWaitFor(s.directory.routerCount(s.clock.Now()), len(s.view.Load().status.Group))
 			s.subscriber.Pace(wait, wait)
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -105,6 +105,7 @@
 	if p.directory.follow(p.clock.Now(), request) {
 		p.updates.notify(true)
 	}
+	p.replicateQuarantines()
 	arrived := p.clock.Now()
 	wait, coalesce := p.holdTime(request)
 	timer := p.clock.NewTimer(wait)
--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,28 +14,15 @@
 	"shallotkeel.example/lib/versioner"
 )
 
-const (
-	// relayRetention is how long a record that a router sent to this keeper is kept for relaying
-	// to the other keepers: longer than a poll between keepers takes, however busy they are.
-	relayRetention = 5 * time.Second
-	// maxRelayedRecords bounds the records that are kept for relaying.
-	maxRelayedRecords = 1 << 18
-)
+// maxRelayedRecords bounds the records that are kept for relaying.
+const maxRelayedRecords = 1 << 18
 
 // streamOrigins holds the origins of streams: the service and software version at which each
 // began. Routers send their records to one keeper, which relays them, so that every keeper has
 // all of them. Its zero value is empty. It is safe for concurrent use.
 type streamOrigins struct {
-	memory versioner.Store
-
-	mutex    sync.Mutex
-	received []receivedRecord // records for relaying, in order of arrival
-}
-
-// receivedRecord is a record that a router sent to this keeper, with its time of arrival.
-type receivedRecord struct {
-	at     time.Time
-	record versioner.Record
+	memory   versioner.Store
+	received relayQueue[versioner.Record]
 }
 
 // receive stores the records of a router or another keeper. Only new records of routers are
@@ -44,38 +30,15 @@
 func (s *streamOrigins) receive(now time.Time, request *messenger.FollowRequest) {
 	for _, record := range versioner.FromWire(request.GetBegun()) {
 		if s.memory.Add(now, record.Stream, record.Origin) && !request.GetKeeper() {
-			s.enqueue(receivedRecord{at: now, record: record})
+			s.received.add(now, maxRelayedRecords, record)
 		}
 	}
 }
 
-// enqueue adds a record for relaying, and drops the oldest if there are too many.
-func (s *streamOrigins) enqueue(a receivedRecord) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if len(s.received) >= maxRelayedRecords {
-		s.received = s.received[1:]
-	}
-	s.received = append(s.received, a)
-}
-
 // since returns the records that routers sent to this keeper from a time on, for relaying to
-// another keeper, and drops those older than relayRetention.
+// another keeper.
 func (s *streamOrigins) since(now, from time.Time) []*messenger.Begun {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	expired := 0
-	for expired < len(s.received) && now.Sub(s.received[expired].at) > relayRetention {
-		expired++
-	}
-	s.received = s.received[expired:]
-	var records []versioner.Record
-	for _, a := range s.received {
-		if !a.at.Before(from) {
-			records = append(records, a.record)
-		}
-	}
-	return versioner.ToWire(records)
+	return versioner.ToWire(s.received.since(now, from))
 }
 
 // maxLocated bounds the endpoints that are returned to a router that knows none of a version. So
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -396,6 +396,13 @@
 	if last.evacuations.Revision != next.evacuations.Revision {
 		s.updates.notify(true)
 	}
+	if last.quarantineRevision != next.quarantineRevision {
+		fingerprints, _ := d.State().Quarantined(d.Clock(now))
+		if s.directory.applyReplicated(now, fingerprints) {
+			s.updates.notify(true)
+		}
+	}
+	s.directory.setLeads(next.status.State == replicator.Leader)
 	if last.status.Leader != next.status.Leader {
 		s.leadershipChanged.notify()
 	}
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -58,8 +58,8 @@
 	return w.Version == "" || w.Version == e.Version
 }
 
-// sharedParts returns the parts that other requests may have in common: all but the last.
-func (w *Work) sharedParts() []Part {
+// SharedParts returns the parts that other requests may have in common: all but the last.
+func (w *Work) SharedParts() []Part {
 	if len(w.Parts) == 0 {
 		return nil
 	}
--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -134,7 +134,7 @@
 // on them as long as they know the same endpoints. For a service of which routers know only a
 // subset, the fleet's home is one of the sampled endpoints, which all routers know.
 func (b *Balancer) home(listed *pool, work *Work) homes {
-	shared := work.sharedParts()
+	shared := work.SharedParts()
 	if len(shared) == 0 {
 		return homes{}
 	}
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -72,7 +72,7 @@
 		return c
 	}
 	cached := e.cache.cachedTokens(work)
-	if shared := sum(work.sharedParts()); cached < shared {
+	if shared := sum(work.SharedParts()); cached < shared {
 		cached += int(cachedShare * float64(shared-cached))
 	}
 	c.prefillTokens = max(work.Prompt-cached, 0)
--- a/lib/balancer/recent.go
+++ b/lib/balancer/recent.go
@@ -66,7 +66,7 @@
 // prefixKey returns a key of the prefix that a prompt shares with others, all parts but the last,
 // and whether it has such a prefix.
 func (w *Work) prefixKey() (key uint64, shares bool) {
-	shared := Work{Model: w.Model, Parts: w.sharedParts()}
+	shared := Work{Model: w.Model, Parts: w.SharedParts()}
 	chain(&shared, func(at uint64, _ Part) bool {
 		key, shares = at, true
 		return true
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -113,6 +113,11 @@
 	return s.endpoint.lifetime
 }
 
+// Key identifies the lifetime of the endpoint that the slot was taken from, as Key does.
+func (s *Slot) Key() uint64 {
+	return s.endpoint.key
+}
+
 func (s *Slot) endPrefill() {
 	if s.awaitsFirstToken {
 		s.awaitsFirstToken = false
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -26,6 +26,7 @@
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/loader"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/pacer"
 	"shallotkeel.example/lib/reloader"
@@ -76,6 +77,7 @@
 	shares     *apportioner.Apportioner
 	client     *forwarder.Client
 	reader     *updatereader.Reader
+	crashes    localizer.Observer
 	streams    *recaller.Recaller
 	proxier    *proxier.Proxier
 	subscriber *subscriber.Subscriber
@@ -114,7 +116,7 @@
 	})
 	d.reader = updatereader.New(updatereader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
-		Endpoints: d.updateEndpoints, Plan: d.preparePlan, Routers: d.updateRouterCount,
+		Crashes: &d.crashes, Endpoints: d.updateEndpoints, Plan: d.preparePlan, Routers: d.updateRouterCount,
 		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.UnreadTokens, FleetSums: d.updateFleetSums,
 		Backlog:           func() time.Duration { return d.backlog(clock.Now()) },
 		Sampling:          d.balancer.SetSampling,
@@ -131,7 +133,7 @@
 	d.pacer.Starts = &pacer.Rate{Min: settings.Processors * minStartsPerCore, Initial: settings.Processors * startsPerCore}
 	d.pacer.Entries = &pacer.Rate{Min: settings.Processors * minEntriesPerCore, Initial: settings.Processors * refusalsPerCore}
 	d.proxier = proxier.New(proxier.Options{
-		Dialect: dialect, FleetState: d.reader, Streams: d.streams, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
+		Dialect: dialect, FleetState: d.reader, Crashes: &d.crashes, Streams: d.streams, Balancer: d.balancer, Budget: d.budget, Shares: d.shares,
 		Client: d.client, Clock: clock, Log: log, Metrics: proxier.NewMetrics(d.registry),
 		DisablesKeepAlive: d.disablesKeepAlive,
 		Diverting:         d.diverter.diverting.Load,
--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -68,11 +68,11 @@
 	q.in.Work.Target, q.in.Work.Objective = q.remainingTarget(), q.route.Target
 	q.in.Work.Late = q.late()
 	q.digest = fingerprint(q)
-	if p.options.FleetState.Quarantined(q.digest) {
-		p.refuse(q, byRule, http.StatusServiceUnavailable, "it has crashed the endpoints that ran it", 0)
+	if !p.admitResume(q) {
 		return false
 	}
-	return p.admitResume(q) && p.withinShare(q)
+	q.profile = profileOf(q)
+	return p.mayRun(q) && p.withinShare(q)
 }
 
 // locate resolves the request's route and service, and the time of its first arrival.
@@ -220,15 +220,6 @@
 	line.Msg("key refused")
 }
 
-// fingerprint returns a digest that identifies a request across retries under other ids.
-func fingerprint(q *request) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	writeText(&digest, q.http.Host, q.target, q.in.Key)
-	digest.Write(q.body) //nolint:errcheck // it cannot fail
-	return digest.Sum64()
-}
-
 func writeText(digest *xxhash.Digest, texts ...string) {
 	for _, text := range texts {
 		digest.WriteString(text) //nolint:errcheck // it cannot fail
--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -30,12 +30,12 @@
 func (p *Proxier) relayPlain(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange) *attemptFailure {
 	body, err := io.ReadAll(io.LimitReader(x.Body, maxBufferedAnswerBytes))
 	if err != nil {
-		return p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
+		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 	}
 	p.noteAnswerStarted(q, slot)
 	q.timeToFirst = p.options.Clock.Since(q.received)
 	if len(body) == maxBufferedAnswerBytes {
-		return p.relayUnbuffered(ctx, q, x, body)
+		return p.relayUnbuffered(ctx, q, slot, x, body)
 	}
 	buffered := &bufferedAnswer{exchange: x, framing: q.framing, body: body}
 	if x.StatusCode >= http.StatusInternalServerError {
@@ -104,7 +104,7 @@
 // relayUnbuffered relays an answer piece by piece. It is sent with its length or chunked, so that
 // the client can detect truncation. An answer that ends with its connection is relayed in the same
 // way, and the client's connection is reset if the answer is truncated.
-func (p *Proxier) relayUnbuffered(ctx context.Context, q *request, x *forwarder.Exchange, head []byte) *attemptFailure {
+func (p *Proxier) relayUnbuffered(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, head []byte) *attemptFailure {
 	err := p.sendHead(q, x, x.ContentLength)
 	if err == nil {
 		_, err = q.writer.Write(head)
@@ -113,7 +113,7 @@
 		return &attemptFailure{outcome: balancer.Cancelled, reason: "the client left: " + err.Error()}
 	}
 	if _, err := io.Copy(q.writer, x.Body); err != nil {
-		e := p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
+		e := p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 		e.reason = "the answer broke off"
 		q.sends = q.route.Attempts // the rest cannot come from another endpoint
 		return e
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -43,7 +44,7 @@
 	q.endpoint, q.prefillTokens, q.queueWait, q.expectedFirst = slot.ID, slot.PrefillTokens, slot.ExpectedQueue, slot.ExpectedWait
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	q.endpointAnswer = forwarder.Answer{}
+	q.endpointAnswer, q.answerBegan = forwarder.Answer{}, time.Time{}
 	failure := p.exchange(attemptCtx, cancel, q, slot)
 	outcome := balancer.Served
 	if failure != nil {
@@ -53,11 +54,12 @@
 		outcome = balancer.Cancelled // the request's deadline passed, or its client disconnected
 	}
 	slot.End(p.options.Clock.Now(), outcome)
+	p.noteEnd(q, slot, failure)
 	if failure != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", failure.reason).
 			Bool("unsent", failure.unsent).Bool("not_run", failure.notRun).Int("sends", q.sends).
 			Str("doubt", slot.HealthPenalty).Dur("pause_ms", slot.Pause).Dur("backoff_ms", q.endpointAnswer.Backoff).Bool("leaving", q.endpointAnswer.Leaving).
-			Msg("attempt ended without an answer")
+			Strs("parts", q.loggedParts()).Hex("digest", q.profile.Whole.Bytes()).Msg("attempt ended without an answer")
 	}
 	return failure
 }
@@ -84,7 +86,7 @@
 		return true
 	})
 	if err != nil {
-		return p.failed(ctx, q, err)
+		return p.failed(ctx, q, slot, err)
 	}
 	defer x.Close()
 	q.framing = framer.Of(q.http.Method, x.Response)
@@ -117,7 +119,7 @@
 }
 
 // failed returns the failure of an attempt that got no answer, and reports a possible crash.
-func (p *Proxier) failed(ctx context.Context, q *request, err error) *attemptFailure {
+func (p *Proxier) failed(ctx context.Context, q *request, slot *balancer.Slot, err error) *attemptFailure {
 	e := &attemptFailure{outcome: balancer.ConnectionBroken, reason: err.Error()}
 	switch {
 	case errors.Is(err, forwarder.ErrUnsent):
@@ -126,14 +128,14 @@
 		switch cause := context.Cause(ctx); {
 		case errors.Is(cause, errRestarted):
 			// The request may have crashed the endpoint, as with a broken connection.
-			p.options.FleetState.Crashed(q.digest)
+			p.noteRestart(q, slot)
 			e.reason = cause.Error()
 		case errors.Is(cause, errStalled):
 			e.reason = cause.Error()
 		}
 		// Otherwise the deadline passed or the client disconnected: nothing crashed.
 	case errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, os.ErrDeadlineExceeded):
-		p.options.FleetState.Crashed(q.digest)
+		p.noteBreak(q, slot)
 	}
 	return e
 }
@@ -168,6 +170,9 @@
 func (p *Proxier) noteAnswerStarted(q *request, slot *balancer.Slot) {
 	now := p.options.Clock.Now()
 	slot.NoteResponse(now)
+	if q.answerBegan.IsZero() {
+		q.answerBegan = now
+	}
 	if q.endpointAnswered {
 		return
 	}
--- /dev/null
+++ b/router/internal/proxier/crashes.go
@@ -0,0 +1,130 @@
+package proxier
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shallotkeel.example/lib/balancer"
+	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/localizer"
+)
+
+// maxLoggedParts bounds the prompt parts in one log line.
+const maxLoggedParts = 8
+
+// profileOf returns what a request has in common with others: its service and model, each part of its
+// prompt but the last, and, for its own repeats, everything.
+func profileOf(q *request) localizer.Profile {
+	profile := localizer.Profile{Service: featureOf(q.service, q.in.Work.Model), Whole: localizer.Feature(q.digest)}
+	shared := q.in.Work.SharedParts()
+	for _, part := range shared[:min(len(shared), localizer.MaxFeatures-1)] {
+		profile.Shared = append(profile.Shared, featureOf(q.service, q.in.Work.Model, part.ID))
+	}
+	return profile
+}
+
+// featureOf returns the digest of a service, a model and numbers.
+func featureOf(service, model string, numbers ...uint64) localizer.Feature {
+	var digest xxhash.Digest
+	digest.Reset()
+	writeText(&digest, service, model)
+	writeCount(&digest, numbers...)
+	return localizer.Feature(digest.Sum64())
+}
+
+// fingerprint returns a digest that identifies a request across retries under other ids.
+func fingerprint(q *request) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	writeText(&digest, q.http.Host, q.target, q.in.Key)
+	digest.Write(q.body) //nolint:errcheck // it cannot fail
+	return digest.Sum64()
+}
+
+// mayRun reports whether a request has no feature that crashes endpoints. It answers one that has.
+func (p *Proxier) mayRun(q *request) bool {
+	verdict, feature := p.options.Crashes.Judge(q.received, q.profile)
+	q.trial = verdict == localizer.Trial
+	if verdict != localizer.Quarantined {
+		return true
+	}
+	reason := "requests like it have crashed the endpoints that ran them"
+	if at := slices.Index(q.profile.Shared, feature); at >= 0 {
+		reason = "requests with a part of its prompt have crashed the endpoints that ran them"
+		q.quarantinedPart = strconv.FormatUint(q.in.Work.Parts[at].ID, 16)
+	}
+	q.quarantinedBy = hex.EncodeToString(feature.Bytes())
+	p.refuse(q, byQuarantine, http.StatusServiceUnavailable, reason, 0)
+	return false
+}
+
+// noteEnd records what the end of an attempt says of the request's features.
+func (p *Proxier) noteEnd(q *request, slot *balancer.Slot, failure *attemptFailure) {
+	switch {
+	case failure != nil:
+	case q.framing == framer.ByConnection:
+		// The end of the connection may be that of the endpoint.
+		p.noteBreak(q, slot)
+	default:
+		p.options.Crashes.Answered(q.answerBegan, q.profile)
+	}
+}
+
+// noteBreak records that a request's connection to its endpoint has ended, and finds out whether the
+// endpoint has.
+func (p *Proxier) noteBreak(q *request, slot *balancer.Slot) {
+	now := p.options.Clock.Now()
+	lifetime := localizer.Lifetime(slot.Key())
+	if p.options.Crashes.Broke(now, lifetime, q.profile, q.answeredFor(now)) {
+		go p.confirmCrash(slot.ID, slot.Address, lifetime)
+	}
+}
+
+// noteRestart records that the endpoint has restarted while the request ran there.
+func (p *Proxier) noteRestart(q *request, slot *balancer.Slot) {
+	now := p.options.Clock.Now()
+	lifetime := localizer.Lifetime(slot.Key())
+	p.options.Crashes.Broke(now, lifetime, q.profile, q.answeredFor(now))
+	p.options.Crashes.Ended(now, lifetime)
+}
+
+// confirmCrash finds out whether an endpoint has crashed. One that garbles or truncates its answers, or
+// whose connections are reset, still accepts new ones.
+func (p *Proxier) confirmCrash(id string, address netip.AddrPort, lifetime localizer.Lifetime) {
+	refuses, err := p.options.Client.Refuses(context.Background(), address)
+	switch {
+	case err != nil:
+		p.options.Log.Info().Err(err).Str("endpoint", id).Msg("connection broke, and whether its endpoint has crashed is unknown")
+	case refuses:
+		p.options.Crashes.Ended(p.options.Clock.Now(), lifetime)
+		p.options.Metrics.countCrash()
+		p.options.Log.Info().Str("endpoint", id).Hex("lifetime", localizer.Feature(lifetime).Bytes()).Msg("endpoint has crashed")
+	default:
+		p.options.Crashes.Survived(lifetime)
+	}
+}
+
+// answeredFor returns for how long the request's last endpoint has been answering it.
+func (q *request) answeredFor(now time.Time) time.Duration {
+	if q.answerBegan.IsZero() {
+		return 0
+	}
+	return now.Sub(q.answerBegan)
+}
+
+// loggedParts returns the parts of the prompt that other requests may share, for log lines.
+func (q *request) loggedParts() []string {
+	shared := q.in.Work.SharedParts()
+	ids := make([]string, 0, min(len(shared), maxLoggedParts))
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return ids
+}
--- a/router/internal/proxier/crashfleet_test.go
+++ b/router/internal/proxier/crashfleet_test.go
@@ -2,35 +2,40 @@
 
 import (
 	"io"
-	"sync"
+	"net/http"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/localizer"
 )
 
-// crashFleet is several routers in front of the same endpoints, with the reports of crashes that they
-// exchange through a keeper.
+// pollTime is the time between two polls of a keeper, on the clock of a crashFleet.
+const pollTime = 500 * time.Millisecond
+
+// crashFleet is several routers in front of the same endpoints, that report crashes to one keeper.
 type crashFleet struct {
 	t       *testing.T
+	clock   *clockwork.FakeClock
 	routers []*fixture
-	crashes sharedCrashes
-	sent    int
+	judge   localizer.Judge
 }
 
 func newCrashFleet(t *testing.T, routers int) *crashFleet {
 	t.Helper()
-	fleet := &crashFleet{t: t, crashes: sharedCrashes{count: make(map[uint64]int)}}
+	fleet := &crashFleet{t: t, clock: clockwork.NewFakeClock()}
 	for range routers {
-		f := newFixture(t)
+		f := newFixtureAt(t, fleet.clock)
 		f.fleetState.table.Store(engineTable(t))
-		f.fleetState.shared = &fleet.crashes
 		fleet.routers = append(fleet.routers, f)
 	}
 	return fleet
 }
 
 // sites starts endpoints and lists them at every router.
-func (c *crashFleet) sites(count int, isBad func(parts string) bool) []*crashSite {
+func (c *crashFleet) sites(count int, isBad func(request *http.Request) bool) []*crashSite {
 	sites := make([]*crashSite, count)
 	for n := range sites {
 		sites[n] = newCrashSite(c.t, isBad)
@@ -60,32 +65,38 @@
 	}
 }
 
-// send sends a request through one of the routers in turn and returns the status of its answer.
-func (c *crashFleet) send(turn int, path, parts string) int {
+// send sends a request through one of the routers in turn, and returns the status of its answer once
+// the router knows which endpoints crashed under it.
+func (c *crashFleet) send(turn int, path, parts, body string) int {
 	c.t.Helper()
 	f := c.routers[turn%len(c.routers)]
-	response := f.do("POST", path, parts, partsHeader, parts, "X-Shallotkeel-Token-Counts", "35,10")
+	response := f.do("POST", path, body, partsHeader, parts, "X-Shallotkeel-Token-Counts", "35,10")
 	defer response.Body.Close()
 	_, err := io.ReadAll(response.Body)
 	require.NoError(c.t, err)
-	c.sent++
+	require.Eventually(c.t, func() bool {
+		broken, crashed := f.crashes.Lifetimes()
+		return broken == crashed
+	}, waitTimeout, pollInterval)
 	return response.StatusCode
 }
 
-// sharedCrashes counts crashes by request digest over all routers, as a keeper does.
-type sharedCrashes struct {
-	mutex sync.Mutex
-	count map[uint64]int
-}
-
-func (s *sharedCrashes) add(digest uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.count[digest]++
-}
-
-func (s *sharedCrashes) quarantined(digest uint64) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.count[digest] >= 2
+// poll lets time pass and each router report to the keeper and get its answer.
+func (c *crashFleet) poll() {
+	c.clock.Advance(pollTime)
+	now := c.clock.Now()
+	for _, f := range c.routers {
+		report := f.crashes.Report(now, time.Time{})
+		for _, crash := range report.Crashes {
+			c.judge.AddCrash(now, crash)
+		}
+		for _, answer := range report.Answers {
+			c.judge.AddAnswer(now, answer)
+		}
+	}
+	c.judge.Verdicts(now)
+	for _, f := range c.routers {
+		f.crashes.Ask(now, c.judge.Suspects())
+		f.crashes.SetQuarantines(now, c.judge.Quarantines(now))
+	}
 }
--- a/router/internal/proxier/crashingpart_test.go
+++ b/router/internal/proxier/crashingpart_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,21 +15,21 @@
 
 const partsHeader = "X-Shallotkeel-Prefix-Hash"
 
-// crashSite is a machine whose endpoint crashes when it runs a request whose prompt holds a bad part,
-// and is then listed again as a new instance.
+// crashSite is a machine whose endpoint crashes when it runs a bad request, and is
+// then listed again as a new instance.
 type crashSite struct {
 	t        *testing.T
-	isBad    func(parts string) bool
+	isBad    func(request *http.Request) bool
 	mutex    sync.Mutex
 	listener net.Listener
 	down     bool
-	listedAs string          // id of its current life
-	arrived  map[string]bool // request ids that reached it with a bad part
+	listedAs string // id of its current life
+	arrived  int    // requests that crashed it
 }
 
-func newCrashSite(t *testing.T, isBad func(parts string) bool) *crashSite {
+func newCrashSite(t *testing.T, isBad func(request *http.Request) bool) *crashSite {
 	t.Helper()
-	s := &crashSite{t: t, isBad: isBad, arrived: make(map[string]bool)}
+	s := &crashSite{t: t, isBad: isBad}
 	t.Cleanup(func() { s.listener.Close() })
 	s.start()
 	return s
@@ -58,12 +58,13 @@
 }
 
 func (s *crashSite) serve(conn net.Conn, request *http.Request) {
-	if !s.isBad(request.Header.Get(partsHeader)) {
+	if !s.isBad(request) {
 		reply(conn, request, http.StatusOK, event(1))
 		return
 	}
 	s.mutex.Lock()
-	s.arrived[request.Header.Get(idHeader)], s.down = true, true
+	s.arrived++
+	s.down = true
 	s.listener.Close()
 	s.mutex.Unlock()
 	resetConn(conn, request)
@@ -80,20 +81,47 @@
 func TestPartThatCrashesEndpointsIsQuarantined(t *testing.T) {
 	const requests, limit = 20, 8 // five crashes, and three more sends
 	fleet := newCrashFleet(t, 3)
-	sites := fleet.sites(4, func(parts string) bool { return strings.Contains(parts, "bad:") })
+	sites := fleet.sites(4, func(request *http.Request) bool { return strings.Contains(request.Header.Get(partsHeader), "bad:") })
 	parts := func(i int, middle string) string { return fmt.Sprintf("a:10,%s:20,%x:5", middle, 0x1000+i) }
 	for i := range requests {
-		fleet.send(i, "/draft/", parts(i, "bad"))
+		fleet.send(i, "/draft/", parts(i, "bad"), "")
 		fleet.restart(sites)
-		status := fleet.send(i+1, "/draft/", parts(i+requests, "5"))
+		status := fleet.send(i+1, "/draft/", parts(i+requests, "5"), "")
 		require.Equal(t, http.StatusOK, status, "a sound request of the same caller, with the other parts")
+		fleet.poll()
 	}
-	var arrived []string
+	require.LessOrEqual(t, arrivals(sites), limit, "requests with the part that reached endpoints")
+}
+
+// TestRequestThatCrashesEndpointsIsQuarantined guards against one request that is sent again and again,
+// through a different router each time, and crashes one endpoint after the other.
+func TestRequestThatCrashesEndpointsIsQuarantined(t *testing.T) {
+	const requests, limit = 12, 6 // three crashes, and three more sends
+	fleet := newCrashFleet(t, 3)
+	sites := fleet.sites(4, func(request *http.Request) bool { return readBody(request) == "poison" })
+	for i := range requests {
+		fleet.send(i, "/draft/", "a:10,5:20,6:7", "poison")
+		fleet.restart(sites)
+		status := fleet.send(i, "/draft/", "a:10,5:20,6:7", "another")
+		require.Equal(t, http.StatusOK, status, "a request that differs by its body only")
+		fleet.poll()
+	}
+	require.LessOrEqual(t, arrivals(sites), limit, "arrivals of the request at endpoints")
+}
+
+// arrivals counts the requests that crashed the sites' endpoints.
+func arrivals(sites []*crashSite) int {
+	count := 0
 	for _, s := range sites {
-		for id := range s.arrived {
-			arrived = append(arrived, id)
-		}
+		count += s.arrived
+	}
+	return count
+}
+
+func readBody(request *http.Request) string {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return ""
 	}
-	slices.Sort(arrived)
-	require.LessOrEqual(t, len(arrived), limit, "requests with the part that reached endpoints")
+	return string(body)
 }
--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +23,7 @@
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/platform"
 	"shallotkeel.example/router/internal/recaller"
@@ -47,43 +47,19 @@
 
 // stubFleetState is a FleetState that tests set.
 type stubFleetState struct {
-	ready       chan struct{}
-	table       atomic.Pointer[resolver.Table]
-	mutex       sync.Mutex
-	crashed     []uint64
-	quarantined map[uint64]bool
-	shared      *sharedCrashes // nil unless several routers report to the same keeper
+	ready chan struct{}
+	table atomic.Pointer[resolver.Table]
 }
 
 func (s *stubFleetState) Table() *resolver.Table { return s.table.Load() }
 
 func (s *stubFleetState) Ready() <-chan struct{} { return s.ready }
 
-func (s *stubFleetState) Quarantined(digest uint64) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.quarantined[digest] || s.shared != nil && s.shared.quarantined(digest)
-}
-
-func (s *stubFleetState) Crashed(digest uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.crashed = append(s.crashed, digest)
-	if s.shared != nil {
-		s.shared.add(digest)
-	}
-}
-
-func (s *stubFleetState) crashes() []uint64 {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return append([]uint64(nil), s.crashed...)
-}
-
 // fixture is a proxier with its dependencies behind an HTTP server, in front of endpoints that tests script.
 type fixture struct {
 	t          *testing.T
 	fleetState *stubFleetState
+	crashes    *localizer.Observer
 	proxier    *Proxier
 	balancer   *balancer.Balancer
 	shares     *apportioner.Apportioner
@@ -145,12 +121,12 @@
 func newFixtureAt(t *testing.T, clock clockwork.Clock) *fixture {
 	t.Helper()
 	f := &fixture{
-		t: t, fleetState: &stubFleetState{ready: make(chan struct{}), quarantined: make(map[uint64]bool)}, balancer: &balancer.Balancer{}, shares: &apportioner.Apportioner{},
+		t: t, fleetState: &stubFleetState{ready: make(chan struct{})}, crashes: &localizer.Observer{}, balancer: &balancer.Balancer{}, shares: &apportioner.Apportioner{},
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
 	}
 	f.fleetState.table.Store(newTable(t, 1))
 	f.proxier = New(Options{
-		Dialect: platform.Dialect{}, FleetState: f.fleetState, Streams: recaller.New(recaller.Options{Clock: clock}), Balancer: f.balancer, Shares: f.shares,
+		Dialect: platform.Dialect{}, FleetState: f.fleetState, Crashes: f.crashes, Streams: recaller.New(recaller.Options{Clock: clock}), Balancer: f.balancer, Shares: f.shares,
 		Budget: &budgeter.Budgeter{Bound: budgeter.Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}},
 		Client: &forwarder.Client{Clock: clock}, Clock: clock, Log: zerolog.Nop(),
 	})
--- a/router/internal/proxier/metrics.go
+++ b/router/internal/proxier/metrics.go
@@ -15,6 +15,7 @@
 	refusals    *prometheus.CounterVec
 	sends       prometheus.Counter
 	unframed    prometheus.Counter
+	crashes     prometheus.Counter
 	timeToFirst prometheus.Histogram
 	duration    prometheus.Histogram
 }
@@ -34,6 +35,9 @@
 		unframed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_unframed_total", Help: "Requests whose last answer ended with its endpoint's connection.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_crashes_total", Help: "Endpoints that were found to have crashed under requests of this router.",
+		}),
 		timeToFirst: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "shallotkeel_passed_first_seconds", Help: "Time until the first part of an answer.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
@@ -43,7 +47,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
 		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.timeToFirst, m.duration)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.crashes, m.timeToFirst, m.duration)
 	return m
 }
 
@@ -64,3 +68,9 @@
 	}
 	m.duration.Observe(took.Seconds())
 }
+
+func (m *Metrics) countCrash() {
+	if m != nil {
+		m.crashes.Inc()
+	}
+}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -35,6 +35,7 @@
 	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/pacer"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/lib/versioner"
@@ -61,10 +62,6 @@
 	Table() *resolver.Table
 	// Ready returns a channel that is closed once there is a table.
 	Ready() <-chan struct{}
-	// Quarantined reports whether a request is refused because it has crashed endpoints.
-	Quarantined(digest uint64) bool
-	// Crashed reports a request that may have crashed an endpoint.
-	Crashed(digest uint64)
 }
 
 // Streams records the software versions at which streams began.
@@ -82,14 +79,16 @@
 type Options struct {
 	Dialect    forwarder.Dialect
 	FleetState FleetState
-	Streams    Streams
-	Balancer   *balancer.Balancer
-	Budget     *budgeter.Budgeter
-	Shares     *apportioner.Apportioner
-	Client     *forwarder.Client
-	Clock      clockwork.Clock
-	Log        zerolog.Logger
-	Metrics    *Metrics
+	// Crashes records which requests ran at endpoints that crash, and holds the quarantines in force.
+	Crashes  *localizer.Observer
+	Streams  Streams
+	Balancer *balancer.Balancer
+	Budget   *budgeter.Budgeter
+	Shares   *apportioner.Apportioner
+	Client   *forwarder.Client
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Metrics  *Metrics
 	// DisablesKeepAlive reports whether each client connection is closed after its answer, because
 	// too many clients are connected. It may be nil.
 	DisablesKeepAlive func() bool
@@ -145,8 +144,10 @@
 	workspace     string
 	target        string // path and query as the client sent them
 	body          []byte
-	reserved      int64  // bytes of body memory reserved for it
-	digest        uint64 // identifies the request in reports of crashes
+	reserved      int64             // bytes of body memory reserved for it
+	digest        uint64            // identifies the request across its repeats
+	profile       localizer.Profile // what it has in common with other requests
+	trial         bool              // it is the trial of a quarantined feature
 	received      time.Time
 	firstReceived time.Time // its first arrival here; before received if it is a retry of a refused request
 	retryKey      uint64    // identifies the request across its retries, 0 if it cannot be identified
@@ -163,6 +164,7 @@
 	framing          framer.Framing   // of the last endpoint's answer
 	tried            map[string]bool  // ids of instances
 	endpoint         string
+	answerBegan      time.Time     // when the last endpoint began its answer, zero before that
 	beyondShare      bool          // it exceeds its workspace's guaranteed share
 	prefillTokens    int           // tokens that the last endpoint probably had to prefill
 	queueWait        time.Duration // expected time until the endpoint finishes the prefills queued before it
@@ -172,7 +174,9 @@
 	reason           string
 	timeToFirst      time.Duration // time until the first part of the answer
 	stream           eventSplitter
-	logged           bool // the request already has its log line
+	quarantinedBy    string // the feature for which it was refused, "" if it was not
+	quarantinedPart  string // the prompt part that is this feature, "" if it is the whole request
+	logged           bool   // the request already has its log line
 }
 
 // ServeHTTP serves one request.
@@ -269,6 +273,9 @@
 	if ctx.Err() != nil || clientGone(q.http.Context()) {
 		return false // each retry would open a connection for a client that is gone
 	}
+	if q.trial || p.options.Crashes.Quarantined(p.options.Clock.Now(), q.profile) {
+		return false // it may crash the next endpoint, too
+	}
 	if e.noEndpoint || q.answerStarted && q.in.Work.Version == "" {
 		return false // without the version of a begun stream, no endpoint is known to be able to resume it
 	}
--- a/router/internal/proxier/proxier_test.go
+++ b/router/internal/proxier/proxier_test.go
@@ -17,6 +17,7 @@
 
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/localizer"
 )
 
 // Guards against a request that is altered on its way: target, host, body and headers reach the endpoint
@@ -67,9 +68,8 @@
 		"no configuration":  {path: "/book/", setUp: func(f *fixture) { f.fleetState.table.Store(nil) }, status: http.StatusServiceUnavailable},
 		"share used up":     {path: "/book/", status: http.StatusOK}, // plain services have no shares
 		"crashes endpoints": {path: "/book/", status: http.StatusServiceUnavailable, setUp: func(f *fixture) {
-			f.fleetState.quarantined[fingerprint(&request{
-				http: &http.Request{Host: "h"}, target: "/book/", in: forwarder.Incoming{Key: "key"}, body: []byte{},
-			})] = true
+			whole := fingerprint(&request{http: &http.Request{Host: "h"}, target: "/book/", in: forwarder.Incoming{Key: "key"}, body: []byte{}})
+			f.crashes.SetQuarantines(time.Now(), []localizer.Quarantine{{Feature: localizer.Feature(whole), Left: time.Minute}})
 		}},
 	}
 	for name, test := range tests {
@@ -245,7 +245,8 @@
 			}
 			require.Error(t, err)
 			<-closed
-			require.Empty(t, f.fleetState.crashes(), "a disconnect is not a crash")
+			broken, _ := f.crashes.Lifetimes()
+			require.Zero(t, broken, "a disconnect is not a crash")
 		})
 	}
 }
@@ -305,24 +306,6 @@
 
 func (s *acceptedListener) Addr() net.Addr { return s.listener.Addr() }
 
-// Guards against one request that crashes one endpoint after the other: its crashes are reported to
-// the fleet under one digest, whatever its id.
-func TestCrashesOfOneRequestShareADigest(t *testing.T) {
-	f := newFixture(t)
-	f.endpoint(resetConn)
-	f.endpoint(resetConn)
-	for range 2 {
-		_, err := f.fetch("POST", "/book/", "poison")
-		require.NoError(t, err)
-	}
-	_, err := f.fetch("POST", "/book/", "another")
-	require.NoError(t, err)
-	crashes := f.fleetState.crashes()
-	require.Len(t, crashes, 3)
-	require.Equal(t, crashes[0], crashes[1])
-	require.NotEqual(t, crashes[0], crashes[2])
-}
-
 // Guards against a flood that uses up descriptors and memory: clients retry on new connections and
 // leave the old ones idle. When too many clients are connected, each connection is closed after its
 // answer, whatever the answer is.
--- a/router/internal/proxier/record.go
+++ b/router/internal/proxier/record.go
@@ -33,6 +33,9 @@
 	if q.route != nil {
 		line = line.Str("route", q.route.Name)
 	}
+	if q.quarantinedBy != "" {
+		line = line.Str("feature", q.quarantinedBy).Str("part", q.quarantinedPart)
+	}
 	line.Str("id", q.in.ID).Str("resumes", q.in.Resumes).Str("workspace", q.workspace).
 		Str("service", q.service).Str("endpoint", q.endpoint).Str("version", q.in.Work.Version).
 		Int("sends", q.sends).Int("unreached", q.unsentAttempts).Int("status", q.status).
--- a/router/internal/proxier/restart_test.go
+++ b/router/internal/proxier/restart_test.go
@@ -76,7 +76,8 @@
 				require.Equal(t, test.body, body)
 			}
 			require.Equal(t, test.again, len(sent) == 1)
-			require.Len(t, f.fleetState.crashes(), 1, "the request may have crashed the endpoint")
+			_, crashed := f.crashes.Lifetimes()
+			require.Equal(t, 1, crashed, "the request may have crashed the endpoint")
 		})
 	}
 }
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -106,7 +106,7 @@
 		if !inEvents && q.answerStarted {
 			q.sends = q.route.Attempts // the rest cannot come from another endpoint
 		}
-		return p.failed(ctx, q, merry.Errorf("%w: %w", forwarder.ErrBroken, readErr))
+		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, readErr))
 	}
 }
 
--- a/router/internal/proxier/workspacestats.go
+++ b/router/internal/proxier/workspacestats.go
@@ -36,12 +36,14 @@
 	byVersion
 	// byRule: the request cannot be served at all.
 	byRule
+	// byQuarantine: requests like it have crashed endpoints.
+	byQuarantine
 )
 
 // refusalLabels are the values of refusal causes in metrics.
 var refusalLabels = map[refusalCause]string{
 	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints", byPressure: "pressure",
-	byConfiguration: "configuration", byKey: "key", byVersion: "version", byRule: "rule",
+	byConfiguration: "configuration", byKey: "key", byVersion: "version", byRule: "rule", byQuarantine: "quarantine",
 }
 
 const (
@@ -69,7 +71,7 @@
 type workspaceCounts struct {
 	workspace string
 	started   int // of requests sent to an endpoint
-	refused   [byRule + 1]int
+	refused   [byQuarantine + 1]int
 }
 
 // totalRefused returns the tokens of all requests that were not sent.
--- a/router/internal/updatereader/silence.go
+++ b/router/internal/updatereader/silence.go
@@ -14,6 +14,7 @@
 	}
 	r.mutex.Lock()
 	delete(r.answeringKeepers, keeper)
+	delete(r.acknowledged, keeper) // it may have lost what it was told
 	ids := make(map[string]bool)
 	for id, by := range r.silent {
 		delete(by, keeper)
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -21,6 +21,7 @@
 	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/resolver"
 )
@@ -33,6 +34,8 @@
 	Clock   clockwork.Clock
 	Log     zerolog.Logger
 	Dial    func(address netip.AddrPort) messenger.Planning
+	// Crashes records the crashes of endpoints seen here, and the quarantines that keepers order.
+	Crashes *localizer.Observer
 	// Endpoints receives changes of endpoints, in order.
 	Endpoints func(listings []lister.Listing)
 	// Plan receives every configuration before it comes into force.
@@ -75,10 +78,9 @@
 	silent           map[string]map[netip.AddrPort]bool // endpoint instances, by the keepers that get no heartbeats of them
 	reportedSilent   map[string]bool                    // instances last passed on to Endpoints as silent
 	answeringKeepers map[netip.AddrPort]bool
-	crashes          map[uint64]*crash
-	quarantined      map[uint64]time.Time         // expiry of the quarantine, by digest
 	evacuations      uint64                       // revision of the evacuated zones
 	pollSentAt       map[netip.AddrPort]time.Time // send time of each keeper's current poll
+	acknowledged     map[netip.AddrPort]time.Time // send time of the last poll that each answering keeper has answered
 	fetching         sync.Mutex
 	logDamper        damper.Damper // of log lines on endpoints
 	droppedAt        time.Time     // time of the last removal of gone endpoints
@@ -90,8 +92,7 @@
 	return &Reader{
 		options: options, silent: make(map[string]map[netip.AddrPort]bool), reportedSilent: make(map[string]bool),
 		answeringKeepers: make(map[netip.AddrPort]bool), ready: make(chan struct{}), planChanged: make(chan struct{}),
-		crashes: make(map[uint64]*crash), quarantined: make(map[uint64]time.Time),
-		pollSentAt: make(map[netip.AddrPort]time.Time), logDamper: damper.Damper{LinesPerSecond: maxLogged},
+		pollSentAt: make(map[netip.AddrPort]time.Time), acknowledged: make(map[netip.AddrPort]time.Time), logDamper: damper.Damper{LinesPerSecond: maxLogged},
 	}
 }
 
@@ -117,15 +118,11 @@
 	}
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	r.pollSentAt[keeper], request.Evacuations = now, r.evacuations
-	for digest, seen := range r.crashes {
-		if now.Sub(seen.lastSeen) > crashRetention {
-			delete(r.crashes, digest)
-			continue
-		}
-		request.Crashes = append(request.Crashes, &messenger.Crash{Digest: digest, Count: seen.count})
-	}
+	since := r.acknowledged[keeper]
+	r.mutex.Unlock()
+	crashes := r.options.Crashes.Report(now, since)
+	crashes.AddTo(request, now)
 	return request
 }
 
@@ -158,6 +155,7 @@
 func (r *Reader) Update(ctx context.Context, keeper netip.AddrPort, update *messenger.FollowResponse) {
 	r.mutex.Lock()
 	r.answeringKeepers[keeper] = true
+	r.acknowledged[keeper] = r.pollSentAt[keeper]
 	r.mutex.Unlock()
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
 		r.options.ReportAnswered(keeper)
@@ -165,7 +163,7 @@
 	r.updateEvacuations(keeper, update)
 	r.updateListings(keeper, update.GetListings())
 	r.updateRations(keeper, update.GetRations())
-	r.updateQuarantine(update.GetQuarantined())
+	r.updateQuarantines(keeper, update)
 	if r.options.Routers != nil {
 		r.options.Routers(int(update.GetRouters()))
 	}
--- a/router/internal/updatereader/updatereader_test.go
+++ b/router/internal/updatereader/updatereader_test.go
@@ -14,6 +14,7 @@
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/platform"
@@ -37,6 +38,7 @@
 	clock   *clockwork.FakeClock
 	keepers map[netip.AddrPort]*keeper
 	reader  *Reader
+	crashes localizer.Observer
 	mutex   sync.Mutex
 	known   map[string]lister.Listing
 	zones   [][]string // evacuated zones, one entry per call
@@ -57,7 +59,7 @@
 	b.reader = New(Options{
 		Name: "router", Dialect: platform.Dialect{}, Clock: b.clock, Log: zerolog.Nop(),
 		Dial: func(address netip.AddrPort) messenger.Planning { return b.keepers[address] },
-		Plan: func(*resolver.Table) {},
+		Plan: func(*resolver.Table) {}, Crashes: &b.crashes,
 		Endpoints: func(listings []lister.Listing) {
 			b.mutex.Lock()
 			defer b.mutex.Unlock()
@@ -241,27 +243,43 @@
 	require.Equal(t, lister.Leaving, b.known["a"].State)
 }
 
-func TestCrashesAreReportedToEveryKeeperUntilTheyExpire(t *testing.T) {
+// Guards against crashes that a keeper never learns of, because it restarted or another one was told,
+// and against reports that repeat what a keeper has acknowledged.
+func TestCrashesAreReportedUntilAcknowledged(t *testing.T) {
 	b := newFixture(t)
-	b.reader.Crashed(7)
-	b.reader.Crashed(7)
+	b.crashes.Broke(b.clock.Now(), 7, localizer.Profile{Shared: []localizer.Feature{1, 2}, Whole: 3}, 0)
+	reported := func(k byte) int { return len(b.reader.Report(at(k), k == 2).GetCrashes()) }
+	require.Zero(t, reported(1), "the endpoint is not known to have crashed")
+	b.crashes.Ended(b.clock.Now(), 7)
 	for _, k := range []byte{1, 2, 1} {
-		crashes := b.reader.Report(at(k), false).GetCrashes()
+		crashes := b.reader.Report(at(k), k == 2).GetCrashes()
 		require.Len(t, crashes, 1)
-		require.EqualValues(t, 7, crashes[0].GetDigest())
-		require.EqualValues(t, 2, crashes[0].GetCount())
+		require.EqualValues(t, 7, crashes[0].GetEndpoint())
+		require.Equal(t, []uint64{1, 2, 3}, crashes[0].GetFeatures())
+		b.clock.Advance(time.Second)
 	}
-	b.clock.Advance(crashRetention + time.Second)
-	require.Empty(t, b.reader.Report(at(1), false).GetCrashes())
+	b.update(1, &messenger.FollowResponse{})
+	require.Zero(t, reported(1))
+	require.Equal(t, 1, reported(2))
+	b.reader.Lost(at(1), nil)
+	require.Equal(t, 1, reported(1), "it may have lost what it was told")
+	b.clock.Advance(time.Minute)
+	require.Zero(t, reported(1)+reported(2))
 }
 
 func TestQuarantineEnds(t *testing.T) {
 	b := newFixture(t)
-	b.update(1, &messenger.FollowResponse{Quarantined: []*messenger.Fingerprint{{Digest: 7, LeftMs: 5000}}})
-	require.True(t, b.reader.Quarantined(7))
-	require.False(t, b.reader.Quarantined(8))
+	refused := func(feature localizer.Feature) bool {
+		return b.crashes.Quarantined(b.clock.Now(), localizer.Profile{Shared: []localizer.Feature{feature}})
+	}
+	b.update(1, &messenger.FollowResponse{Quarantined: []*messenger.Fingerprint{{Digest: 7, LeftMs: 5000}, {Digest: 9, LeftMs: 5000}}})
+	require.True(t, refused(7))
+	require.False(t, refused(8))
+	b.update(1, &messenger.FollowResponse{Quarantined: []*messenger.Fingerprint{{Digest: 7, LeftMs: 5000}, {Digest: 9}}})
+	require.False(t, refused(9), "a keeper has lifted it")
+	require.True(t, refused(7))
 	b.clock.Advance(6 * time.Second)
-	require.False(t, b.reader.Quarantined(7))
+	require.False(t, refused(7))
 }
 
 // Guards against a router that accepts no new endpoints after some weeks of replacements, because its
