Quarantine a message that crashes engines on the own interface, too

The same cause as on the platform: a chat was known by the digest of all of it, so that chats that share a message and differ otherwise crashed two engines each. Routers follow every keeper with a poll that carries what they saw, and refuse what keepers quarantine.

TestMessageThatCrashesEnginesIsQuarantined: 16 crashes with the messages left out of the profile, 8 allowed.

--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -17,8 +17,8 @@
 	"shallotkeel.example/lib/subscriber"
 )
 
-// directoryInterval is the interval at which the directory checks for silent endpoints. It is
-// a fraction of the interval between heartbeats, which is a second or more.
+// directoryInterval is the interval at which the directory checks for silent endpoints and the
+// subscription is adapted to the size of the fleet. It is a fraction of the interval between heartbeats, which is a second or more.
 const directoryInterval = 300 * time.Millisecond
 
 // peerSubscription implements subscriber.Host for following the other keepers: an endpoint's
@@ -87,18 +87,13 @@
 // update them.
 func (c peerSubscription) Lost(netip.AddrPort, error) {}
 
-// runDirectory follows the other keepers, and expires silent endpoints and followers until
-// the context ends.
+// runDirectory follows the other keepers until the context ends.
 func (s *Server) runDirectory(ctx context.Context) {
 	go s.pacer.Run(ctx, s.clock)
 	go func() {
 		late := false
 		for s.pause(ctx, directoryInterval) == nil {
 			late = s.logLag(late)
-			if s.directory.expire(s.clock.Now()) {
-				s.updates.notify(true)
-			}
-			s.replicateQuarantines()
 			s.subscriber.AddKeepers(s.memberAddresses()...)
 			wait := subscriber.ExchangeWaitFor(s.directory.routerCount(s.clock.Now()), len(s.view.Load().status.Group))
 			s.subscriber.Pace(wait, wait)
@@ -109,6 +104,16 @@
 	s.subscriber.Run(ctx, *s.seeds.Load()...)
 }
 
+// expireDirectory expires silent endpoints and followers, and judges crashes, until the context ends.
+func (s *Server) expireDirectory(ctx context.Context) {
+	for s.pause(ctx, directoryInterval) == nil {
+		if s.directory.expire(s.clock.Now()) {
+			s.updates.notify(true)
+		}
+		s.replicateQuarantines()
+	}
+}
+
 // reload applies the settings that may change while the keeper runs: the seeds.
 func (s *Server) reload(text []byte) error {
 	var read settings.Settings
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -247,6 +247,7 @@
 			failures <- err
 		}
 	})
+	background.Go(func() { s.expireDirectory(backgroundCtx) })
 	if s.settings.Platform != nil {
 		background.Go(func() { s.runDirectory(backgroundCtx) })
 	}
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -26,7 +26,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -323,21 +322,6 @@
 	return &conn{Conn: made, reader: bufio.NewReaderSize(made, readBufferSize), address: address}, nil
 }
 
-// Refuses reports whether the address refuses connections, as it does when the process that listened
-// there has ended. It returns an error if it neither refuses nor accepts one in time. An accepted
-// connection is kept for later requests.
-func (c *Client) Refuses(ctx context.Context, address netip.AddrPort) (bool, error) {
-	cn, err := c.dial(ctx, address)
-	switch {
-	case err == nil:
-		c.putIdle(cn)
-		return false, nil
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return true, nil
-	}
-	return false, err
-}
-
 // count adds change to the number of open connections to an address.
 func (c *Client) count(address netip.AddrPort, change int) {
 	c.mutex.Lock()
--- a/lib/localizer/observer.go
+++ b/lib/localizer/observer.go
@@ -311,13 +311,13 @@
 	Quarantined
 )
 
-// Judge returns the verdict on a request, and the quarantined feature if there is one. The verdict
-// Trial uses up the trial that a keeper has granted.
-func (o *Observer) Judge(now time.Time, profile Profile) (Verdict, Feature) {
+// Judge returns the verdict on a request, and the quarantine that applies to it if there is one. The
+// verdict Trial uses up the trial that a keeper has granted.
+func (o *Observer) Judge(now time.Time, profile Profile) (Verdict, Quarantine) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if len(o.quarantined) == 0 {
-		return Permitted, 0
+		return Permitted, Quarantine{}
 	}
 	var found *observedQuarantine
 	var feature Feature
@@ -339,12 +339,12 @@
 	}
 	switch {
 	case found == nil:
-		return Permitted, 0
+		return Permitted, Quarantine{}
 	case single && now.Before(found.trialUntil):
 		found.trialUntil = time.Time{}
-		return Trial, feature
+		return Trial, Quarantine{Feature: feature, Left: found.until.Sub(now), Trial: true}
 	}
-	return Quarantined, feature
+	return Quarantined, Quarantine{Feature: feature, Left: found.until.Sub(now)}
 }
 
 // Quarantined reports whether requests with any of a profile's features are refused.
--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -31,6 +31,7 @@
 
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/tracer"
 	"shallotkeel.example/router/internal/administrator"
 	"shallotkeel.example/router/internal/claimant"
@@ -38,6 +39,7 @@
 	"shallotkeel.example/router/internal/coordinator"
 	"shallotkeel.example/router/internal/enroller"
 	"shallotkeel.example/router/internal/follower"
+	"shallotkeel.example/router/internal/quarantiner"
 	"shallotkeel.example/router/internal/registrar"
 	"shallotkeel.example/router/internal/relayer"
 	"shallotkeel.example/router/internal/rotator"
@@ -71,6 +73,8 @@
 	follower    *follower.Follower
 	claimant    *claimant.Claimant
 	relayer     *relayer.Relayer
+	crashes     localizer.Observer
+	quarantiner *quarantiner.Quarantiner
 	public      *http.Server
 	control     *http.Server
 	stopping    atomic.Bool
@@ -119,9 +123,12 @@
 	r.claimant = claimant.New(claimant.Options{
 		Keeping: keepers, Name: s.Name, Incarnation: incarnation, Clock: r.clock, Registry: r.registry,
 	})
+	r.quarantiner = quarantiner.New(quarantiner.Options{
+		Name: s.Name, Zone: s.Zone, Keepers: s.Keepers, Observer: &r.crashes, Client: client, Clock: r.clock, Log: r.log,
+	})
 	r.relayer = relayer.New(relayer.Options{
 		Enroller: &enroller.Enroller{Coordinator: r.coordinator, Clock: r.clock},
-		Ruler:    r.follower, Claimer: r.claimant, Quarantine: r.follower,
+		Ruler:    r.follower, Claimer: r.claimant, Quarantine: r.follower, Crashes: &r.crashes,
 		Tracer: r.tracer, Clock: r.clock, Log: r.log, Registry: r.registry, Zone: s.Zone, Name: s.Name,
 		Limits: relayer.Limits{
 			BodyBytes: s.Limits.BodyBytes, WaitingRequests: s.Limits.Waiting, RequestTimeout: s.Limits.RequestTimeout.Duration,
@@ -187,6 +194,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { r.coordinator.Run(background) })
 	group.Go(func() { r.follower.Run(background) })
+	group.Go(func() { r.quarantiner.Run(background) })
 	r.log.Info().Stringer("listen", public.Addr()).Stringer("control", control.Addr()).Msg("serving")
 	select {
 	case err = <-failed:
--- a/router/internal/proxier/crashes.go
+++ b/router/internal/proxier/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"shallotkeel.example/lib/balancer"
+	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/localizer"
 )
@@ -50,18 +51,18 @@
 
 // mayRun reports whether a request has no feature that crashes endpoints. It answers one that has.
 func (p *Proxier) mayRun(q *request) bool {
-	verdict, feature := p.options.Crashes.Judge(q.received, q.profile)
+	verdict, quarantine := p.options.Crashes.Judge(q.received, q.profile)
 	q.trial = verdict == localizer.Trial
 	if verdict != localizer.Quarantined {
 		return true
 	}
 	reason := "requests like it have crashed the endpoints that ran them"
-	if at := slices.Index(q.profile.Shared, feature); at >= 0 {
+	if at := slices.Index(q.profile.Shared, quarantine.Feature); at >= 0 {
 		reason = "requests with a part of its prompt have crashed the endpoints that ran them"
 		q.quarantinedPart = strconv.FormatUint(q.in.Work.Parts[at].ID, 16)
 	}
-	q.quarantinedBy = hex.EncodeToString(feature.Bytes())
-	p.refuse(q, byQuarantine, http.StatusServiceUnavailable, reason, 0)
+	q.quarantinedBy = hex.EncodeToString(quarantine.Feature.Bytes())
+	p.refuse(q, byQuarantine, http.StatusServiceUnavailable, reason, quarantine.Left)
 	return false
 }
 
@@ -98,7 +99,7 @@
 // confirmCrash finds out whether an endpoint has crashed. One that garbles or truncates its answers, or
 // whose connections are reset, still accepts new ones.
 func (p *Proxier) confirmCrash(id string, address netip.AddrPort, lifetime localizer.Lifetime) {
-	refuses, err := p.options.Client.Refuses(context.Background(), address)
+	refuses, err := dialer.Refuses(context.Background(), address)
 	switch {
 	case err != nil:
 		p.options.Log.Info().Err(err).Str("endpoint", id).Msg("connection broke, and whether its endpoint has crashed is unknown")
--- a/router/internal/relayer/admission.go
+++ b/router/internal/relayer/admission.go
@@ -98,6 +98,7 @@
 	q.sequence.id = q.id
 	q.sink = q.newSink(r.limits.AnswerBytes)
 	q.fingerprint = fingerprint(q.workspace.Name, q.service.Name, "", q.chat.Body, 0)
+	q.profile = chatProfile(q)
 	repeatable := q.http.Header.Get(headerNoRepeat) != describer.Yes
 	return r.serve(ctx, q, tracker.Traits{Repeatable: repeatable, Replayable: true, Resumable: repeatable})
 }
@@ -117,6 +118,7 @@
 	}
 	call := q.http.Method + " " + q.http.URL.RequestURI()
 	q.fingerprint = fingerprint(q.workspace.Name, q.service.Name, call, q.upload.head, q.http.ContentLength)
+	q.profile = callProfile(q)
 	return r.serve(ctx, q, tracker.Traits{
 		Repeatable: repeatable(service, q.http), Replayable: q.upload.complete,
 	})
--- a/router/internal/relayer/chat.go
+++ b/router/internal/relayer/chat.go
@@ -16,11 +16,12 @@
 // the engine with all its fields.
 type chat struct {
 	Model  string
-	Stream bool   // the caller wants a stream
-	Hint   uint32 // maximum tokens of the answer, 0 if the caller sets none
-	Prompt uint32 // estimated tokens of the prompt
-	Prefix uint64 // hash of the prompt's prefix, for prefix affinity
-	Body   []byte // for the engine: always streamed, with usage
+	Stream bool     // the caller wants a stream
+	Hint   uint32   // maximum tokens of the answer, 0 if the caller sets none
+	Prompt uint32   // estimated tokens of the prompt
+	Prefix uint64   // hash of the prompt's prefix, for prefix affinity
+	Parts  []string // texts of which the prompt consists, with their roles
+	Body   []byte   // for the engine: always streamed, with usage
 }
 
 // chatBody is the part of the body that the router decodes.
@@ -70,6 +71,7 @@
 		Hint:   body.hint(),
 		Prompt: uint32(min((len(prompt)+bytesPerToken-1)/bytesPerToken, math.MaxUint32)),
 		Prefix: answerer.PrefixHash(body.Model, prompt),
+		Parts:  promptParts(body.Messages),
 		Body:   forwarded,
 	}, nil
 }
@@ -105,6 +107,27 @@
 	return 0
 }
 
+// promptParts returns the texts of all messages, each with the role of its message. Messages whose
+// content cannot be decoded have none.
+func promptParts(messages []chatMessage) []string {
+	var parts []string
+	for _, message := range messages {
+		var text string
+		if json.Unmarshal(message.Content, &text) == nil {
+			parts = append(parts, message.Role+"\x00"+text)
+			continue
+		}
+		var contents []contentPart
+		if json.Unmarshal(message.Content, &contents) != nil {
+			continue
+		}
+		for _, content := range contents {
+			parts = append(parts, message.Role+"\x00"+content.Text)
+		}
+	}
+	return parts
+}
+
 // flattenMessages converts the content of each message to a text. It returns false if a content is
 // neither a text nor a list of parts.
 func flattenMessages(raw []chatMessage) ([]answerer.Message, bool) {
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -25,6 +25,7 @@
 
 	"shallotkeel.example/lib/describer"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/matcher"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/reporter"
@@ -44,6 +45,7 @@
 	url      string
 	enroller *enroller
 	claimer  *claimer
+	crashes  *localizer.Observer
 	clock    *clockwork.FakeClock // nil if the testbed uses the real clock
 	registry *prometheus.Registry
 
@@ -72,12 +74,13 @@
 	tb := &testbed{
 		T: t, quarantine: make(map[uint64]bool), registry: prometheus.NewRegistry(),
 		enroller: &enroller{suspects: make(map[string]bool), changed: make(chan struct{})}, claimer: &claimer{claims: make(map[string]*claim)},
+		crashes: &localizer.Observer{},
 	}
 	for _, script := range endpoints {
 		tb.enroller.addresses = append(tb.enroller.addresses, tb.serve(script))
 	}
 	tb.relayer = relayer.New(relayer.Options{
-		Enroller: tb.enroller, Ruler: rules{}, Claimer: tb.claimer, Quarantine: tb, Clock: clock,
+		Enroller: tb.enroller, Ruler: rules{}, Claimer: tb.claimer, Quarantine: tb, Crashes: tb.crashes, Clock: clock,
 		Log: zerolog.Nop(), Registry: tb.registry, Zone: "trento-a", Name: "router-a1", Limits: limits,
 	})
 	mux := http.NewServeMux()
@@ -148,6 +151,7 @@
 	waiting   []relayer.WaitingRequest
 	finished  []string        // "ENDPOINT ENDING UNITS" of each finished attempt
 	suspects  map[string]bool // endpoints that run a suspect request
+	down      map[string]bool // endpoints that have crashed
 	changed   chan struct{}   // closed and replaced at each change of the state
 }
 
@@ -181,7 +185,7 @@
 func (e *enroller) choose(waiting relayer.WaitingRequest) relayer.Slot {
 	for n, address := range e.addresses {
 		id := strconv.Itoa(n + 1)
-		if e.paused || slices.Contains(waiting.Avoid, id) || waiting.Alone && e.suspects[id] {
+		if e.paused || e.down[id] || slices.Contains(waiting.Avoid, id) || waiting.Alone && e.suspects[id] {
 			continue
 		}
 		if waiting.Alone {
--- a/router/internal/relayer/options.go
+++ b/router/internal/relayer/options.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/tracer"
 )
 
@@ -16,13 +17,16 @@
 	Ruler      Ruler
 	Claimer    Claimer
 	Quarantine Quarantine
-	Tracer     *tracer.Tracer // nil traces without exporting
-	Clock      clockwork.Clock
-	Log        zerolog.Logger
-	Registry   *prometheus.Registry // nil keeps the metrics unregistered
-	Zone       string               // the router's availability zone
-	Name       string               // the router's name
-	Limits     Limits
+	// Crashes records which requests ran at endpoints that crash, and holds the quarantines of what they
+	// have in common.
+	Crashes  *localizer.Observer
+	Tracer   *tracer.Tracer // nil traces without exporting
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Registry *prometheus.Registry // nil keeps the metrics unregistered
+	Zone     string               // the router's availability zone
+	Name     string               // the router's name
+	Limits   Limits
 }
 
 // Limits bounds the resources that callers' requests can use, and their durations. A zero field means
--- /dev/null
+++ b/router/internal/relayer/profile.go
@@ -0,0 +1,82 @@
+package relayer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"shallotkeel.example/lib/dialer"
+	"shallotkeel.example/lib/isolator"
+	"shallotkeel.example/lib/localizer"
+)
+
+// chatProfile returns what a chat has in common with others: its service and model, each text of its
+// prompt but the last, which is its own, and, for its own repeats, everything.
+func chatProfile(q *request) localizer.Profile {
+	profile := callProfile(q)
+	profile.Service = featureOf(q.service.Name, q.chat.Model)
+	shared := q.chat.Parts[:max(len(q.chat.Parts)-1, 0)]
+	for _, part := range shared[:min(len(shared), localizer.MaxFeatures-1)] {
+		profile.Shared = append(profile.Shared, featureOf(q.service.Name, q.chat.Model, part))
+	}
+	return profile
+}
+
+// callProfile returns what a call of a plain service has in common with others.
+func callProfile(q *request) localizer.Profile {
+	return localizer.Profile{Service: featureOf(q.service.Name), Whole: localizer.Feature(q.fingerprint)}
+}
+
+// featureOf returns the digest of texts. It is derived from a collision-resistant hash, because with a
+// collision a caller could cause the requests of others to be refused.
+func featureOf(texts ...string) localizer.Feature {
+	digest := sha256.New()
+	var size [8]byte
+	for _, text := range texts {
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
+		_, _ = digest.Write(size[:])
+		_, _ = digest.Write([]byte(text))
+	}
+	return localizer.Feature(binary.BigEndian.Uint64(digest.Sum(nil)))
+}
+
+// noteEnding records what the end of an attempt says of the request's features.
+func (r *Relayer) noteEnding(q *request, now time.Time, ending isolator.Outcome) {
+	switch {
+	case ending == isolator.Completed && !q.attempt.unframed:
+		r.options.Crashes.Answered(q.attempt.started.Add(q.attempt.timeToFirst), q.profile)
+	case ending == isolator.Crashed, ending == isolator.Completed:
+		// An answer that ended with its connection may have ended with its endpoint.
+		answeredFor := time.Duration(0)
+		if q.attempt.timeToFirst > 0 {
+			answeredFor = now.Sub(q.attempt.started) - q.attempt.timeToFirst
+		}
+		lifetime := lifetimeOf(q.slot)
+		if r.options.Crashes.Broke(now, lifetime, q.profile, answeredFor) {
+			go r.confirmCrash(q.slot.Endpoint(), q.slot.Address(), lifetime)
+		}
+	}
+}
+
+// lifetimeOf returns the lifetime of the endpoint of a slot.
+func lifetimeOf(slot Slot) localizer.Lifetime {
+	incarnation := binary.BigEndian.AppendUint64(nil, slot.Incarnation())
+	return localizer.Lifetime(featureOf(slot.Endpoint(), string(incarnation)))
+}
+
+// confirmCrash finds out whether an endpoint has crashed. One that only broke a connection still
+// accepts others.
+func (r *Relayer) confirmCrash(endpoint string, address netip.AddrPort, lifetime localizer.Lifetime) {
+	refuses, err := dialer.Refuses(context.Background(), address)
+	switch {
+	case err != nil:
+		r.options.Log.Info().Err(err).Str("endpoint", endpoint).Msg("connection broke, and whether its endpoint has crashed is unknown")
+	case refuses:
+		r.options.Crashes.Ended(r.options.Clock.Now(), lifetime)
+		r.options.Log.Info().Str("endpoint", endpoint).Hex("lifetime", localizer.Feature(lifetime).Bytes()).Msg("endpoint has crashed")
+	default:
+		r.options.Crashes.Survived(lifetime)
+	}
+}
--- a/router/internal/relayer/request.go
+++ b/router/internal/relayer/request.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"shallotkeel.example/lib/isolator"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/matcher"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/tracer"
@@ -43,6 +44,7 @@
 	trace       string
 	reason      string // message of its failure, empty for the message of the code
 	fingerprint uint64
+	profile     localizer.Profile // what it has in common with other requests
 
 	chat     *chat   // nil for calls of plain services
 	upload   *upload // nil for chats
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotkeel.example/lib/isolator"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/retrier"
 	"shallotkeel.example/lib/scheduler"
 	"shallotkeel.example/lib/tracker"
@@ -186,6 +187,10 @@
 // and marks the request as the trial run if its fingerprint is suspected of crashing endpoints. It
 // waits while another request with the fingerprint is on trial.
 func (r *Relayer) isolate(ctx context.Context, q *request) (tracker.Event, bool) {
+	if verdict, quarantine := r.options.Crashes.Judge(r.options.Clock.Now(), q.profile); verdict == localizer.Quarantined {
+		r.note(q, "refused", "quarantined", "requests with a text of its prompt crashed the endpoints that ran them")
+		return tracker.Event{Kind: tracker.Refused, Code: tracker.CodeQuarantined, Retry: quarantine.Left}, false
+	}
 	remaining, quarantined := r.options.Quarantine.Quarantined(q.fingerprint)
 	verdict := isolator.Quarantined
 	if !quarantined {
@@ -232,6 +237,7 @@
 		units = uint32(max(took.Milliseconds(), 1))
 	}
 	q.slot.Finish(scheduler.Finish{Charged: units, Ending: ending, First: q.attempt.timeToFirst, Took: took, Backoff: q.attempt.backoff, Leaving: q.attempt.leaving})
+	r.noteEnding(q, now, q.attempt.isolatorEnding(ending))
 	for _, digest := range r.crashGuard.end(now, q, q.attempt.isolatorEnding(ending)) {
 		r.metrics.quarantine.Inc()
 		r.options.Log.Warn().Uint64("fingerprint", digest).Msg("quarantined a request that crashes endpoints")
--- a/router/internal/updatereader/silence.go
+++ b/router/internal/updatereader/silence.go
@@ -12,9 +12,9 @@
 	if r.options.ReportLost != nil {
 		r.options.ReportLost(keeper)
 	}
+	r.crashes.Lost(keeper)
 	r.mutex.Lock()
 	delete(r.answeringKeepers, keeper)
-	delete(r.acknowledged, keeper) // it may have lost what it was told
 	ids := make(map[string]bool)
 	for id, by := range r.silent {
 		delete(by, keeper)
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -80,7 +80,7 @@
 	answeringKeepers map[netip.AddrPort]bool
 	evacuations      uint64                       // revision of the evacuated zones
 	pollSentAt       map[netip.AddrPort]time.Time // send time of each keeper's current poll
-	acknowledged     map[netip.AddrPort]time.Time // send time of the last poll that each answering keeper has answered
+	crashes          localizer.Exchange
 	fetching         sync.Mutex
 	logDamper        damper.Damper // of log lines on endpoints
 	droppedAt        time.Time     // time of the last removal of gone endpoints
@@ -92,7 +92,7 @@
 	return &Reader{
 		options: options, silent: make(map[string]map[netip.AddrPort]bool), reportedSilent: make(map[string]bool),
 		answeringKeepers: make(map[netip.AddrPort]bool), ready: make(chan struct{}), planChanged: make(chan struct{}),
-		pollSentAt: make(map[netip.AddrPort]time.Time), acknowledged: make(map[netip.AddrPort]time.Time), logDamper: damper.Damper{LinesPerSecond: maxLogged},
+		pollSentAt: make(map[netip.AddrPort]time.Time), crashes: localizer.Exchange{Observer: options.Crashes}, logDamper: damper.Damper{LinesPerSecond: maxLogged},
 	}
 }
 
@@ -119,10 +119,8 @@
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
 	r.pollSentAt[keeper], request.Evacuations = now, r.evacuations
-	since := r.acknowledged[keeper]
 	r.mutex.Unlock()
-	crashes := r.options.Crashes.Report(now, since)
-	crashes.AddTo(request, now)
+	r.crashes.AddReport(now, keeper, request)
 	return request
 }
 
@@ -155,7 +153,6 @@
 func (r *Reader) Update(ctx context.Context, keeper netip.AddrPort, update *messenger.FollowResponse) {
 	r.mutex.Lock()
 	r.answeringKeepers[keeper] = true
-	r.acknowledged[keeper] = r.pollSentAt[keeper]
 	r.mutex.Unlock()
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
 		r.options.ReportAnswered(keeper)
