Do not send suspects a second time, and judge answers without framing by their endpoint

And the end of an answer without framing says neither that it is whole nor that its endpoint crashed: it counts once the endpoint has answered another request, or refuses one.

--- a/keeper/internal/server/crashes.go
+++ b/keeper/internal/server/crashes.go
@@ -24,8 +24,8 @@
 	unreplicated []localizer.Quarantine
 	// leads is set while this keeper leads the group and grants trials.
 	leads bool
-	// convicted and lifted count the quarantines that this keeper has begun and ended.
-	convicted, lifted int
+	// begun and lifted count the quarantines that this keeper has begun and ended.
+	begun, lifted int
 }
 
 // receive records a report, and reports whether the quarantines changed by it.
@@ -55,7 +55,7 @@
 func (c *crashReports) decide(now time.Time) bool {
 	convicted := c.judge.Verdicts(now)
 	for _, feature := range convicted {
-		c.convicted++
+		c.begun++
 		c.unreplicated = append(c.unreplicated, localizer.Quarantine{Feature: feature, Left: localizer.DefaultQuarantine})
 	}
 	return len(convicted) > 0
@@ -112,6 +112,21 @@
 	return d.crashes.revision() != before
 }
 
+// crashCounts is what the metrics tell of crashes.
+type crashCounts struct {
+	quarantined, suspects, begun, lifted int
+}
+
+// crashCounts returns the current counts.
+func (d *directory) crashCounts() crashCounts {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return crashCounts{
+		quarantined: d.crashes.judge.QuarantineCount(), suspects: len(d.crashes.judge.Suspects()),
+		begun: d.crashes.begun, lifted: d.crashes.lifted,
+	}
+}
+
 // setLeads records whether this keeper leads its group.
 func (d *directory) setLeads(leads bool) {
 	d.lock.Lock()
--- a/lib/localizer/fleet_test.go
+++ b/lib/localizer/fleet_test.go
@@ -45,6 +45,8 @@
 	badFirst, badBelow bool
 	// moreParts is the number of further parts that all prompts of a first part share.
 	moreParts int
+	// equalBodies has sound requests with the same parts be repeats of each other.
+	equalBodies bool
 	// rarer is how many times as many second parts there are.
 	rarer    int
 	attempts int // endpoints that one request may reach
@@ -293,6 +295,9 @@
 	f.after(f.exponential(f.rate), f.soundRequest)
 	first, second, class := f.soundParts()
 	q := f.newRequest(f.exponential(1/class.duration.Seconds()), first, second)
+	if f.equalBodies {
+		q.profile.Whole = (first + second).feature()
+	}
 	f.result.sound++
 	late := f.pastFifth(2 * contact)
 	if late {
@@ -430,7 +435,7 @@
 		if observer.Broke(f.now, ended, q.profile, f.now.Sub(run.begun)) {
 			f.after(5*time.Millisecond, func() { observer.Ended(f.now, ended) })
 		}
-		if q.sends < f.attempts && !q.trial {
+		if q.sends < f.attempts && !q.trial && !observer.Suspected(f.now, q.profile) {
 			f.after(5*time.Millisecond, func() { f.send(q) })
 		}
 	}
--- a/lib/localizer/judge.go
+++ b/lib/localizer/judge.go
@@ -433,6 +433,11 @@
 	return all
 }
 
+// QuarantineCount returns the number of quarantines, those included that were lifted recently.
+func (j *Judge) QuarantineCount() int {
+	return len(j.quarantines)
+}
+
 // GrantTrial reports whether a router that refuses requests with a feature may send one of them now,
 // and sets the time of the next trial. Only one keeper of a group may call it, the leader.
 func (j *Judge) GrantTrial(now time.Time, feature Feature) bool {
--- a/lib/localizer/observer.go
+++ b/lib/localizer/observer.go
@@ -22,6 +22,11 @@
 	maxBrokenFeatures = 4 * MaxFeatures
 	// maxReported bounds the features in one report, of 9 bytes each.
 	maxReported = 512
+	// unframedRetention is how long after an answer without framing its endpoint must be found to have
+	// crashed for the answer to count as broken off, and maxUnframed bounds these answers for each
+	// endpoint, of some 150 bytes each.
+	unframedRetention = 2 * time.Second
+	maxUnframed       = 64
 	// askedRetention is how long a keeper's question for answers holds: it is repeated with each of its
 	// answers to a poll.
 	askedRetention = 10 * time.Second
@@ -39,6 +44,13 @@
 	features map[Feature]bool
 }
 
+// unframedEnd is an answer without framing that has ended with its connection. Whether it is whole
+// depends on whether its endpoint has survived it.
+type unframedEnd struct {
+	at, began time.Time
+	profile   Profile
+}
+
 // observedQuarantine is a quarantine as a router knows it.
 type observedQuarantine struct {
 	until      time.Time
@@ -52,6 +64,7 @@
 	mutex       sync.Mutex
 	answers     answerTable
 	broken      map[Lifetime]*brokenLifetime
+	unframed    map[Lifetime][]unframedEnd
 	asked       map[Feature]time.Time // features that keepers ask about, and when they did last
 	quarantined map[Feature]*observedQuarantine
 }
@@ -61,6 +74,10 @@
 func (o *Observer) Answered(began time.Time, profile Profile) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.addAnswer(began, profile)
+}
+
+func (o *Observer) addAnswer(began time.Time, profile Profile) {
 	o.answers.add(began, profile.Service)
 	for _, feature := range profile.Shared {
 		o.answers.add(began, feature)
@@ -71,6 +88,54 @@
 	}
 }
 
+// EndedUnframed records that an answer without framing has ended with its connection, and when it began.
+// It counts as an answer once its endpoint answers another request, and as broken off if the endpoint
+// is found to have crashed.
+func (o *Observer) EndedUnframed(now, began time.Time, lifetime Lifetime, profile Profile) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.unframed == nil {
+		o.unframed = make(map[Lifetime][]unframedEnd)
+	}
+	ends := o.unframed[lifetime]
+	if ends == nil && len(o.unframed) >= maxBroken {
+		o.dropOldUnframed(now)
+	}
+	if len(ends) >= maxUnframed {
+		ends = ends[1:]
+	}
+	o.unframed[lifetime] = append(ends, unframedEnd{at: now, began: began, profile: profile})
+}
+
+// dropOldUnframed drops the lifetimes whose answers without framing ended too long ago to be part of a
+// crash, and all of them if there are none.
+func (o *Observer) dropOldUnframed(now time.Time) {
+	before := len(o.unframed)
+	for lifetime, ends := range o.unframed {
+		if now.Sub(ends[len(ends)-1].at) > unframedRetention {
+			delete(o.unframed, lifetime)
+		}
+	}
+	if len(o.unframed) == before {
+		clear(o.unframed)
+	}
+}
+
+// AnswerBegan records that an endpoint has begun to answer a request, so that it has survived what ended
+// there before.
+func (o *Observer) AnswerBegan(lifetime Lifetime) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	ends, found := o.unframed[lifetime]
+	if !found {
+		return
+	}
+	delete(o.unframed, lifetime)
+	for _, end := range ends {
+		o.addAnswer(end.began, end.profile)
+	}
+}
+
 // implicated reports whether a feature is under suspicion here or at a keeper.
 func (o *Observer) implicated(feature Feature) bool {
 	if _, asked := o.asked[feature]; asked || o.quarantined[feature] != nil {
@@ -93,17 +158,23 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	b := o.addBroken(now, lifetime, profile)
+	if b.ended || now.Sub(b.probed) < probeInterval {
+		return false
+	}
+	b.probed = now
+	return true
+}
+
+// addBroken records the features of a request that broke off with a lifetime of an endpoint.
+func (o *Observer) addBroken(now time.Time, lifetime Lifetime, profile Profile) *brokenLifetime {
 	b := o.lifetime(now, lifetime, profile.Service)
 	for _, feature := range slices.Concat(profile.Shared, []Feature{profile.Whole}) {
 		if !b.features[feature] && o.hasRoom(b, feature) {
 			b.features[feature], b.changed = true, now
 		}
 	}
-	if b.ended || now.Sub(b.probed) < probeInterval {
-		return false
-	}
-	b.probed = now
-	return true
+	return b
 }
 
 // hasRoom reports whether a feature may be recorded with a lifetime.
@@ -150,6 +221,12 @@
 func (o *Observer) Ended(now time.Time, lifetime Lifetime) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	for _, end := range o.unframed[lifetime] {
+		if now.Sub(end.at) <= unframedRetention && end.at.Sub(end.began) < provenAfter {
+			o.addBroken(end.at, lifetime, end.profile)
+		}
+	}
+	delete(o.unframed, lifetime)
 	if b, found := o.broken[lifetime]; found && !b.ended {
 		b.ended, b.changed = true, now
 	}
@@ -347,6 +424,21 @@
 	return Quarantined, Quarantine{Feature: feature, Left: found.until.Sub(now)}
 }
 
+// Suspected reports whether a profile has a feature about which keepers ask and that was never answered
+// here: a request that broke off with its endpoint may then be the cause, and crash the next one.
+func (o *Observer) Suspected(now time.Time, profile Profile) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if len(o.asked) == 0 {
+		return false
+	}
+	suspected := func(f Feature) bool {
+		at, asked := o.asked[f]
+		return asked && now.Sub(at) <= askedRetention && o.answers.latest(f).IsZero()
+	}
+	return suspected(profile.Whole) || slices.ContainsFunc(profile.Shared, suspected)
+}
+
 // Quarantined reports whether requests with any of a profile's features are refused.
 func (o *Observer) Quarantined(now time.Time, profile Profile) bool {
 	o.mutex.Lock()
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -33,6 +33,13 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_sums_age_seconds", Help: "How old the sums are that shares rest on; from 3 on this router keeps the part of each workspace's demand that was last its own."}, func() float64 {
 		return d.shares.SumsAge(d.clock.Now()).Seconds()
 	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_quarantined_features", Help: "Prompt parts and requests that are refused because endpoints crash under them."}, func() float64 {
+		return float64(d.crashes.QuarantineCount())
+	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_crashed_endpoints", Help: "Lifetimes of endpoints that have recently ended under requests of this router."}, func() float64 {
+		_, crashed := d.crashes.Lifetimes()
+		return float64(crashed)
+	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_evacuated_zones", Help: "Zones whose endpoints get no new work."}, func() float64 {
 		return float64(d.balancer.CountEvacuatedZones())
 	})
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,6 +16,7 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/resolver"
 )
 
@@ -124,6 +126,9 @@
 	switch {
 	case errors.Is(err, forwarder.ErrUnsent):
 		e.unsent, e.outcome = true, p.unsentOutcome(err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.options.Crashes.Ended(p.options.Clock.Now(), localizer.Lifetime(slot.Key()))
+		}
 	case context.Cause(ctx) != nil:
 		switch cause := context.Cause(ctx); {
 		case errors.Is(cause, errRestarted):
@@ -172,6 +177,7 @@
 	slot.NoteResponse(now)
 	if q.answerBegan.IsZero() {
 		q.answerBegan = now
+		p.options.Crashes.AnswerBegan(localizer.Lifetime(slot.Key()))
 	}
 	if q.endpointAnswered {
 		return
--- a/router/internal/proxier/crashes.go
+++ b/router/internal/proxier/crashes.go
@@ -66,13 +66,19 @@
 	return false
 }
 
+// mayCrash reports whether a request whose attempt has failed may crash the next endpoint, too.
+func (p *Proxier) mayCrash(q *request, e attemptFailure) bool {
+	now := p.options.Clock.Now()
+	broke := !e.unsent && !e.notRun
+	return q.trial && q.sends > 0 || p.options.Crashes.Quarantined(now, q.profile) || broke && p.options.Crashes.Suspected(now, q.profile)
+}
+
 // noteEnd records what the end of an attempt says of the request's features.
 func (p *Proxier) noteEnd(q *request, slot *balancer.Slot, failure *attemptFailure) {
 	switch {
 	case failure != nil:
 	case q.framing == framer.ByConnection:
-		// The end of the connection may be that of the endpoint.
-		p.noteBreak(q, slot)
+		p.options.Crashes.EndedUnframed(p.options.Clock.Now(), q.answerBegan, localizer.Lifetime(slot.Key()), q.profile)
 	default:
 		p.options.Crashes.Answered(q.answerBegan, q.profile)
 	}
--- a/router/internal/proxier/crashingpart_test.go
+++ b/router/internal/proxier/crashingpart_test.go
@@ -6,11 +6,15 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/localizer"
 )
 
 const partsHeader = "X-Shallotkeel-Prefix-Hash"
@@ -20,6 +24,7 @@
 type crashSite struct {
 	t        *testing.T
 	isBad    func(request *http.Request) bool
+	script   func(conn net.Conn, request *http.Request) // serve if it is not set
 	mutex    sync.Mutex
 	listener net.Listener
 	down     bool
@@ -42,13 +47,17 @@
 	s.mutex.Lock()
 	s.listener, s.down = listener, false
 	s.mutex.Unlock()
+	script := s.serve
+	if s.script != nil {
+		script = s.script
+	}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go serveScript(conn, s.serve)
+			go serveScript(conn, script)
 		}
 	}()
 }
@@ -125,3 +134,51 @@
 	}
 	return string(body)
 }
+
+// TestUnframedAnswersCountOnceTheirEndpointSurvives guards against a crash that looks like the end of an
+// answer without framing, and against sound parts that are never counted as answered because all
+// answers of a service end that way.
+func TestUnframedAnswersCountOnceTheirEndpointSurvives(t *testing.T) {
+	tests := map[string]struct {
+		crashes  bool
+		crashed  int
+		answered bool
+	}{
+		"the endpoint answers the next request": {answered: true},
+		"the endpoint has crashed with its end": {crashes: true, crashed: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.fleetState.table.Store(engineTable(t))
+			site := &crashSite{t: t, isBad: func(*http.Request) bool { return false }}
+			t.Cleanup(func() { site.listener.Close() })
+			site.script = func(conn net.Conn, request *http.Request) {
+				if test.crashes {
+					site.listener.Close()
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Type: text/event-stream\r\n\r\n%s",
+					idHeader, request.Header.Get(idHeader), stampHeader, event(1))
+				conn.Close()
+			}
+			site.start()
+			f.add(site.address())
+			const parts = "a:10,b:20,c:5"
+			for range 2 {
+				_, err := readText(f.do("POST", "/draft/", "", partsHeader, parts))
+				require.NoError(t, err)
+			}
+			_, crashed := f.crashes.Lifetimes()
+			require.Equal(t, test.crashed, crashed)
+			now := time.Now()
+			shared := featureOf("desk", "", 0xb)
+			f.crashes.Ask(now, []localizer.Feature{shared})
+			report := f.crashes.Report(now, time.Time{})
+			require.Equal(t, test.answered, slices.ContainsFunc(report.Answers, func(a localizer.Answer) bool { return a.Feature == shared }))
+			if test.crashes {
+				require.Len(t, report.Crashes, 1)
+				require.Contains(t, report.Crashes[0].Features, shared)
+			}
+		})
+	}
+}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -273,8 +273,8 @@
 	if ctx.Err() != nil || clientGone(q.http.Context()) {
 		return false // each retry would open a connection for a client that is gone
 	}
-	if q.trial || p.options.Crashes.Quarantined(p.options.Clock.Now(), q.profile) {
-		return false // it may crash the next endpoint, too
+	if p.mayCrash(q, e) {
+		return false
 	}
 	if e.noEndpoint || q.answerStarted && q.in.Work.Version == "" {
 		return false // without the version of a begun stream, no endpoint is known to be able to resume it
--- a/router/internal/relayer/metrics.go
+++ b/router/internal/relayer/metrics.go
@@ -71,6 +71,7 @@
 		gauge("shallotkeel_waiting_requests", "Requests that wait for their first slot.", r.queue.waiting),
 		gauge("shallotkeel_requests_in_progress", "Requests of callers in progress.", r.drain.count),
 		gauge("shallotkeel_suspects", "Fingerprints suspected of crashing endpoints.", r.crashGuard.suspects),
+		gauge("shallotkeel_quarantined_features", "Texts of prompts and requests that are refused because endpoints crash under them.", r.options.Crashes.QuarantineCount),
 		gauge("shallotkeel_held_bytes", "Memory that the bodies of requests take.", r.bodyMemory.reservedBytes),
 	)
 	return m
--- a/router/internal/relayer/profile.go
+++ b/router/internal/relayer/profile.go
@@ -44,16 +44,18 @@
 
 // noteEnding records what the end of an attempt says of the request's features.
 func (r *Relayer) noteEnding(q *request, now time.Time, ending isolator.Outcome) {
+	began := q.attempt.started.Add(q.attempt.timeToFirst)
+	lifetime := lifetimeOf(q.slot)
 	switch {
-	case ending == isolator.Completed && !q.attempt.unframed:
-		r.options.Crashes.Answered(q.attempt.started.Add(q.attempt.timeToFirst), q.profile)
-	case ending == isolator.Crashed, ending == isolator.Completed:
-		// An answer that ended with its connection may have ended with its endpoint.
+	case ending == isolator.Completed && q.attempt.unframed:
+		r.options.Crashes.EndedUnframed(now, began, lifetime, q.profile)
+	case ending == isolator.Completed:
+		r.options.Crashes.Answered(began, q.profile)
+	case ending == isolator.Crashed:
 		answeredFor := time.Duration(0)
 		if q.attempt.timeToFirst > 0 {
-			answeredFor = now.Sub(q.attempt.started) - q.attempt.timeToFirst
+			answeredFor = now.Sub(began)
 		}
-		lifetime := lifetimeOf(q.slot)
 		if r.options.Crashes.Broke(now, lifetime, q.profile, answeredFor) {
 			go r.confirmCrash(q.slot.Endpoint(), q.slot.Address(), lifetime)
 		}
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -189,6 +189,7 @@
 		return
 	}
 	now := r.options.Clock.Now()
+	r.options.Crashes.AnswerBegan(lifetimeOf(q.slot))
 	q.attempt.timeToFirst = max(now.Sub(q.attempt.started), time.Millisecond)
 	if q.chat != nil && q.sequence.next == 1 {
 		r.metrics.firstToken.Observe(now.Sub(q.received).Seconds())
