--- a/lib/localizer/judge.go
+++ b/lib/localizer/judge.go
@@ -316,8 +316,8 @@
 	settled bool // the needed crashes have been known for settleTime
 }
 
-// ranking returns the suspects, those that explain the most first. Of those that explain as many, the
-// one that was answered least recently is first.
+// ranking returns the first MaxSuspects suspects, those that explain the most first. Of those that
+// explain as many, the one that was answered least recently is first.
 func (j *Judge) ranking(now time.Time) []suspect {
 	var ranked []suspect
 	for feature, e := range j.evidence {
@@ -330,7 +330,7 @@
 		return cmp.Or(cmp.Compare(b.count, a.count),
 			j.evidence[a.feature].answered.Compare(j.evidence[b.feature].answered), cmp.Compare(a.feature, b.feature))
 	})
-	return ranked
+	return ranked[:min(len(ranked), MaxSuspects)]
 }
 
 // culprits returns the suspect that explains the most crashes, if it is to be quarantined, and those
@@ -388,9 +388,8 @@
 	return count, old >= e.needed(j)
 }
 
-// ask has routers asked about the first suspects of a ranking.
+// ask has routers asked about the suspects of a ranking.
 func (j *Judge) ask(now time.Time, ranked []suspect) {
-	ranked = ranked[:min(len(ranked), MaxSuspects)]
 	suspects := make([]Feature, len(ranked))
 	for n, s := range ranked {
 		suspects[n] = s.feature
--- a/lib/localizer/localizer.go
+++ b/lib/localizer/localizer.go
@@ -90,7 +90,7 @@
 	// reported what ran there, and have been asked for answers.
 	settleTime = time.Second
 	// judgeInterval is the minimum time between two evaluations of the evidence.
-	judgeInterval = 50 * time.Millisecond
+	judgeInterval = 200 * time.Millisecond
 	// crashRetention is how long a Judge remembers a crash.
 	crashRetention = 10 * time.Minute
 	// answerRetention is how long an earlier answer speaks for a feature.
@@ -110,7 +110,7 @@
 	// maxLifetimes, maxEvidence, maxQuarantined and maxServices bound the tables of a Judge, in crashes,
 	// features, quarantines and services. They take some 100, 150, 100 and 50 bytes each.
 	maxLifetimes   = 1024
-	maxEvidence    = 8192
+	maxEvidence    = 4096
 	maxQuarantined = 256
 	maxServices    = 256
 )
