Let a suspect that may explain more be judged first

While a service answers nothing, crashes under parts with earlier answers do not count, and a rare part with three crashes was quarantined although the one that caused them was at all twelve.

--- a/lib/localizer/judge.go
+++ b/lib/localizer/judge.go
@@ -20,6 +20,7 @@
 	crashes  map[Lifetime]bool
 	answered time.Time // the latest answer that is known
 	asked    time.Time // since when routers are asked for answers, zero if they are not
+	ripe     time.Time // since when it suffices for a quarantine, zero if it does not
 }
 
 // quarantineState is a quarantine that a Judge has begun or was told of.
@@ -343,7 +344,15 @@
 		if slices.ContainsFunc(undecided, func(u suspect) bool { return j.covers(u.feature, e) }) {
 			continue
 		}
-		if s.count < e.needed(j) || !s.settled || e.asked.IsZero() || now.Sub(e.asked) < settleTime {
+		if s.count < e.needed(j) || !s.settled || !e.askedFor(now, settleTime) {
+			e.ripe = time.Time{}
+			undecided = append(undecided, s)
+			continue
+		}
+		if e.ripe.IsZero() {
+			e.ripe = now
+		}
+		if now.Sub(e.ripe) < patience && (!e.answered.IsZero() && j.hasNewRival(now, ranked, s) || j.hasStrongerRival(s)) {
 			undecided = append(undecided, s)
 			continue
 		}
@@ -359,6 +368,43 @@
 	return nil
 }
 
+// askedFor reports whether routers have been asked about a feature for some time.
+func (e *evidence) askedFor(now time.Time, span time.Duration) bool {
+	return !e.asked.IsZero() && now.Sub(e.asked) >= span
+}
+
+// hasNewRival reports whether another suspect has about as many crashes as a given one, and routers have
+// not been asked about it for long. When a service answers again after a pause, the crashes of all
+// features with earlier answers count at once.
+func (j *Judge) hasNewRival(now time.Time, ranked []suspect, s suspect) bool {
+	return slices.ContainsFunc(ranked, func(u suspect) bool {
+		return u.feature != s.feature && u.count >= s.count-1 && !j.evidence[u.feature].askedFor(now, settleTime)
+	})
+}
+
+// hasStrongerRival reports whether another feature was present at all crashes of a suspect and at
+// several more. It may have earlier answers, so that its crashes do not count while its service
+// answers nothing.
+func (j *Judge) hasStrongerRival(s suspect) bool {
+	e := j.evidence[s.feature]
+	for feature, other := range j.evidence {
+		if feature != s.feature && len(other.crashes) >= len(e.crashes)+crashesToConvict && j.covers(feature, e) && !j.explained(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// explained reports whether quarantined features explain all crashes of some evidence.
+func (j *Judge) explained(e *evidence) bool {
+	for lifetime := range e.crashes {
+		if known := j.lifetimes[lifetime]; known != nil && known.explained == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // covers reports whether a feature was present at all unexplained crashes of some evidence.
 func (j *Judge) covers(feature Feature, e *evidence) bool {
 	covering := j.evidence[feature].crashes
--- a/lib/localizer/localizer.go
+++ b/lib/localizer/localizer.go
@@ -89,6 +89,8 @@
 	// settleTime is how long a crash is known before it counts. Within that time all routers have
 	// reported what ran there, and have been asked for answers.
 	settleTime = time.Second
+	// patience is how long a quarantine waits for the verdict on another suspect that may explain more.
+	patience = 2 * time.Second
 	// judgeInterval is the minimum time between two evaluations of the evidence.
 	judgeInterval = 200 * time.Millisecond
 	// crashRetention is how long a Judge remembers a crash.
--- a/router/internal/proxier/crashingpart_test.go
+++ b/router/internal/proxier/crashingpart_test.go
@@ -168,6 +168,7 @@
 				response := f.do("POST", "/draft/", "", partsHeader, parts)
 				_, err := readText(response)
 				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
 			}
 			_, crashed := f.crashes.Lifetimes()
 			require.Equal(t, test.crashed, crashed)
