List and lift quarantines, and send them on change only

Operators see on every router what is refused (skctl quarantines) and end it (skctl lift). Keepers sent the whole list with each answer to a poll, up to 14 KB five times a second; now on change and every three seconds.

--- a/keeper/internal/applier/applier_test.go
+++ b/keeper/internal/applier/applier_test.go
@@ -29,6 +29,18 @@
 	}}}
 }
 
+// Guards against a quarantine that an operator, or an answer, cannot end.
+func TestQuarantineWithoutTimeLeftIsLifted(t *testing.T) {
+	t.Parallel()
+	s := applier.New()
+	apply(t, s, time.Minute, quarantineCommand(7, time.Minute))
+	before := s.QuarantineRevision()
+	apply(t, s, time.Minute, quarantineCommand(7, 0))
+	quarantined, revision := s.Quarantined(time.Minute)
+	require.Empty(t, quarantined)
+	require.Greater(t, revision, before)
+}
+
 // Guards against a quarantine that ends early or late: it must last for its time on
 // the replicated clock, and a second report must not shorten it.
 func TestQuarantineEndsOnTheReplicatedClock(t *testing.T) {
--- a/keeper/internal/server/crashes.go
+++ b/keeper/internal/server/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"shallotkeel.example/lib/localizer"
@@ -11,6 +12,9 @@
 const (
 	// maxRelayedReports bounds the reports of crashes that are kept for relaying.
 	maxRelayedReports = 1 << 12
+	// quarantineRefresh is how often a follower gets quarantines that have not changed: an answer may be
+	// lost.
+	quarantineRefresh = 3 * time.Second
 	// replicateTimeout bounds the attempts to replicate a quarantine or its end.
 	replicateTimeout = 10 * time.Second
 )
@@ -72,18 +76,22 @@
 	return c.judge.Revision()
 }
 
-// answer adds the quarantines and the suspects to the answer to a poll, and grants the router a trial
-// if one is due for a feature that it refuses.
-func (c *crashReports) answer(now time.Time, request *messenger.FollowRequest, response *messenger.FollowResponse) {
-	quarantines := c.judge.Quarantines(now)
-	for _, refused := range request.GetRefused() {
-		for n := range quarantines {
-			if c.leads && quarantines[n].Feature == localizer.Feature(refused) {
-				quarantines[n].Trial = c.judge.GrantTrial(now, quarantines[n].Feature)
-			}
+// answer adds the suspects to the answer to a follower's poll, the quarantines if the follower may not
+// have the current ones, and a trial if one is due for a feature that it refuses.
+func (c *crashReports) answer(now time.Time, known *follower, request *messenger.FollowRequest, response *messenger.FollowResponse) {
+	var told []localizer.Quarantine
+	current := known.sentQuarantine == c.revision() && now.Sub(known.sentQuarantineAt) < quarantineRefresh
+	for _, q := range c.judge.Quarantines(now) {
+		refused := slices.Contains(request.GetRefused(), uint64(q.Feature))
+		q.Trial = c.leads && refused && c.judge.GrantTrial(now, q.Feature)
+		if !current || q.Trial {
+			told = append(told, q)
 		}
 	}
-	localizer.AddTo(response, quarantines, c.judge.Suspects())
+	localizer.AddTo(response, told, c.judge.Suspects())
+	if !current {
+		known.sentQuarantine, known.sentQuarantineAt = c.revision(), now
+	}
 }
 
 // relay adds the reports that routers sent to this keeper from a time on to its poll of another keeper.
--- a/keeper/internal/server/crashes_test.go
+++ b/keeper/internal/server/crashes_test.go
@@ -35,9 +35,12 @@
 	return now
 }
 
-// quarantinedIn returns the quarantines in the answer to a router's poll.
+// quarantinedIn returns the quarantines in the answer to the first poll of a router.
 func quarantinedIn(d *directory, now time.Time) []*messenger.Fingerprint {
-	return d.updatesFor(now, &messenger.FollowRequest{Node: "other", Epoch: epoch}, epoch).GetQuarantined()
+	first := &messenger.FollowRequest{Node: "first", Epoch: epoch}
+	delete(d.followers, first.Node)
+	d.follow(now, first)
+	return d.updatesFor(now, first, epoch).GetQuarantined()
 }
 
 // Guards against a feature that crashes an endpoint after the other through a different router each
@@ -96,6 +99,25 @@
 	require.Zero(t, quarantinedIn(&other, now)[0].GetLeftMs())
 }
 
+// Guards against answers that repeat all quarantines each time, and against routers that never get one
+// because the answer with it was lost.
+func TestQuarantinesAreSentOnChangeAndNowAndThen(t *testing.T) {
+	var d directory
+	now := quarantine(t, &d)
+	poll := &messenger.FollowRequest{Node: "a", Epoch: epoch}
+	sent := func() int {
+		d.follow(now, poll)
+		return len(d.updatesFor(now, poll, epoch).GetQuarantined())
+	}
+	require.Equal(t, 1, sent())
+	require.Zero(t, sent())
+	now = now.Add(quarantineRefresh)
+	require.Equal(t, 1, sent())
+	d.crashes.judge.Lift(now, badFeature)
+	require.Equal(t, 1, sent())
+	require.Zero(t, sent())
+}
+
 // Guards against trials that every keeper grants, or that follow each other: each may crash an endpoint.
 func TestOnlyTheLeaderGrantsTrials(t *testing.T) {
 	var d directory
@@ -104,8 +126,11 @@
 	trials := func(during time.Duration) int {
 		granted := 0
 		for until := now.Add(during); now.Before(until); now = now.Add(500 * time.Millisecond) {
-			if d.updatesFor(now, refusing, epoch).GetQuarantined()[0].GetTrial() {
-				granted++
+			d.follow(now, refusing)
+			for _, q := range d.updatesFor(now, refusing, epoch).GetQuarantined() {
+				if q.GetTrial() {
+					granted++
+				}
 			}
 		}
 		return granted
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -53,8 +53,9 @@
 	at               time.Time
 	keeper           bool
 	report           *messenger.FollowRequest
-	sentQuarantine   uint64   // revision of the quarantines in the follower's last answer
-	newlyUnreachable []string // for a keeper: the keepers it reports as unreachable since this poll
+	sentQuarantine   uint64    // revision of the quarantines that the follower got last
+	sentQuarantineAt time.Time // when it got them
+	newlyUnreachable []string  // for a keeper: the keepers it reports as unreachable since this poll
 }
 
 // receiveHeartbeat records a heartbeat that an instance sent to this keeper. It reports whether the
@@ -268,9 +269,8 @@
 			response.Homes = d.subset.homeSamples()
 		}
 	}
-	d.crashes.answer(now, request, response)
 	if known, found := d.followers[request.GetNode()]; found {
-		known.sentQuarantine = d.crashes.revision()
+		d.crashes.answer(now, known, request, response)
 	}
 	return response
 }
--- a/lib/localizer/judge.go
+++ b/lib/localizer/judge.go
@@ -211,7 +211,8 @@
 	case found && now.Sub(q.lifted) < liftedRetention:
 		return false // the order to lift it is on its way
 	}
-	return j.begin(now, feature, left, 0)
+	j.begin(now, feature, left, 0)
+	return true
 }
 
 func later(a, b time.Time) time.Time {
@@ -239,20 +240,30 @@
 	}
 }
 
-// begin begins a quarantine. It reports whether there was room for it.
-func (j *Judge) begin(now time.Time, feature Feature, left time.Duration, crashes int) bool {
+// begin begins a quarantine, in place of the one that ends first if there are too many.
+func (j *Judge) begin(now time.Time, feature Feature, left time.Duration, crashes int) {
 	if j.quarantines == nil {
 		j.quarantines = make(map[Feature]*quarantineState)
 	}
 	if _, found := j.quarantines[feature]; !found && len(j.quarantines) >= maxQuarantined {
-		return false
+		j.dropFirstToEnd()
 	}
 	j.quarantines[feature] = &quarantineState{
 		since: now, until: now.Add(left), crashes: crashes, trial: now.Add(firstTrial), pause: firstTrial * trialBackoff,
 	}
 	j.explain(feature)
 	j.revision++
-	return true
+}
+
+func (j *Judge) dropFirstToEnd() {
+	var first Feature
+	var until time.Time
+	for feature, q := range j.quarantines {
+		if until.IsZero() || q.until.Before(until) {
+			first, until = feature, q.until
+		}
+	}
+	delete(j.quarantines, first)
 }
 
 // explain marks the crashes under a feature as explained by it, if there are enough of them for a
@@ -293,9 +304,7 @@
 	ranked := j.ranking(now)
 	for culprits := j.culprits(now, ranked); len(culprits) > 0; culprits = j.culprits(now, ranked) {
 		for _, feature := range culprits {
-			if !j.begin(now, feature, j.duration(), len(j.evidence[feature].crashes)) {
-				return convicted
-			}
+			j.begin(now, feature, j.duration(), len(j.evidence[feature].crashes))
 			convicted = append(convicted, feature)
 		}
 		ranked = j.ranking(now)
--- a/lib/localizer/localizer.go
+++ b/lib/localizer/localizer.go
@@ -113,6 +113,6 @@
 	// features, quarantines and services. They take some 100, 150, 100 and 50 bytes each.
 	maxLifetimes   = 1024
 	maxEvidence    = 4096
-	maxQuarantined = 256
+	maxQuarantined = 1024
 	maxServices    = 256
 )
--- a/lib/localizer/localizer_test.go
+++ b/lib/localizer/localizer_test.go
@@ -1,6 +1,7 @@
 package localizer
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -14,10 +15,11 @@
 	maxLate = 3
 	// maxRefused is the share of sound requests that quarantines may refuse.
 	maxRefused = 0.01
-	// simSeeds is the number of seeds that each case is played with.
-	simSeeds = 3
 )
 
+// simSeeds is the number of seeds that each case is played with.
+var simSeeds = flag.Uint64("seeds", 3, "seeds that each case of a fleet is played with")
+
 // fleetCases are the circumstances under which a fleet is played, as changes of the defaults.
 var fleetCases = map[string]func(*simSettings){
 	"two a second":                  func(*simSettings) {},
@@ -48,7 +50,7 @@
 	for name, change := range fleetCases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(simSeeds) {
+			for seed := range *simSeeds {
 				settings := defaults(seed)
 				change(&settings)
 				r := play(settings)
--- /dev/null
+++ b/lib/localizer/observer_test.go
@@ -0,0 +1,115 @@
+package localizer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// reported returns the features that a report names under a lifetime.
+func reported(r Report, lifetime Lifetime) []Feature {
+	for _, crash := range r.Crashes {
+		if crash.Lifetime == lifetime {
+			return crash.Features
+		}
+	}
+	return nil
+}
+
+// Guards against crashes that are reported though the endpoint runs on, and against suspicions of
+// requests that cannot have caused one.
+func TestOnlyEndsOfLifetimesAreReported(t *testing.T) {
+	tests := map[string]struct {
+		play func(o *Observer)
+		want []Feature
+	}{
+		"nothing is known of the endpoint": {func(o *Observer) { o.Broke(testNow, 5, Profile{Shared: []Feature{1}, Whole: 2}, 0) }, nil},
+		"it survives": {func(o *Observer) {
+			o.Broke(testNow, 5, Profile{Shared: []Feature{1}, Whole: 2}, 0)
+			o.Survived(5)
+			o.Ended(testNow, 5)
+		}, nil},
+		"it has ended": {func(o *Observer) {
+			o.Broke(testNow, 5, Profile{Shared: []Feature{1}, Whole: 2}, 0)
+			o.Ended(testNow, 5)
+			o.Broke(testNow, 5, Profile{Shared: []Feature{3}, Whole: 4}, 0)
+		}, []Feature{1, 2, 3, 4}},
+		"one request was answered for long": {func(o *Observer) {
+			o.Broke(testNow, 5, Profile{Shared: []Feature{1}, Whole: 2}, time.Second)
+			o.Broke(testNow, 5, Profile{Shared: []Feature{3}, Whole: 4}, 0)
+			o.Ended(testNow, 5)
+		}, []Feature{3, 4}},
+		"one feature is answered later": {func(o *Observer) {
+			o.Broke(testNow, 5, Profile{Shared: []Feature{1}, Whole: 2}, 0)
+			o.Ended(testNow, 5)
+			o.Answered(testNow.Add(time.Millisecond), Profile{Shared: []Feature{1}, Whole: 9})
+		}, []Feature{2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var o Observer
+			test.play(&o)
+			require.Equal(t, test.want, reported(o.Report(testNow.Add(time.Second), time.Time{}), 5))
+		})
+	}
+}
+
+// Guards against checks of an endpoint for each of its requests that break off at once.
+func TestEndpointIsProbedOnceASecond(t *testing.T) {
+	var o Observer
+	require.True(t, o.Broke(testNow, 5, Profile{Whole: 1}, 0))
+	require.False(t, o.Broke(testNow, 5, Profile{Whole: 2}, 0))
+	require.True(t, o.Broke(testNow.Add(probeInterval), 5, Profile{Whole: 3}, 0))
+	o.Ended(testNow, 5)
+	require.False(t, o.Broke(testNow.Add(3*probeInterval), 5, Profile{Whole: 4}, 0))
+}
+
+// Guards against a trial that two requests use, or one that has a second quarantined feature and so
+// tells nothing.
+func TestTrialIsUsedOnce(t *testing.T) {
+	var o Observer
+	trial := []Quarantine{{Feature: 1, Left: time.Minute, Trial: true}, {Feature: 2, Left: time.Minute}}
+	o.SetQuarantines(testNow, trial)
+	both, one := Profile{Shared: []Feature{1, 2}}, Profile{Shared: []Feature{1}}
+	verdict, _ := o.Judge(testNow, both)
+	require.Equal(t, Quarantined, verdict)
+	verdict, _ = o.Judge(testNow, one)
+	require.Equal(t, Trial, verdict)
+	verdict, quarantine := o.Judge(testNow, one)
+	require.Equal(t, Quarantined, verdict)
+	require.Equal(t, Quarantine{Feature: 1, Left: time.Minute}, quarantine)
+	o.SetQuarantines(testNow, trial)
+	verdict, _ = o.Judge(testNow.Add(trialTerm), one)
+	require.Equal(t, Quarantined, verdict, "the trial is over")
+}
+
+// Guards against a router whose memory grows with the requests that it sees.
+func TestObserverIsBounded(t *testing.T) {
+	var o Observer
+	now := testNow
+	for n := range 4 * maxAnswered {
+		profile := Profile{Service: Feature(n), Shared: []Feature{Feature(2 * n), Feature(2*n + 1)}, Whole: Feature(n)}
+		o.Answered(now, profile)
+		o.Broke(now, Lifetime(n), profile, 0)
+		o.Broke(now, 1, profile, 0)
+		o.EndedUnframed(now, now, Lifetime(n), profile)
+		o.EndedUnframed(now, now, 1, profile)
+		o.Ask(now, []Feature{Feature(n)})
+		o.SetQuarantines(now, []Quarantine{{Feature: Feature(n), Left: time.Minute}})
+		now = now.Add(time.Microsecond)
+	}
+	require.LessOrEqual(t, len(o.answers.newer)+len(o.answers.older), 2*maxAnswered)
+	require.LessOrEqual(t, len(o.broken), maxBroken)
+	require.LessOrEqual(t, len(o.unframed), maxBroken)
+	require.LessOrEqual(t, len(o.asked), 2*MaxSuspects)
+	require.LessOrEqual(t, len(o.quarantined), maxQuarantined)
+	for lifetime := range o.broken {
+		require.LessOrEqual(t, len(o.broken[lifetime].features), maxBrokenFeatures)
+	}
+	features := 0
+	for _, crash := range o.Report(now, time.Time{}).Crashes {
+		features += len(crash.Features)
+	}
+	require.LessOrEqual(t, features, maxReported)
+}
--- a/lib/reporter/reporter.go
+++ b/lib/reporter/reporter.go
@@ -122,6 +122,18 @@
 	State    string            `json:"state"` // "serving", "draining", "leaving" or "suspect"
 }
 
+// Quarantines is the response to GET /admin/quarantines.
+type Quarantines struct {
+	Stale       bool         `json:"stale,omitempty"` // no quorum of keepers was reached
+	Quarantines []Quarantine `json:"quarantines"`
+}
+
+// Quarantine is a part of prompts, or a request, that is refused because endpoints crash under it.
+type Quarantine struct {
+	Feature string `json:"feature"` // its digest, in hexadecimal, as log lines name it
+	LeftMS  int64  `json:"left_ms"`
+}
+
 // Explanation is the response to GET /admin/explain/{id}.
 type Explanation struct {
 	ID        string `json:"id"`
--- a/router/internal/administrator/administrator.go
+++ b/router/internal/administrator/administrator.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/twitchtv/twirp"
 
 	"shallotkeel.example/lib/describer"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/reporter"
 	"shallotkeel.example/router/internal/refuser"
@@ -38,6 +40,7 @@
 	Apply(ctx context.Context, request *messenger.ApplyRequest) (*messenger.ApplyResponse, error)
 	Watch(ctx context.Context, request *messenger.WatchRequest) (*messenger.WatchResponse, error)
 	History(ctx context.Context, request *messenger.HistoryRequest) (*messenger.HistoryResponse, error)
+	Quarantine(ctx context.Context, request *messenger.QuarantineRequest) (*messenger.QuarantineResponse, error)
 }
 
 // Reporter returns the state of the fleet as this router knows it.
@@ -79,12 +82,14 @@
 	const remedy = "use the operators' token of the router's settings, for instance in SKCTL_TOKEN"
 	allowed := refuser.Either(refuser.Token(a.options.Token), a.options.Operator)
 	for path, handler := range map[string]http.HandlerFunc{
-		"POST /admin/changes":     a.apply,
-		"GET /admin/objects":      a.objects,
-		"GET /admin/history":      a.history,
-		"GET /admin/status":       a.status,
-		"GET /admin/explain/{id}": a.explain,
-		"/admin/{path...}":        a.notFound,
+		"POST /admin/changes":                 a.apply,
+		"GET /admin/objects":                  a.objects,
+		"GET /admin/history":                  a.history,
+		"GET /admin/status":                   a.status,
+		"GET /admin/explain/{id}":             a.explain,
+		"GET /admin/quarantines":              a.quarantines,
+		"DELETE /admin/quarantines/{feature}": a.liftQuarantine,
+		"/admin/{path...}":                    a.notFound,
 	} {
 		mux.HandleFunc(path, refuser.Guard(allowed, remedy, handler))
 	}
@@ -190,6 +195,42 @@
 	writeJSON(w, http.StatusOK, explanation)
 }
 
+// quarantines handles GET /admin/quarantines: what requests are refused for, because endpoints crash
+// under it.
+func (a *Administrator) quarantines(w http.ResponseWriter, h *http.Request) {
+	ctx, cancel := context.WithTimeout(h.Context(), callTimeout)
+	defer cancel()
+	answer, err := a.options.Keeping.Watch(ctx, &messenger.WatchRequest{})
+	if err != nil {
+		refuseKeeperError(w, err)
+		return
+	}
+	listed := reporter.Quarantines{Stale: answer.GetStale(), Quarantines: []reporter.Quarantine{}}
+	for _, q := range answer.GetQuarantined() {
+		feature := localizer.Feature(q.GetDigest())
+		listed.Quarantines = append(listed.Quarantines, reporter.Quarantine{Feature: hex.EncodeToString(feature.Bytes()), LeftMS: int64(q.GetLeftMs())})
+	}
+	writeJSON(w, http.StatusOK, listed)
+}
+
+// liftQuarantine handles DELETE /admin/quarantines/{feature}. Lifting one that has ended changes nothing.
+func (a *Administrator) liftQuarantine(w http.ResponseWriter, h *http.Request) {
+	digest, err := strconv.ParseUint(h.PathValue("feature"), 16, 64)
+	if err != nil {
+		badRequest(w, "the feature is no number", "write it as GET /admin/quarantines lists it")
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.Context(), callTimeout)
+	defer cancel()
+	lifted := &messenger.QuarantineRequest{Fingerprints: []*messenger.Fingerprint{{Digest: digest}}}
+	if _, err := a.options.Keeping.Quarantine(ctx, lifted); err != nil {
+		refuseKeeperError(w, err)
+		return
+	}
+	a.options.Log.Info().Hex("feature", localizer.Feature(digest).Bytes()).Msg("an operator lifted a quarantine")
+	writeJSON(w, http.StatusOK, reporter.Quarantines{Quarantines: []reporter.Quarantine{}})
+}
+
 // notFound answers every other path under /admin/.
 func (a *Administrator) notFound(w http.ResponseWriter, _ *http.Request) {
 	refuser.Write(w, http.StatusNotFound, reporter.FailureBody{
--- a/router/internal/administrator/administrator_test.go
+++ b/router/internal/administrator/administrator_test.go
@@ -20,6 +20,7 @@
 // and returns answer and err.
 type fakeKeepers struct {
 	applied *messenger.ApplyRequest
+	lifted  []uint64
 	answer  *messenger.ApplyResponse
 	err     error
 }
@@ -32,6 +33,7 @@
 func (k *fakeKeepers) Watch(context.Context, *messenger.WatchRequest) (*messenger.WatchResponse, error) {
 	return &messenger.WatchResponse{
 		Revision: 7, Stale: true, Full: true, Objects: []*messenger.Object{{Kind: "workspace", Name: "club"}},
+		Quarantined: []*messenger.Fingerprint{{Digest: 0xab, LeftMs: 5000}},
 	}, k.err
 }
 
@@ -42,6 +44,15 @@
 	return &messenger.HistoryResponse{Revisions: []*messenger.Revision{{Revision: request.Before - 1, Author: "anna"}}}, k.err
 }
 
+func (k *fakeKeepers) Quarantine(_ context.Context, request *messenger.QuarantineRequest) (*messenger.QuarantineResponse, error) {
+	for _, fingerprint := range request.GetFingerprints() {
+		if fingerprint.GetLeftMs() == 0 {
+			k.lifted = append(k.lifted, fingerprint.GetDigest())
+		}
+	}
+	return &messenger.QuarantineResponse{}, k.err
+}
+
 func (k *fakeKeepers) Status(context.Context) (reporter.Status, error) {
 	return reporter.Status{Revision: 7}, k.err
 }
@@ -101,6 +112,19 @@
 	}
 }
 
+// Guards against an operator who cannot see what is refused, or lifts something else than is listed.
+func TestQuarantinesAreListedAndLifted(t *testing.T) {
+	k := &fakeKeepers{}
+	got := k.call("GET", "/admin/quarantines", "", "secret")
+	require.Equal(t, http.StatusOK, got.Code)
+	require.JSONEq(t, `{"stale":true,"quarantines":[{"feature":"00000000000000ab","left_ms":5000}]}`, got.Body.String())
+	require.Equal(t, http.StatusOK, k.call("DELETE", "/admin/quarantines/00000000000000ab", "", "secret").Code)
+	require.Equal(t, []uint64{0xab}, k.lifted)
+	require.Equal(t, http.StatusBadRequest, k.call("DELETE", "/admin/quarantines/club", "", "secret").Code)
+	k.err = twirp.NewError(twirp.Unavailable, "away")
+	require.Equal(t, http.StatusServiceUnavailable, k.call("DELETE", "/admin/quarantines/ab", "", "secret").Code)
+}
+
 func TestReads(t *testing.T) {
 	for name, test := range map[string]struct {
 		path   string
--- a/skctl/internal/commander/commander.go
+++ b/skctl/internal/commander/commander.go
@@ -115,6 +115,8 @@
 		{"watch", "print changes as they come into force", &watch{commander: c}},
 		{"status", "show zones, routers, keepers, pools and endpoints, warnings first", &status{commander: c}},
 		{"explain", "tell why a request went where it went, or why it waits", &explain{commander: c}},
+		{"quarantines", "list what requests are refused for because endpoints crash under it", &quarantines{commander: c}},
+		{"lift", "end a quarantine", &lift{commander: c}},
 		{"digest", "print the digest of a workspace's bearer token, for its token label", &digest{commander: c}},
 		{"completion", "print the completion script of a shell", &completion{commander: c}},
 	}
--- a/skctl/internal/commander/commander_test.go
+++ b/skctl/internal/commander/commander_test.go
@@ -33,6 +33,7 @@
 	concurrentEdit *describer.Object // stored right after the objects were read
 	history        []reporter.Revision
 	status         reporter.Status
+	quarantines    []reporter.Quarantine
 }
 
 func newFakeAPI() *fakeAPI {
@@ -63,6 +64,11 @@
 		_ = json.NewEncoder(w).Encode(f.status)
 	case "/admin/changes":
 		f.change(w, r)
+	case "/admin/quarantines":
+		_ = json.NewEncoder(w).Encode(reporter.Quarantines{Quarantines: f.quarantines})
+	case "/admin/quarantines/ab":
+		f.quarantines = nil
+		_ = json.NewEncoder(w).Encode(reporter.Quarantines{})
 	default:
 		http.NotFound(w, r)
 	}
@@ -158,6 +164,18 @@
 
 var club = describer.Object{Kind: describer.Workspace, Name: "club", Labels: labeler.Labels{"weight": "2"}, Version: 1}
 
+// Guards against a listed quarantine that the operator cannot lift by the name that is listed.
+func TestQuarantinesAreListedAndLifted(t *testing.T) {
+	f := newFakeAPI()
+	f.quarantines = []reporter.Quarantine{{Feature: "ab", LeftMS: 90_000}}
+	listed := run(t, f, testClock(), "", "quarantines")
+	require.Equal(t, starter.StatusOK, listed.status)
+	require.Regexp(t, `ab +1m30s`, listed.out)
+	lifted := run(t, f, testClock(), "", "lift", "ab")
+	require.Equal(t, starter.StatusOK, lifted.status, lifted.err)
+	require.NotContains(t, run(t, f, testClock(), "", "quarantines").out, "ab")
+}
+
 func TestApply(t *testing.T) {
 	tests := map[string]struct {
 		prepare func(*fakeAPI)
--- a/skctl/internal/commander/views.go
+++ b/skctl/internal/commander/views.go
@@ -93,6 +93,38 @@
 	return e.commander.printer().Print(answer, printer.Explanation(answer))
 }
 
+type quarantines struct {
+	commander *Commander
+}
+
+// Execute runs the command.
+func (q *quarantines) Execute([]string) error {
+	answer, err := q.commander.requester().Quarantines(background())
+	if err != nil {
+		return err
+	}
+	if answer.Stale {
+		q.commander.printProgress("may be stale: no quorum of keepers was reached")
+	}
+	return q.commander.printer().Print(answer, printer.Quarantines(answer))
+}
+
+type lift struct {
+	Args struct {
+		Feature string `positional-arg-name:"FEATURE" required:"yes" description:"as skctl quarantines lists it"`
+	} `positional-args:"yes"`
+	commander *Commander
+}
+
+// Execute runs the command.
+func (l *lift) Execute([]string) error {
+	if err := l.commander.requester().LiftQuarantine(background(), l.Args.Feature); err != nil {
+		return err
+	}
+	l.commander.printProgress("lifted %s; it begins anew if endpoints crash again", l.Args.Feature)
+	return nil
+}
+
 type watch struct {
 	For       time.Duration `long:"for" value-name:"DURATION" description:"stop after this time; without it, until interrupted"`
 	commander *Commander
--- a/skctl/internal/printer/printer.go
+++ b/skctl/internal/printer/printer.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// Quarantines prints a table of quarantines.
+func Quarantines(answer reporter.Quarantines) func(io.Writer) {
+	return func(w io.Writer) {
+		fmt.Fprintln(w, "FEATURE\tENDS IN")
+		for _, q := range answer.Quarantines {
+			fmt.Fprintf(w, "%s\t%s\n", q.Feature, (time.Duration(q.LeftMS) * time.Millisecond).Round(time.Second))
+		}
+	}
+}
+
 const maxNamesShown = 4
 
 func editedNames(edits []describer.Edit) string {
--- a/skctl/internal/requester/requester.go
+++ b/skctl/internal/requester/requester.go
@@ -92,6 +92,19 @@
 	return reporter.Explanation{}, lastError
 }
 
+// Quarantines returns what requests are refused for.
+func (r *Requester) Quarantines(ctx context.Context) (reporter.Quarantines, error) {
+	var answer reporter.Quarantines
+	err := r.get(ctx, "/admin/quarantines", nil, &answer)
+	return answer, err
+}
+
+// LiftQuarantine ends the quarantine of a feature.
+func (r *Requester) LiftQuarantine(ctx context.Context, feature string) error {
+	var answer reporter.Quarantines
+	return r.callAny(ctx, http.MethodDelete, "/admin/quarantines/"+url.PathEscape(feature), nil, nil, &answer)
+}
+
 // Apply sends a change. An invalid change and a conflict are outcomes in the
 // answer, not errors.
 func (r *Requester) Apply(ctx context.Context, change describer.Change, dryRun bool) (reporter.Applied, error) {
