--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -6,6 +6,8 @@
 // are closed unread instead, their clients retry at once, and the load rises. The screener reads a
 // request once into a shared buffer, judges it, and writes the refusal itself.
 //
+// When the listener is closed, the requests that wait here are refused, too.
+//
 // Invariants: a connection is either answered here or handed to the server with every byte that was
 // read from it, never both; a request that is refused here has not run and will not run; a
 // connection that sends nothing is closed within a bounded time, and the number of connections that
@@ -61,6 +63,10 @@
 	Retry  time.Duration // sent to the client as Retry-After
 }
 
+// stopRefusal is the refusal of requests that wait while the listener is closed. Another router can serve
+// them at once.
+var stopRefusal = Refusal{Status: http.StatusServiceUnavailable, Reason: "this router stops", Retry: 100 * time.Millisecond}
+
 // Judge returns the refusal of a request whose head has been read, or nil if it is to be served. It
 // must not read the body.
 type Judge func(h *http.Request) *Refusal
@@ -93,6 +99,7 @@
 	closedUnread atomic.Uint64
 	refused      atomic.Uint64
 	abandoned    atomic.Uint64
+	turnedAway   sync.WaitGroup // connections whose requests are refused because the listener is closed
 }
 
 // New returns a listener that screens the connections of inner.
@@ -138,21 +145,49 @@
 	}
 }
 
-// Close stops the listener. Connections that the server has not accepted are closed, so that their
-// clients learn at once that their requests are not read.
+// Close closes the listener. It refuses the requests on connections that the server has not accepted,
+// and closes those on which none has arrived.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.done) })
 	err := l.Listener.Close()
+	l.turnAwayQueued()
+	l.turnedAway.Wait()
+	return err
+}
+
+// turnAwayQueued turns away the connections that wait for the server.
+func (l *Listener) turnAwayQueued() {
 	for {
 		select {
 		case conn := <-l.accepted:
-			conn.Close()
+			l.turnedAway.Go(func() { l.turnAway(conn) })
 		default:
-			return err
+			return
 		}
 	}
 }
 
+// turnAway refuses the request that has arrived on a connection that the server will not accept. A client
+// whose request was read and whose connection is closed without an answer cannot tell whether it ran.
+func (l *Listener) turnAway(conn net.Conn) {
+	b := newBuffer()
+	read := 0
+	raw := conn
+	if prefixed, ok := conn.(*prefixedConn); ok {
+		read, raw = copy(b.bytes, prefixed.prefix), prefixed.Conn
+	}
+	if read == 0 {
+		read = readAvailable(raw, b.bytes)
+	}
+	if read == 0 {
+		conn.Close()
+		return
+	}
+	_, rest := b.parse(read)
+	l.refused.Add(1)
+	l.refuse(raw, b, &stopRefusal, rest)
+}
+
 // accept accepts connections until the listener is closed or fails.
 func (l *Listener) accept() {
 	b := newBuffer()
@@ -233,18 +268,24 @@
 	return l.options.Judge(h)
 }
 
-// handOver queues a connection for the server, or closes it if the listener is closed.
+// handOver queues a connection for the server, or turns it away if the listener is closed.
 func (l *Listener) handOver(conn net.Conn) {
 	select {
 	case <-l.done:
-		conn.Close()
+		l.turnAway(conn)
 		return
 	default:
 	}
 	select {
 	case l.accepted <- conn:
 	case <-l.done:
-		conn.Close()
+		l.turnAway(conn)
+		return
+	}
+	select {
+	case <-l.done:
+		l.turnAwayQueued() // Close may have emptied the queue before
+	default:
 	}
 }
 
--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -252,6 +252,68 @@
 	require.Empty(t, l.accepted)
 }
 
+// Guards against requests that were read, or wait to be, and whose connections a planned stop closes
+// without an answer.
+func TestCloseRefusesRequestsThatWait(t *testing.T) {
+	tests := map[string]struct {
+		screening  bool
+		beforeSend bool // the listener is closed before the request is sent
+		text       string
+	}{
+		"queued for the server":              {text: head("/calm", 0)},
+		"queued, with a body":                {text: head("/calm", 4) + "body"},
+		"queued, half of its body":           {text: head("/calm", 8) + "body"},
+		"queued, HTTP/1.0":                   {text: "GET /calm HTTP/1.0\r\n\r\n"},
+		"queued, a second one behind it":     {text: head("/calm", 0) + head("/calm", 0)},
+		"screened while the listener closes": {screening: true, beforeSend: true, text: head("/calm", 0)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := New(inner, Options{
+				Admit: func() bool { return true }, ScreeningActive: func() bool { return test.screening }, Judge: refuseFlood, MaxWaiting: 4,
+				Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+			})
+			conn, err := net.Dial("tcp", inner.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			require.Eventually(t, func() bool { return len(l.accepted) == 1 || l.Waiting() == 1 }, waitTimeout, pollInterval)
+			if !test.beforeSend {
+				_, err = io.WriteString(conn, test.text)
+				require.NoError(t, err)
+				awaitRequest(t, l)
+			}
+			require.NoError(t, l.Close())
+			if test.beforeSend {
+				_, err = io.WriteString(conn, test.text)
+				require.NoError(t, err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+		})
+	}
+}
+
+// awaitRequest waits until the bytes that a client has sent can be read from the queued connection.
+func awaitRequest(t *testing.T, l *Listener) {
+	t.Helper()
+	queued := <-l.accepted
+	require.Eventually(t, func() bool {
+		raw, err := queued.(*net.TCPConn).SyscallConn()
+		require.NoError(t, err)
+		n := 0
+		require.NoError(t, raw.Control(func(descriptor uintptr) {
+			n, _, _ = syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}))
+		return n > 0
+	}, waitTimeout, pollInterval)
+	l.accepted <- queued
+}
+
 func TestListenerEnds(t *testing.T) {
 	d := startServer(t, 2, refuseFlood)
 	require.NoError(t, d.listener.Close())
