Do not judge a token before the first configuration

It answers 503, not run, with a moment to come back; a token that no workspace holds gets 401 as before once there is a configuration.

TestTokenIsNotJudgedBeforeTheFirstConfiguration: 401 without the check.

--- a/router/internal/follower/follower.go
+++ b/router/internal/follower/follower.go
@@ -122,7 +122,7 @@
 }
 
 // HasConfiguration reports whether a configuration has been received from a keeper or
-// another router.
+// another router. Before that nobody's token is known.
 func (f *Follower) HasConfiguration() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/router/internal/relayer/admission.go
+++ b/router/internal/relayer/admission.go
@@ -29,6 +29,10 @@
 	}
 	workspace, found := q.rules.ByToken(token)
 	q.workspace = workspace
+	if !found && !r.options.Ruler.HasConfiguration() {
+		q.reason = "this router has just started and knows no configuration yet"
+		return refuse(tracker.CodeStopping, minRetryAfter), false
+	}
 	if !found {
 		return refuse(tracker.CodeBadToken, 0), false
 	}
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +47,7 @@
 	enroller *enroller
 	claimer  *claimer
 	crashes  *localizer.Observer
+	rules    rules
 	clock    *clockwork.FakeClock // nil if the testbed uses the real clock
 	registry *prometheus.Registry
 
@@ -80,7 +82,7 @@
 		tb.enroller.addresses = append(tb.enroller.addresses, tb.serve(script))
 	}
 	tb.relayer = relayer.New(relayer.Options{
-		Enroller: tb.enroller, Ruler: rules{}, Claimer: tb.claimer, Quarantine: tb, Crashes: tb.crashes, Clock: clock,
+		Enroller: tb.enroller, Ruler: &tb.rules, Claimer: tb.claimer, Quarantine: tb, Crashes: tb.crashes, Clock: clock,
 		Log: zerolog.Nop(), Registry: tb.registry, Zone: "trento-a", Name: "router-a1", Limits: limits,
 	})
 	mux := http.NewServeMux()
@@ -124,10 +126,15 @@
 
 // rules is a stub of relayer.Ruler. The workspace club may have two requests waiting; only the
 // workspace house may use the service desk.
-type rules struct{}
+type rules struct{ starting atomic.Bool }
 
-func (rules) Rules() *matcher.Rules {
+func (r *rules) HasConfiguration() bool { return !r.starting.Load() }
+
+func (r *rules) Rules() *matcher.Rules {
 	objects := make(map[describer.Key]describer.Object)
+	if r.starting.Load() {
+		return matcher.Compile(describer.Snapshot{})
+	}
 	for _, object := range []describer.Object{
 		{Kind: describer.Workspace, Name: "club", Labels: map[string]string{"token": matcher.Digest("club-token"), "queue": "2"}},
 		{Kind: describer.Workspace, Name: "house", Labels: map[string]string{"token": matcher.Digest("house-token"), "tier": "house"}},
--- a/router/internal/relayer/interfaces.go
+++ b/router/internal/relayer/interfaces.go
@@ -69,6 +69,8 @@
 // Ruler provides the rules of the configuration in force.
 type Ruler interface {
 	Rules() *matcher.Rules
+	// HasConfiguration reports whether any configuration has been received since the start.
+	HasConfiguration() bool
 }
 
 // Claimer claims idempotency keys, and records their requests' outcomes, in the replicated log.
--- /dev/null
+++ b/router/internal/relayer/start_test.go
@@ -0,0 +1,27 @@
+package relayer_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/router/internal/relayer"
+)
+
+// TestTokenIsNotJudgedBeforeTheFirstConfiguration guards against a valid caller who is told for good that
+// its token is wrong, because a router that has just started knows no workspace yet.
+func TestTokenIsNotJudgedBeforeTheFirstConfiguration(t *testing.T) {
+	tb := newTestbed(t, relayer.Limits{}, healthy)
+	tb.rules.starting.Store(true)
+	got := tb.chat(true)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "stopping", got.failure.Code)
+	require.Equal(t, "not-run", got.headers.Get("X-Outcome"))
+	require.NotEmpty(t, got.headers.Get("Retry-After"))
+	tb.rules.starting.Store(false)
+	require.Equal(t, fullAnswer, tb.chat(true).text(t))
+	bad := tb.callAs(t.Context(), "nobodys-token", http.MethodPost, chatPath, chatBody(true))
+	require.Equal(t, http.StatusUnauthorized, bad.status)
+	require.Equal(t, "bad_token", bad.failure.Code)
+}
