--- a/lib/localizer/observer.go
+++ b/lib/localizer/observer.go
@@ -22,16 +22,9 @@
 	maxBrokenFeatures = 4 * MaxFeatures
 	// maxReported bounds the features in one report, of 9 bytes each.
 	maxReported = 512
-	// unframedRetention is how long after an answer without framing its endpoint must be found to have
-	// crashed for the answer to count as broken off, and maxUnframed bounds these answers for each
-	// endpoint, of some 150 bytes each.
-	unframedRetention = 2 * time.Second
-	maxUnframed       = 64
 	// askedRetention is how long a keeper's question for answers holds: it is repeated with each of its
 	// answers to a poll.
 	askedRetention = 10 * time.Second
-	// trialTerm is how long a router may use a trial.
-	trialTerm = 5 * time.Second
 )
 
 // brokenLifetime is a lifetime of an endpoint at which requests broke off.
@@ -44,20 +37,6 @@
 	features map[Feature]bool
 }
 
-// unframedEnd is an answer without framing that has ended with its connection. Whether it is whole
-// depends on whether its endpoint has survived it.
-type unframedEnd struct {
-	at, began time.Time
-	profile   Profile
-}
-
-// observedQuarantine is a quarantine as a router knows it.
-type observedQuarantine struct {
-	until      time.Time
-	trialUntil time.Time // one request may be sent until then
-	refusedAt  time.Time // of the latest request that was refused for it
-}
-
 // Observer records crashes and answers at a router, and holds the quarantines in force there. Its
 // zero value is ready to use. It is safe for concurrent use.
 type Observer struct {
@@ -88,54 +67,6 @@
 	}
 }
 
-// EndedUnframed records that an answer without framing has ended with its connection, and when it began.
-// It counts as an answer once its endpoint answers another request, and as broken off if the endpoint
-// is found to have crashed.
-func (o *Observer) EndedUnframed(now, began time.Time, lifetime Lifetime, profile Profile) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if o.unframed == nil {
-		o.unframed = make(map[Lifetime][]unframedEnd)
-	}
-	ends := o.unframed[lifetime]
-	if ends == nil && len(o.unframed) >= maxBroken {
-		o.dropOldUnframed(now)
-	}
-	if len(ends) >= maxUnframed {
-		ends = ends[1:]
-	}
-	o.unframed[lifetime] = append(ends, unframedEnd{at: now, began: began, profile: profile})
-}
-
-// dropOldUnframed drops the lifetimes whose answers without framing ended too long ago to be part of a
-// crash, and all of them if there are none.
-func (o *Observer) dropOldUnframed(now time.Time) {
-	before := len(o.unframed)
-	for lifetime, ends := range o.unframed {
-		if now.Sub(ends[len(ends)-1].at) > unframedRetention {
-			delete(o.unframed, lifetime)
-		}
-	}
-	if len(o.unframed) == before {
-		clear(o.unframed)
-	}
-}
-
-// AnswerBegan records that an endpoint has begun to answer a request, so that it has survived what ended
-// there before.
-func (o *Observer) AnswerBegan(lifetime Lifetime) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	ends, found := o.unframed[lifetime]
-	if !found {
-		return
-	}
-	delete(o.unframed, lifetime)
-	for _, end := range ends {
-		o.addAnswer(end.began, end.profile)
-	}
-}
-
 // implicated reports whether a feature is under suspicion here or at a keeper.
 func (o *Observer) implicated(feature Feature) bool {
 	if _, asked := o.asked[feature]; asked || o.quarantined[feature] != nil {
@@ -264,7 +195,11 @@
 			services[b.service] = true
 			r.addAnswer(b.service, o.answers.latest(b.service))
 		}
-		if !b.ended || b.changed.Before(since) || now.Sub(b.at) > reportRetention {
+		if now.Sub(b.at) > reportRetention {
+			delete(o.broken, lifetime)
+			continue
+		}
+		if !b.ended || b.changed.Before(since) {
 			continue
 		}
 		features := o.unanswered(b)
@@ -344,115 +279,6 @@
 	}
 }
 
-// SetQuarantines applies the quarantines that a keeper tells of, and returns those that are new here.
-func (o *Observer) SetQuarantines(now time.Time, quarantines []Quarantine) (added []Feature) {
-	if len(quarantines) == 0 {
-		return nil
-	}
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if o.quarantined == nil {
-		o.quarantined = make(map[Feature]*observedQuarantine)
-	}
-	for _, q := range quarantines {
-		if q.Left <= 0 {
-			delete(o.quarantined, q.Feature)
-			continue
-		}
-		known, found := o.quarantined[q.Feature]
-		if !found {
-			if len(o.quarantined) >= maxQuarantined {
-				continue
-			}
-			known = &observedQuarantine{}
-			o.quarantined[q.Feature] = known
-			added = append(added, q.Feature)
-		}
-		known.until = now.Add(q.Left)
-		if q.Trial {
-			known.trialUntil = now.Add(trialTerm)
-		}
-	}
-	return added
-}
-
-// Verdict is whether a request may be sent.
-type Verdict uint8
-
-// The verdicts.
-const (
-	Permitted Verdict = iota
-	// Trial permits the request to be sent once, and to no second endpoint.
-	Trial
-	// Quarantined means that the request must not be sent.
-	Quarantined
-)
-
-// Judge returns the verdict on a request, and the quarantine that applies to it if there is one. The
-// verdict Trial uses up the trial that a keeper has granted.
-func (o *Observer) Judge(now time.Time, profile Profile) (Verdict, Quarantine) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if len(o.quarantined) == 0 {
-		return Permitted, Quarantine{}
-	}
-	var found *observedQuarantine
-	var feature Feature
-	check := func(f Feature) bool {
-		q, quarantined := o.quarantined[f]
-		if !quarantined || !now.Before(q.until) {
-			return true
-		}
-		q.refusedAt = now
-		if found != nil { // a trial of two features would tell nothing of either
-			return false
-		}
-		found, feature = q, f
-		return true
-	}
-	single := check(profile.Whole)
-	for _, f := range profile.Shared {
-		single = check(f) && single
-	}
-	switch {
-	case found == nil:
-		return Permitted, Quarantine{}
-	case single && now.Before(found.trialUntil):
-		found.trialUntil = time.Time{}
-		return Trial, Quarantine{Feature: feature, Left: found.until.Sub(now), Trial: true}
-	}
-	return Quarantined, Quarantine{Feature: feature, Left: found.until.Sub(now)}
-}
-
-// Suspected reports whether a profile has a feature about which keepers ask and that was never answered
-// here: a request that broke off with its endpoint may then be the cause, and crash the next one.
-func (o *Observer) Suspected(now time.Time, profile Profile) bool {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if len(o.asked) == 0 {
-		return false
-	}
-	suspected := func(f Feature) bool {
-		at, asked := o.asked[f]
-		return asked && now.Sub(at) <= askedRetention && o.answers.latest(f).IsZero()
-	}
-	return suspected(profile.Whole) || slices.ContainsFunc(profile.Shared, suspected)
-}
-
-// Quarantined reports whether requests with any of a profile's features are refused.
-func (o *Observer) Quarantined(now time.Time, profile Profile) bool {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if len(o.quarantined) == 0 {
-		return false
-	}
-	inForce := func(f Feature) bool {
-		q, found := o.quarantined[f]
-		return found && now.Before(q.until)
-	}
-	return inForce(profile.Whole) || slices.ContainsFunc(profile.Shared, inForce)
-}
-
 // Lifetimes returns the number of lifetimes of endpoints at which requests have broken off recently,
 // and how many of them are known to have crashed.
 func (o *Observer) Lifetimes() (broken, crashed int) {
@@ -465,10 +291,3 @@
 	}
 	return len(o.broken), crashed
 }
-
-// QuarantineCount returns the number of quarantines in force at this router.
-func (o *Observer) QuarantineCount() int {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return len(o.quarantined)
-}
--- a/router/internal/proxier/crashes.go
+++ b/router/internal/proxier/crashes.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/hex"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"shallotkeel.example/lib/balancer"
-	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/localizer"
 )
@@ -90,7 +88,11 @@
 	now := p.options.Clock.Now()
 	lifetime := localizer.Lifetime(slot.Key())
 	if p.options.Crashes.Broke(now, lifetime, q.profile, q.answeredFor(now)) {
-		go p.confirmCrash(slot.ID, slot.Address, lifetime)
+		go func() {
+			if p.prober.Probe(context.Background(), slot.ID, slot.Address, lifetime) {
+				p.options.Metrics.countCrash()
+			}
+		}()
 	}
 }
 
@@ -102,22 +104,6 @@
 	p.options.Crashes.Ended(now, lifetime)
 }
 
-// confirmCrash finds out whether an endpoint has crashed. One that garbles or truncates its answers, or
-// whose connections are reset, still accepts new ones.
-func (p *Proxier) confirmCrash(id string, address netip.AddrPort, lifetime localizer.Lifetime) {
-	refuses, err := dialer.Refuses(context.Background(), address)
-	switch {
-	case err != nil:
-		p.options.Log.Info().Err(err).Str("endpoint", id).Msg("connection broke, and whether its endpoint has crashed is unknown")
-	case refuses:
-		p.options.Crashes.Ended(p.options.Clock.Now(), lifetime)
-		p.options.Metrics.countCrash()
-		p.options.Log.Info().Str("endpoint", id).Hex("lifetime", localizer.Feature(lifetime).Bytes()).Msg("endpoint has crashed")
-	default:
-		p.options.Crashes.Survived(lifetime)
-	}
-}
-
 // answeredFor returns for how long the request's last endpoint has been answering it.
 func (q *request) answeredFor(now time.Time) time.Duration {
 	if q.answerBegan.IsZero() {
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -37,6 +37,7 @@
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/pacer"
+	"shallotkeel.example/lib/prober"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/lib/versioner"
 )
@@ -118,6 +119,7 @@
 	retries            retryTracker
 	workspaces         workspaceStats
 	refusals           refusalRate
+	prober             prober.Prober
 	received           atomic.Uint64 // requests that have arrived
 	refused            atomic.Uint64 // requests refused, including those refused by Screen
 	started            atomic.Uint64 // requests forwarded to endpoints
@@ -128,6 +130,7 @@
 // New returns a Proxier.
 func New(options Options) *Proxier {
 	p := &Proxier{options: options, bodyMemory: bodyMemory{limit: options.MaxTotalBodyBytes}, keyLogDamper: damper.Damper{LinesPerSecond: maxKeyLogLines}}
+	p.prober = prober.Prober{Observer: options.Crashes, Clock: options.Clock, Log: options.Log}
 	options.Client.Matches = options.Dialect.Matches
 	return p
 }
--- a/router/internal/relayer/profile.go
+++ b/router/internal/relayer/profile.go
@@ -4,10 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"net/netip"
 	"time"
 
-	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/isolator"
 	"shallotkeel.example/lib/localizer"
 )
@@ -57,7 +55,7 @@
 			answeredFor = now.Sub(began)
 		}
 		if r.options.Crashes.Broke(now, lifetime, q.profile, answeredFor) {
-			go r.confirmCrash(q.slot.Endpoint(), q.slot.Address(), lifetime)
+			go r.prober.Probe(context.Background(), q.slot.Endpoint(), q.slot.Address(), lifetime)
 		}
 	}
 }
@@ -67,18 +65,3 @@
 	incarnation := binary.BigEndian.AppendUint64(nil, slot.Incarnation())
 	return localizer.Lifetime(featureOf(slot.Endpoint(), string(incarnation)))
 }
-
-// confirmCrash finds out whether an endpoint has crashed. One that only broke a connection still
-// accepts others.
-func (r *Relayer) confirmCrash(endpoint string, address netip.AddrPort, lifetime localizer.Lifetime) {
-	refuses, err := dialer.Refuses(context.Background(), address)
-	switch {
-	case err != nil:
-		r.options.Log.Info().Err(err).Str("endpoint", endpoint).Msg("connection broke, and whether its endpoint has crashed is unknown")
-	case refuses:
-		r.options.Crashes.Ended(r.options.Clock.Now(), lifetime)
-		r.options.Log.Info().Str("endpoint", endpoint).Hex("lifetime", localizer.Feature(lifetime).Bytes()).Msg("endpoint has crashed")
-	default:
-		r.options.Crashes.Survived(lifetime)
-	}
-}
--- a/router/internal/relayer/relayer.go
+++ b/router/internal/relayer/relayer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shallotkeel.example/lib/prober"
 	"shallotkeel.example/lib/tracer"
 	"shallotkeel.example/lib/tracker"
 )
@@ -25,6 +26,7 @@
 	backoffs      backoffs
 	explainer     explainer
 	metrics       *metrics
+	prober        prober.Prober
 }
 
 // New returns a Relayer. Register adds its handlers to a mux.
@@ -38,6 +40,7 @@
 		nameHash:      uint32(xxhash.Sum64String(options.Name)),
 		bodyMemory:    bodyMemory{limit: limits.TotalBodyBytes},
 		explainer:     explainer{limit: limits.ExplainableRequests},
+		prober:        prober.Prober{Observer: options.Crashes, Clock: options.Clock, Log: options.Log},
 	}
 	r.queue.limiter.Total = limits.WaitingRequests
 	r.drain.init()
