Drop an endpoint that disappeared during its order once the order has ended

A pool of engines loaded nothing any more: the load order to an endpoint that disappeared counted as in progress for ten minutes, since the call that was to drop it did nothing while the order was in flight and is made once. TestLoadOfADisappearedEndpointEnds: two cases of two red before.

--- a/lib/orderer/orderer.go
+++ b/lib/orderer/orderer.go
@@ -133,6 +133,7 @@
 	loadDeadline time.Time
 	hidden       string // model that gets no new requests here, because it is to be unloaded
 	hiddenAt     time.Time
+	removed      bool // it is dropped once the order in flight has ended
 }
 
 // SetLease records that this orderer holds the lease with this fencing number until
@@ -199,7 +200,7 @@
 		o.endpoints[endpoint.ID] = known
 	}
 	known.Endpoint = endpoint
-	known.readAt = readAt
+	known.readAt, known.removed = readAt, false
 	if known.loading != "" && (slices.Contains(endpoint.Loaded, known.loading) || readAt.After(known.loadDeadline)) {
 		known.loading = ""
 	}
@@ -217,11 +218,17 @@
 	return &engine{inFlight: e.inFlight, sentAt: e.sentAt}
 }
 
-// Remove drops an endpoint, unless an order to it is in flight: if the endpoint came
-// back at once, it would get a second order at the same time. The host has to call
-// Remove again after the order has ended.
+// Remove drops an endpoint, after the end of an order that is in flight to it: if the
+// endpoint came back at once, it would get a second order at the same time. Without
+// the drop, a load that no announcement confirms any more would keep the pool from
+// further loads.
 func (o *Orderer) Remove(id string) {
-	if known := o.endpoints[id]; known != nil && known.inFlight == nil {
+	known := o.endpoints[id]
+	switch {
+	case known == nil:
+	case known.inFlight != nil:
+		known.removed = true
+	default:
 		delete(o.endpoints, id)
 	}
 }
@@ -242,6 +249,9 @@
 		return
 	}
 	known.inFlight = nil
+	if known.removed {
+		delete(o.endpoints, order.Endpoint)
+	}
 	switch result {
 	case Accepted:
 		known.expectLoad(order, now.Add(loadTimeout))
--- a/lib/orderer/orderer_test.go
+++ b/lib/orderer/orderer_test.go
@@ -370,3 +370,23 @@
 		})
 	}
 }
+
+// Guards against a pool that loads nothing any more because an endpoint disappeared while its load order
+// was in flight, so that the load is never read back.
+func TestLoadOfADisappearedEndpointEnds(t *testing.T) {
+	for name, result := range map[string]Result{"accepted": Accepted, "its answer is lost": Unknown} {
+		t.Run(name, func(t *testing.T) {
+			o := newLeasedOrderer("m")
+			o.Read(start, Endpoint{ID: "gone", Fenced: true, Room: 1})
+			orders := o.Step(start)
+			require.Len(t, orders, 1)
+			o.Remove("gone")
+			o.Ended(start.Add(time.Second), orders[0], result)
+			later := start.Add(2 * time.Second)
+			o.Read(later, Endpoint{ID: "f", Fenced: true, Room: 1})
+			orders = o.Step(later)
+			require.Len(t, orders, 1)
+			require.Equal(t, "f", orders[0].Endpoint)
+		})
+	}
+}
