--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -67,10 +67,18 @@
 		err = q.end.Complete(http.NewResponseController(q.writer))
 	}
 	if err != nil {
-		q.reason = "the client left: " + err.Error()
+		q.reason = writeFailure(err)
 	}
 }
 
+// writeFailure says why an answer could not be written to its client.
+func writeFailure(err error) string {
+	if errors.Is(err, framer.ErrNoReset) {
+		return err.Error()
+	}
+	return "the client left: " + err.Error()
+}
+
 // unknownLength is the length of an answer whose head is sent before its end has been read.
 const unknownLength = -1
 
@@ -110,7 +118,7 @@
 		_, err = q.writer.Write(head)
 	}
 	if err != nil {
-		return &attemptFailure{outcome: balancer.Cancelled, reason: "the client left: " + err.Error()}
+		return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
 	}
 	if _, err := io.Copy(q.writer, x.Body); err != nil {
 		e := p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
@@ -119,7 +127,7 @@
 		return e
 	}
 	if err := q.end.Complete(http.NewResponseController(q.writer)); err != nil {
-		return &attemptFailure{outcome: balancer.Cancelled, reason: "the client left: " + err.Error()}
+		return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
 	}
 	return nil
 }
--- a/router/internal/proxier/proxier_test.go
+++ b/router/internal/proxier/proxier_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -187,18 +188,27 @@
 // Guards against a request that is refused as not run and still runs: an endpoint that cannot be
 // reached must not count as one that declined the request.
 func TestRequestWithoutEndpointIsRefusedAsNotRun(t *testing.T) {
-	f := newFixture(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	f.endpoint(answerWith("never"))
-	f.balancer = nil
-	listener.Close()
-	empty := newFixture(t)
-	response := empty.do("POST", "/book/", "bid")
-	_, err = readText(response)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	tests := map[string]func(f *fixture){
+		"there is none": func(*fixture) {},
+		"it does not listen": func(f *fixture) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(f.t, err)
+			require.NoError(f.t, listener.Close())
+			f.add(netip.MustParseAddrPort(listener.Addr().String()))
+		},
+		"it has left": func(f *fixture) { f.remove(f.endpoint(answerWith("never"))) },
+	}
+	for name, setUp := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			setUp(f)
+			response := f.do("POST", "/book/", "bid")
+			_, err := readText(response)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+		})
+	}
 }
 
 // Guards against a request without a final answer, and against an attempt that outlives it, when the
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -90,7 +90,7 @@
 			}
 			if err := p.relayPiece(q, flusher, x, piece); err != nil {
 				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
-				return &attemptFailure{outcome: balancer.Cancelled, reason: "the client left: " + err.Error()}
+				return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
 			}
 		}
 		if readErr == nil {
@@ -151,7 +151,7 @@
 		err = q.end.Complete(flusher)
 	}
 	if err != nil {
-		return &attemptFailure{outcome: balancer.Cancelled, reason: "the client left: " + err.Error()}
+		return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
 	}
 	return nil
 }
