--- a/keeper/internal/server/crashes_test.go
+++ b/keeper/internal/server/crashes_test.go
@@ -43,8 +43,7 @@
 	return d.updatesFor(now, first, epoch).GetQuarantined()
 }
 
-// Guards against a feature that crashes an endpoint after the other through a different router each
-// time, because each router counts its own crashes only.
+// Guards against crashes that each router counts for itself, so that none has enough of them.
 func TestCrashesAreCountedOverAllRouters(t *testing.T) {
 	var d directory
 	now := quarantine(t, &d)
@@ -61,8 +60,7 @@
 	require.Empty(t, quarantinedIn(&d, now), "a quarantine expires")
 }
 
-// Guards against keepers that each know only the crashes that the routers reported to them: what a
-// router reported is sent on, and what another keeper sent is not.
+// Guards against keepers that know only what routers reported to them, and against relays of relays.
 func TestReportsOfCrashesAreRelayedOnce(t *testing.T) {
 	var first, second directory
 	reportCrash(&first, testStart, "a", 1)
@@ -79,8 +77,7 @@
 	require.Empty(t, relay(&first, testStart.Add(time.Millisecond)).GetCrashes(), "the other keeper has got it")
 }
 
-// Guards against sound features that stay quarantined although requests with them are answered, and
-// against a lifted quarantine that another keeper brings back.
+// Guards against a sound feature that stays quarantined, or is again by another keeper.
 func TestAnswerLiftsTheQuarantineEverywhere(t *testing.T) {
 	var d, other directory
 	now := quarantine(t, &d)
@@ -99,8 +96,7 @@
 	require.Zero(t, quarantinedIn(&other, now)[0].GetLeftMs())
 }
 
-// Guards against answers that repeat all quarantines each time, and against routers that never get one
-// because the answer with it was lost.
+// Guards against answers that repeat all quarantines, and against routers that lost the one answer.
 func TestQuarantinesAreSentOnChangeAndNowAndThen(t *testing.T) {
 	var d directory
 	now := quarantine(t, &d)
--- a/lib/localizer/judge_test.go
+++ b/lib/localizer/judge_test.go
@@ -54,8 +54,7 @@
 	return c.quarantined(c.now, feature)
 }
 
-// Guards against sound features that are quarantined, and bad ones that are not, in the circumstances
-// that each case names.
+// Guards against sound features that are quarantined, and bad ones that are not.
 func TestVerdicts(t *testing.T) {
 	const bad, beside, first = 10, 20, 30
 	tests := map[string]struct {
@@ -122,8 +121,7 @@
 	}
 }
 
-// Guards against a sound feature that stays quarantined because an answer from before it was reported
-// late, and against an answer to an earlier request that ends the quarantine of a bad one.
+// Guards against a sound feature that stays quarantined because its answer was reported late.
 func TestAnswersEndAQuarantineThatTheyRefute(t *testing.T) {
 	c := newCourt()
 	before := c.now
--- a/lib/localizer/localizer_test.go
+++ b/lib/localizer/localizer_test.go
@@ -43,9 +43,7 @@
 	"reports meet late":             func(s *simSettings) { s.poll = time.Second },
 }
 
-// TestFleetIsolatesThePartThatCrashesEngines guards against engines that crash one after the other under
-// one part of otherwise different prompts, and against sound requests that are refused because they
-// ran beside those, or share their caller and other parts.
+// Guards against engines that crash one after the other under one part of otherwise different prompts.
 func TestFleetIsolatesThePartThatCrashesEngines(t *testing.T) {
 	for name, change := range fleetCases {
 		t.Run(name, func(t *testing.T) {
--- a/lib/localizer/observer_test.go
+++ b/lib/localizer/observer_test.go
@@ -17,8 +17,7 @@
 	return nil
 }
 
-// Guards against crashes that are reported though the endpoint runs on, and against suspicions of
-// requests that cannot have caused one.
+// Guards against a broken connection, or a request that was long answered, that counts as a crash.
 func TestOnlyEndsOfLifetimesAreReported(t *testing.T) {
 	tests := map[string]struct {
 		play func(o *Observer)
@@ -65,8 +64,7 @@
 	require.False(t, o.Broke(testNow.Add(3*probeInterval), 5, Profile{Whole: 4}, 0))
 }
 
-// Guards against a trial that two requests use, or one that has a second quarantined feature and so
-// tells nothing.
+// Guards against a trial that two requests use, or that tells of two features at once.
 func TestTrialIsUsedOnce(t *testing.T) {
 	var o Observer
 	trial := []Quarantine{{Feature: 1, Left: time.Minute, Trial: true}, {Feature: 2, Left: time.Minute}}
--- a/lib/orderer/orderer_test.go
+++ b/lib/orderer/orderer_test.go
@@ -371,8 +371,7 @@
 	}
 }
 
-// Guards against a pool that loads nothing any more because an endpoint disappeared while its load order
-// was in flight, so that the load is never read back.
+// Guards against a pool that loads nothing more because a load of an endpoint that is gone is awaited.
 func TestLoadOfADisappearedEndpointEnds(t *testing.T) {
 	for name, result := range map[string]Result{"accepted": Accepted, "its answer is lost": Unknown} {
 		t.Run(name, func(t *testing.T) {
--- a/lib/prober/prober_test.go
+++ b/lib/prober/prober_test.go
@@ -13,8 +13,7 @@
 	"shallotkeel.example/lib/localizer"
 )
 
-// Guards against a connection that broke at a running endpoint and counts as its crash, and against a
-// crash that does not count.
+// Guards against a running endpoint that counts as crashed, and a crash that does not count.
 func TestOnlyARefusalIsACrash(t *testing.T) {
 	for name, listening := range map[string]bool{"it accepts": true, "it refuses": false} {
 		t.Run(name, func(t *testing.T) {
--- a/router/internal/proxier/crashingpart_test.go
+++ b/router/internal/proxier/crashingpart_test.go
@@ -85,8 +85,7 @@
 	return s.down
 }
 
-// TestPartThatCrashesEndpointsIsQuarantined guards against requests that share a prompt part and are
-// otherwise different, each of which crashes endpoints because each is judged as new.
+// Guards against requests that share a prompt part and crash endpoints because each is judged as new.
 func TestPartThatCrashesEndpointsIsQuarantined(t *testing.T) {
 	const requests, limit = 20, 8 // five crashes, and three more sends
 	fleet := newCrashFleet(t, 3)
@@ -102,8 +101,7 @@
 	require.LessOrEqual(t, arrivals(sites), limit, "requests with the part that reached endpoints")
 }
 
-// TestRequestThatCrashesEndpointsIsQuarantined guards against one request that is sent again and again,
-// through a different router each time, and crashes one endpoint after the other.
+// Guards against one request that is sent through router after router and crashes endpoint after endpoint.
 func TestRequestThatCrashesEndpointsIsQuarantined(t *testing.T) {
 	const requests, limit = 12, 6 // three crashes, and three more sends
 	fleet := newCrashFleet(t, 3)
@@ -135,9 +133,7 @@
 	return string(body)
 }
 
-// TestUnframedAnswersCountOnceTheirEndpointSurvives guards against a crash that looks like the end of an
-// answer without framing, and against sound parts that are never counted as answered because all
-// answers of a service end that way.
+// Guards against a crash that looks like the end of an answer without framing.
 func TestUnframedAnswersCountOnceTheirEndpointSurvives(t *testing.T) {
 	tests := map[string]struct {
 		crashes  bool
--- a/router/internal/relayer/crashingmessage_test.go
+++ b/router/internal/relayer/crashingmessage_test.go
@@ -47,8 +47,7 @@
 	}
 }
 
-// TestMessageThatCrashesEnginesIsQuarantined guards against chats that share a message and differ
-// otherwise, each of which crashes two engines because each is judged as new.
+// Guards against chats that share a message and crash engines because each is judged as new.
 func TestMessageThatCrashesEnginesIsQuarantined(t *testing.T) {
 	const chats, limit = 8, 8 // five crashes, and three more sends
 	tb := newTestbed(t, relayer.Limits{})
--- a/router/internal/relayer/start_test.go
+++ b/router/internal/relayer/start_test.go
@@ -9,8 +9,7 @@
 	"shallotkeel.example/router/internal/relayer"
 )
 
-// TestTokenIsNotJudgedBeforeTheFirstConfiguration guards against a valid caller who is told for good that
-// its token is wrong, because a router that has just started knows no workspace yet.
+// Guards against a valid caller who is told by a router that has just started that its token is wrong.
 func TestTokenIsNotJudgedBeforeTheFirstConfiguration(t *testing.T) {
 	tb := newTestbed(t, relayer.Limits{}, healthy)
 	tb.rules.starting.Store(true)
--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -252,8 +252,7 @@
 	require.Empty(t, l.accepted)
 }
 
-// Guards against requests that were read, or wait to be, and whose connections a planned stop closes
-// without an answer.
+// Guards against requests whose connections a planned stop closes without an answer.
 func TestCloseRefusesRequestsThatWait(t *testing.T) {
 	tests := map[string]struct {
 		screening  bool
--- a/router/internal/updatereader/updatereader_test.go
+++ b/router/internal/updatereader/updatereader_test.go
@@ -243,8 +243,7 @@
 	require.Equal(t, lister.Leaving, b.known["a"].State)
 }
 
-// Guards against crashes that a keeper never learns of, because it restarted or another one was told,
-// and against reports that repeat what a keeper has acknowledged.
+// Guards against crashes that a keeper never learns of, and against reports that repeat them.
 func TestCrashesAreReportedUntilAcknowledged(t *testing.T) {
 	b := newFixture(t)
 	b.crashes.Broke(b.clock.Now(), 7, localizer.Profile{Shared: []localizer.Feature{1, 2}, Whole: 3}, 0)
