Decode a chat's contents once, log quarantines in one place, and drop state that says nothing

Chats kept copies of their texts, whose memory no limit reserved, and decoded each content twice: digests are kept now, from one decoding. The line about a new quarantine and the loop around it stood in both pipelines. Judge.Duration was never set; the number of crashes of a quarantine served as a flag. A listener's wait group could be added to while Close waited for it: each emptying of the queue has its own. The directory's lock is taken for the leader's flag only when it changes.

--- a/keeper/internal/server/crashes.go
+++ b/keeper/internal/server/crashes.go
@@ -60,7 +60,7 @@
 	convicted := c.judge.Verdicts(now)
 	for _, feature := range convicted {
 		c.begun++
-		c.unreplicated = append(c.unreplicated, localizer.Quarantine{Feature: feature, Left: localizer.DefaultQuarantine})
+		c.unreplicated = append(c.unreplicated, localizer.Quarantine{Feature: feature, Left: localizer.QuarantineTime})
 	}
 	return len(convicted) > 0
 }
--- a/keeper/internal/server/crashes_test.go
+++ b/keeper/internal/server/crashes_test.go
@@ -48,14 +48,14 @@
 	var d directory
 	now := quarantine(t, &d)
 	require.Len(t, quarantinedIn(&d, now), 1)
-	require.Equal(t, []localizer.Quarantine{{Feature: badFeature, Left: localizer.DefaultQuarantine}}, d.takeUnreplicated())
+	require.Equal(t, []localizer.Quarantine{{Feature: badFeature, Left: localizer.QuarantineTime}}, d.takeUnreplicated())
 	require.Empty(t, d.takeUnreplicated(), "each change is replicated once")
 	d.follow(now, &messenger.FollowRequest{Node: "late"})
 	request := &messenger.FollowRequest{Node: "late", Epoch: epoch, After: d.list.Revision()}
 	require.True(t, d.hasFollowUpdate(request, epoch), "the quarantine is sent to followers that join later, too")
 	d.updatesFor(now, request, epoch)
 	require.False(t, d.hasFollowUpdate(request, epoch))
-	now = now.Add(localizer.DefaultQuarantine + time.Second)
+	now = now.Add(localizer.QuarantineTime + time.Second)
 	d.expire(now)
 	require.Empty(t, quarantinedIn(&d, now), "a quarantine expires")
 }
--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -18,7 +18,8 @@
 )
 
 // directoryInterval is the interval at which the directory checks for silent endpoints and the
-// subscription is adapted to the size of the fleet. It is a fraction of the interval between heartbeats, which is a second or more.
+// subscription is adapted to the size of the fleet. It is a fraction of the interval between
+// heartbeats, which is a second or more.
 const directoryInterval = 300 * time.Millisecond
 
 // peerSubscription implements subscriber.Host for following the other keepers: an endpoint's
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -403,7 +403,9 @@
 			s.updates.notify(true)
 		}
 	}
-	s.directory.setLeads(next.status.State == replicator.Leader)
+	if leads := next.status.State == replicator.Leader; leads != (last.status.State == replicator.Leader) {
+		s.directory.setLeads(leads)
+	}
 	if last.status.Leader != next.status.Leader {
 		s.leadershipChanged.notify()
 	}
--- a/lib/localizer/answers.go
+++ b/lib/localizer/answers.go
@@ -2,15 +2,11 @@
 
 import "time"
 
-const (
-	// maxAnswered bounds the features of one generation, of some 40 bytes each.
-	maxAnswered = 8192
-	// generationTime is how long a generation is filled: features are remembered for one to two of them.
-	generationTime = answerRetention
-)
+// maxAnswered bounds the features of one generation, of some 40 bytes each.
+const maxAnswered = 8192
 
 // answerTable remembers when features were last answered. It holds two generations, and drops the
-// older one when the newer one is full or old. Its zero value is empty.
+// older one when the newer one is full or has been filled for answerRetention. Its zero value is empty.
 type answerTable struct {
 	newer, older map[Feature]time.Time
 	begun        time.Time // when the newer generation was begun
@@ -18,7 +14,7 @@
 
 // add records when an answer began.
 func (t *answerTable) add(at time.Time, feature Feature) {
-	if t.newer == nil || len(t.newer) >= maxAnswered || at.Sub(t.begun) > generationTime {
+	if t.newer == nil || len(t.newer) >= maxAnswered || at.Sub(t.begun) > answerRetention {
 		t.older, t.newer, t.begun = t.newer, make(map[Feature]time.Time), at
 	}
 	if at.After(t.latest(feature)) {
--- a/lib/localizer/fleet_test.go
+++ b/lib/localizer/fleet_test.go
@@ -509,7 +509,7 @@
 			f.result.wrong++
 		}
 		if !f.noLog {
-			f.after(logDelay, func() { f.replicate(k, feature, DefaultQuarantine) })
+			f.after(logDelay, func() { f.replicate(k, feature, QuarantineTime) })
 		}
 	}
 }
--- a/lib/localizer/judge.go
+++ b/lib/localizer/judge.go
@@ -21,14 +21,11 @@
 // Judge decides at a keeper which features are quarantined. Its zero value is ready to use. It is not
 // safe for concurrent use.
 type Judge struct {
-	// Duration is how long a quarantine lasts, DefaultQuarantine if it is 0.
-	Duration time.Duration
-
 	lifetimes   map[Lifetime]*lifetimeState
 	evidence    map[Feature]*evidence
 	quarantines map[Feature]*quarantineState
 	answering   map[Feature]time.Time // when each service last began to answer a request
-	revision    uint64                // increases with each change of the quarantines or of the suspects
+	revision    uint64                // increases with each change of the quarantines
 	suspects    []Feature
 	pending     bool // something was reported that has not been judged
 	judged      time.Time
@@ -133,7 +130,7 @@
 			delete(e.crashes, lifetime)
 		}
 	}
-	if q, found := j.quarantines[answer.Feature]; found && q.inForce(now) && q.crashes > 0 && len(e.crashes) < e.needed(j) {
+	if q, found := j.quarantines[answer.Feature]; found && q.inForce(now) && q.convicted && len(e.crashes) < e.needed(j) {
 		// The answer was given before the quarantine and is reported after it.
 		j.lift(now, answer.Feature)
 		lifted = true
@@ -173,7 +170,7 @@
 	ranked := j.ranking(now)
 	for culprits := j.culprits(now, ranked); len(culprits) > 0; culprits = j.culprits(now, ranked) {
 		for _, feature := range culprits {
-			j.begin(now, feature, j.duration(), len(j.evidence[feature].crashes))
+			j.begin(now, feature, QuarantineTime, true)
 			convicted = append(convicted, feature)
 		}
 		ranked = j.ranking(now)
--- a/lib/localizer/localizer.go
+++ b/lib/localizer/localizer.go
@@ -97,8 +97,8 @@
 	crashRetention = 10 * time.Minute
 	// answerRetention is how long an earlier answer speaks for a feature.
 	answerRetention = time.Minute
-	// DefaultQuarantine is how long a quarantine lasts if nothing ends it earlier.
-	DefaultQuarantine = 10 * time.Minute
+	// QuarantineTime is how long a quarantine lasts if nothing ends it earlier.
+	QuarantineTime = 10 * time.Minute
 	// liftedRetention is how long routers are told that a quarantine was lifted.
 	liftedRetention = 30 * time.Second
 	// firstTrial is the time from the begin of a quarantine to its first trial. Each further interval
--- a/lib/localizer/quarantine.go
+++ b/lib/localizer/quarantine.go
@@ -8,10 +8,11 @@
 
 // quarantineState is a quarantine that a Judge has begun or was told of.
 type quarantineState struct {
-	since   time.Time
-	until   time.Time
-	lifted  time.Time // zero while it is in force
-	crashes int       // under the feature, when it was quarantined
+	since  time.Time
+	until  time.Time
+	lifted time.Time // zero while it is in force
+	// convicted says that this Judge has begun it, from evidence of its own.
+	convicted bool
 	// replicated says that it is, so that it ends when its replica is removed.
 	replicated bool
 	trial      time.Time // when the next trial is due
@@ -69,7 +70,7 @@
 	case found && now.Sub(q.lifted) < liftedRetention:
 		return false // the order to lift it is on its way
 	}
-	j.begin(now, feature, left, 0)
+	j.begin(now, feature, left, false)
 	return true
 }
 
@@ -92,7 +93,7 @@
 }
 
 // begin begins a quarantine, in place of the one that ends first if there are too many.
-func (j *Judge) begin(now time.Time, feature Feature, left time.Duration, crashes int) {
+func (j *Judge) begin(now time.Time, feature Feature, left time.Duration, convicted bool) {
 	if j.quarantines == nil {
 		j.quarantines = make(map[Feature]*quarantineState)
 	}
@@ -100,7 +101,7 @@
 		j.dropFirstToEnd()
 	}
 	j.quarantines[feature] = &quarantineState{
-		since: now, until: now.Add(left), crashes: crashes, trial: now.Add(firstTrial), pause: firstTrial * trialBackoff,
+		since: now, until: now.Add(left), convicted: convicted, trial: now.Add(firstTrial), pause: firstTrial * trialBackoff,
 	}
 	j.explain(feature)
 	j.revision++
@@ -132,13 +133,6 @@
 	}
 }
 
-func (j *Judge) duration() time.Duration {
-	if j.Duration == 0 {
-		return DefaultQuarantine
-	}
-	return j.Duration
-}
-
 // QuarantineCount returns the number of quarantines, those included that were lifted recently.
 func (j *Judge) QuarantineCount() int {
 	return len(j.quarantines)
--- a/router/internal/proxier/crashes.go
+++ b/router/internal/proxier/crashes.go
@@ -23,8 +23,10 @@
 func profileOf(q *request) localizer.Profile {
 	profile := localizer.Profile{Service: featureOf(q.service, q.in.Work.Model), Whole: localizer.Feature(q.digest)}
 	shared := q.in.Work.SharedParts()
-	for _, part := range shared[:min(len(shared), localizer.MaxFeatures-1)] {
-		profile.Shared = append(profile.Shared, featureOf(q.service, q.in.Work.Model, part.ID))
+	shared = shared[:min(len(shared), localizer.MaxFeatures-1)]
+	profile.Shared = make([]localizer.Feature, len(shared))
+	for n, part := range shared {
+		profile.Shared[n] = featureOf(q.service, q.in.Work.Model, part.ID)
 	}
 	return profile
 }
--- a/router/internal/quarantiner/quarantiner.go
+++ b/router/internal/quarantiner/quarantiner.go
@@ -37,14 +37,18 @@
 
 // Quarantiner implements subscriber.Host.
 type Quarantiner struct {
-	options    Options
+	name, zone string
+	keepers    []netip.AddrPort
 	exchange   localizer.Exchange
 	subscriber *subscriber.Subscriber
 }
 
 // New returns a Quarantiner that follows no keeper before Run.
 func New(options Options) *Quarantiner {
-	q := &Quarantiner{options: options, exchange: localizer.Exchange{Observer: options.Observer}}
+	q := &Quarantiner{
+		name: options.Name, zone: options.Zone, keepers: options.Keepers,
+		exchange: localizer.Exchange{Observer: options.Observer, Clock: options.Clock, Log: options.Log},
+	}
 	q.subscriber = subscriber.New(subscriber.Options{
 		Host: q, Clock: options.Clock, Log: options.Log, Wait: pollWait,
 		Dial: func(address netip.AddrPort) messenger.Planning {
@@ -56,21 +60,19 @@
 
 // Run follows the keepers until the context ends.
 func (q *Quarantiner) Run(ctx context.Context) {
-	q.subscriber.Run(ctx, q.options.Keepers...)
+	q.subscriber.Run(ctx, q.keepers...)
 }
 
 // Report returns the crashes that the keeper has not been told of.
 func (q *Quarantiner) Report(keeper netip.AddrPort, _ bool) *messenger.FollowRequest {
-	request := &messenger.FollowRequest{Node: q.options.Name, Zone: q.options.Zone}
-	q.exchange.AddReport(q.options.Clock.Now(), keeper, request)
+	request := &messenger.FollowRequest{Node: q.name, Zone: q.zone}
+	q.exchange.AddReport(keeper, request)
 	return request
 }
 
 // Update applies the quarantines in a keeper's answer.
 func (q *Quarantiner) Update(_ context.Context, keeper netip.AddrPort, answer *messenger.FollowResponse) {
-	for _, feature := range q.exchange.Answered(q.options.Clock.Now(), keeper, answer) {
-		q.options.Log.Warn().Hex("feature", feature.Bytes()).Stringer("keeper", keeper).Msg("requests with a feature that crashes endpoints are refused from now on")
-	}
+	q.exchange.Answered(keeper, answer)
 }
 
 // Lost records that a keeper has to be told everything again.
--- a/router/internal/relayer/chat.go
+++ b/router/internal/relayer/chat.go
@@ -1,10 +1,13 @@
 package relayer
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"math"
+	"strings"
 
 	"shallotkeel.example/lib/answerer"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/tracker"
 )
 
@@ -16,14 +19,17 @@
 // the engine with all its fields.
 type chat struct {
 	Model  string
-	Stream bool     // the caller wants a stream
-	Hint   uint32   // maximum tokens of the answer, 0 if the caller sets none
-	Prompt uint32   // estimated tokens of the prompt
-	Prefix uint64   // hash of the prompt's prefix, for prefix affinity
-	Parts  []string // texts of which the prompt consists, with their roles
-	Body   []byte   // for the engine: always streamed, with usage
+	Stream bool         // the caller wants a stream
+	Hint   uint32       // maximum tokens of the answer, 0 if the caller sets none
+	Prompt uint32       // estimated tokens of the prompt
+	Prefix uint64       // hash of the prompt's prefix, for prefix affinity
+	Parts  []partDigest // of the texts of which the prompt consists
+	Body   []byte       // for the engine: always streamed, with usage
 }
 
+// partDigest identifies one text of a prompt, with its role.
+type partDigest [sha256.Size]byte
+
 // chatBody is the part of the body that the router decodes.
 type chatBody struct {
 	Model               string        `json:"model"`
@@ -107,22 +113,17 @@
 	return 0
 }
 
-// promptParts returns the texts of all messages, each with the role of its message. Messages whose
-// content cannot be decoded have none.
-func promptParts(messages []chatMessage) []string {
-	var parts []string
+// promptParts returns the digests of the texts of which a prompt consists, each with its role: as many as
+// a profile can have. Digests are kept in place of the texts, whose memory is not reserved.
+func promptParts(messages []chatMessage) []partDigest {
+	var parts []partDigest
 	for _, message := range messages {
-		var text string
-		if json.Unmarshal(message.Content, &text) == nil {
-			parts = append(parts, message.Role+"\x00"+text)
-			continue
-		}
-		var contents []contentPart
-		if json.Unmarshal(message.Content, &contents) != nil {
-			continue
-		}
-		for _, content := range contents {
-			parts = append(parts, message.Role+"\x00"+content.Text)
+		texts, _ := message.texts()
+		for _, text := range texts {
+			if len(parts) == localizer.MaxFeatures {
+				return parts
+			}
+			parts = append(parts, sha256.Sum256([]byte(message.Role+"\x00"+text)))
 		}
 	}
 	return parts
@@ -133,32 +134,34 @@
 func flattenMessages(raw []chatMessage) ([]answerer.Message, bool) {
 	messages := make([]answerer.Message, 0, len(raw))
 	for _, message := range raw {
-		content, ok := flatten(message.Content)
+		texts, ok := message.texts()
 		if !ok {
 			return nil, false
 		}
-		messages = append(messages, answerer.Message{Role: message.Role, Content: content})
+		messages = append(messages, answerer.Message{Role: message.Role, Content: strings.Join(texts, "")})
 	}
 	return messages, true
 }
 
-// flatten returns the text of one content.
-func flatten(raw json.RawMessage) (string, bool) {
-	if len(raw) == 0 || string(raw) == "null" {
-		return "", true
+// texts returns the texts of a message's content. It returns false if the content is neither a text nor
+// a list of parts.
+func (m *chatMessage) texts() ([]string, bool) {
+	if len(m.Content) == 0 {
+		return nil, true
 	}
 	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		return text, true
+	if json.Unmarshal(m.Content, &text) == nil {
+		return []string{text}, true
 	}
 	var parts []contentPart
-	if json.Unmarshal(raw, &parts) != nil {
-		return "", false
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return nil, false
 	}
-	for _, part := range parts {
-		text += part.Text
+	texts := make([]string, len(parts))
+	for n, part := range parts {
+		texts[n] = part.Text
 	}
-	return text, true
+	return texts, true
 }
 
 // forwardedBody returns the caller's body with streaming and usage enabled. The engine streams even
--- a/router/internal/relayer/profile.go
+++ b/router/internal/relayer/profile.go
@@ -16,8 +16,10 @@
 	profile := callProfile(q)
 	profile.Service = featureOf(q.service.Name, q.chat.Model)
 	shared := q.chat.Parts[:max(len(q.chat.Parts)-1, 0)]
-	for _, part := range shared[:min(len(shared), localizer.MaxFeatures-1)] {
-		profile.Shared = append(profile.Shared, featureOf(q.service.Name, q.chat.Model, part))
+	shared = shared[:min(len(shared), localizer.MaxFeatures-1)]
+	profile.Shared = make([]localizer.Feature, len(shared))
+	for n, part := range shared {
+		profile.Shared[n] = featureOf(q.service.Name, q.chat.Model, string(part[:]))
 	}
 	return profile
 }
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -99,7 +99,6 @@
 	closedUnread atomic.Uint64
 	refused      atomic.Uint64
 	abandoned    atomic.Uint64
-	turnedAway   sync.WaitGroup // connections whose requests are refused because the listener is closed
 }
 
 // New returns a listener that screens the connections of inner.
@@ -151,16 +150,17 @@
 	l.closeOnce.Do(func() { close(l.done) })
 	err := l.Listener.Close()
 	l.turnAwayQueued()
-	l.turnedAway.Wait()
 	return err
 }
 
-// turnAwayQueued turns away the connections that wait for the server.
+// turnAwayQueued turns away the connections that wait for the server, and returns once all have been.
 func (l *Listener) turnAwayQueued() {
+	var group sync.WaitGroup
+	defer group.Wait()
 	for {
 		select {
 		case conn := <-l.accepted:
-			l.turnedAway.Go(func() { l.turnAway(conn) })
+			group.Go(func() { l.turnAway(conn) })
 		default:
 			return
 		}
@@ -270,12 +270,6 @@
 
 // handOver queues a connection for the server, or turns it away if the listener is closed.
 func (l *Listener) handOver(conn net.Conn) {
-	select {
-	case <-l.done:
-		l.turnAway(conn)
-		return
-	default:
-	}
 	select {
 	case l.accepted <- conn:
 	case <-l.done:
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -92,7 +92,7 @@
 	return &Reader{
 		options: options, silent: make(map[string]map[netip.AddrPort]bool), reportedSilent: make(map[string]bool),
 		answeringKeepers: make(map[netip.AddrPort]bool), ready: make(chan struct{}), planChanged: make(chan struct{}),
-		pollSentAt: make(map[netip.AddrPort]time.Time), crashes: localizer.Exchange{Observer: options.Crashes}, logDamper: damper.Damper{LinesPerSecond: maxLogged},
+		pollSentAt: make(map[netip.AddrPort]time.Time), crashes: localizer.Exchange{Observer: options.Crashes, Clock: options.Clock, Log: options.Log}, logDamper: damper.Damper{LinesPerSecond: maxLogged},
 	}
 }
 
@@ -120,7 +120,7 @@
 	r.mutex.Lock()
 	r.pollSentAt[keeper], request.Evacuations = now, r.evacuations
 	r.mutex.Unlock()
-	r.crashes.AddReport(now, keeper, request)
+	r.crashes.AddReport(keeper, request)
 	return request
 }
 
@@ -160,7 +160,7 @@
 	r.updateEvacuations(keeper, update)
 	r.updateListings(keeper, update.GetListings())
 	r.updateRations(keeper, update.GetRations())
-	r.updateQuarantines(keeper, update)
+	r.crashes.Answered(keeper, update)
 	if r.options.Routers != nil {
 		r.options.Routers(int(update.GetRouters()))
 	}
