--- a/router/internal/proxier/truncation_test.go
+++ b/router/internal/proxier/truncation_test.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -284,10 +285,14 @@
 	conn, err := net.Dial("tcp", f.address)
 	require.NoError(t, err)
 	defer conn.Close()
-	_, err = io.WriteString(conn, "GET /brief/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = fmt.Fprintf(conn, "GET /book/ HTTP/1.1\r\nHost: h\r\n%s: 2000\r\n\r\n", deadlineHeader)
 	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode, "the answer has begun before the deadline")
 	require.Eventually(t, func() bool { return f.proxier.Running() == 0 && f.proxier.Received() == 1 }, waitTimeout, pollInterval)
-	_, err = io.Copy(io.Discard, conn)
+	_, err = io.Copy(io.Discard, response.Body)
 	require.Error(t, err, "a truncated answer ended cleanly")
 }
 
