Say what ended each request whose client got no complete answer

Logs and metrics could not distinguish the hypotheses on answers that end at silent endpoints: the line of a request had the reason of its last attempt only, and said neither that its connection was closed nor whether the router had ended the attempt that carried the answer. The line now has cut_by, that of an attempt ended_by, begun and silent_ms, and a counter has the same causes.

--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -39,7 +39,7 @@
 	}
 	buffered := &bufferedAnswer{exchange: x, framing: q.framing, body: body}
 	if x.StatusCode >= http.StatusInternalServerError {
-		return &attemptFailure{outcome: balancer.Faulty, reason: "the endpoint failed with " + strconv.Itoa(x.StatusCode), fallback: buffered}
+		return &attemptFailure{outcome: balancer.Faulty, endedBy: cutByEndpoint, reason: "the endpoint failed with " + strconv.Itoa(x.StatusCode), fallback: buffered}
 	}
 	p.sendAnswer(q, buffered)
 	return nil
@@ -67,10 +67,19 @@
 		err = q.end.Complete(http.NewResponseController(q.writer))
 	}
 	if err != nil {
-		q.reason = writeFailure(err)
+		q.reason, q.cutBy = writeFailure(err), cutByClient
 	}
 }
 
+// unwritten returns the failure of an attempt whose answer could not be written to its client.
+func unwritten(err error) *attemptFailure {
+	cause := cutByClient
+	if errors.Is(err, framer.ErrNoReset) {
+		cause = cutByFraming
+	}
+	return &attemptFailure{outcome: balancer.Cancelled, endedBy: cause, reason: writeFailure(err)}
+}
+
 // writeFailure says why an answer could not be written to its client.
 func writeFailure(err error) string {
 	if errors.Is(err, framer.ErrNoReset) {
@@ -118,7 +127,7 @@
 		_, err = q.writer.Write(head)
 	}
 	if err != nil {
-		return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
+		return unwritten(err)
 	}
 	if _, err := io.Copy(q.writer, x.Body); err != nil {
 		e := p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
@@ -127,7 +136,7 @@
 		return e
 	}
 	if err := q.end.Complete(http.NewResponseController(q.writer)); err != nil {
-		return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
+		return unwritten(err)
 	}
 	return nil
 }
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -46,7 +46,7 @@
 	q.endpoint, q.prefillTokens, q.queueWait, q.expectedFirst = slot.ID, slot.PrefillTokens, slot.ExpectedQueue, slot.ExpectedWait
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	q.endpointAnswer, q.answerBegan = forwarder.Answer{}, time.Time{}
+	q.endpointAnswer, q.answerBegan, q.lastHeard = forwarder.Answer{}, time.Time{}, now
 	failure := p.exchange(attemptCtx, cancel, q, slot)
 	outcome := balancer.Served
 	if failure != nil {
@@ -59,7 +59,8 @@
 	p.noteEnd(q, slot, failure)
 	if failure != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", failure.reason).
-			Bool("unsent", failure.unsent).Bool("not_run", failure.notRun).Int("sends", q.sends).
+			Bool("unsent", failure.unsent).Bool("not_run", failure.notRun).Str("ended_by", cutLabels[failure.endedBy]).Int("sends", q.sends).
+			Bool("begun", q.answerStarted).Dur("silent_ms", p.options.Clock.Since(q.lastHeard)).
 			Str("doubt", slot.HealthPenalty).Dur("pause_ms", slot.Pause).Dur("backoff_ms", q.endpointAnswer.Backoff).Bool("leaving", q.endpointAnswer.Leaving).
 			Strs("parts", q.loggedParts()).Hex("digest", q.profile.Whole.Bytes()).Msg("attempt ended without an answer")
 	}
@@ -98,7 +99,7 @@
 		return p.declined(q, x, answer)
 	}
 	if x.StatusCode < http.StatusMultipleChoices && !answer.Signed {
-		return &attemptFailure{outcome: balancer.ConnectionBroken, reason: "the endpoint's success is not signed"}
+		return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: "the endpoint's success is not signed"}
 	}
 	if q.route.Kind == resolver.Stream && x.StatusCode == http.StatusOK {
 		return p.relayStream(ctx, q, slot, x, watch)
@@ -122,7 +123,7 @@
 
 // failed returns the failure of an attempt that got no answer, and reports a possible crash.
 func (p *Proxier) failed(ctx context.Context, q *request, slot *balancer.Slot, err error) *attemptFailure {
-	e := &attemptFailure{outcome: balancer.ConnectionBroken, reason: err.Error()}
+	e := &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: endedBy(ctx, err), reason: err.Error()}
 	switch {
 	case errors.Is(err, forwarder.ErrUnsent):
 		e.unsent, e.outcome = true, p.unsentOutcome(err)
@@ -175,6 +176,7 @@
 func (p *Proxier) noteAnswerStarted(q *request, slot *balancer.Slot) {
 	now := p.options.Clock.Now()
 	slot.NoteResponse(now)
+	q.lastHeard = now
 	if q.answerBegan.IsZero() {
 		q.answerBegan = now
 		p.options.Crashes.AnswerBegan(localizer.Lifetime(slot.Key()))
--- a/router/internal/proxier/body.go
+++ b/router/internal/proxier/body.go
@@ -38,7 +38,8 @@
 		return false
 	}
 	q.reason = "the client's body broke off: " + err.Error()
-	panic(http.ErrAbortHandler)
+	p.cut(q, cutByBody)
+	return false
 }
 
 // initialBodyBytes is the maximum that is reserved for a body before any of it arrives. The buffer is
--- /dev/null
+++ b/router/internal/proxier/cut.go
@@ -0,0 +1,57 @@
+package proxier
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/framer"
+)
+
+// cutCause is why a request ended without a complete answer: what ended its last attempt that may have
+// run, or its client.
+type cutCause uint8
+
+const (
+	notCut        cutCause = iota
+	cutByClient            // the client closed its connection, or reads nothing
+	cutByBody              // the client's body broke off
+	cutByEndpoint          // the endpoint broke its connection off, or its answer is invalid
+	cutByRestart           // the endpoint has restarted
+	cutBySilence           // the router ended the attempt because the endpoint sent nothing
+	cutByDeadline          // the request's deadline passed
+	cutByFraming           // the answer has no framing, and its connection cannot carry it
+)
+
+// cutLabels are the values of cut causes in metrics and log lines.
+var cutLabels = map[cutCause]string{
+	notCut: "", cutByClient: "client", cutByBody: "body", cutByEndpoint: "endpoint", cutByRestart: "restart",
+	cutBySilence: "silence", cutByDeadline: "deadline", cutByFraming: "framing",
+}
+
+// cut closes the client's connection without a complete answer.
+func (p *Proxier) cut(q *request, cause cutCause) {
+	q.cutBy = cause
+	panic(http.ErrAbortHandler)
+}
+
+// endedBy returns what ended an attempt that failed with an error, by the context of the attempt.
+func endedBy(ctx context.Context, err error) cutCause {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errRestarted):
+		return cutByRestart
+	case errors.Is(cause, errStalled):
+		return cutBySilence
+	case errors.Is(cause, context.DeadlineExceeded):
+		return cutByDeadline
+	case cause != nil:
+		return cutByClient
+	case errors.Is(err, framer.ErrNoReset):
+		return cutByFraming
+	case errors.Is(err, forwarder.ErrUnsent):
+		return notCut
+	}
+	return cutByEndpoint
+}
--- /dev/null
+++ b/router/internal/proxier/cut_test.go
@@ -0,0 +1,117 @@
+package proxier
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against connections of clients that are closed without a complete answer and without a
+// reason in logs and metrics.
+func TestCutConnectionNamesItsCause(t *testing.T) {
+	tests := map[string]struct {
+		by    string
+		serve func(f *fixture, conn net.Conn, request *http.Request)
+		send  func(f *fixture)
+	}{
+		"the endpoint breaks off": {by: "endpoint", serve: func(_ *fixture, conn net.Conn, request *http.Request) {
+			beginStream(conn, request, 1, 2)
+			resetConn(conn, request)
+		}},
+		"the endpoint restarts": {by: "restart", serve: func(_ *fixture, conn net.Conn, request *http.Request) {
+			beginStream(conn, request, 1, 2)
+			awaitClose(conn)
+		}, send: func(f *fixture) {
+			response := f.do("POST", "/draft/", "prompt")
+			listing := f.listing("i-1")
+			listing.Started = time.Unix(2000, 0)
+			f.balancer.Update(listing)
+			_, err := readText(response)
+			require.Error(f.t, err)
+		}},
+		"the client leaves": {by: "client", serve: func(_ *fixture, conn net.Conn, request *http.Request) {
+			beginStream(conn, request, 1, 2)
+			awaitClose(conn)
+		}, send: func(f *fixture) {
+			ctx, cancel := context.WithCancel(f.t.Context())
+			response, err := f.send(ctx, "POST", "/draft/", "prompt")
+			require.NoError(f.t, err)
+			cancel()
+			response.Body.Close()
+		}},
+		"the body breaks off": {by: "body", send: func(f *fixture) {
+			conn, err := net.Dial("tcp", f.address)
+			require.NoError(f.t, err)
+			_, err = conn.Write([]byte("POST /draft/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 9\r\n\r\nhal"))
+			require.NoError(f.t, err)
+			require.NoError(f.t, conn.Close())
+		}},
+		"the deadline passes": {by: "deadline", serve: func(_ *fixture, conn net.Conn, request *http.Request) {
+			beginStream(conn, request, 1, 2)
+			awaitClose(conn)
+		}, send: func(f *fixture) {
+			_, err := readText(f.do("POST", "/draft/", "prompt", deadlineHeader, "50"))
+			require.Error(f.t, err)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			lines := make(chan string, 16)
+			f.proxier.options.Log = zerolog.New(lineWriter(lines))
+			f.proxier.options.Metrics = NewMetrics(prometheus.NewRegistry())
+			f.endpoint(func(conn net.Conn, request *http.Request) { test.serve(f, conn, request) })
+			if test.send == nil {
+				test.send = func(f *fixture) {
+					_, err := readText(f.do("POST", "/draft/", "prompt"))
+					require.Error(f.t, err)
+				}
+			}
+			test.send(f)
+			require.Equal(t, test.by, awaitRequestLine(t, lines))
+			require.Equal(t, 1.0, testutil.ToFloat64(f.proxier.options.Metrics.cuts.WithLabelValues(test.by)))
+		})
+	}
+}
+
+// awaitClose returns once the router has closed the connection.
+func awaitClose(conn net.Conn) {
+	_, _ = conn.Read(make([]byte, 1)) // either way the connection has ended
+}
+
+// lineWriter passes log lines on.
+type lineWriter chan string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
+// awaitRequestLine returns the cause in the line of a request.
+func awaitRequestLine(t *testing.T, lines <-chan string) string {
+	t.Helper()
+	for {
+		select {
+		case line := <-lines:
+			if !strings.Contains(line, `"message":"request"`) {
+				continue
+			}
+			var read struct {
+				CutBy string `json:"cut_by"`
+			}
+			require.NoError(t, json.Unmarshal([]byte(line), &read))
+			return read.CutBy
+		case <-time.After(waitTimeout):
+			require.Fail(t, "no line for the request")
+		}
+	}
+}
--- a/router/internal/proxier/metrics.go
+++ b/router/internal/proxier/metrics.go
@@ -15,6 +15,7 @@
 	refusals    *prometheus.CounterVec
 	sends       prometheus.Counter
 	unframed    prometheus.Counter
+	cuts        *prometheus.CounterVec
 	crashes     prometheus.Counter
 	timeToFirst prometheus.Histogram
 	duration    prometheus.Histogram
@@ -35,6 +36,9 @@
 		unframed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_unframed_total", Help: "Requests whose last answer ended with its endpoint's connection.",
 		}),
+		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_cuts_total", Help: "Clients' connections that were closed without a complete answer, by what ended it.",
+		}, []string{"by"}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_crashes_total", Help: "Endpoints that were found to have crashed under requests of this router.",
 		}),
@@ -47,7 +51,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
 		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.crashes, m.timeToFirst, m.duration)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.crashes, m.timeToFirst, m.duration)
 	return m
 }
 
@@ -63,6 +67,9 @@
 	if q.framing == framer.ByConnection {
 		m.unframed.Inc()
 	}
+	if q.cutBy != notCut {
+		m.cuts.WithLabelValues(cutLabels[q.cutBy]).Inc()
+	}
 	if q.timeToFirst > 0 {
 		m.timeToFirst.Observe(q.timeToFirst.Seconds())
 	}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -167,6 +167,7 @@
 	framing          framer.Framing   // of the last endpoint's answer
 	tried            map[string]bool  // ids of instances
 	endpoint         string
+	lastHeard        time.Time     // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
 	answerBegan      time.Time     // when the last endpoint began its answer, zero before that
 	beyondShare      bool          // it exceeds its workspace's guaranteed share
 	prefillTokens    int           // tokens that the last endpoint probably had to prefill
@@ -177,9 +178,11 @@
 	reason           string
 	timeToFirst      time.Duration // time until the first part of the answer
 	stream           eventSplitter
-	quarantinedBy    string // the feature for which it was refused, "" if it was not
-	quarantinedPart  string // the prompt part that is this feature, "" if it is the whole request
-	logged           bool   // the request already has its log line
+	endedBy          cutCause // what ended its last attempt that may have run
+	cutBy            cutCause // why its client's connection was closed without a complete answer
+	quarantinedBy    string   // the feature for which it was refused, "" if it was not
+	quarantinedPart  string   // the prompt part that is this feature, "" if it is the whole request
+	logged           bool     // the request already has its log line
 }
 
 // ServeHTTP serves one request.
@@ -245,7 +248,9 @@
 		if failure == nil {
 			return
 		}
-		q.mayHaveRun = q.mayHaveRun || !failure.unsent && !failure.notRun
+		if !failure.unsent && !failure.notRun {
+			q.mayHaveRun, q.endedBy = true, failure.endedBy
+		}
 		if !p.mayRetry(ctx, q, *failure) {
 			// Requests that engines decline stay charged to the share. While engines accept few requests, the
 			// number accepted grows with the number of tries, and a flood would try many times more often than
@@ -266,6 +271,7 @@
 	noEndpoint bool // there is also no endpoint to try
 	overloaded bool // there are endpoints, but none has capacity
 	notRun     bool // the endpoint answered that it did not run the request
+	endedBy    cutCause
 	reason     string
 	// fallback is the endpoint's own error answer, which is relayed if no other attempt succeeds.
 	fallback *bufferedAnswer
@@ -301,9 +307,9 @@
 	switch {
 	case q.http.Context().Err() != nil || clientGone(q.http.Context()):
 		q.reason = "the client left"
-		panic(http.ErrAbortHandler)
+		p.cut(q, cutByClient)
 	case q.answerStarted:
-		panic(http.ErrAbortHandler) // a truncated answer must not look complete
+		p.cut(q, q.endedBy) // a truncated answer must not look complete
 	case e.fallback != nil:
 		p.sendAnswer(q, e.fallback)
 	case !q.mayHaveRun && e.overloaded:
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -82,7 +82,7 @@
 			if inEvents {
 				var err error
 				if piece, err = q.stream.split(piece); err != nil {
-					return &attemptFailure{outcome: balancer.ConnectionBroken, reason: err.Error()}
+					return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: err.Error()}
 				}
 			}
 			if inEvents && len(piece) > 0 {
@@ -90,7 +90,7 @@
 			}
 			if err := p.relayPiece(q, flusher, x, piece); err != nil {
 				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
-				return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
+				return unwritten(err)
 			}
 		}
 		if readErr == nil {
@@ -144,14 +144,14 @@
 // complete, which is unknown.
 func (p *Proxier) endStream(q *request, flusher *http.ResponseController, x *forwarder.Exchange) *attemptFailure {
 	if q.answerStarted && q.end == nil && q.framing == framer.ByConnection {
-		return &attemptFailure{outcome: balancer.Served, reason: "the stream was resumed at an endpoint whose answer has no framing, so its end does not show whether it is complete"}
+		return &attemptFailure{outcome: balancer.Served, endedBy: cutByFraming, reason: "the stream was resumed at an endpoint whose answer has no framing, so its end does not show whether it is complete"}
 	}
 	err := p.sendHead(q, x, unknownLength)
 	if err == nil {
 		err = q.end.Complete(flusher)
 	}
 	if err != nil {
-		return &attemptFailure{outcome: balancer.Cancelled, reason: writeFailure(err)}
+		return unwritten(err)
 	}
 	return nil
 }
