Show in a test that a pause of a sound endpoint cuts streams

An endpoint sends nothing for 0.3 to 3 s of an injected clock and goes on: before the head, between events, inside one, in a plain answer, beside none to two others that serve, decline, break, refuse connections, pause too or have another version, with and without a change of the configuration. 40 seeds for each of four routes. What a client gets is a stream that is cut, or 502 before the head.

--- /dev/null
+++ b/router/internal/proxier/pause_test.go
@@ -0,0 +1,263 @@
+package proxier
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/lister"
+)
+
+const (
+	// pauseSeeds is the number of scenarios drawn for each route.
+	pauseSeeds = 40
+	// pauseStep is how far the clock is advanced at a time.
+	pauseStep = 100 * time.Millisecond
+	// pausedAnswerEvents is the number of events of a scripted stream.
+	pausedAnswerEvents = 6
+	// pausedAnswer is the body of a scripted plain answer.
+	pausedAnswer = "the whole answer"
+)
+
+// steppedClock is a fake clock whose Advance runs the timers that are due, in their order, before it
+// returns.
+type steppedClock struct {
+	*clockwork.FakeClock
+	mutex  sync.Mutex
+	timers map[*steppedTimer]time.Time
+}
+
+type steppedTimer struct {
+	clock *steppedClock
+	run   func()
+}
+
+func newSteppedClock() *steppedClock {
+	return &steppedClock{FakeClock: clockwork.NewFakeClock(), timers: make(map[*steppedTimer]time.Time)}
+}
+
+// AfterFunc runs a function in Advance once the duration has passed.
+func (c *steppedClock) AfterFunc(after time.Duration, run func()) clockwork.Timer {
+	timer := &steppedTimer{clock: c, run: run}
+	timer.Reset(after)
+	return timer
+}
+
+// Advance moves the clock in steps of pauseStep.
+func (c *steppedClock) Advance(total time.Duration) {
+	for total > 0 {
+		step := min(total, pauseStep)
+		total -= step
+		c.FakeClock.Advance(step)
+		for _, timer := range c.takeDue() {
+			timer.run()
+		}
+	}
+}
+
+// takeDue removes the timers that are due and returns them.
+func (c *steppedClock) takeDue() []*steppedTimer {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var due []*steppedTimer
+	for timer, at := range c.timers {
+		if !at.After(c.Now()) {
+			due = append(due, timer)
+		}
+	}
+	slices.SortFunc(due, func(a, b *steppedTimer) int { return c.timers[a].Compare(c.timers[b]) })
+	for _, timer := range due {
+		delete(c.timers, timer)
+	}
+	return due
+}
+
+func (t *steppedTimer) Chan() <-chan time.Time { return nil }
+
+func (t *steppedTimer) Reset(after time.Duration) bool {
+	t.clock.mutex.Lock()
+	defer t.clock.mutex.Unlock()
+	_, active := t.clock.timers[t]
+	t.clock.timers[t] = t.clock.Now().Add(after)
+	return active
+}
+
+func (t *steppedTimer) Stop() bool {
+	t.clock.mutex.Lock()
+	defer t.clock.mutex.Unlock()
+	_, active := t.clock.timers[t]
+	delete(t.clock.timers, t)
+	return active
+}
+
+// pauseScenario is an endpoint that sends nothing for a while in the middle of an answer and then goes
+// on, beside other endpoints that are listed once the request has been sent.
+type pauseScenario struct {
+	path   string
+	length time.Duration
+	// after is the number of events, or of bytes of a plain answer, before the pause; -1 is a pause
+	// before the head. With inside set, a stream pauses inside the next event.
+	after  int
+	inside bool
+	others []string // kinds of the other endpoints, keys of otherEndpoints
+	change bool     // a configuration comes into force during the pause
+}
+
+func (s pauseScenario) String() string {
+	return fmt.Sprintf("%s, pause of %v after %d, inside %v, beside %v, change %v", s.path, s.length, s.after, s.inside, s.others, s.change)
+}
+
+// drawPause draws a scenario.
+func drawPause(draw *rand.Rand, path string, plain bool) pauseScenario {
+	s := pauseScenario{
+		path: path, length: 300*time.Millisecond + time.Duration(draw.IntN(2700))*time.Millisecond,
+		inside: draw.IntN(2) == 0, change: draw.IntN(2) == 0,
+	}
+	units := pausedAnswerEvents
+	if plain {
+		units = len(pausedAnswer)
+	}
+	s.after = draw.IntN(units+1) - 1
+	kinds := []string{"serves", "declines", "resets", "refuses connections", "pauses too", "has another version"}
+	for range draw.IntN(3) {
+		s.others = append(s.others, kinds[draw.IntN(len(kinds))])
+	}
+	return s
+}
+
+// pausingFleet runs one scenario.
+type pausingFleet struct {
+	*fixture
+	clock    *steppedClock
+	scenario pauseScenario
+	once     sync.Once
+	paused   sync.Mutex // held during the pause
+}
+
+// pause advances the clock by the length of the pause, the first time that it is called.
+func (f *pausingFleet) pause() {
+	f.once.Do(func() {
+		f.paused.Lock()
+		defer f.paused.Unlock()
+		for _, kind := range f.scenario.others {
+			f.addOther(kind)
+		}
+		if f.scenario.change {
+			f.fleetState.table.Store(newTable(f.t, 2))
+		}
+		f.clock.Advance(f.scenario.length)
+	})
+}
+
+// serve answers a request, with a pause at the place of the scenario.
+func (f *pausingFleet) serve(conn net.Conn, request *http.Request) {
+	if f.scenario.after < 0 {
+		f.pause()
+	}
+	if isPlain(f.scenario.path) {
+		f.servePlain(conn, request)
+		return
+	}
+	resume, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 without the header
+	beginStream(conn, request, 1, 0)
+	for number := resume + 1; number <= pausedAnswerEvents; number++ {
+		if number == f.scenario.after+1 {
+			f.pauseBefore(conn, number)
+			continue
+		}
+		sendEvent(conn, number)
+	}
+	endStream(conn)
+}
+
+// pauseBefore pauses before or inside an event, and sends it.
+func (f *pausingFleet) pauseBefore(conn net.Conn, number int) {
+	text := event(number)
+	if !f.scenario.inside {
+		f.pause()
+		sendEvent(conn, number)
+		return
+	}
+	half := len(text) / 2
+	fmt.Fprintf(conn, "%x\r\n%s\r\n", half, text[:half])
+	f.pause()
+	fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text)-half, text[half:])
+}
+
+func (f *pausingFleet) servePlain(conn net.Conn, request *http.Request) {
+	before := max(f.scenario.after, 0)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s",
+		idHeader, request.Header.Get(idHeader), stampHeader, len(pausedAnswer), pausedAnswer[:before])
+	f.pause()
+	io.WriteString(conn, pausedAnswer[before:]) //nolint:errcheck // the router may have closed the connection
+}
+
+// addOther lists another endpoint.
+func (f *pausingFleet) addOther(kind string) {
+	switch kind {
+	case "serves":
+		f.endpoint(f.serve)
+	case "declines":
+		f.decliningEndpoint()
+	case "resets":
+		f.endpoint(resetConn)
+	case "refuses connections":
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(f.t, err)
+		require.NoError(f.t, listener.Close())
+		f.add(netip.MustParseAddrPort(listener.Addr().String()))
+	case "pauses too":
+		f.endpoint(func(conn net.Conn, request *http.Request) {
+			f.paused.Lock()
+			f.paused.Unlock() //nolint:staticcheck // the pause is over
+			f.serve(conn, request)
+		})
+	case "has another version":
+		f.lastID++
+		f.balancer.Update(lister.Listing{
+			ID: fmt.Sprint("i-", f.lastID), Service: "desk", State: lister.Ready, Slots: 6, Address: f.listen(f.serve), Version: "v2",
+		})
+	default:
+		require.Fail(f.t, "unknown kind", kind)
+	}
+}
+
+func isPlain(path string) bool {
+	return path == "/read/" || path == "/book/"
+}
+
+// Guards against ending an answer, or refusing a request, because its endpoint sends nothing for a
+// while, whatever other endpoints could do in its place.
+func TestPauseOfAnEndpointEndsNoAnswer(t *testing.T) {
+	for _, path := range []string{"/list/", "/draft/", "/read/", "/book/"} {
+		for seed := range uint64(pauseSeeds) {
+			scenario := drawPause(rand.New(rand.NewPCG(seed, 0)), path, isPlain(path))
+			t.Run(fmt.Sprint(seed, ": ", scenario), func(t *testing.T) {
+				t.Parallel()
+				clock := newSteppedClock()
+				f := &pausingFleet{fixture: newFixtureAt(t, clock), clock: clock, scenario: scenario}
+				f.endpoint(f.serve)
+				want := eventsUpTo(pausedAnswerEvents)
+				if isPlain(path) {
+					want = pausedAnswer
+				}
+				response := f.do("POST", path, "prompt")
+				body, err := readText(response)
+				require.NoError(t, err, "the answer was cut after %q", body)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				require.Equal(t, want, body)
+			})
+		}
+	}
+}
