--- a/router/internal/proxier/cut_test.go
+++ b/router/internal/proxier/cut_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
@@ -68,7 +67,8 @@
 			f := newFixture(t)
 			lines := make(chan string, 16)
 			f.proxier.options.Log = zerolog.New(lineWriter(lines))
-			f.proxier.options.Metrics = NewMetrics(prometheus.NewRegistry())
+			registry := prometheus.NewRegistry()
+			f.proxier.options.Metrics = NewMetrics(registry)
 			f.endpoint(func(conn net.Conn, request *http.Request) { test.serve(f, conn, request) })
 			if test.send == nil {
 				test.send = func(f *fixture) {
@@ -78,11 +78,28 @@
 			}
 			test.send(f)
 			require.Equal(t, test.by, awaitRequestLine(t, lines))
-			require.Equal(t, 1.0, testutil.ToFloat64(f.proxier.options.Metrics.cuts.WithLabelValues(test.by)))
+			require.Equal(t, map[string]float64{test.by: 1}, countedCuts(t, registry))
 		})
 	}
 }
 
+// countedCuts returns the counter of cut connections by its label.
+func countedCuts(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	counts := make(map[string]float64)
+	for _, family := range families {
+		if family.GetName() != "shallotkeel_passed_cuts_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+		}
+	}
+	return counts
+}
+
 // awaitClose returns once the router has closed the connection.
 func awaitClose(conn net.Conn) {
 	_, _ = conn.Read(make([]byte, 1)) // either way the connection has ended
