End no attempt because its endpoint sends nothing

A stream that may be resumed was ended after 1.2 s in which its endpoint had sent nothing on any connection, before it was known whether another endpoint could go on with it; where none could, its client got a cut stream or 502, although the endpoint would have gone on. No silence ends an attempt now: only the endpoint, its restart, the deadline or the client do.

TestSlowStreamIsNotRestartedElsewhere guards against the same failure at the router's sockets, beside a stream that goes on and beside none; both of its cases fail on the code before.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -128,10 +128,9 @@
 	connectFailed       bool            // the last connection attempt failed
 	leases              rationer.Holder // used while it is cold
 	// pressure applies to the calls of a plain service.
-	pressure     backpressure
-	lastActivity time.Time       // when it last sent data, or when its first running request was sent
-	lifetime     context.Context // done once the endpoint has restarted
-	endLifetime  context.CancelFunc
+	pressure    backpressure
+	lifetime    context.Context // done once the endpoint has restarted
+	endLifetime context.CancelFunc
 }
 
 // Update applies a listing of an endpoint. It reports whether the endpoint has restarted.
@@ -291,9 +290,6 @@
 	if !e.pausedUntil.IsZero() && !now.Before(e.pausedUntil) && !e.probing {
 		slot.probe, e.probing = true, true
 	}
-	if e.own.running == 0 {
-		e.lastActivity = now
-	}
 	b.choices++
 	e.lastChosen = b.choices
 	if b.isRationed(now, e) {
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -67,7 +67,7 @@
 func (s *Slot) NoteResponse(now time.Time) {
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
-	s.endpoint.lastActivity, s.endpoint.connectFailed = now, false
+	s.endpoint.connectFailed = false
 	s.endProbe(now)
 	s.balancer.noteReachable(s.endpoint)
 	if s.awaitsFirstToken && len(s.endpoint.awaiting) > 0 {
@@ -99,14 +99,6 @@
 	fit.ObserveDeviation(waited - s.ExpectedWait)
 }
 
-// EndpointSilent reports whether the endpoint has sent nothing for at least limit on any of this
-// router's connections. An endpoint that is only slow still sends data for other requests.
-func (s *Slot) EndpointSilent(now time.Time, limit time.Duration) bool {
-	s.balancer.mutex.Lock()
-	defer s.balancer.mutex.Unlock()
-	return now.Sub(s.endpoint.lastActivity) >= limit
-}
-
 // EndpointLifetime returns a context that is done once the endpoint has restarted: the request of
 // the slot has ended with the previous lifetime.
 func (s *Slot) EndpointLifetime() context.Context {
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -20,14 +20,10 @@
 	"shallotkeel.example/lib/resolver"
 )
 
-// The reasons for which an attempt is cancelled while its client is waiting.
-var (
-	// errStalled cancels an attempt whose endpoint has sent nothing for too long.
-	errStalled = merry.Sentinel("the endpoint sends nothing")
-	// errRestarted cancels an attempt whose endpoint has restarted: nothing that ran there
-	// before is still running.
-	errRestarted = merry.Sentinel("the endpoint has started again")
-)
+// errRestarted cancels an attempt whose endpoint has restarted: nothing that ran there before is
+// still running. Nothing else cancels an attempt before its deadline while its client is waiting. An
+// endpoint that sends nothing may be slow, or pause and go on.
+var errRestarted = merry.Sentinel("the endpoint has started again")
 
 // attempt sends the request to one endpoint. It returns nil once the client has its answer, and
 // otherwise how the attempt failed.
@@ -76,8 +72,6 @@
 			Instance: slot.ID, Workspace: q.workspace, Remaining: q.deadline.Sub(p.options.Clock.Now()), Resume: q.stream.lastID,
 		}),
 	}
-	watch := p.watch(q, slot, cancel)
-	defer watch.stop()
 	unlink := context.AfterFunc(slot.EndpointLifetime(), func() { cancel(errRestarted) })
 	defer unlink()
 	x, err := p.options.Client.Do(ctx, slot.Address, outgoing, func() bool {
@@ -102,7 +96,7 @@
 		return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: "the endpoint's success is not signed"}
 	}
 	if q.route.Kind == resolver.Stream && x.StatusCode == http.StatusOK {
-		return p.relayStream(ctx, q, slot, x, watch)
+		return p.relayStream(ctx, q, slot, x)
 	}
 	return p.relayPlain(ctx, q, slot, x)
 }
@@ -130,16 +124,12 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.options.Crashes.Ended(p.options.Clock.Now(), localizer.Lifetime(slot.Key()))
 		}
+	case errors.Is(context.Cause(ctx), errRestarted):
+		// The request may have crashed the endpoint, as with a broken connection.
+		p.noteRestart(q, slot)
+		e.reason = errRestarted.Error()
 	case context.Cause(ctx) != nil:
-		switch cause := context.Cause(ctx); {
-		case errors.Is(cause, errRestarted):
-			// The request may have crashed the endpoint, as with a broken connection.
-			p.noteRestart(q, slot)
-			e.reason = cause.Error()
-		case errors.Is(cause, errStalled):
-			e.reason = cause.Error()
-		}
-		// Otherwise the deadline passed or the client disconnected: nothing crashed.
+		// The deadline passed or the client disconnected: nothing crashed.
 	case errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, os.ErrDeadlineExceeded):
 		p.noteBreak(q, slot)
 	}
--- a/router/internal/proxier/cut.go
+++ b/router/internal/proxier/cut.go
@@ -19,7 +19,6 @@
 	cutByBody              // the client's body broke off
 	cutByEndpoint          // the endpoint broke its connection off, or its answer is invalid
 	cutByRestart           // the endpoint has restarted
-	cutBySilence           // the router ended the attempt because the endpoint sent nothing
 	cutByDeadline          // the request's deadline passed
 	cutByFraming           // the answer has no framing, and its connection cannot carry it
 )
@@ -27,7 +26,7 @@
 // cutLabels are the values of cut causes in metrics and log lines.
 var cutLabels = map[cutCause]string{
 	notCut: "", cutByClient: "client", cutByBody: "body", cutByEndpoint: "endpoint", cutByRestart: "restart",
-	cutBySilence: "silence", cutByDeadline: "deadline", cutByFraming: "framing",
+	cutByDeadline: "deadline", cutByFraming: "framing",
 }
 
 // cut closes the client's connection without a complete answer.
@@ -42,8 +41,6 @@
 	switch {
 	case errors.Is(cause, errRestarted):
 		return cutByRestart
-	case errors.Is(cause, errStalled):
-		return cutBySilence
 	case errors.Is(cause, context.DeadlineExceeded):
 		return cutByDeadline
 	case cause != nil:
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -159,7 +159,6 @@
 	sends            int              // attempts that sent at least one byte of it
 	unsentAttempts   int              // attempts that sent nothing of it
 	mayHaveRun       bool             // an endpoint may have run it
-	retryPaid        atomic.Bool      // the budget has already been charged for its next attempt
 	answerStarted    bool             // the client has got a part of the answer
 	end              *framer.End      // of an answer that ends with the client's connection
 	endpointAnswered bool             // an endpoint has begun to answer
@@ -298,7 +297,7 @@
 	if !e.notRun && !q.route.Retryable() {
 		return false
 	}
-	return q.retryPaid.Swap(false) || p.options.Budget.Spend(p.options.Clock.Now(), q.service)
+	return p.options.Budget.Spend(p.options.Clock.Now(), q.service)
 }
 
 // giveUp gives the final answer of a request that no endpoint has answered.
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -68,7 +68,7 @@
 }
 
 // relayStream relays a stream as it arrives, in complete events.
-func (p *Proxier) relayStream(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, watch *watch) *attemptFailure {
+func (p *Proxier) relayStream(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange) *attemptFailure {
 	buffer := make([]byte, streamBufferBytes)
 	flusher := http.NewResponseController(q.writer)
 	q.stream.partial = nil
@@ -76,7 +76,6 @@
 	for {
 		n, readErr := x.Body.Read(buffer)
 		if n > 0 {
-			watch.touch()
 			p.noteAnswerStarted(q, slot)
 			piece := buffer[:n]
 			if inEvents {
--- a/router/internal/proxier/stream_test.go
+++ b/router/internal/proxier/stream_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -133,3 +135,44 @@
 	_, err := e.split(make([]byte, maxEventBytes+1))
 	require.Error(t, err)
 }
+
+// Guards against streams of a slow engine that are ended and restarted elsewhere, because one of its
+// streams, or all of them, send nothing for a while.
+func TestSlowStreamIsNotRestartedElsewhere(t *testing.T) {
+	for name, anotherGoesOn := range map[string]bool{"another stream goes on": true, "all streams are silent": false} {
+		t.Run(name, func(t *testing.T) {
+			clock := newSteppedClock()
+			f := newFixtureAt(t, clock)
+			goOn := map[string]chan struct{}{"/list/slow": make(chan struct{}), "/list/another": make(chan struct{})}
+			f.endpoint(func(conn net.Conn, request *http.Request) {
+				beginStream(conn, request, 1, 1)
+				<-goOn[request.URL.Path]
+				sendEvent(conn, 2)
+				endStream(conn)
+			})
+			slow, another := f.do("POST", "/list/slow", "prompt"), f.do("POST", "/list/another", "prompt")
+			var restarted atomic.Int64
+			f.endpoint(func(conn net.Conn, request *http.Request) {
+				restarted.Add(1)
+				beginStream(conn, request, 2, 2)
+				endStream(conn)
+			})
+			requireRest := func(path string, response *http.Response) {
+				close(goOn[path])
+				body, err := readText(response)
+				require.NoError(t, err)
+				require.Equal(t, eventsUpTo(2), body)
+			}
+			clock.Advance(time.Second)
+			if anotherGoesOn {
+				requireRest("/list/another", another)
+			}
+			clock.Advance(2 * time.Second)
+			requireRest("/list/slow", slow)
+			if !anotherGoesOn {
+				requireRest("/list/another", another)
+			}
+			require.Zero(t, restarted.Load())
+		})
+	}
+}
