Keep SIGHUP from ending a program while it starts or stops

Callers of a keeper that stops, and of a router that starts, lose their requests when the settings change at that moment: SIGHUP ends a process without a handler, and the handler was registered by the watch of the settings, in a keeper from its control loop to the SIGTERM, in a router until its last request had ended. Found by reading, while looking for what a SIGHUP may cut. TestHangupEndsNoProgram ends with "signal: hangup" on the code before; now the handler stands as long as the program runs.

--- a/lib/starter/starter.go
+++ b/lib/starter/starter.go
@@ -3,7 +3,8 @@
 //
 // Invariants: a program exits with status 0 on success, 1 on failure and 2 on
 // wrong usage; SIGTERM and SIGINT cancel the program's context, and the program
-// then shuts down gracefully.
+// then shuts down gracefully; SIGHUP, the signal to read the settings again, never
+// ends a program.
 package starter
 
 import (
@@ -52,6 +53,9 @@
 	log := Logger(writer, name, options.LogLevel)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	// Without a handler SIGHUP ends the process. A program handles it only from the time at which it
+	// watches its settings until it stops.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	if err := program(ctx, options, log); err != nil {
 		log.Error().Err(err).Msg("program failed; exiting")
 		return StatusFailed
--- a/lib/starter/starter_test.go
+++ b/lib/starter/starter_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 
 	"github.com/ansel1/merry/v2"
@@ -37,3 +40,16 @@
 		})
 	}
 }
+
+// Guards against a change of the settings that ends a process and cuts its requests, because the
+// signal arrives before the program watches its settings or while it stops.
+func TestHangupEndsNoProgram(t *testing.T) {
+	status := Main("test", "tests", []string{"--settings", "f"}, func(context.Context, Options, zerolog.Logger) error {
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		signal.Stop(hangups)
+		return syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	})
+	require.Equal(t, StatusOK, status)
+}
