Let watch show every change, however many come between two polls

skctl watch read the newest 100 changes of each poll: of 207 between two polls an operator saw the last 100, and no word of the others. It now asks for earlier batches until it meets the last change that it showed. TestWatchPrintsEveryChange fails without it ("change 4 is missing" with several batches).

--- a/skctl/internal/commander/commander_test.go
+++ b/skctl/internal/commander/commander_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -59,7 +62,7 @@
 			f.put(*f.concurrentEdit)
 		}
 	case "/admin/history":
-		_ = json.NewEncoder(w).Encode(reporter.History{Revisions: f.history})
+		_ = json.NewEncoder(w).Encode(f.page(r))
 	case "/admin/status":
 		_ = json.NewEncoder(w).Encode(f.status)
 	case "/admin/changes":
@@ -74,6 +77,25 @@
 	}
 }
 
+// page returns the part of the history, newest first, that a request asks for.
+func (f *fakeAPI) page(r *http.Request) reporter.History {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil {
+		limit = len(f.history)
+	}
+	before, err := strconv.ParseUint(r.URL.Query().Get("before"), 10, 64)
+	if err != nil {
+		before = math.MaxUint64
+	}
+	var answer reporter.History
+	for _, revision := range f.history {
+		if revision.Revision < before && len(answer.Revisions) < limit {
+			answer.Revisions = append(answer.Revisions, revision)
+		}
+	}
+	return answer
+}
+
 func (f *fakeAPI) listing() reporter.Objects {
 	answer := reporter.Objects{Revision: f.revision}
 	for _, object := range f.objects {
@@ -286,3 +308,26 @@
 	got = run(t, f, testClock(), "", "digest", "secret")
 	require.Len(t, strings.TrimSpace(got.out), 63)
 }
+
+// Guards against changes that watch never shows because more of them came between two polls than one
+// request returns.
+func TestWatchPrintsEveryChange(t *testing.T) {
+	for name, count := range map[string]int{"one batch": 7, "a full batch": watchBatchSize, "several": 2*watchBatchSize + 7} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeAPI()
+			f.revision = 3
+			for revision := 3 + count; revision > 0; revision-- {
+				f.history = append(f.history, reporter.Revision{Revision: uint64(revision), Author: fmt.Sprintf("operator-%03d", revision)})
+			}
+			watched := run(t, f, testClock(), "", "watch", "--for", "1ms")
+			require.Equal(t, starter.StatusOK, watched.status, watched.err)
+			require.NotContains(t, watched.out, "operator-003")
+			last := 0
+			for revision := 4; revision <= 3+count; revision++ {
+				at := strings.Index(watched.out, fmt.Sprintf("operator-%03d", revision))
+				require.GreaterOrEqual(t, at, last, "change %d is missing or out of order", revision)
+				last = at
+			}
+		})
+	}
+}
--- a/skctl/internal/commander/views.go
+++ b/skctl/internal/commander/views.go
@@ -11,6 +11,7 @@
 	"shallotkeel.example/lib/describer"
 	"shallotkeel.example/lib/labeler"
 	"shallotkeel.example/lib/matcher"
+	"shallotkeel.example/lib/reporter"
 	"shallotkeel.example/skctl/internal/printer"
 )
 
@@ -151,28 +152,43 @@
 	return nil
 }
 
-// watchBatchSize is the number of changes that watch requests in each poll.
+// watchBatchSize is the number of changes that watch requests at a time.
 const watchBatchSize = 100
 
 // printNew prints the changes after revision lastShown and returns the newest
 // revision that has been printed.
 func (w *watch) printNew(lastShown uint64) (uint64, error) {
-	answer, err := w.commander.requester().History(background(), 0, watchBatchSize)
-	if err != nil {
+	fresh, err := w.changesAfter(lastShown)
+	if err != nil || len(fresh.Revisions) == 0 {
 		return lastShown, err
 	}
-	fresh := answer
-	fresh.Revisions = nil
-	for _, revision := range slices.Backward(answer.Revisions) {
-		if revision.Revision > lastShown {
+	newest := fresh.Revisions[len(fresh.Revisions)-1].Revision
+	return newest, w.commander.printer().Print(fresh, printer.History(fresh))
+}
+
+// changesAfter returns the changes after a revision, oldest first. It requests batches from the
+// newest change back to that revision.
+func (w *watch) changesAfter(lastShown uint64) (reporter.History, error) {
+	var fresh reporter.History
+	before := uint64(0)
+	for {
+		batch, err := w.commander.requester().History(background(), before, watchBatchSize)
+		if err != nil {
+			return reporter.History{}, err
+		}
+		for _, revision := range batch.Revisions {
+			if revision.Revision <= lastShown {
+				slices.Reverse(fresh.Revisions)
+				return fresh, nil
+			}
 			fresh.Revisions = append(fresh.Revisions, revision)
-			lastShown = revision.Revision
+			before = revision.Revision
+		}
+		if len(batch.Revisions) < watchBatchSize {
+			slices.Reverse(fresh.Revisions)
+			return fresh, nil
 		}
 	}
-	if len(fresh.Revisions) == 0 {
-		return lastShown, nil
-	}
-	return lastShown, w.commander.printer().Print(fresh, printer.History(fresh))
 }
 
 type digest struct {
