Answer every announcement of an endpoint

A second announcement of an endpoint took the place of one that still waited for its scheduler, whose call then ended only with its own timeout; so did one whose time to live passed, and one of an incarnation that a later one replaced. All that wait are answered now, the last two with an error that says what to do. TestEveryAnnouncementIsAnswered fails on the code before in "repeated", "restarted" and "no scheduler in time".

--- a/router/internal/coordinator/announcements.go
+++ b/router/internal/coordinator/announcements.go
@@ -17,6 +17,12 @@
 // announcement.
 var ErrNoScheduler = merry.Sentinel("no scheduler took the announcement")
 
+// The errors of announcements that are no longer sent.
+var (
+	errSuperseded = merry.Errorf("%w: the endpoint has restarted", ErrNoScheduler)
+	errExpired    = merry.Errorf("%w within the announcement's time to live; announce again", ErrNoScheduler)
+)
+
 const (
 	// maxAnnounced bounds the endpoints that one router stores.
 	maxAnnounced = 16384
@@ -38,7 +44,15 @@
 	inFlight       bool
 	resendAt       time.Time // when to send the full announcement, zero if the scheduler has it
 	renew          bool
-	finish         func(error) // ends the call of the endpoint, nil if none waits
+	waiting        []func(error) // end the endpoint's calls that wait for the scheduler
+}
+
+// end ends the calls that wait for the scheduler.
+func (a *announcement) end(err error) {
+	for _, finish := range a.waiting {
+		finish(err)
+	}
+	a.waiting = nil
 }
 
 // announcementTable stores the endpoints that announce themselves at this router, so
@@ -77,6 +91,9 @@
 		return
 	}
 	if known == nil || known.message.GetIncarnation() < message.GetIncarnation() {
+		if known != nil {
+			known.end(errSuperseded)
+		}
 		known = &announcement{}
 		c.announcements.byID[message.GetId()] = known
 	} else if known.message.GetIncarnation() > message.GetIncarnation() {
@@ -92,7 +109,7 @@
 		finish(nil)
 		return
 	}
-	known.resendAt, known.finish = now, finish
+	known.resendAt, known.waiting = now, append(known.waiting, finish)
 	c.stepAnnouncements(now)
 }
 
@@ -138,6 +155,7 @@
 	for id, a := range c.announcements.byID {
 		switch {
 		case !now.Before(a.expires):
+			a.end(errExpired)
 			delete(c.announcements.byID, id)
 		case a.resendAt.IsZero() || a.inFlight:
 		case now.Before(a.resendAt):
@@ -198,10 +216,7 @@
 		a.message = proto.Clone(a.message).(*messenger.Announcement)
 		a.message.Cached, a.message.Evicted = nil, nil
 	}
-	if a.finish != nil {
-		a.finish(nil)
-		a.finish = nil
-	}
+	a.end(nil)
 }
 
 // broadcast sends an announcement to all routers of the zone. It serves the
--- a/router/internal/coordinator/coordinator_test.go
+++ b/router/internal/coordinator/coordinator_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/messenger"
 )
 
 const (
@@ -268,3 +270,51 @@
 	require.Zero(t, waiting)
 	require.LessOrEqual(t, w.calls-calls, 4, "one call in addition to heartbeats")
 }
+
+// Guards against an endpoint's announcement that is never answered, because a later one of the same
+// endpoint arrives, or its time to live passes, while no scheduler takes it.
+func TestEveryAnnouncementIsAnswered(t *testing.T) {
+	for name, test := range map[string]struct {
+		incarnations []uint64 // of the announcements, in order
+		healed       bool     // the scheduler is reached before the time to live has passed
+		want         []error
+	}{
+		"one":                  {incarnations: []uint64{1}, healed: true, want: []error{nil}},
+		"repeated":             {incarnations: []uint64{1, 1}, healed: true, want: []error{nil, nil}},
+		"restarted":            {incarnations: []uint64{1, 2}, healed: true, want: []error{errSuperseded, nil}},
+		"stale":                {incarnations: []uint64{2, 1}, healed: true, want: []error{nil, nil}},
+		"no scheduler in time": {incarnations: []uint64{1, 1}, want: []error{errExpired, errExpired}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSimulation(t, 1, 2, false)
+			w.run(time.Second, nil)
+			scheduler := w.scheduler(0)
+			var other *node
+			for _, at := range w.order {
+				if at != scheduler {
+					other = w.nodes[at]
+				}
+			}
+			w.partitioned = func(netip.AddrPort, netip.AddrPort) bool { return true }
+			got := make([]error, len(test.incarnations))
+			ended := 0
+			for i, incarnation := range test.incarnations {
+				got[i] = errPartitioned
+				other.acceptAnnouncement(&messenger.Announcement{
+					Id: "e1", Incarnation: incarnation, Service: service, Zone: "zone-0", Models: []string{model},
+					Address: "10.1.0.1:9000", Slots: 4, TtlMs: 400,
+				}, func(err error) {
+					got[i] = err
+					ended++
+				})
+			}
+			w.run(100*time.Millisecond, nil)
+			if test.healed {
+				w.partitioned = nil
+			}
+			w.run(time.Second, nil)
+			require.Equal(t, test.want, got)
+			require.Equal(t, len(test.want), ended, "each call ends once")
+		})
+	}
+}
