Retain an abandoned run however many requests its endpoint runs

An endpoint with more than 64 runs retained no abandoned run, so that a request that crashed it right after its caller had left was never suspected, and went on to the next endpoint. The bound counts abandoned runs now. TestAbandonedRunIsSuspectedBesideManyRuns fails on the code before beside 200 runs and beside 63 that left.

--- a/lib/isolator/isolator.go
+++ b/lib/isolator/isolator.go
@@ -39,8 +39,8 @@
 	// a request can crash its endpoint shortly after its caller has
 	// disconnected.
 	abandonedRetention = 5 * time.Second
-	// maxAbandoned bounds the retained runs of an endpoint: an abandoned run is
-	// retained only while the endpoint has at most this many runs.
+	// maxAbandoned bounds the retained abandoned runs of an endpoint, however many
+	// run there. A further one is not retained.
 	maxAbandoned = 64
 )
 
@@ -224,7 +224,7 @@
 // remove stops tracking a run. An abandoned run is retained for
 // abandonedRetention, because it may still crash its endpoint.
 func (i *Isolator) remove(now time.Time, run *Run, outcome Outcome) {
-	if outcome == Abandoned && len(i.runs[run.endpoint]) <= maxAbandoned {
+	if outcome == Abandoned && countAbandoned(i.currentRuns(now, run.endpoint)) < maxAbandoned {
 		run.abandonedAt = now
 		return
 	}
@@ -237,6 +237,17 @@
 	i.setRuns(run.endpoint, kept)
 }
 
+// countAbandoned returns the number of abandoned runs.
+func countAbandoned(runs []*Run) int {
+	count := 0
+	for _, run := range runs {
+		if !run.abandonedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // currentRuns drops the endpoint's abandoned runs whose retention has expired
 // and returns the others.
 func (i *Isolator) currentRuns(now time.Time, endpoint Endpoint) []*Run {
--- a/lib/isolator/isolator_test.go
+++ b/lib/isolator/isolator_test.go
@@ -210,3 +210,31 @@
 	require.Empty(t, i.End(start, second, isolator.Crashed))
 	require.Equal(t, isolator.Trial, i.Admit(start, innocent))
 }
+
+// Guards against a request that crashes endpoints shortly after its caller left and is never suspected,
+// because many other requests ran beside it.
+func TestAbandonedRunIsSuspectedBesideManyRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		running, abandoned int // other runs at the endpoint
+		want               isolator.Verdict
+	}{
+		"alone":                 {want: isolator.Trial},
+		"beside many runs":      {running: 200, want: isolator.Trial},
+		"beside few that left":  {abandoned: 63, want: isolator.Trial},
+		"beside many that left": {abandoned: 64, want: isolator.Unrestricted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var i isolator.Isolator
+			for n := range test.abandoned {
+				i.End(start, i.Start(start, uint64(1000+n), endpoint(1), false), isolator.Abandoned)
+			}
+			for n := range test.running {
+				i.Start(start, uint64(2000+n), endpoint(1), false)
+			}
+			beside := i.Start(start, innocent, endpoint(1), false)
+			i.End(start, i.Start(start, poison, endpoint(1), false), isolator.Abandoned)
+			i.End(start.Add(time.Second), beside, isolator.Crashed)
+			require.Equal(t, test.want, i.Admit(start.Add(time.Second), poison))
+		})
+	}
+}
