Count connections made only, and drop a field that nobody reads

Client.Opened counted dials that failed, and the metric says connections made: TestFailedDialsAreNotCountedAsConnections is red on the code before. The comment on the memory limit named stacks as outside of it.

--- a/lib/enlister/enlister.go
+++ b/lib/enlister/enlister.go
@@ -76,7 +76,6 @@
 	running  bool
 	endpoint string
 	charged  uint32 // service units used so far
-	reported uint32 // units last reported to the scheduler
 }
 
 // Enlister is a router's end of the protocol for one pool. It is not safe for
@@ -256,12 +255,11 @@
 	return encodeTicket(&e.writer, &r.ticket, r.ticket.Waited+now.Sub(r.addedAt))
 }
 
-// takeProgress returns the unreported progress and marks it as reported.
+// takeProgress returns the unreported progress, which then counts as reported.
 func (e *Enlister) takeProgress() []*messenger.Progress {
 	progress := make([]*messenger.Progress, 0, len(e.unsentProgress))
 	for _, seq := range slices.Sorted(maps.Keys(e.unsentProgress)) {
 		r := e.entries[seq]
-		r.reported = r.charged
 		progress = append(progress, &messenger.Progress{Seq: seq, Charged: r.charged})
 	}
 	clear(e.unsentProgress)
@@ -291,7 +289,6 @@
 			batch.Tickets = append(batch.Tickets, e.ticket(now, seq))
 			continue
 		}
-		r.reported = r.charged
 		batch.Running = append(batch.Running, &messenger.Running{
 			Seq: seq, Workspace: e.writer.Intern(r.ticket.Workspace), Model: e.writer.Intern(r.ticket.Model),
 			Endpoint: e.writer.Intern(r.endpoint), Charged: r.charged,
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -119,7 +119,7 @@
 	complete    bool
 }
 
-// Opened returns the number of dials begun since the start, failed ones included.
+// Opened returns the number of connections made since the start.
 func (c *Client) Opened() uint64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -319,6 +319,9 @@
 		c.count(address, -1)
 		return nil, err
 	}
+	c.mutex.Lock()
+	c.opened++
+	c.mutex.Unlock()
 	return &conn{Conn: made, reader: bufio.NewReaderSize(made, readBufferSize), address: address}, nil
 }
 
@@ -335,9 +338,6 @@
 		c.pools[address] = p
 	}
 	p.open += change
-	if change > 0 {
-		c.opened++
-	}
 	if p.open == 0 && len(p.idle) == 0 {
 		delete(c.pools, address)
 	}
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -481,3 +481,16 @@
 		}
 	})
 }
+
+// Guards against connections that are counted as made although their dials failed: the counter would
+// show connections that are not kept, where endpoints cannot be reached.
+func TestFailedDialsAreNotCountedAsConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := netip.MustParseAddrPort(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	c := newClient()
+	_, err = c.Do(t.Context(), closed, &Outgoing{ID: "/a", Method: "GET", Target: "/a", Host: "h"}, nil)
+	require.ErrorIs(t, err, ErrUnsent)
+	require.Zero(t, c.Opened())
+}
--- a/lib/starter/memory.go
+++ b/lib/starter/memory.go
@@ -3,8 +3,8 @@
 import "runtime/debug"
 
 // memoryLimitRatio is the fraction of an instance's memory that is set as the
-// runtime's soft memory limit. The rest is headroom for stacks, kernel buffers
-// and bursts.
+// runtime's soft memory limit, which covers the heap and the stacks. The rest is
+// headroom for kernel buffers, the program's code and bursts.
 const memoryLimitRatio = 0.7
 
 // LimitMemory sets the runtime's soft memory limit according to the instance's
