End a pause of an endpoint with the silence that caused it

Seen by callers: new streams kept away from an endpoint for up to 1.3 s after it went on, because the dials that timed out while it sent nothing had doubled its pause. The others carried its part in the meantime.

Cause: a pause ended only with its time, or with the end of a whole answer. Data on other connections cleared the mark of an endpoint that cannot be connected, not the pause.

A failure in a silence of the whole endpoint now marks the pause, and the first data on any connection ends it. The next request is a probe, so that an endpoint that accepts no connections gets one dial for each silence, not one for each request. Data that arrives while the attempts fail shows that the endpoint was not silent, and ends nothing.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -129,6 +129,7 @@
 	leases              rationer.Holder // used while it is cold
 	// pressure applies to the calls of a plain service.
 	pressure     backpressure
+	silence      silence
 	lastActivity time.Time       // when it last sent data, or when its first running request was sent
 	lifetime     context.Context // done once the endpoint has restarted
 	endLifetime  context.CancelFunc
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -67,7 +67,8 @@
 func (s *Slot) NoteResponse(now time.Time) {
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
-	s.endpoint.lastActivity, s.endpoint.connectFailed = now, false
+	s.endpoint.noteData(now)
+	s.endpoint.connectFailed = false
 	s.endProbe(now)
 	s.balancer.noteReachable(s.endpoint)
 	if s.awaitsFirstToken && len(s.endpoint.awaiting) > 0 {
@@ -153,11 +154,11 @@
 	case Faulty, ConnectionBroken:
 		e.failureShare = e.failureShare*(1-failureWeight) + failureWeight
 		if outcome == ConnectionBroken || s.balancer.failsMoreThanUsual(e) {
-			e.pause(now)
+			e.pauseAfter(now, s)
 		}
 	case ConnectFailed:
 		e.connectFailed = true
-		e.pause(now)
+		e.pauseAfter(now, s)
 		s.balancer.noteUnreachable(now, e)
 	case Full, WrongInstance, ConnectLate:
 		e.pause(now)
@@ -174,5 +175,5 @@
 	}
 	length := min(initialPause<<min(e.consecutiveFailures, 10), maxPause)
 	e.consecutiveFailures++
-	e.pausedUntil = now.Add(length)
+	e.pausedUntil, e.silence.causedPause = now.Add(length), false
 }
