Take no start that becomes known for a restart

Seen by callers: all requests at an endpoint end at one moment, some of them lost, though it goes on: its first heartbeat to a keeper came without a start (that of another writer, or with the field missing) and the next one with it; or it announces its end with a start that its heartbeats did not name, and would have finished its work.

Cause: the balancer ended a lifetime with any change of the listed start, also from an unknown one. Unknown is not another one.

A start that is learned while the sequence goes on, or with the end of the endpoint, now belongs to the listed lifetime. A restart begins a new sequence, and still ends the lifetime before. Known starts that differ end it as before. Its key in load reports follows the start, so that the routers agree on it.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -135,7 +135,8 @@
 	endLifetime  context.CancelFunc
 }
 
-// Update applies a listing of an endpoint. It reports whether the endpoint has restarted.
+// Update applies a listing of an endpoint. It reports whether the endpoint has restarted, which ends the
+// requests that run there. A start that becomes known while the sequence goes on is no restart.
 func (b *Balancer) Update(listing lister.Listing) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -144,7 +145,8 @@
 		b.services = make(map[string]*pool)
 	}
 	known, found := b.byID[listing.ID]
-	restarted := found && !known.Started.Equal(listing.Started)
+	learned := found && known.learnsStart(listing)
+	restarted := found && !learned && !known.Started.Equal(listing.Started)
 	if found && !restarted {
 		listing.State = max(listing.State, known.State) // its answers may have announced that it leaves
 	}
@@ -174,9 +176,18 @@
 		}
 		known.Listing = listing
 	}
+	if learned {
+		known.key = Key(listing)
+	}
 	return restarted
 }
 
+// learnsStart reports whether a listing names the start of a lifetime that was listed without one: its
+// sequence goes on, or it announces the end. A restart begins a new sequence.
+func (e *endpoint) learnsStart(listing lister.Listing) bool {
+	return e.Started.IsZero() && !listing.Started.IsZero() && (listing.Sequence > e.Sequence || listing.State == lister.Gone)
+}
+
 func (b *Balancer) add(listing lister.Listing) {
 	added := &endpoint{Listing: listing, seed: hashText(listing.ID), key: Key(listing)}
 	if b.Seed != 0 {
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -116,6 +116,8 @@
 
 // Key identifies the lifetime of the endpoint that the slot was taken from, as Key does.
 func (s *Slot) Key() uint64 {
+	s.balancer.mutex.Lock()
+	defer s.balancer.mutex.Unlock()
 	return s.endpoint.key
 }
 
