--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -54,7 +54,8 @@
 	Full
 	// WrongInstance means that another instance answered at the address.
 	WrongInstance
-	// Cancelled means that the client left; it says nothing about the endpoint.
+	// Cancelled means that the client left or the request's deadline passed. It says nothing about the
+	// endpoint, unless that was silent.
 	Cancelled
 )
 
@@ -67,6 +68,7 @@
 func (s *Slot) NoteResponse(now time.Time) {
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
+	s.endpoint.noteData(now)
 	s.endpoint.connectFailed = false
 	s.endProbe(now)
 	s.balancer.noteReachable(s.endpoint)
@@ -107,6 +109,8 @@
 
 // Key identifies the lifetime of the endpoint that the slot was taken from, as Key does.
 func (s *Slot) Key() uint64 {
+	s.balancer.mutex.Lock()
+	defer s.balancer.mutex.Unlock()
 	return s.endpoint.key
 }
 
@@ -126,8 +130,9 @@
 		return
 	}
 	s.ended = true
-	s.endPrefill()
 	e := s.endpoint
+	silent := s.balancer.isSilent(now, e)
+	s.endPrefill()
 	e.own.running--
 	if s.probe {
 		e.probing = false
@@ -145,12 +150,16 @@
 	case Faulty, ConnectionBroken:
 		e.failureShare = e.failureShare*(1-failureWeight) + failureWeight
 		if outcome == ConnectionBroken || s.balancer.failsMoreThanUsual(e) {
-			e.pause(now)
+			e.pauseAfter(now, s)
 		}
 	case ConnectFailed:
 		e.connectFailed = true
-		e.pause(now)
+		e.pauseAfter(now, s)
 		s.balancer.noteUnreachable(now, e)
+	case Cancelled:
+		if silent {
+			e.pauseAfter(now, s)
+		}
 	case Full, WrongInstance, ConnectLate:
 		e.pause(now)
 		if outcome == Full && s.objective > 0 {
@@ -166,5 +175,5 @@
 	}
 	length := min(initialPause<<min(e.consecutiveFailures, 10), maxPause)
 	e.consecutiveFailures++
-	e.pausedUntil = now.Add(length)
+	e.pausedUntil, e.silence.causedPause = now.Add(length), false
 }
