End no chat by silence where no other attempt may follow

Seen by callers: on the product's own interface a chat is cut, or answered 502 with outcome unknown, once its engine has sent nothing for 10 s, though the engine goes on and nothing else was going to give them the answer: the chat must not run twice, or its attempts are used up.

Cause: the stall timer ended the attempt before anything asked whether another one may follow.

The timer now has the request's timeout for such an attempt, as for calls of plain services. Where another attempt may follow, 10 s of silence still move the chat, so that a frozen engine holds no caller whose answer another one can resume.

Evidence: TestSilenceEndsNoAnswerWithoutAnotherAttempt (not repeatable, or one attempt; silent for 20 s of a fake clock before the first token or in the stream; streamed or whole): all 8 cases red before, none after. TestStalledEndpointIsReplaced still passes; relayer with the race detector and tracker pass.

Not covered: the attempt is ended before the retry budget and the scheduler have granted another one, which may refuse.

--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -87,6 +87,13 @@
 	return t.attempts
 }
 
+// MayRetry reports whether another attempt may follow if the current one fails, as long as the retry
+// budget is not empty.
+func (t *Tracker) MayRetry() bool {
+	resumable := t.traits.Resumable || !t.answerStarted
+	return t.traits.Repeatable && t.traits.Replayable && resumable && !t.detached && t.attempts < t.traits.Attempts
+}
+
 // Apply applies an event and returns the action for the host. An event that is not
 // possible in the current state, such as a late one, has no effect.
 func (t *Tracker) Apply(now time.Time, event Event) Action {
--- a/router/internal/relayer/options.go
+++ b/router/internal/relayer/options.go
@@ -57,8 +57,9 @@
 	// DialTimeout is the maximum time to connect to an endpoint. The default is 1 second.
 	DialTimeout time.Duration
 	// EndpointStallTimeout is how long a model engine may send nothing, before its first event or
-	// between two events, until the answer is resumed at another endpoint. Plain services may
-	// take the full RequestTimeout. The default is 10 seconds.
+	// between two events, until the answer is resumed at another endpoint. Plain services, and
+	// attempts that no other one may follow, may take the full RequestTimeout. The default is 10
+	// seconds.
 	EndpointStallTimeout time.Duration
 	// Attempts is the maximum number of endpoints to which a request is sent. The default is 4.
 	Attempts int
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -390,10 +390,11 @@
 
 // startStallTimer starts the timer, which also covers the time until the first event. A call of a
 // plain service may take the whole request timeout, because the router does not know how long the
-// call should take.
+// call should take. So may an attempt that no other one may follow: its endpoint may go on, and nothing
+// else can give the caller its answer.
 func (r *Relayer) startStallTimer(q *request, cancel context.CancelCauseFunc) *stallTimer {
 	limit := r.limits.EndpointStallTimeout
-	if q.chat == nil {
+	if q.chat == nil || !q.tracker.MayRetry() {
 		limit = r.limits.RequestTimeout
 	}
 	return &stallTimer{
