--- a/lib/prober/prober_test.go
+++ b/lib/prober/prober_test.go
@@ -1,6 +1,7 @@
 package prober
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -35,3 +36,19 @@
 		})
 	}
 }
+
+// Guards against an endpoint that counts as crashed because it is silent: a probe that gets no answer in
+// time tells neither a crash nor that it runs.
+func TestSilenceIsNoCrash(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	observer := &localizer.Observer{}
+	observer.Broke(clock.Now(), 5, localizer.Profile{Whole: 1}, 0)
+	ctx, cancel := context.WithDeadline(t.Context(), time.Unix(1, 0)) // the dial times out at once
+	defer cancel()
+	p := Prober{Observer: observer, Clock: clock, Log: zerolog.Nop()}
+	require.False(t, p.Probe(ctx, "i-1", netip.MustParseAddrPort("127.0.0.1:1"), 5))
+	require.Empty(t, observer.Report(clock.Now(), time.Time{}).Crashes)
+	broken, crashed := observer.Lifetimes()
+	require.Equal(t, 1, broken, "whether it runs is unknown")
+	require.Zero(t, crashed)
+}
