--- a/lib/caller/request.go
+++ b/lib/caller/request.go
@@ -26,6 +26,9 @@
 	Plain  Kind = "plain"  // a call to a plain service
 )
 
+// headerKey is Idempotency-Key in lower case, which servers read as the same header.
+const headerKey = "idempotency-key"
+
 // Request is one request of a workspace.
 type Request struct {
 	Workspace string
@@ -98,7 +101,9 @@
 		request.Header.Set("Content-Type", "application/json")
 	}
 	if r.Key != "" {
-		request.Header.Set("Idempotency-Key", r.Key)
+		// net/http sends a request with a key a second time by itself, if a kept connection breaks
+		// after the request was written. It looks for the canonical name only.
+		request.Header[headerKey] = []string{r.Key}
 	}
 	if r.Once {
 		request.Header.Set("X-Not-Repeatable", "yes")
