Mark a keeper's configuration as stale until it has caught up

A keeper that has just started hears its leader before it has the entries that it missed, and answered its routers with its old configuration, or none, as that of a quorum.

A follower keeps the highest commit index that a leader has told it. A keeper's configuration is that of a quorum once it has applied so far, and an entry of the present term, as leaders had to already for changes and leases.

TestStartedKeeperIsCurrentOnceItHasCaughtUp, with contact with a leader only: "current at revision 0 of 2".

--- a/keeper/internal/driver/changes.go
+++ b/keeper/internal/driver/changes.go
@@ -69,9 +69,10 @@
 	return nil
 }
 
-// caughtUp reports whether this leader has applied everything that earlier
-// leaders committed. Before that, a change would be checked against a
-// configuration that may be stale, and could get a false conflict.
+// caughtUp reports whether this keeper has applied an entry of the present term,
+// and with it everything that earlier leaders committed. Before that, a leader would
+// check a change against a configuration that may be stale, and could get a false
+// conflict.
 func (d *Driver) caughtUp(status replicator.Status) bool {
 	term, known := d.node.TermAt(d.applied)
 	return known && term == status.Term
--- a/keeper/internal/driver/driver.go
+++ b/keeper/internal/driver/driver.go
@@ -186,6 +186,15 @@
 	return status
 }
 
+// Current reports whether this keeper is in contact with a quorum and has applied
+// everything that it knows the group to have committed. A keeper that has just
+// started hears its leader before it has the entries that it missed; its state is
+// then as old as that of a keeper that is cut off.
+func (d *Driver) Current(now time.Time) bool {
+	status := d.Status(now)
+	return status.Quorum && d.caughtUp(status) && d.applied >= status.Announced
+}
+
 // DiskFull reports whether the keeper is suspended because its disk is full.
 func (d *Driver) DiskFull() bool {
 	return d.diskFull
--- a/keeper/internal/driver/driver_test.go
+++ b/keeper/internal/driver/driver_test.go
@@ -140,6 +140,31 @@
 	require.EqualValues(t, 1, restarted.driver.State().Configuration().Revision())
 }
 
+// Guards against a router that takes an old configuration for the newest one and refuses valid tokens for
+// good: the keeper that it asks has just started, and has heard its leader before it has what it missed.
+func TestStartedKeeperIsCurrentOnceItHasCaughtUp(t *testing.T) {
+	t.Parallel()
+	c := newHealthyCluster(t, 3)
+	c.apply(t, endpointChange("first"))
+	restarted := c.follower()
+	c.crash(restarted)
+	c.apply(t, endpointChange("second"))
+	c.start(restarted)
+	behind := 0
+	for range 200 {
+		c.advance(time.Millisecond)
+		known := restarted.driver.State().Configuration().Revision()
+		if known < 2 && restarted.driver.Status(c.now).Quorum {
+			behind++
+		}
+		require.False(t, known < 2 && restarted.driver.Current(c.now), "current at revision %d of 2", known)
+	}
+	require.NotZero(t, behind, "it never heard a leader before it had caught up")
+	require.True(t, restarted.driver.Current(c.now))
+	require.True(t, c.leader().driver.Current(c.now))
+	require.NoError(t, c.failure)
+}
+
 // Guards against slow claims under load, which result if each claim waits for a
 // sync of its own.
 func TestBurstSharesOneSync(t *testing.T) {
--- a/keeper/internal/server/keeping.go
+++ b/keeper/internal/server/keeping.go
@@ -256,7 +256,7 @@
 			Revision: difference.Revision, Full: difference.Full,
 			Objects:     configurer.ObjectsToWire(difference.Objects),
 			Deletions:   configurer.KeysToWire(difference.Deletions),
-			Stale:       !d.Status(now).Quorum,
+			Stale:       !d.Current(now),
 			Quarantined: fingerprints, QuarantineRevision: revision,
 		}
 	})
--- a/lib/replicator/follower.go
+++ b/lib/replicator/follower.go
@@ -28,6 +28,7 @@
 	if !n.acceptLeader(now, m) {
 		return
 	}
+	n.announced = max(n.announced, m.Commit)
 	reply := Message{Kind: AppendReply, To: m.From, Term: n.ballot.Term, Stamp: m.Stamp}
 	if m.Position.Index >= n.journal.base.Index && !n.journal.matches(m.Position) {
 		reply.Reject = true
--- a/lib/replicator/node.go
+++ b/lib/replicator/node.go
@@ -64,6 +64,7 @@
 	state            State
 	leader           ID
 	commit           uint64    // commit index
+	announced        uint64    // highest commit index that a leader has announced
 	delivered        uint64    // index of the last entry returned in Actions.Committed
 	stable           uint64    // index of the last entry known to be synced to the local disk
 	lastContact      time.Time // when the latest valid message from a leader arrived
@@ -159,8 +160,11 @@
 	State  State
 	Leader ID // zero if no leader is known
 	Term   uint64
-	Commit uint64   // commit index
-	Last   Position // position of the last log entry
+	Commit uint64 // commit index
+	// Announced is the highest commit index that a leader has announced. It is above Commit
+	// while this replica lacks committed entries.
+	Announced uint64
+	Last      Position // position of the last log entry
 	// Quorum is true if this node is a leader with a valid lease, or has received
 	// a message from the leader within the election timeout.
 	Quorum bool
@@ -186,7 +190,7 @@
 func (n *Node) Status(now time.Time) Status {
 	return Status{
 		ID: n.id, State: n.state, Leader: n.leader, Term: n.ballot.Term,
-		Commit: n.commit, Last: n.journal.last(), Quorum: n.hasQuorum(now),
+		Commit: n.commit, Announced: n.announced, Last: n.journal.last(), Quorum: n.hasQuorum(now),
 		Group: n.Group(), CommittedGroup: n.GroupAt(n.commit), Newcomer: n.Newcomer(),
 	}
 }
