Call a revision unknown only at a keeper that is current

A current keeper says not found as before.

TestRevisionIsUnknownOnlyToACurrentKeeper: not_found without the check.

--- a/keeper/internal/server/keeping.go
+++ b/keeper/internal/server/keeping.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/twitchtv/twirp"
 
 	"shallotkeel.example/keeper/internal/applier"
@@ -166,15 +167,20 @@
 	d.Remove(now, named[0].ID, done)
 }
 
-// History returns the accepted changes, or the objects as of a revision.
+// History returns the accepted changes, or the objects as of a revision. A revision that this
+// keeper does not have is called unknown only if the keeper is current.
 func (k keeping) History(ctx context.Context, request *messenger.HistoryRequest) (*messenger.HistoryResponse, error) {
-	answer, err := callLoop(ctx, k.Server, func(_ time.Time, d *driver.Driver) outcome[*messenger.HistoryResponse] {
+	current := false
+	answer, err := callLoop(ctx, k.Server, func(now time.Time, d *driver.Driver) outcome[*messenger.HistoryResponse] {
+		current = d.Current(now)
 		return historyOf(d.State().Configuration(), request)
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, unavailable(err)
-	}
-	if answer.err != nil {
+	case answer.err != nil && !current:
+		return nil, unavailable(merry.Errorf("%w has confirmed the history yet; ask again", replicator.ErrNoQuorum))
+	case answer.err != nil:
 		return nil, twirp.NotFoundError(answer.err.Error())
 	}
 	return answer.value, nil
--- a/keeper/internal/server/server_test.go
+++ b/keeper/internal/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	"shallotkeel.example/keeper/internal/settings"
 	"shallotkeel.example/lib/dialer"
@@ -372,6 +374,28 @@
 	require.EqualValues(t, 1, metric(t, alone, "keeper_revision"))
 }
 
+// Guards against an operator who is told for good that a revision does not exist, by a keeper that has not
+// heard of it yet.
+func TestRevisionIsUnknownOnlyToACurrentKeeper(t *testing.T) {
+	g := startGroup(t, 2)
+	alone := g.processes[0]
+	g.eventually(func() bool { return g.status(alone).GetQuorum() }, "the group has a leader")
+	later := &messenger.HistoryRequest{At: 7}
+	g.eventually(func() bool { return errorCode(alone.client.History(t.Context(), later)) == twirp.NotFound }, "a current keeper knows")
+	g.stop(g.processes[1])
+	g.eventually(func() bool { return !g.status(alone).GetQuorum() }, "the keeper notices the loss of its quorum")
+	require.Equal(t, twirp.Unavailable, errorCode(alone.client.History(t.Context(), later)))
+}
+
+// errorCode returns the code of a keeper's error, none if there is no error.
+func errorCode(_ *messenger.HistoryResponse, err error) twirp.ErrorCode {
+	var answered twirp.Error
+	if errors.As(err, &answered) {
+		return answered.Code()
+	}
+	return twirp.NoError
+}
+
 // get returns the status code and the body of an HTTP GET.
 func get(t testing.TB, url string) (int, string) {
 	t.Helper()
