Ask whether there is a configuration before looking in it

Class: a verdict and its precondition read from two states.

TestConfigurationThatArrivesMeanwhileRefusesNobody, before: "bad_token".

--- a/router/internal/relayer/admission.go
+++ b/router/internal/relayer/admission.go
@@ -22,6 +22,7 @@
 // authenticate finds the workspace of the request's bearer token under the rules in force. It
 // returns false and the refusal if the token is missing or unknown.
 func (r *Relayer) authenticate(q *request) (tracker.Action, bool) {
+	known := r.options.Ruler.HasConfiguration() // before the rules, so that they are at least as new
 	q.rules = r.options.Ruler.Rules()
 	token := refuser.Bearer(q.http)
 	if token == "" {
@@ -29,7 +30,7 @@
 	}
 	workspace, found := q.rules.ByToken(token)
 	q.workspace = workspace
-	if !found && !r.options.Ruler.HasConfiguration() {
+	if !found && !known {
 		q.reason = "this router has just started and knows no configuration yet"
 		return refuse(tracker.CodeStopping, minRetryAfter), false
 	}
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -126,13 +126,17 @@
 
 // rules is a stub of relayer.Ruler. The workspace club may have two requests waiting; only the
 // workspace house may use the service desk.
-type rules struct{ starting atomic.Bool }
+type rules struct {
+	starting atomic.Bool // there are no rules yet
+	arriving atomic.Bool // the rules arrive right after they were first read
+}
 
 func (r *rules) HasConfiguration() bool { return !r.starting.Load() }
 
 func (r *rules) Rules() *matcher.Rules {
 	objects := make(map[describer.Key]describer.Object)
 	if r.starting.Load() {
+		r.starting.Store(!r.arriving.Load())
 		return matcher.Compile(describer.Snapshot{})
 	}
 	for _, object := range []describer.Object{
--- a/router/internal/relayer/start_test.go
+++ b/router/internal/relayer/start_test.go
@@ -24,3 +24,13 @@
 	require.Equal(t, http.StatusUnauthorized, bad.status)
 	require.Equal(t, "bad_token", bad.failure.Code)
 }
+
+// TestConfigurationThatArrivesMeanwhileRefusesNobody guards against a valid caller whose token is looked for
+// in the empty configuration, while the refusal goes by the one that has come in between.
+func TestConfigurationThatArrivesMeanwhileRefusesNobody(t *testing.T) {
+	tb := newTestbed(t, relayer.Limits{}, healthy)
+	tb.rules.arriving.Store(true)
+	tb.rules.starting.Store(true)
+	require.Equal(t, "stopping", tb.chat(true).failure.Code)
+	require.Equal(t, fullAnswer, tb.chat(true).text(t))
+}
