Know the configuration only once a keeper with a quorum confirms it

Seen in the logs of the restart cell: a router that has just started takes any answer for the configuration, also that of a keeper without a quorum, which has nothing or an old revision ("stale":true, then "revision":1 a second later). It counted as ready, and refused valid callers for good: 401 bad_token, and by the same rules 404 unknown_model and unknown_service and 403 not_allowed. A router that knows that it is cut off did the same with what was added meanwhile. Class: a verdict for good from knowledge that is not known to be whole.

Otherwise it is 503 stopping, not run, with a moment to come back. A router is not ready until its configuration is confirmed; where no quorum is reached for 3 s it is ready with the newest that it could reach, so that a zone that is cut off and restarted serves.

--- a/router/internal/follower/follower.go
+++ b/router/internal/follower/follower.go
@@ -35,6 +35,10 @@
 	gatherTimeout = time.Second
 	// retryPause is the pause between failed rounds over all keepers.
 	retryPause = 200 * time.Millisecond
+	// confirmationWait is how long a router that has started waits for a keeper with a quorum,
+	// before it counts as ready with the newest configuration that it could reach. Keepers that
+	// start at the same time elect a leader in a part of it.
+	confirmationWait = 3 * time.Second
 	// maxPeersQueried bounds the routers that are asked for their configuration.
 	maxPeersQueried = 8
 	// quarantineDuration is the quarantine requested for each published fingerprint.
@@ -79,12 +83,13 @@
 	state           state
 	localQuarantine map[uint64]time.Time // fingerprints published by this router, with their ends
 	keeperIndex     int                  // of the keeper to poll next
+	started         time.Time
 }
 
 // New returns a follower with an empty configuration. Metrics are registered if
 // Options.Registry is set.
 func New(options Options) *Follower {
-	f := &Follower{options: options, localQuarantine: make(map[uint64]time.Time)}
+	f := &Follower{options: options, localQuarantine: make(map[uint64]time.Time), started: options.Clock.Now()}
 	f.rules.Store(matcher.Compile(f.state.snapshot))
 	if options.Registry != nil {
 		f.register(options.Registry)
@@ -121,12 +126,29 @@
 	return f.state.stale
 }
 
-// HasConfiguration reports whether a configuration has been received from a keeper or
-// another router. Before that nobody's token is known.
+// HasConfiguration reports whether there is a configuration to serve with: a keeper with a
+// quorum has confirmed one since the start, or none was reached for confirmationWait and
+// another keeper or router has given one. A keeper that has just started has none or an old
+// one to give.
 func (f *Follower) HasConfiguration() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.state.received
+	return f.state.confirmed || f.waited() && f.state.snapshot.Revision > 0
+}
+
+// waited reports whether confirmationWait is over.
+func (f *Follower) waited() bool {
+	return f.options.Clock.Since(f.started) >= confirmationWait
+}
+
+// Current reports whether the configuration in force is known to be the newest one: a keeper
+// with a quorum has confirmed it, and contact with a quorum is not known to be lost. Whoever is
+// not in a configuration that is not current may be in a newer one. Rules that are read after
+// Current has returned true are those that it speaks of, or newer.
+func (f *Follower) Current() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.confirmed && !f.state.stale
 }
 
 // Run follows the keepers until the context ends.
@@ -204,6 +226,7 @@
 func (f *Follower) poll(ctx context.Context) {
 	f.mutex.Lock()
 	after, stale, known, at := f.state.snapshot.Revision, f.state.stale, f.state.received, f.keeperIndex
+	unready := !f.state.confirmed && !f.waited()
 	f.mutex.Unlock()
 	if len(f.options.Keepers) == 0 {
 		f.pause(ctx)
@@ -211,8 +234,8 @@
 	}
 	wait := pollWait
 	switch {
-	case !known:
-		wait = 0 // an empty fleet has no newer revision to wait for
+	case !known || unready:
+		wait = 0 // an empty fleet has no newer revision to wait for, and a confirmation brings none
 	case stale:
 		wait = stalePollWait
 	}
--- a/router/internal/follower/follower_test.go
+++ b/router/internal/follower/follower_test.go
@@ -156,6 +156,55 @@
 	require.Equal(t, uint64(7), f.Rules().Revision)
 }
 
+// Guards against a router that has just started and takes what a keeper without a quorum has, nothing or an
+// old revision, for the configuration: it would count as ready, and refuse valid tokens for good.
+func TestOnlyAQuorumConfirmsTheConfiguration(t *testing.T) {
+	for name, test := range map[string]struct {
+		answers                []*messenger.WatchResponse
+		ready, current, waited bool // waited: ready once confirmationWait is over
+	}{
+		"no answer":                 {},
+		"a keeper that has nothing": {answers: []*messenger.WatchResponse{{Stale: true}}},
+		"an older revision":         {answers: []*messenger.WatchResponse{{Revision: 3, Full: true, Stale: true}}, waited: true},
+		"a group that has nothing":  {answers: []*messenger.WatchResponse{{}}, ready: true, current: true, waited: true},
+		"the newest revision":       {answers: []*messenger.WatchResponse{{Revision: 3, Full: true}}, ready: true, current: true, waited: true},
+		"confirmed, and contact lost": {
+			answers: []*messenger.WatchResponse{{Revision: 3, Full: true}, {Revision: 3, Stale: true}}, ready: true, waited: true,
+		},
+		"an older revision, then confirmed": {
+			answers: []*messenger.WatchResponse{{Revision: 3, Full: true, Stale: true}, {Revision: 3}}, ready: true, current: true, waited: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			f := New(Options{Clock: clock, Log: zerolog.Nop()})
+			for _, answer := range test.answers {
+				f.applyAnswer(f.Rules().Revision, answer)
+			}
+			require.Equal(t, test.ready, f.HasConfiguration())
+			require.Equal(t, test.current, f.Current())
+			clock.Advance(confirmationWait)
+			require.Equal(t, test.waited, f.HasConfiguration())
+			require.Equal(t, test.current, f.Current())
+		})
+	}
+}
+
+// Guards against a router that is not ready for seconds after its keepers have elected a leader, because a
+// keeper that has no newer revision holds its poll.
+func TestConfirmationIsNotWaitedForInALongPoll(t *testing.T) {
+	k := &scriptedKeeper{answers: []*messenger.WatchResponse{
+		{Revision: 3, Full: true, Stale: true}, {Revision: 3, Stale: true}, {Revision: 3},
+	}}
+	f, _ := startFollower(t, []messenger.Keeping{k}, &messenger.WatchResponse{})
+	require.Eventually(t, f.Current, 5*time.Second, time.Millisecond)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, request := range k.requests[:3] {
+		require.Zero(t, request.GetWaitMs())
+	}
+}
+
 // Guards against a router whose long polls do not carry its revision in force: after an
 // accepted change, `skctl apply --wait` would never return.
 func TestAcknowledgesTheRevisionInForce(t *testing.T) {
--- a/router/internal/follower/state.go
+++ b/router/internal/follower/state.go
@@ -26,6 +26,7 @@
 	quarantined        map[uint64]time.Time
 	stale              bool
 	received           bool // an answer has been applied
+	confirmed          bool // an answer of a keeper with a quorum has been applied
 }
 
 // apply applies the answer to a request for the changes after a revision. Answers with
@@ -39,6 +40,7 @@
 	}
 	s.received = true
 	s.stale = answer.GetStale()
+	s.confirmed = s.confirmed || !s.stale
 	s.replaceQuarantine(now, answer)
 	if answer.GetRevision() == s.snapshot.Revision {
 		return unchanged
--- a/router/internal/relayer/admission.go
+++ b/router/internal/relayer/admission.go
@@ -22,7 +22,7 @@
 // authenticate finds the workspace of the request's bearer token under the rules in force. It
 // returns false and the refusal if the token is missing or unknown.
 func (r *Relayer) authenticate(q *request) (tracker.Action, bool) {
-	known := r.options.Ruler.HasConfiguration() // before the rules, so that they are at least as new
+	q.current = r.options.Ruler.Current() // before the rules, so that they are at least as new
 	q.rules = r.options.Ruler.Rules()
 	token := refuser.Bearer(q.http)
 	if token == "" {
@@ -30,16 +30,22 @@
 	}
 	workspace, found := q.rules.ByToken(token)
 	q.workspace = workspace
-	if !found && !known {
-		q.reason = "this router has just started and knows no configuration yet"
-		return refuse(tracker.CodeStopping, minRetryAfter), false
-	}
 	if !found {
-		return refuse(tracker.CodeBadToken, 0), false
+		return q.refuseByRules(tracker.CodeBadToken), false
 	}
 	return tracker.Action{}, true
 }
 
+// refuseByRules refuses a request that the rules do not admit: for good if they are the newest ones.
+// Otherwise newer rules may admit it, and it is refused as at a router that does not serve yet.
+func (q *request) refuseByRules(code tracker.Code) tracker.Action {
+	if q.current {
+		return refuse(code, 0)
+	}
+	q.reason = "this router has just started or is cut off, and does not know the newest configuration"
+	return refuse(tracker.CodeStopping, minRetryAfter)
+}
+
 // modelList is the answer of GET /v1/models in OpenAI's format.
 type modelList struct {
 	Object string      `json:"object"`
@@ -74,10 +80,10 @@
 // exist, has another type, or does not admit the workspace.
 func checkService(q *request, service *matcher.Service, found bool, kind string, missing tracker.Code) (tracker.Action, bool) {
 	if !found || service.Type != kind {
-		return refuse(missing, 0), false
+		return q.refuseByRules(missing), false
 	}
 	if !service.Admits(q.workspace) {
-		return refuse(tracker.CodeNotAllowed, 0), false
+		return q.refuseByRules(tracker.CodeNotAllowed), false
 	}
 	q.service = service
 	return tracker.Action{}, true
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -129,9 +129,10 @@
 type rules struct {
 	starting atomic.Bool // there are no rules yet
 	arriving atomic.Bool // the rules arrive right after they were first read
+	outdated atomic.Bool // newer rules may exist
 }
 
-func (r *rules) HasConfiguration() bool { return !r.starting.Load() }
+func (r *rules) Current() bool { return !r.starting.Load() && !r.outdated.Load() }
 
 func (r *rules) Rules() *matcher.Rules {
 	objects := make(map[describer.Key]describer.Object)
--- a/router/internal/relayer/interfaces.go
+++ b/router/internal/relayer/interfaces.go
@@ -69,8 +69,9 @@
 // Ruler provides the rules of the configuration in force.
 type Ruler interface {
 	Rules() *matcher.Rules
-	// HasConfiguration reports whether any configuration has been received since the start.
-	HasConfiguration() bool
+	// Current reports whether the rules are known to be the newest ones. Rules that are read
+	// after it has returned true are at least as new.
+	Current() bool
 }
 
 // Claimer claims idempotency keys, and records their requests' outcomes, in the replicated log.
--- a/router/internal/relayer/request.go
+++ b/router/internal/relayer/request.go
@@ -36,6 +36,7 @@
 	http        *http.Request
 	caller      *caller
 	rules       *matcher.Rules
+	current     bool // the rules are known to be the newest ones
 	workspace   *matcher.Workspace
 	service     *matcher.Service
 	tracker     *tracker.Tracker
