Judge endpoints' and operators' tokens by a current configuration only

The guard asks whether the configuration is current before it looks for the token, and answers 503 stopping, not run, with Retry-After if it is not. The tokens of the settings are valid at once; no token is refused at once; once the configuration is known a wrong one gets 401 as before.

TestTokenIsNotJudgedBeforeTheConfigurationIsKnown, in registrar and administrator: 401, and 403 for another service, with the check taken out.

--- a/router/internal/administrator/administrator.go
+++ b/router/internal/administrator/administrator.go
@@ -63,7 +63,9 @@
 	// Operator reports whether another token belongs to an operator; nil if there are
 	// no other tokens.
 	Operator refuser.Allowed
-	Log      zerolog.Logger
+	// Current reports whether Operator knows the newest tokens; nil if it always does.
+	Current refuser.Current
+	Log     zerolog.Logger
 }
 
 // Administrator serves the operators' API.
@@ -91,7 +93,7 @@
 		"DELETE /admin/quarantines/{feature}": a.liftQuarantine,
 		"/admin/{path...}":                    a.notFound,
 	} {
-		mux.HandleFunc(path, refuser.Guard(allowed, remedy, handler))
+		mux.HandleFunc(path, refuser.Guard(allowed, a.options.Current, remedy, handler))
 	}
 }
 
--- a/router/internal/administrator/administrator_test.go
+++ b/router/internal/administrator/administrator_test.go
@@ -23,6 +23,8 @@
 	lifted  []uint64
 	answer  *messenger.ApplyResponse
 	err     error
+	// outdated is set while newer operators' tokens may exist.
+	outdated bool
 }
 
 func (k *fakeKeepers) Apply(_ context.Context, request *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
@@ -65,7 +67,7 @@
 func (k *fakeKeepers) call(method, path, body, token string) *httptest.ResponseRecorder {
 	mux := http.NewServeMux()
 	administrator.New(administrator.Options{Keeping: k, Reporter: k, Explainer: k, Token: "secret", Log: zerolog.Nop(),
-		Operator: func(token string) bool { return token == "second" }}).Register(mux)
+		Operator: func(token string) bool { return token == "second" }, Current: func() bool { return !k.outdated }}).Register(mux)
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header.Set("Authorization", "Bearer "+token)
 	recorder := httptest.NewRecorder()
@@ -157,3 +159,20 @@
 	require.Nil(t, k.applied)
 	require.NotEqual(t, http.StatusUnauthorized, k.call("GET", "/admin/status", "", "second").Code)
 }
+
+// Guards against an operator who is told for good that its token is wrong, by a router that has just started.
+// The token of the settings is valid at once.
+func TestTokenIsNotJudgedBeforeTheConfigurationIsKnown(t *testing.T) {
+	k := &fakeKeepers{outdated: true}
+	for _, path := range []string{"/admin/objects", "/admin/status", "/admin/explain/known", "/admin/rubbish"} {
+		got := k.call("GET", path, "", "newcomer")
+		require.Equal(t, http.StatusServiceUnavailable, got.Code, path)
+		require.Equal(t, "1", got.Header().Get("Retry-After"))
+		require.Contains(t, got.Body.String(), `"type":"not_run"`)
+	}
+	require.Equal(t, http.StatusUnauthorized, k.call("GET", "/admin/status", "", "").Code)
+	require.Equal(t, http.StatusOK, k.call("GET", "/admin/status", "", "secret").Code)
+	require.Equal(t, http.StatusOK, k.call("GET", "/admin/status", "", "second").Code)
+	k.outdated = false
+	require.Equal(t, http.StatusUnauthorized, k.call("GET", "/admin/status", "", "newcomer").Code)
+}
--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -150,12 +150,14 @@
 	registrar.New(registrar.Options{
 		Announcer: r.coordinator, Token: r.settings.EndpointToken, Zone: r.settings.Zone,
 		Clock: r.clock, Log: r.log, Registry: r.registry,
-		Scoped: func(token string) (string, bool) { return r.follower.Rules().Announcer(token) },
+		Scoped:  func(token string) (string, bool) { return r.follower.Rules().Announcer(token) },
+		Current: r.follower.Current,
 	}).Register(mux)
 	administrator.New(administrator.Options{
 		Keeping: keepers, Reporter: &status{router: r, keepers: keepers.Keepers()}, Explainer: r.relayer,
 		Token: r.settings.OperatorToken, Log: r.log,
 		Operator: func(token string) bool { return r.follower.Rules().Operator(token) },
+		Current:  r.follower.Current,
 	}).Register(mux)
 	mux.HandleFunc("GET /healthz", r.healthz)
 	mux.HandleFunc("GET /readyz", r.readyz)
--- a/router/internal/refuser/refuser.go
+++ b/router/internal/refuser/refuser.go
@@ -12,7 +12,9 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"shallotkeel.example/lib/reporter"
 )
@@ -33,8 +35,12 @@
 	CodeTooLarge   = "too_large"
 	CodeNotFound   = "not_found"
 	CodeNoQuorum   = "no_quorum"
+	CodeStopping   = "stopping" // this router does not serve yet, or no longer
 )
 
+// retryAfter is the pause after which a caller should ask again at a router that does not know yet.
+const retryAfter = time.Second
+
 // Write sends a failure as the complete answer.
 func Write(w http.ResponseWriter, status int, body reporter.FailureBody) {
 	w.Header().Set("Content-Type", "application/json")
@@ -78,11 +84,36 @@
 	return token
 }
 
+// Current reports whether the configuration in force is known to be the newest one. Before that, a token
+// that is not in it may be valid all the same. Nil means that nothing depends on a configuration.
+type Current func() bool
+
+// Known is Current for nil too.
+func (c Current) Known() bool {
+	return c == nil || c()
+}
+
+// NotReady refuses a request that this router cannot judge yet.
+func NotReady(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+	Write(w, http.StatusServiceUnavailable, reporter.FailureBody{
+		Type: NotRun, Code: CodeStopping, RetryMS: retryAfter.Milliseconds(),
+		Message: "this router has just started or is cut off, and does not know the newest configuration",
+		Remedy:  "send the request again, to this router or another",
+	})
+}
+
 // Guard returns a handler that passes requests with an allowed bearer token to next and refuses all
-// others with the remedy.
-func Guard(allowed Allowed, remedy string, next http.HandlerFunc) http.HandlerFunc {
+// others with the remedy, or as not ready if the token cannot be judged yet.
+func Guard(allowed Allowed, current Current, remedy string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if token := Bearer(r); token == "" || !allowed(token) {
+		known := current.Known() // before the token is looked for, so that what is looked in is at least as new
+		token := Bearer(r)
+		if token == "" || !allowed(token) {
+			if token != "" && !known {
+				NotReady(w)
+				return
+			}
 			Write(w, http.StatusUnauthorized, reporter.FailureBody{
 				Type: Invalid, Code: CodeBadToken, Message: "the token is missing or wrong", Remedy: remedy,
 			})
--- a/router/internal/registrar/registrar.go
+++ b/router/internal/registrar/registrar.go
@@ -48,7 +48,9 @@
 	Token     string // the endpoints' token, valid for every service
 	// Scoped returns the service that another token is valid for; nil if there are no
 	// such tokens.
-	Scoped   func(token string) (service string, found bool)
+	Scoped func(token string) (service string, found bool)
+	// Current reports whether Scoped knows the newest tokens; nil if it always does.
+	Current  refuser.Current
 	Zone     string
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
@@ -83,8 +85,8 @@
 		_, found := r.scoped(token)
 		return found
 	})
-	mux.HandleFunc("POST /v1/endpoints/{id}", refuser.Guard(allowed, remedy, r.announce))
-	mux.HandleFunc("DELETE /v1/endpoints/{id}", refuser.Guard(allowed, remedy, r.withdraw))
+	mux.HandleFunc("POST /v1/endpoints/{id}", refuser.Guard(allowed, r.options.Current, remedy, r.announce))
+	mux.HandleFunc("DELETE /v1/endpoints/{id}", refuser.Guard(allowed, r.options.Current, remedy, r.withdraw))
 }
 
 // scoped returns the service that a token is valid for, if it is the token of a service.
@@ -153,7 +155,13 @@
 // forward sends a message to the pool's scheduler and answers the endpoint. It returns
 // whether the scheduler accepted the message.
 func (r *Registrar) forward(w http.ResponseWriter, h *http.Request, message *messenger.Announcement) bool {
+	known := r.options.Current.Known() // before the token is looked for
 	if !r.mayAnnounce(h, message.GetService()) {
+		if !known {
+			r.calls.WithLabelValues("refused").Inc()
+			refuser.NotReady(w)
+			return false
+		}
 		r.calls.WithLabelValues("refused").Inc()
 		refuser.Write(w, http.StatusForbidden, reporter.FailureBody{
 			Type: refuser.Invalid, Code: refuser.CodeNotAllowed, Message: "the token belongs to another service",
--- a/router/internal/registrar/registrar_test.go
+++ b/router/internal/registrar/registrar_test.go
@@ -22,6 +22,7 @@
 type fakeSchedulers struct {
 	announcements []*messenger.Announcement
 	err           error
+	outdated      bool // newer tokens may exist than those that the registrar knows
 	clock         *clockwork.FakeClock
 	mux           *http.ServeMux
 }
@@ -37,6 +38,7 @@
 	z := &fakeSchedulers{clock: clockwork.NewFakeClock(), mux: http.NewServeMux()}
 	registrar.New(registrar.Options{
 		Announcer: z, Token: "secret", Zone: "trento-a", Clock: z.clock, Log: zerolog.Nop(),
+		Current: func() bool { return !z.outdated },
 		Scoped: func(token string) (string, bool) {
 			service, found := strings.CutSuffix(token, "-secret")
 			return service, found
@@ -102,6 +104,31 @@
 	require.Empty(t, z.announcements)
 }
 
+// Guards against an endpoint that is told for good that its token is wrong, or belongs to another service,
+// by a router that has just started. The token of the settings is valid at once.
+func TestTokenIsNotJudgedBeforeTheConfigurationIsKnown(t *testing.T) {
+	z := newFakeSchedulers()
+	z.outdated = true
+	for _, token := range []string{"modelli-token", "app-secret"} {
+		for _, method := range []string{"POST", "DELETE"} {
+			got := z.call(method, "/v1/endpoints/worker-1?incarnation=3", validAnnouncement, token)
+			if method == "DELETE" && token == "app-secret" {
+				require.Equal(t, http.StatusNotFound, got.Code, "a valid token, and no such endpoint")
+				continue
+			}
+			require.Equal(t, http.StatusServiceUnavailable, got.Code)
+			require.Equal(t, "1", got.Header().Get("Retry-After"))
+			require.Contains(t, got.Body.String(), `"type":"not_run"`)
+		}
+	}
+	require.Empty(t, z.announcements)
+	require.Equal(t, http.StatusUnauthorized, z.call("POST", "/v1/endpoints/worker-1", validAnnouncement, "").Code)
+	require.Equal(t, http.StatusNoContent, z.call("POST", "/v1/endpoints/worker-1", validAnnouncement, "secret").Code)
+	z.outdated = false
+	require.Equal(t, http.StatusUnauthorized, z.call("POST", "/v1/endpoints/worker-1", validAnnouncement, "modelli-token").Code)
+	require.Equal(t, http.StatusForbidden, z.call("POST", "/v1/endpoints/worker-1", validAnnouncement, "app-secret").Code)
+}
+
 // A valid token without the Bearer scheme is refused.
 func TestTokenNeedsItsScheme(t *testing.T) {
 	z := newFakeSchedulers()
