--- a/bench/internal/faults/routers.go
+++ b/bench/internal/faults/routers.go
@@ -84,7 +84,8 @@
 	results, _ := b.recorder.Results()
 	for _, result := range results {
 		if (result.Ending == caller.Cut || result.Ending == caller.Lost) && result.Target != victim.URL() && !result.Repeated {
-			return merry.Errorf("%w: a request to %s, which was not touched, ended %s", ErrCell, result.Target, result.Ending)
+			return merry.Errorf("%w: a %s request to %s, which was not touched, ended %s after %v: %s", ErrCell,
+				result.Request.Kind, result.Target, result.Ending, result.Took.Round(time.Millisecond), result.Error)
 		}
 	}
 	return nil
