Hold a router's start before its keeper has caught up in a test

A whole router beside a keeper that has nothing yet: not ready, 503 stopping to tokens of a workspace, a service and an operator, the settings' tokens valid; ready and 401 to wrong ones once the keeper has caught up.

--- a/router/internal/assembler/assembler_test.go
+++ b/router/internal/assembler/assembler_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,19 @@
 	}}, nil
 }
 
+// startingKeeper is a keeper that has just started and has nothing to give, until it has caught up.
+type startingKeeper struct {
+	fakeKeeper
+	caughtUp atomic.Bool
+}
+
+func (k *startingKeeper) Watch(ctx context.Context, q *messenger.WatchRequest) (*messenger.WatchResponse, error) {
+	if !k.caughtUp.Load() {
+		return &messenger.WatchResponse{Stale: true}, nil
+	}
+	return k.fakeKeeper.Watch(ctx, q)
+}
+
 func (fakeKeeper) Status(context.Context, *messenger.KeeperStatusRequest) (*messenger.KeeperStatusResponse, error) {
 	return &messenger.KeeperStatusResponse{Name: "keeper-1", Leader: "keeper-1", Quorum: true, Revision: 1}, nil
 }
@@ -60,6 +74,7 @@
 type process struct {
 	t       *testing.T
 	base    string
+	address string // of the endpoint
 	release chan struct{}
 	once    sync.Once
 	started chan struct{}
@@ -70,7 +85,15 @@
 // startRouter starts a router with a fake keeper, waits until it is ready and announces
 // the endpoint.
 func startRouter(t *testing.T) *process {
-	keeping := messenger.NewKeepingServer(fakeKeeper{})
+	p := launchRouter(t, fakeKeeper{})
+	require.Eventually(t, func() bool { return p.status("/readyz") == http.StatusOK }, waitTimeout, 5*time.Millisecond)
+	require.Equal(t, http.StatusNoContent, p.announce("endpoint").status)
+	return p
+}
+
+// launchRouter starts a router with a keeper, and an endpoint that is not announced.
+func launchRouter(t *testing.T, keeper messenger.Keeping) *process {
+	keeping := messenger.NewKeepingServer(keeper)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := dialer.Server("secret", keeping)
@@ -99,12 +122,16 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	p.stop = cancel
 	go func() { p.exited <- router.Run(ctx) }()
-	require.Eventually(t, func() bool { return p.status("/readyz") == http.StatusOK }, waitTimeout, 5*time.Millisecond)
-	body := fmt.Sprintf(`{"incarnation":1,"service":"app","address":%q,"slots":4,"ttl_ms":60000}`, endpoint.Listener.Addr())
-	require.Equal(t, http.StatusNoContent, p.call(http.MethodPost, "/v1/endpoints/app-1", "endpoint", body).status)
+	p.address = endpoint.Listener.Addr().String()
 	return p
 }
 
+// announce announces the endpoint with a token.
+func (p *process) announce(token string) answer {
+	body := fmt.Sprintf(`{"incarnation":1,"service":"app","address":%q,"slots":4,"ttl_ms":60000}`, p.address)
+	return p.call(http.MethodPost, "/v1/endpoints/app-1", token, body)
+}
+
 // releaseEndpoint unblocks the endpoint's responses.
 func (p *process) releaseEndpoint() {
 	p.once.Do(func() { close(p.release) })
@@ -159,6 +186,38 @@
 	require.NoError(t, <-p.exited)
 }
 
+// Guards against a router that refuses valid tokens for good, or counts as ready, while the only keeper that it
+// reaches has just started.
+func TestRouterIsNotReadyBeforeItsKeeperHasCaughtUp(t *testing.T) {
+	keeper := &startingKeeper{}
+	p := launchRouter(t, keeper)
+	p.releaseEndpoint()
+	polled := func() bool {
+		response := p.call(http.MethodGet, "/metrics", "", "")
+		return strings.Contains(response.body, "shallotkeel_configuration_stale 1")
+	}
+	require.Eventually(t, func() bool { return p.status("/healthz") == http.StatusOK && polled() }, waitTimeout, time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, p.status("/readyz"))
+	for name, got := range map[string]answer{
+		"workspace": p.call(http.MethodGet, "/v1/services/app/x", "club-token", ""),
+		"endpoint":  p.announce("app-token"),
+		"operator":  p.call(http.MethodGet, "/admin/status", "anna-token", ""),
+	} {
+		require.Equal(t, http.StatusServiceUnavailable, got.status, name)
+		require.Contains(t, got.body, `"code":"stopping"`, name)
+	}
+	require.Equal(t, http.StatusNoContent, p.announce("endpoint").status)
+	require.Equal(t, http.StatusOK, p.call(http.MethodGet, "/admin/status", "operator", "").status)
+	keeper.caughtUp.Store(true)
+	require.Eventually(t, func() bool { return p.status("/readyz") == http.StatusOK }, waitTimeout, time.Millisecond)
+	require.Equal(t, http.StatusOK, p.call(http.MethodGet, "/v1/services/app/x", "club-token", "").status)
+	require.Equal(t, http.StatusUnauthorized, p.call(http.MethodGet, "/v1/services/app/x", "wrong", "").status)
+	require.Equal(t, http.StatusUnauthorized, p.announce("wrong").status)
+	require.Equal(t, http.StatusUnauthorized, p.call(http.MethodGet, "/admin/status", "wrong", "").status)
+	p.stop()
+	require.NoError(t, <-p.exited)
+}
+
 func TestStatusAndMetrics(t *testing.T) {
 	p := startRouter(t)
 	p.releaseEndpoint()
