--- a/router/internal/proxier/silentcrash_test.go
+++ b/router/internal/proxier/silentcrash_test.go
@@ -24,8 +24,7 @@
 			t.Run(fmt.Sprint(seed, ": ", scenario), func(t *testing.T) {
 				t.Parallel()
 				clock := newSteppedClock()
-				f := &pausingFleet{fixture: newFixtureAt(t, clock), clock: clock, scenario: scenario}
-				f.endpoint(f.serve)
+				f := newPausingFleet(t, clock, scenario)
 				_, err := f.fetch("POST", path, "prompt")
 				require.NoError(t, err)
 				broken, crashed := f.crashes.Lifetimes()
