Refuse requests in the system's queue when a router stops

Closing a listening socket resets the connections that the system has queued, and with them requests that it has acknowledged. Close now takes them from the queue first, 4096 at most, and refuses their requests with 503 and Retry-After. TestCloseRefusesRequestsInTheSystemsQueue: three connections, each reset before. Two closes at once no longer race for the error of the first. The connections of the screener say whether they have unread bytes, and can end their answers before the request has been read.

--- a/router/internal/screener/buffer.go
+++ b/router/internal/screener/buffer.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 )
@@ -61,3 +63,26 @@
 	}
 	return max(read, 0)
 }
+
+// acceptNow accepts a connection that is in the system's queue, without waiting. It returns nil if there
+// is none. Control is used, because a goroutine that waits in Accept holds the socket's read lock.
+func acceptNow(listening syscall.RawConn) (net.Conn, error) {
+	descriptor, failure := -1, error(nil)
+	err := listening.Control(func(listening uintptr) {
+		syscall.ForkLock.RLock()
+		defer syscall.ForkLock.RUnlock()
+		descriptor, _, failure = syscall.Accept(int(listening))
+		if failure == nil {
+			syscall.CloseOnExec(descriptor)
+		}
+	})
+	switch {
+	case errors.Is(failure, syscall.EAGAIN):
+		return nil, nil
+	case err != nil || failure != nil:
+		return nil, errors.Join(err, failure)
+	}
+	file := os.NewFile(uintptr(descriptor), "client")
+	defer file.Close()
+	return net.FileConn(file)
+}
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -93,6 +93,7 @@
 	acceptError  chan error
 	done         chan struct{}
 	closeOnce    sync.Once
+	closeError   error
 	waiting      atomic.Int64
 	full         bool // used by the accept goroutine only, as is logDamper
 	logDamper    damper.Damper
@@ -147,10 +148,41 @@
 // Close closes the listener. It refuses the requests on connections that the server has not accepted,
 // and closes those on which none has arrived.
 func (l *Listener) Close() error {
-	l.closeOnce.Do(func() { close(l.done) })
-	err := l.Listener.Close()
+	l.closeOnce.Do(func() {
+		close(l.done)
+		l.acceptPending()
+		l.closeError = l.Listener.Close()
+	})
 	l.turnAwayQueued()
-	return err
+	return l.closeError
+}
+
+// maxPending bounds the connections that are taken from the system's queue at the close.
+const maxPending = 4096
+
+// acceptPending turns away the connections in the system's queue. Closing the socket would reset them, and
+// with them requests that the system has acknowledged.
+func (l *Listener) acceptPending() {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	for range maxPending {
+		conn, err := acceptNow(raw)
+		if err != nil {
+			l.options.Log.Warn().Err(err).Msg("connections that wait for the system to accept them are reset")
+		}
+		if conn == nil {
+			return
+		}
+		group.Go(func() { l.turnAway(conn) })
+	}
 }
 
 // turnAwayQueued turns away the connections that wait for the server, and returns once all have been.
@@ -396,6 +428,19 @@
 	return n, nil
 }
 
+// HasUnread reports whether there are bytes that were read before.
+func (b *prefixedConn) HasUnread() bool {
+	return len(b.prefix) > 0
+}
+
+// CloseWrite ends the answer, while the rest of the request can still be read.
+func (b *prefixedConn) CloseWrite() error {
+	if half, ok := b.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errNoSocket
+}
+
 // errNoSocket reports that a connection has no file descriptor.
 var errNoSocket = merry.Sentinel("the connection has no socket")
 
--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -297,6 +298,45 @@
 	}
 }
 
+// Guards against requests that a planned stop resets because the router has not accepted their
+// connections: the goroutine that accepts is held, and the system has queued them.
+func TestCloseRefusesRequestsInTheSystemsQueue(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	held, entered := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	l := New(inner, Options{
+		Admit: func() bool {
+			once.Do(func() { close(entered) })
+			<-held
+			return false
+		},
+		ScreeningActive: func() bool { return false }, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+	})
+	defer close(held)
+	first, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer first.Close()
+	<-entered
+	const queued = 3
+	for range queued {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, head("/calm", 4)+"body")
+		require.NoError(t, err)
+		defer func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+		}()
+	}
+	require.NoError(t, l.Close())
+	require.Equal(t, uint64(queued), l.Refused())
+}
+
 // awaitRequest waits until the bytes that a client has sent can be read from the queued connection.
 func awaitRequest(t *testing.T, l *Listener) {
 	t.Helper()
