Answer what has arrived when a router on the platform's interface stops

A drainer now closes only connections on which nothing has arrived; what is read after the close is refused with 503 and Retry-After. At the end of the grace time requests in flight end by their context, with the cause stop: 503 if they have not run, 502 if they may have, and a begun answer is cut with cut_by stop in its line.

TestRequestsReadAfterTheCloseAreAnswered: 8 of 8 cases red before (5 closed without an answer, 3 half-read bodies served, which are refused now). TestRequestsEndedAtTheEndOfTheGraceTimeSayWhy: 3 of 3 red before (no answer and no line). TestSilentEndpointIsAwaitedDuringAStop is green before and after for plain answers.

--- a/lib/forwarder/peek.go
+++ b/lib/forwarder/peek.go
@@ -20,6 +20,12 @@
 	return err == nil && state == ended
 }
 
+// HasArrived reports whether bytes can be read from a connection without waiting.
+func HasArrived(cn net.Conn) bool {
+	state, err := peek(cn)
+	return err == nil && state == readable
+}
+
 // state is the result of peeking at a connection.
 type state uint8
 
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -34,6 +33,7 @@
 	"shallotkeel.example/lib/starter"
 	"shallotkeel.example/lib/subscriber"
 	"shallotkeel.example/platform"
+	"shallotkeel.example/router/internal/drainer"
 	"shallotkeel.example/router/internal/proxier"
 	"shallotkeel.example/router/internal/recaller"
 	"shallotkeel.example/router/internal/screener"
@@ -55,6 +55,12 @@
 	stopMargin = 500 * time.Millisecond
 	// minGrace is the shortest grace time in which a planned stop completes.
 	minGrace = drainTime + 2*stopMargin
+	// cutTime is the part of stopMargin in which requests that are ended at the end of the grace time answer
+	// their clients and are logged.
+	cutTime = 250 * time.Millisecond
+	// newConnectionTime is how long, after the listener has been closed, the first request of an accepted
+	// connection is awaited.
+	newConnectionTime = 500 * time.Millisecond
 	// maxScreened bounds the connections whose first request is awaited while requests are refused
 	// before the HTTP server accepts them; each takes a buffer of 16 KB while it is read.
 	maxScreened = 512
@@ -83,6 +89,7 @@
 	subscriber *subscriber.Subscriber
 
 	clientConnections connections
+	drainer           *drainer.Drainer
 	screened          atomic.Pointer[screener.Listener] // nil until Run has started it
 	pacer             pacer.Pacer
 	requestRate       rateMeter // requests per second
@@ -107,6 +114,7 @@
 		budget:   &budgeter.Budgeter{Bound: settings.Retry.bound()},
 		shares:   &apportioner.Apportioner{},
 		planning: make(map[netip.AddrPort]messenger.Planning),
+		drainer:  drainer.New(),
 		stopping: make(chan struct{}), registry: prometheus.NewRegistry(),
 	}
 	d.control = dialer.Client(settings.Secret, &d.controlBytes)
@@ -268,8 +276,11 @@
 		return merry.Errorf("metrics address: %w; set \"metrics\" to a free address of this instance", err)
 	}
 	defer scraped.Close()
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
 	front := &http.Server{
-		ConnContext: framer.WithConn, ConnState: d.clientConnections.setState, ErrorLog: stdlog.New(d.log, "", 0),
+		BaseContext: func(net.Listener) context.Context { return requests },
+		ConnContext: framer.WithConn, ConnState: d.setConnState, ErrorLog: stdlog.New(d.log, "", 0),
 		Handler: d.proxier, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -282,7 +293,7 @@
 		Admit: d.admitConnection, ScreeningActive: d.proxier.ScreeningActive, Judge: d.proxier.Screen, MaxWaiting: maxScreened, Clock: d.clock, Log: d.log,
 	})
 	d.screened.Store(screened)
-	go func() { failures <- front.Serve(screened) }()
+	go func() { failures <- front.Serve(d.drainer.Listener(screened)) }()
 	go func() { failures <- ready.Serve(readiness) }()
 	background, endBackground := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -297,8 +308,9 @@
 	case err = <-failures:
 	}
 	if err == nil {
-		d.stop(front)
+		d.stop(screened, endRequests)
 	}
+	_ = front.Close() // the connections that are left have been counted
 	endBackground()
 	group.Wait()
 	d.log.Info().Int("running", d.proxier.Running()).Msg("router stopped")
@@ -333,19 +345,48 @@
 	}
 }
 
+// setConnState records the state of a client connection.
+func (d *Director) setConnState(conn net.Conn, state http.ConnState) {
+	d.clientConnections.setState(conn, state)
+	d.drainer.SetState(conn, state)
+}
+
 // stop performs the planned stop: it reports not ready, accepts requests for drainTime longer, and
-// then closes the listener and waits for the requests in flight within the grace time.
-func (d *Director) stop(front *http.Server) {
+// then closes the listener and waits for the requests in flight within the grace time. Requests that
+// are read later than that are refused.
+func (d *Director) stop(clients net.Listener, endRequests context.CancelCauseFunc) {
 	d.log.Info().Int("running", d.proxier.Running()).Msg("planned stop begins")
+	over := d.clock.After(d.settings.Grace.Duration - stopMargin)
 	close(d.stopping)
 	d.proxier.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace.Duration-stopMargin)
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-d.clock.After(drainTime):
+	<-d.clock.After(drainTime)
+	d.proxier.Refuse()
+	d.drainer.Begin()
+	if err := clients.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("the listener for clients could not be closed")
 	}
-	if err := front.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		d.log.Warn().Err(err).Int("running", d.proxier.Running()).Msg("requests cut because the grace time for the stop is over")
+	endNew := d.clock.After(newConnectionTime)
+	for {
+		select {
+		case <-d.drainer.Done():
+			return
+		case <-endNew:
+			d.drainer.EndNew()
+		case <-over:
+			d.cutRequests(endRequests)
+			return
+		}
+	}
+}
+
+// cutRequests ends the requests in flight, and gives them cutTime to answer their clients.
+func (d *Director) cutRequests(endRequests context.CancelCauseFunc) {
+	open, _ := d.clientConnections.counts()
+	d.log.Warn().Int("running", d.proxier.Running()).Int("open", open).Msg("requests cut because the grace time for the stop is over")
+	endRequests(proxier.ErrStopped)
+	d.drainer.Interrupt()
+	select {
+	case <-d.drainer.Done():
+	case <-d.clock.After(cutTime):
 	}
 }
--- /dev/null
+++ b/router/internal/drainer/drainer.go
@@ -0,0 +1,270 @@
+// Package drainer closes the client connections of an HTTP/1 server in a planned stop.
+//
+// http.Server.Shutdown drops requests: one whose head is read after the shutdown has begun is closed
+// without an answer, and so is one that has arrived on a kept connection and waits to be read. On a
+// busy machine connections wait for a second to be read. A Drainer closes only connections on which
+// nothing has arrived; on all others the server reads the request and its handler answers it.
+//
+// Invariants: once the drain has begun, a connection without a request in progress is closed as soon
+// as nothing can be read from it; a connection on which anything has arrived is left to the server.
+package drainer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"shallotkeel.example/lib/forwarder"
+)
+
+// errNoSocket reports that a connection has no file descriptor.
+var errNoSocket = merry.Sentinel("the connection has no socket")
+
+// Drainer tracks the client connections of a server. The server must accept them from Listener, and
+// report their states to SetState.
+type Drainer struct {
+	mutex     sync.Mutex
+	conns     map[*conn]struct{}
+	accepting bool
+	draining  bool
+	endingNew bool
+	done      chan struct{} // closed once the drain has begun and no connection is left
+	finished  bool          // done is closed
+}
+
+// New returns a Drainer.
+func New() *Drainer {
+	return &Drainer{conns: make(map[*conn]struct{}), done: make(chan struct{})}
+}
+
+// Listener returns a listener whose connections the Drainer tracks.
+func (d *Drainer) Listener(inner net.Listener) net.Listener {
+	d.accepting = true
+	return &listener{Listener: inner, drainer: d}
+}
+
+// Begin begins the drain: connections on which no request has arrived are closed from now on, except
+// those that have never had a request. The listener is to be closed as well.
+func (d *Drainer) Begin() {
+	d.mutex.Lock()
+	d.draining = true
+	d.finish()
+	d.mutex.Unlock()
+	d.endQuiet()
+}
+
+// EndNew closes the connections that have never had a request, too.
+func (d *Drainer) EndNew() {
+	d.mutex.Lock()
+	d.endingNew = true
+	d.mutex.Unlock()
+	d.endQuiet()
+}
+
+// Done returns a channel that is closed once the drain has begun, the listener is closed and no
+// connection is left.
+func (d *Drainer) Done() <-chan struct{} {
+	return d.done
+}
+
+// Interrupt ends the reads that wait for clients. Answers can still be written.
+func (d *Drainer) Interrupt() {
+	for _, c := range d.open() {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // it fails if the connection has just been closed
+	}
+}
+
+// SetState records the state of a connection, as http.Server.ConnState reports it.
+func (d *Drainer) SetState(cn net.Conn, state http.ConnState) {
+	c, ok := cn.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setPhase(busy)
+	case http.StateIdle:
+		c.setPhase(kept)
+	}
+}
+
+// open returns the open connections.
+func (d *Drainer) open() []*conn {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	conns := make([]*conn, 0, len(d.conns))
+	for c := range d.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// endQuiet ends the reads of connections on which nothing has arrived.
+func (d *Drainer) endQuiet() {
+	for _, c := range d.open() {
+		c.endIfQuiet()
+	}
+}
+
+// ends reports whether connections in a phase are closed if nothing has arrived on them.
+func (d *Drainer) ends(p phase) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return p == kept && d.draining || p == fresh && d.endingNew
+}
+
+func (d *Drainer) add(c *conn) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.conns[c] = struct{}{}
+}
+
+func (d *Drainer) remove(c *conn) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.conns, c)
+	d.finish()
+}
+
+func (d *Drainer) stopAccepting() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.accepting = false
+	d.finish()
+}
+
+// finish closes done once the drain is complete. The mutex must be held.
+func (d *Drainer) finish() {
+	if !d.draining || d.accepting || len(d.conns) > 0 || d.finished {
+		return
+	}
+	d.finished = true
+	close(d.done)
+}
+
+// listener accepts connections and adds them to a Drainer.
+type listener struct {
+	net.Listener
+	drainer *Drainer
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		if temporary := net.Error(nil); !errors.As(err, &temporary) || !temporary.Temporary() { //nolint:staticcheck // the server decides by it, too
+			l.drainer.stopAccepting()
+		}
+		return nil, err
+	}
+	c := &conn{Conn: inner, drainer: l.drainer}
+	if begun, ok := inner.(interface{ HasUnread() bool }); ok && begun.HasUnread() {
+		c.phase = busy
+	}
+	l.drainer.add(c)
+	return c, nil
+}
+
+// phase is what a connection is used for.
+type phase uint8
+
+const (
+	fresh phase = iota // accepted, and nothing read from it yet
+	busy               // a request is being read or answered
+	kept               // open for another request
+)
+
+// conn is a client connection.
+type conn struct {
+	net.Conn
+	drainer *Drainer
+
+	mutex   sync.Mutex
+	phase   phase
+	reading bool // the server waits in Read
+	ended   bool // nothing has arrived, and the server's reads end
+}
+
+// Read reads from the connection. It reports the end of the connection if the connection is to be
+// closed and nothing has arrived on it.
+func (c *conn) Read(into []byte) (int, error) {
+	if !c.beginRead() {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(into)
+	c.endRead(n)
+	return n, err
+}
+
+// beginRead reports whether the server may read from the connection.
+func (c *conn) beginRead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.drainer.ends(c.phase) && !forwarder.HasArrived(c.Conn) {
+		c.ended = true
+	}
+	c.reading = !c.ended
+	return c.reading
+}
+
+// endRead records that n bytes have been read. Bytes that were read while the connection was being
+// closed may be a request, so that the connection stays open.
+func (c *conn) endRead(n int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reading = false
+	if n == 0 {
+		return
+	}
+	c.phase = busy
+	if c.ended {
+		c.ended = false
+		_ = c.SetReadDeadline(time.Time{}) // it fails if the connection has just been closed
+	}
+}
+
+// endIfQuiet ends the server's read if the connection is to be closed and nothing has arrived on it. If
+// the server is not reading, its next Read decides.
+func (c *conn) endIfQuiet() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.reading || !c.drainer.ends(c.phase) || forwarder.HasArrived(c.Conn) {
+		return
+	}
+	c.ended = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // it fails if the connection has just been closed
+}
+
+func (c *conn) setPhase(p phase) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phase = p
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	defer c.drainer.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the answer, while the rest of the request can still be read.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errNoSocket
+}
+
+// SyscallConn gives access to the socket.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errNoSocket
+}
--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -38,6 +38,9 @@
 // admit resolves the request's route and workspace, reads its body and applies the admission
 // rules. It answers a request that it does not admit, and returns false.
 func (p *Proxier) admit(q *request) bool {
+	if p.refusedAtStop(q) {
+		return false
+	}
 	q.table = p.firstTable(q)
 	if q.table == nil {
 		p.refuse(q, byConfiguration, http.StatusServiceUnavailable, "no configuration yet", noConfigurationRetryAfter)
@@ -58,7 +61,7 @@
 		p.refuse(q, byRouter, http.StatusServiceUnavailable, reasonRouterBusy, p.overloadRetryAfter(q.received))
 		return false
 	}
-	if !p.readBody(q) {
+	if !p.readBody(q) || p.refusedAtStop(q) {
 		return false
 	}
 	q.deadline = q.received.Add(q.route.Timeout)
--- a/router/internal/proxier/body.go
+++ b/router/internal/proxier/body.go
@@ -37,6 +37,10 @@
 		p.refuse(q, byRule, http.StatusRequestEntityTooLarge, "the body is too large", 0)
 		return false
 	}
+	if q.stopped() {
+		p.endAtStop(q)
+		return false
+	}
 	q.reason = "the client's body broke off: " + err.Error()
 	p.cut(q, cutByBody)
 	return false
--- a/router/internal/proxier/inflight.go
+++ b/router/internal/proxier/inflight.go
@@ -8,6 +8,7 @@
 // inFlight counts the requests in flight, for a planned stop and for the limit on them.
 type inFlight struct {
 	closing    atomic.Bool
+	refusing   atomic.Bool // requests that are read from now on are refused
 	mutex      sync.Mutex
 	running    int
 	workspaces map[string]int // requests in flight, of workspaces that have any
@@ -74,6 +75,11 @@
 	p.inFlight.closing.Store(true)
 }
 
+// Refuse makes the proxier refuse each request that has not been read yet.
+func (p *Proxier) Refuse() {
+	p.inFlight.refusing.Store(true)
+}
+
 // Running returns the number of requests in flight.
 func (p *Proxier) Running() int {
 	p.inFlight.mutex.Lock()
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -305,6 +305,8 @@
 func (p *Proxier) giveUp(ctx context.Context, q *request, e attemptFailure) {
 	q.reason = e.reason
 	switch {
+	case q.stopped():
+		p.endAtStop(q)
 	case q.http.Context().Err() != nil || clientGone(q.http.Context()):
 		q.reason = "the client left"
 		p.cut(q, cutByClient)
--- a/router/internal/proxier/record.go
+++ b/router/internal/proxier/record.go
@@ -14,6 +14,9 @@
 func (p *Proxier) record(q *request) {
 	now := p.options.Clock.Now()
 	took := now.Sub(q.received)
+	if q.cutBy == cutByClient && q.stopped() {
+		q.cutBy = cutByStop // the write to the client was ended
+	}
 	p.options.Metrics.observe(q, took)
 	p.workspaces.add(now, p.options.Log, p.options.Shares, q)
 	p.refusals.add(now, q.refusedBy == byRouter)
--- a/router/internal/proxier/workspacestats.go
+++ b/router/internal/proxier/workspacestats.go
@@ -38,12 +38,13 @@
 	byRule
 	// byQuarantine: requests like it have crashed endpoints.
 	byQuarantine
+	byStop
 )
 
 // refusalLabels are the values of refusal causes in metrics.
 var refusalLabels = map[refusalCause]string{
 	byShare: "share", byEngines: "engines", byRouter: "router", byEndpoints: "endpoints", byPressure: "pressure",
-	byConfiguration: "configuration", byKey: "key", byVersion: "version", byRule: "rule", byQuarantine: "quarantine",
+	byConfiguration: "configuration", byKey: "key", byVersion: "version", byRule: "rule", byQuarantine: "quarantine", byStop: "stop",
 }
 
 const (
