--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -27,7 +27,6 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/framer"
@@ -37,6 +36,7 @@
 	"shallotkeel.example/router/internal/claimant"
 	"shallotkeel.example/router/internal/commander"
 	"shallotkeel.example/router/internal/coordinator"
+	"shallotkeel.example/router/internal/drainer"
 	"shallotkeel.example/router/internal/enroller"
 	"shallotkeel.example/router/internal/follower"
 	"shallotkeel.example/router/internal/quarantiner"
@@ -55,10 +55,13 @@
 	loadBalancerDelay = 500 * time.Millisecond
 	// settleTimeout bounds the recording of outcomes and the reports that follow the last
 	// request of a planned stop.
-	settleTimeout  = 2 * time.Second
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	settleTimeout = 2 * time.Second
+	// newConnectionTime is how long, after the public address has been closed, the first request of an accepted
+	// connection is awaited.
+	newConnectionTime = 500 * time.Millisecond
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
 )
 
 // Router is a router process: its servers, and the components behind them.
@@ -75,6 +78,7 @@
 	relayer     *relayer.Relayer
 	crashes     localizer.Observer
 	quarantiner *quarantiner.Quarantiner
+	drainer     *drainer.Drainer // of the public server
 	public      *http.Server
 	control     *http.Server
 	stopping    atomic.Bool
@@ -134,9 +138,10 @@
 			BodyBytes: s.Limits.BodyBytes, WaitingRequests: s.Limits.Waiting, RequestTimeout: s.Limits.RequestTimeout.Duration,
 		},
 	})
+	r.drainer = drainer.New()
 	r.public = &http.Server{
 		Handler: r.closeWhileStopping(r.publicHandler(keepers)), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: framer.WithConn,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: framer.WithConn, ConnState: r.drainer.SetState,
 	}
 	controlMux := http.NewServeMux()
 	r.coordinator.Register(controlMux, r.follower)
@@ -200,7 +205,7 @@
 	case err = <-failed:
 		err = merry.Errorf("%w: %v; restart the router", ErrListen, err)
 	case <-ctx.Done():
-		err = r.stop(context.WithoutCancel(ctx))
+		err = r.stop(context.WithoutCancel(ctx), public)
 	}
 	cancel()
 	_ = r.control.Close()
@@ -223,12 +228,12 @@
 	// endpoints and other routers are then refused as well. Beyond the bound new
 	// connections wait in the backlog; the server closes connections without a request
 	// after its timeouts.
-	return netutil.LimitListener(public, cmp.Or(r.settings.Limits.Connections, defaultConnections)), control, nil
+	return r.drainer.LimitedListener(public, cmp.Or(r.settings.Limits.Connections, defaultConnections)), control, nil
 }
 
 // stop runs the planned stop, bounded by the stop timeout. It returns an error if
 // requests were cut off.
-func (r *Router) stop(ctx context.Context) error {
+func (r *Router) stop(ctx context.Context, public net.Listener) error {
 	r.log.Info().Msg("stopping")
 	r.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Limits.StopTimeout.Or(defaultStopTimeout))
@@ -236,7 +241,7 @@
 	r.coordinator.Leave(ctx)
 	r.sleep(ctx, loadBalancerDelay)
 	cut := r.relayer.Drain(ctx)
-	err := r.public.Shutdown(ctx)
+	err := r.closePublic(ctx, public)
 	settleCtx, cancelSettle := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancelSettle()
 	if unrecorded := r.claimant.Drain(settleCtx); unrecorded != nil {
@@ -251,6 +256,26 @@
 	return nil
 }
 
+// closePublic closes the public address, and waits until the requests that have arrived are answered
+// and the connections closed, or until the context ends.
+func (r *Router) closePublic(ctx context.Context, public net.Listener) error {
+	r.drainer.Begin()
+	if err := public.Close(); err != nil {
+		r.log.Warn().Err(err).Msg("the public address could not be closed")
+	}
+	endNew := r.clock.After(newConnectionTime)
+	for {
+		select {
+		case <-r.drainer.Done():
+			return nil
+		case <-endNew:
+			r.drainer.EndNew()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // sleep waits for a pause or until the context ends.
 func (r *Router) sleep(ctx context.Context, pause time.Duration) {
 	select {
--- a/router/internal/drainer/drainer.go
+++ b/router/internal/drainer/drainer.go
@@ -45,8 +45,17 @@
 
 // Listener returns a listener whose connections the Drainer tracks.
 func (d *Drainer) Listener(inner net.Listener) net.Listener {
+	return d.LimitedListener(inner, 0)
+}
+
+// LimitedListener is like Listener, and accepts at most limit connections at a time; 0 is no limit.
+func (d *Drainer) LimitedListener(inner net.Listener, limit int) net.Listener {
 	d.accepting = true
-	return &listener{Listener: inner, drainer: d}
+	l := &listener{Listener: inner, drainer: d, closed: make(chan struct{})}
+	if limit > 0 {
+		l.slots = make(chan struct{}, limit)
+	}
+	return l
 }
 
 // Begin begins the drain: connections on which no request has arrived are closed from now on, except
@@ -151,19 +160,52 @@
 // listener accepts connections and adds them to a Drainer.
 type listener struct {
 	net.Listener
-	drainer *Drainer
+	drainer   *Drainer
+	slots     chan struct{} // holds a value for each open connection; nil if there is no limit
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// acquire waits for a slot. It returns false if the listener is closed.
+func (l *listener) acquire() bool {
+	if l.slots == nil {
+		return true
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+func (l *listener) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
+// Close closes the listener, and ends an Accept that waits for a slot.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // Accept returns the next connection.
 func (l *listener) Accept() (net.Conn, error) {
+	if !l.acquire() {
+		l.drainer.stopAccepting()
+		return nil, net.ErrClosed
+	}
 	inner, err := l.Listener.Accept()
 	if err != nil {
+		l.release()
 		if temporary := net.Error(nil); !errors.As(err, &temporary) || !temporary.Temporary() { //nolint:staticcheck // the server decides by it, too
 			l.drainer.stopAccepting()
 		}
 		return nil, err
 	}
-	c := &conn{Conn: inner, drainer: l.drainer}
+	c := &conn{Conn: inner, drainer: l.drainer, release: sync.OnceFunc(l.release)}
 	if begun, ok := inner.(interface{ HasUnread() bool }); ok && begun.HasUnread() {
 		c.phase = busy
 	}
@@ -184,6 +226,7 @@
 type conn struct {
 	net.Conn
 	drainer *Drainer
+	release func()
 
 	mutex   sync.Mutex
 	phase   phase
@@ -250,6 +293,7 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	defer c.drainer.remove(c)
+	defer c.release()
 	return c.Conn.Close()
 }
 
