Count and log what the screener closes and a stop turns away

A connection on which no request arrived, and a request that a planned stop refuses before the server has its connection, left no trace. Each such request has its line with the cause stop, and both have counters. TestCloseRefusesRequestsInTheSystemsQueue reads the lines.

--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -290,7 +290,8 @@
 	failures := make(chan error, 3)
 	go func() { failures <- metricsServer.Serve(scraped) }()
 	screened := screener.New(clients, screener.Options{
-		Admit: d.admitConnection, ScreeningActive: d.proxier.ScreeningActive, Judge: d.proxier.Screen, MaxWaiting: maxScreened, Clock: d.clock, Log: d.log,
+		Admit: d.admitConnection, ScreeningActive: d.proxier.ScreeningActive, Judge: d.proxier.Screen,
+		Identify: func(h *http.Request) string { return platform.Dialect{}.Read(h.Header).ID }, MaxWaiting: maxScreened, Clock: d.clock, Log: d.log,
 	})
 	d.screened.Store(screened)
 	go func() { failures <- front.Serve(d.drainer.Listener(screened)) }()
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -69,6 +69,8 @@
 	counter("shallotkeel_direct_endpoint_connections_total", "Connections made to endpoints.", d.client.Opened)
 	counter("shallotkeel_direct_unread_connections_total", "Connections of clients that were closed unread, for want of room.", d.screenerCounter((*screener.Listener).ClosedUnread))
 	counter("shallotkeel_direct_left_connections_total", "Connections of clients that had left before their requests were judged.", d.screenerCounter((*screener.Listener).Abandoned))
+	counter("shallotkeel_direct_silent_connections_total", "Connections of clients that were closed because no request arrived on them.", d.screenerCounter((*screener.Listener).Silent))
+	counter("shallotkeel_direct_stopped_requests_total", "Requests that were refused because their connections were not accepted before a planned stop.", d.screenerCounter((*screener.Listener).TurnedAway))
 	counter("shallotkeel_direct_screened_requests_total", "Requests that were refused before the server took their connections.", d.screenerCounter((*screener.Listener).Refused))
 }
 
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -79,6 +79,8 @@
 	// ScreeningActive reports whether requests on new connections are judged now.
 	ScreeningActive func() bool
 	Judge           Judge
+	// Identify returns the id of a request for log lines. It may be nil.
+	Identify func(h *http.Request) string
 	// MaxWaiting is the maximum number of connections that wait for their first request.
 	MaxWaiting int
 	Clock      clockwork.Clock
@@ -100,6 +102,8 @@
 	closedUnread atomic.Uint64
 	refused      atomic.Uint64
 	abandoned    atomic.Uint64
+	silent       atomic.Uint64
+	turnedAway   atomic.Uint64
 }
 
 // New returns a listener that screens the connections of inner.
@@ -128,6 +132,17 @@
 	return l.abandoned.Load()
 }
 
+// Silent returns the number of connections closed because no request arrived on them in time, or before
+// the listener was closed.
+func (l *Listener) Silent() uint64 {
+	return l.silent.Load()
+}
+
+// TurnedAway returns the number of requests refused because the listener was closed.
+func (l *Listener) TurnedAway() uint64 {
+	return l.turnedAway.Load()
+}
+
 // Waiting returns the number of connections that wait for their first request.
 func (l *Listener) Waiting() int {
 	return int(l.waiting.Load())
@@ -212,11 +227,18 @@
 		read = readAvailable(raw, b.bytes)
 	}
 	if read == 0 {
+		l.silent.Add(1)
 		conn.Close()
 		return
 	}
-	_, rest := b.parse(read)
+	h, rest := b.parse(read)
 	l.refused.Add(1)
+	l.turnedAway.Add(1)
+	id := ""
+	if h != nil && l.options.Identify != nil {
+		id = l.options.Identify(h)
+	}
+	l.options.Log.Info().Str("id", id).Str("cause", "stop").Int("read", read).Msg("request refused because its connection was not accepted before the stop")
 	l.refuse(raw, b, &stopRefusal, rest)
 }
 
@@ -326,6 +348,7 @@
 		read, err = l.readFirst(conn, b)
 	}
 	if read == 0 {
+		l.silent.Add(1)
 		if err != nil {
 			l.options.Log.Debug().Err(err).Msg("new connection sent no request in time; it is closed")
 		}
--- a/router/internal/screener/screener_test.go
+++ b/router/internal/screener/screener_test.go
@@ -251,6 +251,7 @@
 	_, err = conn.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 	require.Empty(t, l.accepted)
+	require.Equal(t, uint64(1), l.Silent())
 }
 
 // Guards against requests whose connections a planned stop closes without an answer.
@@ -305,13 +306,15 @@
 	require.NoError(t, err)
 	held, entered := make(chan struct{}), make(chan struct{})
 	var once sync.Once
+	var lines strings.Builder
 	l := New(inner, Options{
 		Admit: func() bool {
 			once.Do(func() { close(entered) })
 			<-held
 			return false
 		},
-		ScreeningActive: func() bool { return false }, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
+		Identify:        func(h *http.Request) string { return h.Method + " " + h.URL.Path },
+		ScreeningActive: func() bool { return false }, Clock: clockwork.NewRealClock(), Log: zerolog.New(zerolog.SyncWriter(&lines)),
 	})
 	defer close(held)
 	first, err := net.Dial("tcp", inner.Addr().String())
@@ -334,7 +337,8 @@
 		}()
 	}
 	require.NoError(t, l.Close())
-	require.Equal(t, uint64(queued), l.Refused())
+	require.Equal(t, uint64(queued), l.TurnedAway())
+	require.Equal(t, queued, strings.Count(lines.String(), `"id":"POST /calm","cause":"stop"`), "each has its line")
 }
 
 // awaitRequest waits until the bytes that a client has sent can be read from the queued connection.
