--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -79,6 +79,8 @@
 	// ScreeningActive reports whether requests on new connections are judged now.
 	ScreeningActive func() bool
 	Judge           Judge
+	// Identify returns the id of a request for log lines. It may be nil.
+	Identify func(h *http.Request) string
 	// MaxWaiting is the maximum number of connections that wait for their first request.
 	MaxWaiting int
 	Clock      clockwork.Clock
@@ -93,12 +95,15 @@
 	acceptError  chan error
 	done         chan struct{}
 	closeOnce    sync.Once
+	closeError   error
 	waiting      atomic.Int64
 	full         bool // used by the accept goroutine only, as is logDamper
 	logDamper    damper.Damper
 	closedUnread atomic.Uint64
 	refused      atomic.Uint64
 	abandoned    atomic.Uint64
+	silent       atomic.Uint64
+	turnedAway   atomic.Uint64
 }
 
 // New returns a listener that screens the connections of inner.
@@ -127,6 +132,17 @@
 	return l.abandoned.Load()
 }
 
+// Silent returns the number of connections closed because no request arrived on them in time, or before
+// the listener was closed.
+func (l *Listener) Silent() uint64 {
+	return l.silent.Load()
+}
+
+// TurnedAway returns the number of requests refused because the listener was closed.
+func (l *Listener) TurnedAway() uint64 {
+	return l.turnedAway.Load()
+}
+
 // Waiting returns the number of connections that wait for their first request.
 func (l *Listener) Waiting() int {
 	return int(l.waiting.Load())
@@ -147,10 +163,41 @@
 // Close closes the listener. It refuses the requests on connections that the server has not accepted,
 // and closes those on which none has arrived.
 func (l *Listener) Close() error {
-	l.closeOnce.Do(func() { close(l.done) })
-	err := l.Listener.Close()
+	l.closeOnce.Do(func() {
+		close(l.done)
+		l.acceptPending()
+		l.closeError = l.Listener.Close()
+	})
 	l.turnAwayQueued()
-	return err
+	return l.closeError
+}
+
+// maxPending bounds the connections that are taken from the system's queue at the close.
+const maxPending = 4096
+
+// acceptPending turns away the connections in the system's queue. Closing the socket would reset them, and
+// with them requests that the system has acknowledged.
+func (l *Listener) acceptPending() {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	for range maxPending {
+		conn, err := acceptNow(raw)
+		if err != nil {
+			l.options.Log.Warn().Err(err).Msg("connections that wait for the system to accept them are reset")
+		}
+		if conn == nil {
+			return
+		}
+		group.Go(func() { l.turnAway(conn) })
+	}
 }
 
 // turnAwayQueued turns away the connections that wait for the server, and returns once all have been.
@@ -180,11 +227,18 @@
 		read = readAvailable(raw, b.bytes)
 	}
 	if read == 0 {
+		l.silent.Add(1)
 		conn.Close()
 		return
 	}
-	_, rest := b.parse(read)
+	h, rest := b.parse(read)
 	l.refused.Add(1)
+	l.turnedAway.Add(1)
+	id := ""
+	if h != nil && l.options.Identify != nil {
+		id = l.options.Identify(h)
+	}
+	l.options.Log.Info().Str("id", id).Str("cause", "stop").Int("read", read).Msg("request refused because its connection was not accepted before the stop")
 	l.refuse(raw, b, &stopRefusal, rest)
 }
 
@@ -294,6 +348,7 @@
 		read, err = l.readFirst(conn, b)
 	}
 	if read == 0 {
+		l.silent.Add(1)
 		if err != nil {
 			l.options.Log.Debug().Err(err).Msg("new connection sent no request in time; it is closed")
 		}
@@ -396,6 +451,19 @@
 	return n, nil
 }
 
+// HasUnread reports whether there are bytes that were read before.
+func (b *prefixedConn) HasUnread() bool {
+	return len(b.prefix) > 0
+}
+
+// CloseWrite ends the answer, while the rest of the request can still be read.
+func (b *prefixedConn) CloseWrite() error {
+	if half, ok := b.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errNoSocket
+}
+
 // errNoSocket reports that a connection has no file descriptor.
 var errNoSocket = merry.Sentinel("the connection has no socket")
 
