--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -128,7 +128,8 @@
 	f.proxier = New(Options{
 		Dialect: platform.Dialect{}, FleetState: f.fleetState, Crashes: f.crashes, Streams: recaller.New(recaller.Options{Clock: clock}), Balancer: f.balancer, Shares: f.shares,
 		Budget: &budgeter.Budgeter{Bound: budgeter.Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}},
-		Client: &forwarder.Client{Clock: clock}, Clock: clock, Log: zerolog.Nop(),
+		// The default timeout of dials is too short for connections within a busy machine.
+		Client: &forwarder.Client{Clock: clock, DialTimeout: waitTimeout}, Clock: clock, Log: zerolog.Nop(),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/router/internal/proxier/pause_test.go
+++ b/router/internal/proxier/pause_test.go
@@ -150,7 +150,6 @@
 func newPausingFleet(t *testing.T, clock *steppedClock, scenario pauseScenario) *pausingFleet {
 	t.Helper()
 	f := &pausingFleet{fixture: newFixtureAt(t, clock), clock: clock, scenario: scenario}
-	f.proxier.options.Client.DialTimeout = waitTimeout // a busy machine may take long to connect
 	f.endpoint(f.serve)
 	return f
 }
