Judge a silent engine by a client that left without anything, and lift a pause once

What stays is evidence: the client of a prompt left or its deadline passed, its first token was overdue by 0.6 s, and the engine had sent nothing to anybody since. Then it is paused as after a failure, probed, and free with its first data.

A slot keeps the key of the endpoint as it was chosen, so that what is recorded of its crashes is ended under the same key.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -298,7 +298,7 @@
 	slot := &Slot{
 		ID: e.ID, Address: e.Address, Version: e.Version, PrefillTokens: c.prefillTokens, ExpectedWait: c.wait, ExpectedQueue: c.queue,
 		HealthPenalty: c.penalty.String(), Pause: max(e.pausedUntil.Sub(now), 0),
-		balancer: b, endpoint: e, sentAt: now, queuedTokens: c.queuedTokens, awaitsFirstToken: true,
+		balancer: b, endpoint: e, key: e.key, sentAt: now, queuedTokens: c.queuedTokens, awaitsFirstToken: true,
 	}
 	if !e.pausedUntil.IsZero() && !now.Before(e.pausedUntil) && !e.probing {
 		slot.probe, e.probing = true, true
--- a/lib/balancer/penalty.go
+++ b/lib/balancer/penalty.go
@@ -18,7 +18,7 @@
 const (
 	penaltyNone healthPenalty = iota
 	// penaltyFailing is for endpoints that answer, but with errors or refusals for lack of capacity,
-	// for an endpoint that a probe is running on, and for an engine that sends nothing.
+	// and for an endpoint that a probe is running on.
 	penaltyFailing
 	// penaltySilent is for endpoints whose heartbeats do not reach the keepers, and for endpoints
 	// in a zone that cannot be reached.
@@ -40,7 +40,7 @@
 		return penaltyUnconnectable
 	case e.Silent, b.zones[e.Zone].suspect(now):
 		return penaltySilent
-	case paused, b.isSilent(now, e):
+	case paused:
 		return penaltyFailing
 	}
 	return penaltyNone
--- a/lib/balancer/silence.go
+++ b/lib/balancer/silence.go
@@ -1,15 +1,17 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // minSilence is how long an endpoint must have sent nothing for a failure to be explained by its
 // silence. It is longer than the gaps between the events of a busy endpoint, and shorter than a dial
 // timeout.
 const minSilence = 150 * time.Millisecond
 
-// silenceLimit is how long an engine may send nothing on any connection before it gets no new requests
-// while others do. It is longer than the gaps of an engine that preempts streams, and short beside the
-// two seconds after which clients leave.
+// silenceLimit is how long after the expected first token a client must have waited for its departure to
+// count against an engine that has sent nothing at all in the meantime. Clients leave after two seconds.
 const silenceLimit = 600 * time.Millisecond
 
 // silence records when an endpoint sent nothing on any connection.
@@ -21,15 +23,22 @@
 type silence struct {
 	endedAt     time.Time // end of the last silence of at least minSilence
 	causedPause bool      // the current pause follows a failure in a silence
+	// liftedAt is when data last ended a pause, zero once a request that was sent later has been answered.
+	liftedAt time.Time
 }
 
-// noteData records that the endpoint sent data. A pause that a silence caused ends with the silence:
-// the next request is a probe, and the pause lasts longer again if the probe fails.
-func (e *endpoint) noteData(now time.Time) {
+// noteData records that the endpoint sent data for a slot. A pause that a silence caused ends with the
+// silence: the next request is a probe. If the probe fails, data ends no further pause until a later request has been
+// answered: streams whose events are far apart would otherwise end pause after pause of an endpoint that accepts
+// no connections.
+func (e *endpoint) noteData(now time.Time, s *Slot) {
 	if now.Sub(e.lastActivity) >= minSilence {
 		e.silence.endedAt = now
 	}
 	e.lastActivity = now
+	if !s.sentAt.Before(e.silence.liftedAt) {
+		e.silence.liftedAt = time.Time{}
+	}
 	if !e.silence.causedPause {
 		return
 	}
@@ -37,7 +46,7 @@
 	if !now.Before(e.pausedUntil) {
 		return
 	}
-	e.pausedUntil = now
+	e.pausedUntil, e.consecutiveFailures, e.silence.liftedAt = now, 0, now
 	if e.inBackoff(now) {
 		e.pausedUntil = e.backoffUntil
 	}
@@ -49,7 +58,7 @@
 		return
 	}
 	e.pause(now)
-	e.silence.causedPause = e.wasSilentSince(now, failed.sentAt)
+	e.silence.causedPause = e.silence.liftedAt.IsZero() && e.wasSilentSince(now, failed.sentAt)
 }
 
 // wasSilentSince reports whether the endpoint was silent for at least a part of an attempt. The
@@ -59,12 +68,10 @@
 	return now.Sub(sent) >= minSilence && (now.Sub(e.lastActivity) >= minSilence || e.silence.endedAt.After(sent))
 }
 
-// isSilent reports whether an engine that runs requests of this router sends nothing. Silence keeps new
-// requests away and ends none: an engine may pause for some seconds and go on. It ends with the first data.
-func (b *Balancer) isSilent(now time.Time, e *endpoint) bool {
-	if b.cacheCapacities[e.Service] == 0 || e.own.running == 0 || now.Sub(e.lastActivity) < silenceLimit {
-		return false
-	}
-	// An engine that has begun to answer none of its requests may still prefill their prompts.
-	return e.own.running > len(e.awaiting) || e.overdue(now) >= silenceLimit
+// heardNothing reports whether an engine has sent nothing on any connection since the prompt of the slot was
+// sent, although its first token is overdue. Silence ends no request: an engine may pause and go on. But an engine
+// that has gone dark would get new requests again and again, each until its client leaves.
+func (s *Slot) heardNothing(now time.Time) bool {
+	e := s.endpoint
+	return slices.Contains(e.awaiting, s) && !e.lastActivity.After(s.sentAt) && now.Sub(s.sentAt) >= s.ExpectedWait+silenceLimit
 }
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -25,6 +25,7 @@
 
 	balancer     *Balancer
 	endpoint     *endpoint
+	key          uint64 // of the endpoint when it was chosen
 	sentAt       time.Time
 	queuedTokens int // unread tokens of other requests there, when this one was sent
 	// objective is the target latency of a plain call, 0 for other requests.
@@ -55,7 +56,7 @@
 	// WrongInstance means that another instance answered at the address.
 	WrongInstance
 	// Cancelled means that the client left or the request's deadline passed. It says nothing about the
-	// endpoint, unless that was silent.
+	// endpoint, unless that sent nothing to anybody in the meantime.
 	Cancelled
 )
 
@@ -68,7 +69,7 @@
 func (s *Slot) NoteResponse(now time.Time) {
 	s.balancer.mutex.Lock()
 	defer s.balancer.mutex.Unlock()
-	s.endpoint.noteData(now)
+	s.endpoint.noteData(now, s)
 	s.endpoint.connectFailed = false
 	s.endProbe(now)
 	s.balancer.noteReachable(s.endpoint)
@@ -109,9 +110,7 @@
 
 // Key identifies the lifetime of the endpoint that the slot was taken from, as Key does.
 func (s *Slot) Key() uint64 {
-	s.balancer.mutex.Lock()
-	defer s.balancer.mutex.Unlock()
-	return s.endpoint.key
+	return s.key
 }
 
 func (s *Slot) endPrefill() {
@@ -131,7 +130,7 @@
 	}
 	s.ended = true
 	e := s.endpoint
-	silent := s.balancer.isSilent(now, e)
+	heardNothing := s.heardNothing(now)
 	s.endPrefill()
 	e.own.running--
 	if s.probe {
@@ -157,7 +156,7 @@
 		e.pauseAfter(now, s)
 		s.balancer.noteUnreachable(now, e)
 	case Cancelled:
-		if silent {
+		if heardNothing {
 			e.pauseAfter(now, s)
 		}
 	case Full, WrongInstance, ConnectLate:
