--- a/router/internal/follower/follower.go
+++ b/router/internal/follower/follower.go
@@ -207,10 +207,9 @@
 // stale flag, and the flag in a router's answer describes that router.
 func (f *Follower) applyPeerAnswer(answer *messenger.WatchResponse) {
 	f.mutex.Lock()
-	newer := answer.GetRevision() > f.state.snapshot.Revision
-	f.mutex.Unlock()
-	if newer {
-		f.applyAnswer(0, answer)
+	defer f.mutex.Unlock()
+	if answer.GetRevision() > f.state.snapshot.Revision {
+		f.applyLocked(0, answer)
 	}
 }
 
@@ -306,6 +305,11 @@
 func (f *Follower) applyAnswer(after uint64, answer *messenger.WatchResponse) applyResult {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	return f.applyLocked(after, answer)
+}
+
+// applyLocked is applyAnswer for a caller that holds the mutex.
+func (f *Follower) applyLocked(after uint64, answer *messenger.WatchResponse) applyResult {
 	wasStale := f.state.stale
 	result := f.state.apply(f.options.Clock.Now(), after, answer)
 	if wasStale != f.state.stale {
