--- a/router/internal/proxier/pause_test.go
+++ b/router/internal/proxier/pause_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -280,3 +281,62 @@
 		}
 	}
 }
+
+// Guards against an answer that ends because its endpoint pauses, in messages that are passed on piece by
+// piece, end with their connection, or follow others on a kept connection.
+func TestPauseInLargeMessagesEndsNoAnswer(t *testing.T) {
+	large := strings.Repeat("a large answer. ", (maxBufferedAnswerBytes+9000)/16)
+	tests := map[string]struct {
+		body   string // of the request
+		answer string
+		after  int    // bytes of the answer before the pause
+		head   string // says how the answer is framed
+		kept   bool   // the pause comes in the second answer on a connection
+	}{
+		"after the buffer is full":   {answer: large, after: maxBufferedAnswerBytes + 100, head: "Content-Length: %d\r\n"},
+		"before the buffer is full":  {answer: large, after: maxBufferedAnswerBytes - 100, head: "Content-Length: %d\r\n"},
+		"behind a large body":        {body: large, answer: pausedAnswer, after: 3, head: "Content-Length: %d\r\n"},
+		"without framing":            {answer: pausedAnswer, after: 3, head: "Connection: close\r\n"},
+		"large, without framing":     {answer: large, after: maxBufferedAnswerBytes + 100, head: "Connection: close\r\n"},
+		"on a kept connection":       {answer: pausedAnswer, after: 3, head: "Content-Length: %d\r\n", kept: true},
+		"on one, before the head":    {answer: pausedAnswer, after: -1, head: "Content-Length: %d\r\n", kept: true},
+		"on one, between head, body": {answer: pausedAnswer, head: "Content-Length: %d\r\n", kept: true},
+	}
+	for name, test := range tests {
+		for _, path := range []string{"/read/", "/book/"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				clock := newSteppedClock()
+				f := newFixtureAt(t, clock)
+				first := test.kept
+				f.endpoint(func(conn net.Conn, request *http.Request) {
+					pause := func() { clock.Advance(3 * time.Second) }
+					if first {
+						first, pause = false, func() {}
+					}
+					if test.after < 0 {
+						pause()
+					}
+					before := max(test.after, 0)
+					head := strings.Replace(test.head, "%d", strconv.Itoa(len(test.answer)), 1)
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\n%s\r\n%s",
+						idHeader, request.Header.Get(idHeader), stampHeader, head, test.answer[:before])
+					if test.after >= 0 {
+						pause()
+					}
+					io.WriteString(conn, test.answer[before:]) //nolint:errcheck // the client sees what arrives
+					if strings.HasPrefix(head, "Connection: close") {
+						conn.Close()
+					}
+				})
+				if test.kept {
+					got, err := f.fetch("POST", path, test.body)
+					require.NoError(t, err)
+					require.Equal(t, test.answer, got)
+				}
+				got, err := f.fetch("POST", path, test.body)
+				require.NoError(t, err)
+				require.Equal(t, test.answer, got)
+			})
+		}
+	}
+}
