--- a/router/internal/proxier/pause_test.go
+++ b/router/internal/proxier/pause_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/lister"
@@ -24,85 +22,12 @@
 const (
 	// pauseSeeds is the number of scenarios drawn for each route.
 	pauseSeeds = 40
-	// pauseStep is how far the clock is advanced at a time.
-	pauseStep = 100 * time.Millisecond
 	// pausedAnswerEvents is the number of events of a scripted stream.
 	pausedAnswerEvents = 6
 	// pausedAnswer is the body of a scripted plain answer.
 	pausedAnswer = "the whole answer"
 )
 
-// steppedClock is a fake clock whose Advance runs the timers that are due, in their order, before it
-// returns.
-type steppedClock struct {
-	*clockwork.FakeClock
-	mutex  sync.Mutex
-	timers map[*steppedTimer]time.Time
-}
-
-type steppedTimer struct {
-	clock *steppedClock
-	run   func()
-}
-
-func newSteppedClock() *steppedClock {
-	return &steppedClock{FakeClock: clockwork.NewFakeClock(), timers: make(map[*steppedTimer]time.Time)}
-}
-
-// AfterFunc runs a function in Advance once the duration has passed.
-func (c *steppedClock) AfterFunc(after time.Duration, run func()) clockwork.Timer {
-	timer := &steppedTimer{clock: c, run: run}
-	timer.Reset(after)
-	return timer
-}
-
-// Advance moves the clock in steps of pauseStep.
-func (c *steppedClock) Advance(total time.Duration) {
-	for total > 0 {
-		step := min(total, pauseStep)
-		total -= step
-		c.FakeClock.Advance(step)
-		for _, timer := range c.takeDue() {
-			timer.run()
-		}
-	}
-}
-
-// takeDue removes the timers that are due and returns them.
-func (c *steppedClock) takeDue() []*steppedTimer {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var due []*steppedTimer
-	for timer, at := range c.timers {
-		if !at.After(c.Now()) {
-			due = append(due, timer)
-		}
-	}
-	slices.SortFunc(due, func(a, b *steppedTimer) int { return c.timers[a].Compare(c.timers[b]) })
-	for _, timer := range due {
-		delete(c.timers, timer)
-	}
-	return due
-}
-
-func (t *steppedTimer) Chan() <-chan time.Time { return nil }
-
-func (t *steppedTimer) Reset(after time.Duration) bool {
-	t.clock.mutex.Lock()
-	defer t.clock.mutex.Unlock()
-	_, active := t.clock.timers[t]
-	t.clock.timers[t] = t.clock.Now().Add(after)
-	return active
-}
-
-func (t *steppedTimer) Stop() bool {
-	t.clock.mutex.Lock()
-	defer t.clock.mutex.Unlock()
-	_, active := t.clock.timers[t]
-	delete(t.clock.timers, t)
-	return active
-}
-
 // pauseScenario is an endpoint that sends nothing for a while in the middle of an answer and then goes
 // on, beside other endpoints that are listed once the request has been sent.
 type pauseScenario struct {
