Keep the drain loop, the wrapped connection and a stop's refusal in one place

The loop that waits for a drain and its 0.5 s for new connections stood in the director and the assembler, the access to a wrapped connection's socket in screener and drainer, the reason and Retry-After of a stop in screener and proxier. A drainer's flags are atomic, so that reads of clients' connections no longer take a lock that all of them share, and the counter of connections made takes none.

--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -75,7 +76,7 @@
 
 	mutex  sync.Mutex
 	pools  map[netip.AddrPort]*pool
-	opened uint64
+	opened atomic.Uint64
 }
 
 // pool holds the connections to one address.
@@ -121,9 +122,7 @@
 
 // Opened returns the number of connections made since the start.
 func (c *Client) Opened() uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.opened
+	return c.opened.Load()
 }
 
 // Do sends a request and returns once the header of its answer has been received. Sent is called right
@@ -319,9 +318,7 @@
 		c.count(address, -1)
 		return nil, err
 	}
-	c.mutex.Lock()
-	c.opened++
-	c.mutex.Unlock()
+	c.opened.Add(1)
 	return &conn{Conn: made, reader: bufio.NewReaderSize(made, readBufferSize), address: address}, nil
 }
 
--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -55,13 +55,10 @@
 	loadBalancerDelay = 500 * time.Millisecond
 	// settleTimeout bounds the recording of outcomes and the reports that follow the last
 	// request of a planned stop.
-	settleTimeout = 2 * time.Second
-	// newConnectionTime is how long, after the public address has been closed, the first request of an accepted
-	// connection is awaited.
-	newConnectionTime = 500 * time.Millisecond
-	headerTimeout     = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	settleTimeout  = 2 * time.Second
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
 )
 
 // Router is a router process: its servers, and the components behind them.
@@ -265,17 +262,10 @@
 	if err := public.Close(); err != nil {
 		r.log.Warn().Err(err).Msg("the public address could not be closed")
 	}
-	endNew := r.clock.After(newConnectionTime)
-	for {
-		select {
-		case <-r.drainer.Done():
-			return nil
-		case <-endNew:
-			r.drainer.EndNew()
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	if !drainer.Wait(r.drainer, r.clock, ctx.Done()) {
+		return ctx.Err()
 	}
+	return nil
 }
 
 // sleep waits for a pause or until the context ends.
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -58,9 +58,6 @@
 	// cutTime is the part of stopMargin in which requests that are ended at the end of the grace time answer
 	// their clients and are logged.
 	cutTime = 250 * time.Millisecond
-	// newConnectionTime is how long, after the listener has been closed, the first request of an accepted
-	// connection is awaited.
-	newConnectionTime = 500 * time.Millisecond
 	// maxScreened bounds the connections whose first request is awaited while requests are refused
 	// before the HTTP server accepts them; each takes a buffer of 16 KB while it is read.
 	maxScreened = 512
@@ -366,17 +363,8 @@
 	if err := clients.Close(); err != nil {
 		d.log.Warn().Err(err).Msg("the listener for clients could not be closed")
 	}
-	endNew := d.clock.After(newConnectionTime)
-	for {
-		select {
-		case <-d.drainer.Done():
-			return
-		case <-endNew:
-			d.drainer.EndNew()
-		case <-over:
-			d.cutRequests(endRequests)
-			return
-		}
+	if !drainer.Wait(d.drainer, d.clock, over) {
+		d.cutRequests(endRequests)
 	}
 }
 
--- a/router/internal/drainer/drainer.go
+++ b/router/internal/drainer/drainer.go
@@ -15,25 +15,27 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
 
 	"shallotkeel.example/lib/forwarder"
 )
 
-// errNoSocket reports that a connection has no file descriptor.
-var errNoSocket = merry.Sentinel("the connection has no socket")
+// newConnectionTime is how long, after the listener has been closed, the first request of an accepted
+// connection is awaited.
+const newConnectionTime = 500 * time.Millisecond
 
 // Drainer tracks the client connections of a server. The server must accept them from Listener, and
 // report their states to SetState.
 type Drainer struct {
+	draining  atomic.Bool
+	endingNew atomic.Bool
+
 	mutex     sync.Mutex
 	conns     map[*conn]struct{}
 	accepting bool
-	draining  bool
-	endingNew bool
 	done      chan struct{} // closed once the drain has begun and no connection is left
 	finished  bool          // done is closed
 }
@@ -62,7 +64,7 @@
 // those that have never had a request. The listener is to be closed as well.
 func (d *Drainer) Begin() {
 	d.mutex.Lock()
-	d.draining = true
+	d.draining.Store(true)
 	d.finish()
 	d.mutex.Unlock()
 	d.endQuiet()
@@ -70,9 +72,7 @@
 
 // EndNew closes the connections that have never had a request, too.
 func (d *Drainer) EndNew() {
-	d.mutex.Lock()
-	d.endingNew = true
-	d.mutex.Unlock()
+	d.endingNew.Store(true)
 	d.endQuiet()
 }
 
@@ -82,6 +82,22 @@
 	return d.done
 }
 
+// Wait waits until no connection is left, after Begin and the close of the listener. It returns false if
+// over is received from or closed before that.
+func Wait[T any](d *Drainer, clock clockwork.Clock, over <-chan T) bool {
+	endNew := clock.After(newConnectionTime)
+	for {
+		select {
+		case <-d.Done():
+			return true
+		case <-endNew:
+			d.EndNew()
+		case <-over:
+			return false
+		}
+	}
+}
+
 // Interrupt ends the reads that wait for clients. Answers can still be written.
 func (d *Drainer) Interrupt() {
 	for _, c := range d.open() {
@@ -123,9 +139,7 @@
 
 // ends reports whether connections in a phase are closed if nothing has arrived on them.
 func (d *Drainer) ends(p phase) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return p == kept && d.draining || p == fresh && d.endingNew
+	return p == kept && d.draining.Load() || p == fresh && d.endingNew.Load()
 }
 
 func (d *Drainer) add(c *conn) {
@@ -150,7 +164,7 @@
 
 // finish closes done once the drain is complete. The mutex must be held.
 func (d *Drainer) finish() {
-	if !d.draining || d.accepting || len(d.conns) > 0 || d.finished {
+	if !d.draining.Load() || d.accepting || len(d.conns) > 0 || d.finished {
 		return
 	}
 	d.finished = true
@@ -205,7 +219,7 @@
 		}
 		return nil, err
 	}
-	c := &conn{Conn: inner, drainer: l.drainer, release: sync.OnceFunc(l.release)}
+	c := &conn{Wrapped: forwarder.Wrapped{Conn: inner}, drainer: l.drainer, release: sync.OnceFunc(l.release)}
 	if begun, ok := inner.(interface{ HasUnread() bool }); ok && begun.HasUnread() {
 		c.phase = busy
 	}
@@ -224,7 +238,7 @@
 
 // conn is a client connection.
 type conn struct {
-	net.Conn
+	forwarder.Wrapped
 	drainer *Drainer
 	release func()
 
@@ -296,19 +310,3 @@
 	defer c.release()
 	return c.Conn.Close()
 }
-
-// CloseWrite ends the answer, while the rest of the request can still be read.
-func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return errNoSocket
-}
-
-// SyscallConn gives access to the socket.
-func (c *conn) SyscallConn() (syscall.RawConn, error) {
-	if socket, ok := c.Conn.(syscall.Conn); ok {
-		return socket.SyscallConn()
-	}
-	return nil, errNoSocket
-}
--- a/router/internal/proxier/stop.go
+++ b/router/internal/proxier/stop.go
@@ -4,22 +4,16 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"shallotkeel.example/router/internal/screener"
 )
 
 // ErrStopped is the cause with which the contexts of requests are to end when the grace time of a planned
 // stop is over.
 var ErrStopped = merry.Sentinel("the router stops")
 
-const (
-	// reasonStopped is the reason of requests that a planned stop refuses or ends.
-	reasonStopped = "this router stops"
-	// stopRetryAfter is the Retry-After of a router that stops. Another router can serve the request at once.
-	stopRetryAfter = 100 * time.Millisecond
-)
-
 // stopped reports whether the request has been ended because the grace time of a planned stop is over.
 func (q *request) stopped() bool {
 	return errors.Is(context.Cause(q.http.Context()), ErrStopped)
@@ -27,12 +21,12 @@
 
 // endAtStop ends a request when the grace time of a planned stop is over.
 func (p *Proxier) endAtStop(q *request) {
-	q.reason = reasonStopped
+	q.reason = screener.StopRefusal.Reason
 	switch {
 	case q.answerStarted:
 		p.cut(q, cutByStop)
 	case q.mayHaveRun:
-		p.fail(q, http.StatusBadGateway, reasonStopped)
+		p.fail(q, http.StatusBadGateway, screener.StopRefusal.Reason)
 	default:
 		p.refuseAtStop(q)
 	}
@@ -52,5 +46,5 @@
 // begun to arrive before the stop.
 func (p *Proxier) refuseAtStop(q *request) {
 	q.writer.Header().Set("Connection", "close")
-	p.refuse(q, byStop, http.StatusServiceUnavailable, reasonStopped, stopRetryAfter)
+	p.refuse(q, byStop, screener.StopRefusal.Status, screener.StopRefusal.Reason, screener.StopRefusal.Retry)
 }
--- a/router/internal/screener/screener.go
+++ b/router/internal/screener/screener.go
@@ -27,7 +27,6 @@
 	"syscall"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
@@ -63,9 +62,9 @@
 	Retry  time.Duration // sent to the client as Retry-After
 }
 
-// stopRefusal is the refusal of requests that wait while the listener is closed. Another router can serve
-// them at once.
-var stopRefusal = Refusal{Status: http.StatusServiceUnavailable, Reason: "this router stops", Retry: 100 * time.Millisecond}
+// StopRefusal is the refusal of requests that a planned stop does not serve. Another router can serve them
+// at once.
+var StopRefusal = Refusal{Status: http.StatusServiceUnavailable, Reason: "this router stops", Retry: 100 * time.Millisecond}
 
 // Judge returns the refusal of a request whose head has been read, or nil if it is to be served. It
 // must not read the body.
@@ -239,7 +238,7 @@
 		id = l.options.Identify(h)
 	}
 	l.options.Log.Info().Str("id", id).Str("cause", "stop").Int("read", read).Msg("request refused because its connection was not accepted before the stop")
-	l.refuse(raw, b, &stopRefusal, rest)
+	l.refuse(raw, b, &StopRefusal, rest)
 }
 
 // accept accepts connections until the listener is closed or fails.
@@ -369,7 +368,7 @@
 			conn.Close()
 			return
 		}
-		l.handOver(&prefixedConn{Conn: conn, prefix: bytes.Clone(b.bytes[:read])})
+		l.handOver(&prefixedConn{Wrapped: forwarder.Wrapped{Conn: conn}, prefix: bytes.Clone(b.bytes[:read])})
 		return
 	}
 	l.refused.Add(1)
@@ -437,7 +436,7 @@
 
 // prefixedConn is a connection whose first bytes have been read already.
 type prefixedConn struct {
-	net.Conn
+	forwarder.Wrapped
 	prefix []byte
 }
 
@@ -455,22 +454,3 @@
 func (b *prefixedConn) HasUnread() bool {
 	return len(b.prefix) > 0
 }
-
-// CloseWrite ends the answer, while the rest of the request can still be read.
-func (b *prefixedConn) CloseWrite() error {
-	if half, ok := b.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return errNoSocket
-}
-
-// errNoSocket reports that a connection has no file descriptor.
-var errNoSocket = merry.Sentinel("the connection has no socket")
-
-// SyscallConn gives access to the socket, to find out whether the client has disconnected.
-func (b *prefixedConn) SyscallConn() (syscall.RawConn, error) {
-	if conn, ok := b.Conn.(syscall.Conn); ok {
-		return conn.SyscallConn()
-	}
-	return nil, errNoSocket
-}
