Decode the transfer settings of engines and set the source of a fetch

Engines can fetch cached prompt prefixes from one another, but the configuration's settings of it were dropped and no request named a source. A service's engine now has the time that the transfer of a token takes, and a request's mark names the engine to fetch from.

--- a/lib/forwarder/dialect.go
+++ b/lib/forwarder/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"shallotkeel.example/lib/balancer"
@@ -32,6 +33,9 @@
 	Remaining time.Duration
 	// Resume, if set, replaces the value of the client's own header.
 	Resume string
+	// Source, if valid, is the address of another engine from which the endpoint first fetches what that
+	// one has cached of the prompt.
+	Source netip.AddrPort
 }
 
 // Answer is what the headers of an endpoint's answer say about the request.
--- a/lib/resolver/plan.go
+++ b/lib/resolver/plan.go
@@ -71,6 +71,9 @@
 	Slots int
 	// Tokens is the number of tokens that fit into an engine's memory.
 	Tokens int
+	// TransferTime is the time to transfer the cache of one prompt token from one engine to another,
+	// 0 if engines don't transfer cached prompt prefixes.
+	TransferTime time.Duration
 }
 
 // Service is a group of endpoints that do the same work.
