Let keepers merge and exchange which engines cache which prefixes

Routers cannot know what other routers have sent to an engine. Entries end with the lifetime of their engine.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"shallotkeel.example/lib/indexer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/rationer"
@@ -39,6 +40,7 @@
 	fleet         fleetSize
 	subset        subset
 	streamOrigins streamOrigins
+	holdings      holdings
 }
 
 // latestHeartbeat identifies the latest heartbeat that this keeper received from an instance.
@@ -56,6 +58,7 @@
 	sentQuarantine   uint64    // revision of the quarantines that the follower got last
 	sentQuarantineAt time.Time // when it got them
 	newlyUnreachable []string  // for a keeper: the keepers it reports as unreachable since this poll
+	holdingsAt       time.Time // when it last got an answer that may contain holdings
 }
 
 // receiveHeartbeat records a heartbeat that an instance sent to this keeper. It reports whether the
@@ -64,6 +67,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	urgent = d.urgent(heartbeat)
+	d.dropEndedHoldings(heartbeat)
 	changed = d.list.ApplyHeartbeat(now, heartbeat)
 	d.sources.recordDirect(heartbeat.ID)
 	if d.heartbeats == nil {
@@ -144,6 +148,7 @@
 		// Each keeper judges silence by itself: this one may still receive the heartbeats.
 		listing.Silent = false
 		urgent := d.urgent(listing)
+		d.dropEndedHoldings(listing)
 		if d.list.ApplyHeartbeat(now, listing) {
 			d.sources.recordKeeper(listing.ID, keeper)
 			m.changed, m.urgent = true, m.urgent || urgent
@@ -179,8 +184,9 @@
 		changed = true
 	}
 	d.streamOrigins.receive(now, request)
-	// The records are kept in streamOrigins and crashes, not with the report.
-	request.Begun, request.Crashes, request.Answered = nil, nil, nil
+	d.holdings.receive(now, request)
+	// The records are kept in streamOrigins, crashes and holdings, not with the report.
+	request.Begun, request.Crashes, request.Answered, request.Holdings = nil, nil, nil, nil
 	if request.GetKeeper() {
 		d.recordZone(request.GetAddress(), request.GetZone())
 	}
@@ -271,6 +277,7 @@
 	}
 	if known, found := d.followers[request.GetNode()]; found {
 		d.crashes.answer(now, known, request, response)
+		d.holdings.answer(now, known, request, epoch, response)
 	}
 	return response
 }
@@ -303,6 +310,7 @@
 	report.Reporting, report.BacklogMs = summary.direct, summary.directBacklog
 	report.Uses, report.Loads = d.directSums.uses.toWire(), d.directSums.loads.excluding(nil)
 	d.crashes.relay(now, since, report)
+	report.Holdings = indexer.ToWire(d.holdings.direct.RefreshedSince(now, since))
 }
 
 // followerCount returns the number of followers, routers and keepers.
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -43,6 +43,7 @@
 	gauge("suspect_features", "Features about whose answers routers are asked.", func(*view) float64 { return float64(s.directory.crashCounts().suspects) })
 	counter("quarantines_begun_total", "Quarantines that this keeper has begun.", func(*view) float64 { return float64(s.directory.crashCounts().begun) })
 	counter("quarantines_lifted_total", "Quarantines that this keeper has lifted, because requests were answered.", func(*view) float64 { return float64(s.directory.crashCounts().lifted) })
+	gauge("known_prefixes", "Shared prompt prefixes at engines that routers have recently reported.", func(*view) float64 { return float64(s.directory.holdingsCount(s.clock.Now())) })
 	gauge("claims", "Idempotency keys remembered.", func(v *view) float64 { return float64(v.claims) })
 	gauge("log_bytes", "Size of the log on disk.", func(v *view) float64 { return float64(v.diskBytes) })
 	counter("syncs_total", "Batches made durable.", func(v *view) float64 { return float64(v.counters.Syncs) })
--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -79,6 +79,7 @@
 	if m.invalid != nil && c.heartbeatDamper.Admit(c.clock.Now(), c.log) {
 		c.log.Warn().Err(m.invalid).Stringer("keeper", keeper).Msg("peer sent a listing that cannot be decoded; ignoring it")
 	}
+	c.directory.mergeHoldings(c.clock.Now(), response)
 	if m.changed {
 		c.updates.notify(m.urgent)
 	}
--- a/lib/indexer/indexer.go
+++ b/lib/indexer/indexer.go
@@ -95,7 +95,7 @@
 }
 
 // Since returns the entries that were refreshed after a revision, newest first, and the current
-// revision. It returns at most MaxReported entries: those that are left out are refreshed again within
+// revision. It omits those whose last refresh is RefreshInterval ago: the receiver takes them for new. It returns at most MaxReported entries: those that are left out are refreshed again within
 // RefreshInterval if they are in use, while a receiver that got the oldest first would fall behind
 // until all that it gets has expired.
 func (d *Directory) Since(now time.Time, revision uint64) ([]Holding, uint64) {
@@ -103,20 +103,20 @@
 	if revision > d.revision {
 		revision = 0 // of another directory
 	}
-	return d.collect(func(e *entry) bool { return e.revision > revision }), d.revision
+	return d.collect(now, func(e *entry) bool { return e.revision > revision }), d.revision
 }
 
 // RefreshedSince returns the entries that were refreshed at or after a time, newest first, at most
-// MaxReported.
+// MaxReported. Like Since, it omits old entries.
 func (d *Directory) RefreshedSince(now, since time.Time) []Holding {
 	d.expire(now)
-	return d.collect(func(e *entry) bool { return !e.refreshed.Before(since) })
+	return d.collect(now, func(e *entry) bool { return !e.refreshed.Before(since) })
 }
 
-// collect returns up to MaxReported entries from the newest on, until one isn't wanted.
-func (d *Directory) collect(wanted func(e *entry) bool) []Holding {
+// collect returns up to MaxReported entries from the newest on, until one is old or isn't wanted.
+func (d *Directory) collect(now time.Time, wanted func(e *entry) bool) []Holding {
 	var found []Holding
-	for e := d.newest; e != nil && len(found) < MaxReported && wanted(e); e = e.older {
+	for e := d.newest; e != nil && len(found) < MaxReported && now.Sub(e.refreshed) < RefreshInterval && wanted(e); e = e.older {
 		found = append(found, e.Holding)
 	}
 	return found
