Fetch shared prompt prefixes that another engine holds

The balancer now knows from the directory which engines hold which prefixes, prices a token that can be fetched by its transfer time, and names the engine to fetch from in the slot. Without a transfer time nothing changes.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"shallotkeel.example/lib/indexer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/predictor"
 	"shallotkeel.example/lib/rationer"
@@ -91,6 +92,10 @@
 	Zone string
 	Seed uint64
 
+	// Prefixes is the directory of the prompt prefixes that engines cache, nil if there is none. It is
+	// set before the first use.
+	Prefixes *indexer.Exchange
+
 	mutex           sync.Mutex
 	byID            map[string]*endpoint
 	services        map[string]*pool
@@ -102,6 +107,9 @@
 	choices         uint64 // number of choices made
 	draws           uint64 // number of random values drawn
 	recent          recentUses
+	byKey           map[uint64]*endpoint     // endpoints by the key of their lifetime
+	transferTimes   map[string]time.Duration // time to transfer the cache of one token, by service
+	lookups         uint64                   // number of lookups in the directory of prefixes
 
 	evacuated  map[string]bool          // evacuated zones
 	coldLimits map[string]resolver.Cold // by service
@@ -131,6 +139,8 @@
 	pressure     backpressure
 	silence      silence
 	lastActivity time.Time       // when it last sent data, or when its first running request was sent
+	held         heldPrefix      // result of the last lookup that found it
+	transfers    int             // fetches of this router from it that are under way
 	lifetime     context.Context // done once the endpoint has restarted
 	endLifetime  context.CancelFunc
 }
@@ -159,6 +169,7 @@
 	}
 	if found && (restarted || listing.State == lister.Gone) {
 		b.unlist(known)
+		b.unindex(known)
 		delete(b.byID, listing.ID)
 		found = false
 	}
@@ -177,7 +188,9 @@
 		known.Listing = listing
 	}
 	if learned {
+		b.unindex(known)
 		known.key = Key(listing)
+		b.index(known)
 	}
 	return restarted
 }
@@ -195,6 +208,7 @@
 	}
 	added.lifetime, added.endLifetime = context.WithCancel(context.Background())
 	b.byID[listing.ID] = added
+	b.index(added)
 	b.list(added)
 }
 
@@ -266,8 +280,9 @@
 		return candidate{}
 	}
 	home := b.home(listed, work)
+	home.prefixes = b.lookUp(now, service, work)
 	if len(listed.all) > maxFullScan && work.Version == "" {
-		best := b.cheapest(now, service, b.shortlist(listed, home, work), home, work, excluded)
+		best := b.cheapest(now, service, b.addHolders(b.shortlist(listed, home, work), home), home, work, excluded)
 		if best.endpoint != nil && best.penalty == penaltyNone {
 			return best
 		}
@@ -285,7 +300,7 @@
 		if !work.matchesVersion(e) || !b.isAvailable(now, e) || excluded != nil && excluded(e.ID) {
 			continue
 		}
-		c := b.price(now, e, fit, work, home.cachedShare(e))
+		c := b.price(now, e, fit, work, home)
 		if best.endpoint == nil || c.price < best.price || c.price == best.price && e.precedes(best.endpoint) {
 			best = c
 		}
@@ -313,6 +328,7 @@
 	}
 	e.own.running++
 	e.own.unread += c.prefillTokens
+	slot.beginTransfer(c, work)
 	if len(work.Parts) > 0 {
 		e.awaiting = append(e.awaiting, slot)
 		e.cache.add(work, b.cacheCapacities[e.Service])
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -52,15 +52,16 @@
 	endpoint      *endpoint
 	price         float64
 	penalty       healthPenalty
+	tokens        promptTokens  // where the tokens of the prompt come from
+	prefixes      prefixes      // what the directory says about the prompt
 	prefillTokens int           // tokens that the engine probably has to prefill for it
 	queuedTokens  int           // unread tokens of other requests there
 	wait          time.Duration // expected time to the first token
 	queue         time.Duration // share of wait spent on requests sent earlier
 }
 
-// price returns the candidate for a request at an endpoint. cachedShare is the share of the shared
-// prompt parts that the endpoint probably caches although this router has not sent them there.
-func (b *Balancer) price(now time.Time, e *endpoint, fit *predictor.Fit, work *Work, cachedShare float64) candidate {
+// price returns the candidate for a request at an endpoint.
+func (b *Balancer) price(now time.Time, e *endpoint, fit *predictor.Fit, work *Work, home homes) candidate {
 	weights := b.Weights
 	if weights == (Weights{}) {
 		weights = DefaultWeights
@@ -71,16 +72,13 @@
 		c.price += weights.Plain * float64(e.own.running)
 		return c
 	}
-	cached := e.cache.cachedTokens(work)
-	if shared := sum(work.SharedParts()); cached < shared {
-		cached += int(cachedShare * float64(shared-cached))
-	}
-	c.prefillTokens = max(work.Prompt-cached, 0)
+	c.prefixes, c.tokens = home.prefixes, home.prefixes.promptTokens(e, fit, work, home.cachedShare(e))
+	c.prefillTokens = c.tokens.prefill
 	c.queuedTokens = b.unreadTokens(now, e)
 	factor, overdue := e.factor.Get(now), e.overdue(now)
-	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + overdue
+	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + overdue + c.tokens.fetchTime
 	c.queue = scale(fit.PrefillTime(c.queuedTokens), factor) + overdue
-	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*float64(c.prefillTokens) +
+	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*(float64(c.prefillTokens)+c.tokens.fetchPrice) +
 		weights.Running*float64(e.own.running) + weights.Late*fit.PrefillTokens(fit.ExpectedLateness(c.wait, work.target()))
 	return c
 }
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -23,6 +23,8 @@
 	HealthPenalty string
 	Pause         time.Duration
 
+	transfer
+
 	balancer     *Balancer
 	endpoint     *endpoint
 	key          uint64 // of the endpoint when it was chosen
@@ -76,6 +78,9 @@
 	if s.awaitsFirstToken && len(s.endpoint.awaiting) > 0 {
 		s.observeWait(now)
 	}
+	if s.awaitsFirstToken {
+		s.noteHeld(now)
+	}
 	if s.awaitsFirstToken && s.objective > 0 {
 		s.endpoint.pressure.observeAnswer(now.Sub(s.sentAt), s.objective)
 	}
@@ -94,8 +99,12 @@
 	}
 }
 
-// observeWait updates the prefill model with the wait for the first token.
+// observeWait updates the prefill model with the wait for the first token. A wait with a fetch says
+// little about prefills: the source may have evicted the prefix, or transfer others first.
 func (s *Slot) observeWait(now time.Time) {
+	if s.Source.IsValid() {
+		return
+	}
 	fit, waited := s.balancer.fit(s.endpoint.Service), now.Sub(s.sentAt)
 	s.endpoint.factor.Observe(now, waited, fit.Wait(s.queuedTokens+s.PrefillTokens))
 	fit.Observe(s.queuedTokens+s.PrefillTokens, waited)
@@ -116,6 +125,7 @@
 func (s *Slot) endPrefill() {
 	if s.awaitsFirstToken {
 		s.awaitsFirstToken = false
+		s.endTransfer()
 		s.endpoint.own.unread -= s.PrefillTokens
 		s.endpoint.awaiting = slices.DeleteFunc(s.endpoint.awaiting, func(other *Slot) bool { return other == s })
 	}
@@ -148,11 +158,15 @@
 		}
 	case Faulty, ConnectionBroken:
 		e.failureShare = e.failureShare*(1-failureWeight) + failureWeight
+		if outcome == ConnectionBroken {
+			s.balancer.forgetHeld(e)
+		}
 		if outcome == ConnectionBroken || s.balancer.failsMoreThanUsual(e) {
 			e.pauseAfter(now, s)
 		}
 	case ConnectFailed:
 		e.connectFailed = true
+		s.balancer.forgetHeld(e)
 		e.pauseAfter(now, s)
 		s.balancer.noteUnreachable(now, e)
 	case Cancelled:
