Tell engines where to fetch a prompt prefix, and count the fetches

The router exchanges what it knows of prefixes with the keeper that gets its reports, and sends the source of a fetch with the request. Log lines of attempts and requests name the source and the expected tokens.

--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -128,8 +128,8 @@
 	// fleet is the first choice of all routers. zone is the second choice of the routers in the
 	// same zone, where a request would be late at the first. Either may be nil.
 	fleet, zone *endpoint
-	// prefixes is what other routers have reported about the prompt.
-	prefixes prefixes
+	// prefixes is what the directory says about the prompt, nil if it was not looked up.
+	prefixes *prefixes
 }
 
 // home returns the engines that rank first for the last shared part of a prompt. All routers agree
@@ -216,6 +216,9 @@
 
 // addHolders adds some engines that hold the longest known prefix of a prompt to a shortlist.
 func (b *Balancer) addHolders(shortlist []*endpoint, home homes) []*endpoint {
+	if home.prefixes == nil {
+		return shortlist
+	}
 	sources := home.prefixes.sources
 	for i := range uint64(min(len(sources), recentEngines)) {
 		shortlist = append(shortlist, sources[(b.choices+i)%uint64(len(sources))])
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -53,7 +53,7 @@
 	price         float64
 	penalty       healthPenalty
 	tokens        promptTokens  // where the tokens of the prompt come from
-	prefixes      prefixes      // what the directory says about the prompt
+	prefixes      *prefixes     // what the directory says about the prompt, nil if it was not looked up
 	prefillTokens int           // tokens that the engine probably has to prefill for it
 	queuedTokens  int           // unread tokens of other requests there
 	wait          time.Duration // expected time to the first token
--- a/lib/balancer/transfers.go
+++ b/lib/balancer/transfers.go
@@ -66,10 +66,10 @@
 	tokens int
 }
 
-// prefixes is what the directory says about one prompt. Its zero value is that of a prompt without
-// shared prefixes, or of a service whose engines transfer none.
+// prefixes is what the directory says about one prompt. It is nil for a prompt without shared prefixes,
+// and for a service whose engines transfer none.
 type prefixes struct {
-	lookup    uint64 // identifies the lookup, 0 if there was none
+	lookup    uint64 // identifies the lookup
 	available int    // tokens of the longest prefix that can be fetched
 	sources   []*endpoint
 	waiting   int           // tokens that are fetched before it from the source with the fewest fetches
@@ -77,13 +77,13 @@
 }
 
 // lookUp returns which engines hold prefixes of a prompt.
-func (b *Balancer) lookUp(now time.Time, service string, work *Work) prefixes {
+func (b *Balancer) lookUp(now time.Time, service string, work *Work) *prefixes {
 	perToken := b.transferTimes[service]
 	if perToken <= 0 || b.Prefixes == nil || len(work.Parts) < 2 {
-		return prefixes{}
+		return nil
 	}
 	b.lookups++
-	p := prefixes{lookup: b.lookups, perToken: perToken}
+	p := &prefixes{lookup: b.lookups, perToken: perToken}
 	for _, level := range slices.Backward(work.sharedLevels()) {
 		b.Prefixes.Holders(now, level.key, func(key uint64) {
 			e := b.byKey[key]
@@ -114,7 +114,7 @@
 
 // held returns the number of tokens of the prompt that an engine holds by the directory.
 func (p *prefixes) held(e *endpoint) int {
-	if p.lookup == 0 || e.held.lookup != p.lookup {
+	if e.held.lookup != p.lookup {
 		return 0
 	}
 	return e.held.tokens
@@ -139,19 +139,27 @@
 // promptTokens returns how many tokens of a prompt an engine probably has to prefill, and how many it can
 // fetch. cachedShare is the share of the shared parts that it probably caches by its rank only.
 func (p *prefixes) promptTokens(e *endpoint, fit *predictor.Fit, work *Work, cachedShare float64) promptTokens {
-	known := max(e.cache.cachedTokens(work), p.held(e))
+	known := e.cache.cachedTokens(work)
+	if p != nil {
+		known = max(known, p.held(e))
+	}
 	cached := known
 	if shared := sum(work.SharedParts()); cached < shared {
 		cached += int(cachedShare * float64(shared-cached))
 	}
 	var tokens promptTokens
-	if lacking := p.available - known; lacking >= minFetchTokens && slices.ContainsFunc(p.sources, func(source *endpoint) bool { return serves(source, e) }) {
-		tokens = p.fetch(fit, lacking, cachedShare)
+	if p != nil && p.canFetch(e, known) {
+		tokens = p.fetch(fit, p.available-known, cachedShare)
 	}
 	tokens.prefill = max(work.Prompt-cached-tokens.fetch, 0)
 	return tokens
 }
 
+// canFetch reports whether an engine that caches a number of tokens can fetch enough beyond them.
+func (p *prefixes) canFetch(e *endpoint, cached int) bool {
+	return p.available-cached >= minFetchTokens && slices.ContainsFunc(p.sources, func(source *endpoint) bool { return serves(source, e) })
+}
+
 // fetch returns the expected fetch of a number of tokens, none if their prefill takes less time.
 func (p *prefixes) fetch(fit *predictor.Fit, lacking int, cachedShare float64) promptTokens {
 	fetched := lacking - int(cachedShare*float64(lacking))
@@ -210,7 +218,7 @@
 // beginTransfer sets the source of a slot's fetch, and remembers which prefixes the engine caches once
 // it has prefilled the prompt.
 func (s *Slot) beginTransfer(c candidate, work *Work) {
-	if c.prefixes.lookup == 0 {
+	if c.prefixes == nil {
 		return
 	}
 	s.levels = work.sharedLevels()
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -23,6 +23,7 @@
 	"shallotkeel.example/lib/dialer"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
+	"shallotkeel.example/lib/indexer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/loader"
 	"shallotkeel.example/lib/localizer"
@@ -81,6 +82,7 @@
 	client     *forwarder.Client
 	reader     *updatereader.Reader
 	crashes    localizer.Observer
+	prefixes   indexer.Exchange
 	streams    *recaller.Recaller
 	proxier    *proxier.Proxier
 	subscriber *subscriber.Subscriber
@@ -114,6 +116,7 @@
 		drainer:  drainer.New(),
 		stopping: make(chan struct{}), registry: prometheus.NewRegistry(),
 	}
+	d.balancer.Prefixes = &d.prefixes
 	d.control = dialer.Client(settings.Secret, &d.controlBytes)
 	dialect := platform.Dialect{}
 	d.streams = recaller.New(recaller.Options{
@@ -126,6 +129,7 @@
 		Backlog:           func() time.Duration { return d.backlog(clock.Now()) },
 		Sampling:          d.balancer.SetSampling,
 		UnreportedStreams: d.streams.Report, ReportAnswered: d.streams.ReportAnswered, ReportLost: d.streams.ReportLost,
+		Prefixes:  &d.prefixes,
 		Evacuated: func(zones []string) { d.balancer.SetEvacuatedZones(clock.Now(), zones) },
 		Rations: func(pollSentAt time.Time, keeper netip.AddrPort, rations []balancer.Ration) {
 			d.balancer.TakeLeases(clock.Now(), pollSentAt, keeper, rations)
@@ -194,6 +198,7 @@
 		d.balancer.SetColdLimit(name, service.Cold)
 		if service.Engine != nil {
 			d.balancer.SetCacheCapacity(name, service.Engine.Tokens)
+			d.balancer.SetTransferTime(name, service.Engine.TransferTime)
 		}
 	}
 }
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -52,6 +52,12 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_pressed_endpoints", Help: "Endpoints of plain services from which this router keeps a part of the calls away, as they answer late or have no room."}, func() float64 {
 		return float64(d.balancer.CountThrottled())
 	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_known_prefixes", Help: "Shared prompt prefixes at engines that this router or another one has recently sent."}, func() float64 {
+		return float64(d.prefixes.Len(d.clock.Now()))
+	})
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_prefix_age_seconds", Help: "Time since this router last learned that an engine caches a shared prompt prefix."}, func() float64 {
+		return d.prefixes.NewestAge(d.clock.Now()).Seconds()
+	})
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_away", Help: "1 while new clients are sent to other routers."}, func() float64 {
 		if d.diverter.diverting.Load() {
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -40,6 +40,7 @@
 	}
 	q.tried[slot.ID] = true
 	q.endpoint, q.prefillTokens, q.queueWait, q.expectedFirst = slot.ID, slot.PrefillTokens, slot.ExpectedQueue, slot.ExpectedWait
+	q.fetchSource, q.fetchTokens = slot.Source, slot.FetchTokens
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.endpointAnswer, q.answerBegan, q.lastHeard = forwarder.Answer{}, time.Time{}, now
@@ -58,6 +59,7 @@
 			Bool("unsent", failure.unsent).Bool("not_run", failure.notRun).Str("ended_by", cutLabels[failure.endedBy]).Int("sends", q.sends).
 			Bool("begun", q.answerStarted).Dur("silent_ms", p.options.Clock.Since(q.lastHeard)).
 			Str("doubt", slot.HealthPenalty).Dur("pause_ms", slot.Pause).Dur("backoff_ms", q.endpointAnswer.Backoff).Bool("leaving", q.endpointAnswer.Leaving).
+			Str("fetch_from", q.loggedSource()).Int("fetch_tokens", q.fetchTokens).
 			Strs("parts", q.loggedParts()).Hex("digest", q.profile.Whole.Bytes()).Msg("attempt ended without an answer")
 	}
 	return failure
@@ -70,6 +72,7 @@
 		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body,
 		Header: p.options.Dialect.Outgoing(q.http.Header, forwarder.Mark{
 			Instance: slot.ID, Workspace: q.workspace, Remaining: q.deadline.Sub(p.options.Clock.Now()), Resume: q.stream.lastID,
+			Source: slot.Source,
 		}),
 	}
 	unlink := context.AfterFunc(slot.EndpointLifetime(), func() { cancel(errRestarted) })
@@ -80,6 +83,7 @@
 			return false
 		}
 		q.sends++
+		p.options.Metrics.countFetch(slot)
 		return true
 	})
 	if err != nil {
--- a/router/internal/proxier/metrics.go
+++ b/router/internal/proxier/metrics.go
@@ -17,6 +17,8 @@
 	unframed    prometheus.Counter
 	cuts        *prometheus.CounterVec
 	crashes     prometheus.Counter
+	fetches     prometheus.Counter
+	fetchTokens prometheus.Counter
 	timeToFirst prometheus.Histogram
 	duration    prometheus.Histogram
 }
@@ -42,6 +44,12 @@
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_crashes_total", Help: "Endpoints that were found to have crashed under requests of this router.",
 		}),
+		fetches: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_fetches_total", Help: "Requests written to engines that are to fetch a prefix of the prompt from another engine.",
+		}),
+		fetchTokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_fetch_tokens_total", Help: "Prompt tokens that engines are expected to fetch from one another.",
+		}),
 		timeToFirst: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "shallotkeel_passed_first_seconds", Help: "Time until the first part of an answer.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
@@ -51,7 +59,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
 		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.crashes, m.timeToFirst, m.duration)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.crashes, m.fetches, m.fetchTokens, m.timeToFirst, m.duration)
 	return m
 }
 
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -22,6 +22,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -166,12 +167,14 @@
 	framing          framer.Framing   // of the last endpoint's answer
 	tried            map[string]bool  // ids of instances
 	endpoint         string
-	lastHeard        time.Time     // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
-	answerBegan      time.Time     // when the last endpoint began its answer, zero before that
-	beyondShare      bool          // it exceeds its workspace's guaranteed share
-	prefillTokens    int           // tokens that the last endpoint probably had to prefill
-	queueWait        time.Duration // expected time until the endpoint finishes the prefills queued before it
-	expectedFirst    time.Duration // expected time until the first token
+	lastHeard        time.Time      // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
+	answerBegan      time.Time      // when the last endpoint began its answer, zero before that
+	beyondShare      bool           // it exceeds its workspace's guaranteed share
+	prefillTokens    int            // tokens that the last endpoint probably had to prefill
+	fetchSource      netip.AddrPort // engine from which the last endpoint was to fetch a prefix of the prompt
+	fetchTokens      int            // tokens that it probably fetched
+	queueWait        time.Duration  // expected time until the endpoint finishes the prefills queued before it
+	expectedFirst    time.Duration  // expected time until the first token
 	status           int
 	refusedBy        refusalCause
 	reason           string
--- a/router/internal/proxier/record.go
+++ b/router/internal/proxier/record.go
@@ -43,7 +43,7 @@
 		Str("service", q.service).Str("endpoint", q.endpoint).Str("version", q.in.Work.Version).
 		Int("sends", q.sends).Int("unreached", q.unsentAttempts).Int("status", q.status).
 		Str("framing", q.framing.String()).Str("cut_by", cutLabels[q.cutBy]).Str("reason", q.reason).
-		Int("tokens", q.tokens()).Int("reading", q.prefillTokens).Bool("spare", q.beyondShare).Dur("target_ms", q.in.Work.Target).
+		Int("tokens", q.tokens()).Int("reading", q.prefillTokens).Str("fetch_from", q.loggedSource()).Int("fetch_tokens", q.fetchTokens).Bool("spare", q.beyondShare).Dur("target_ms", q.in.Work.Target).
 		Dur("queue_ms", q.queueWait).Dur("expected_ms", q.expectedFirst).Dur("since_ms", q.sinceFirst()).
 		Dur("first_ms", q.timeToFirst).Dur("took_ms", took).Msg("request")
 }
--- a/router/internal/updatereader/silence.go
+++ b/router/internal/updatereader/silence.go
@@ -12,6 +12,9 @@
 	if r.options.ReportLost != nil {
 		r.options.ReportLost(keeper)
 	}
+	if r.options.Prefixes != nil {
+		r.options.Prefixes.Lost(keeper)
+	}
 	r.crashes.Lost(keeper)
 	r.mutex.Lock()
 	delete(r.answeringKeepers, keeper)
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -20,6 +20,7 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/damper"
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/indexer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
@@ -60,6 +61,8 @@
 	UnreportedStreams func(keeper netip.AddrPort) []*messenger.Begun
 	ReportAnswered    func(keeper netip.AddrPort)
 	ReportLost        func(keeper netip.AddrPort)
+	// Prefixes is exchanged with the keeper that gets this router's reports. It may be nil.
+	Prefixes *indexer.Exchange
 	// Evacuated receives, at each change, the zones whose endpoints get no new work.
 	Evacuated func(zones []string)
 	// Rations receives the leases on cold endpoints that a keeper has granted in its answer to the poll
@@ -115,6 +118,9 @@
 		if r.options.UnreportedStreams != nil {
 			request.Begun = r.options.UnreportedStreams(keeper)
 		}
+		if r.options.Prefixes != nil {
+			r.options.Prefixes.AddReport(r.options.Clock.Now(), keeper, request)
+		}
 	}
 	now := r.options.Clock.Now()
 	r.mutex.Lock()
@@ -157,6 +163,9 @@
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
 		r.options.ReportAnswered(keeper)
 	}
+	if r.options.Prefixes != nil && !update.GetBrief() {
+		r.options.Prefixes.Answered(r.options.Clock.Now(), keeper, update)
+	}
 	r.updateEvacuations(keeper, update)
 	r.updateListings(keeper, update.GetListings())
 	r.updateRations(keeper, update.GetRations())
--- a/router/internal/updatereader/updatereader_test.go
+++ b/router/internal/updatereader/updatereader_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/balancer"
+	"shallotkeel.example/lib/indexer"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
@@ -323,3 +324,25 @@
 	b.reader.Lost(at(1), nil)
 	require.Equal(t, []netip.AddrPort{at(1)}, lost)
 }
+
+// Guards against prefixes that are reported to a keeper which does not tell its peers, and against a
+// report that a keeper's failure loses.
+func TestPrefixesAreExchangedWithThePrimary(t *testing.T) {
+	b := newFixture(t)
+	prefixes := &indexer.Exchange{}
+	b.reader.options.Prefixes = prefixes
+	held := indexer.Holding{Prefix: 1, Endpoint: 10}
+	prefixes.Add(b.clock.Now(), held, true)
+	require.Empty(t, b.reader.Report(at(2), true).GetHoldings(), "a brief poll")
+	require.Len(t, b.reader.Report(at(1), false).GetHoldings(), 1)
+	b.update(2, &messenger.FollowResponse{Brief: true})
+	require.Len(t, b.reader.Report(at(1), false).GetHoldings(), 1, "another keeper's answer")
+	b.reader.Lost(at(1), nil)
+	require.Len(t, b.reader.Report(at(2), false).GetHoldings(), 1)
+	other := indexer.Holding{Prefix: 2, Endpoint: 10}
+	b.update(2, &messenger.FollowResponse{Holdings: indexer.ToWire([]indexer.Holding{other}), HoldingsNext: 9})
+	report := b.reader.Report(at(2), false)
+	require.Empty(t, report.GetHoldings())
+	require.EqualValues(t, 9, report.GetHoldingsAfter())
+	require.Equal(t, 2, prefixes.Len(b.clock.Now()))
+}
