--- a/lib/indexer/indexer_test.go
+++ b/lib/indexer/indexer_test.go
@@ -182,7 +182,7 @@
 // Guards against answers whose size exceeds the bound on control traffic: a router has 29 KB/s.
 func TestAnswerSize(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	for _, count := range []int{32, 128, MaxReported} {
+	for _, count := range []int{32, 64, 158, 316, MaxReported} {
 		holdings := make([]Holding, count)
 		for i := range holdings {
 			holdings[i] = Holding{random.Uint64(), 1 + mixed(random.Uint64N(140))}
