--- a/lib/predictor/predictor.go
+++ b/lib/predictor/predictor.go
@@ -4,11 +4,15 @@
 // that are unread, that is not prefilled yet, those queued ahead and the request's own, divided by the
 // engine's speed. The engines of
 // one service differ little, and a router gets a few answers per second of each: the two parameters
-// are fitted over the answers of all of them. Each engine's deviation from the fit, because it is
-// slow or has more load than this router sees, is a factor of its own.
+// are fitted over the answers of all of them. An engine's speed relative to the fit is learned over
+// the whole fleet, because one router gets few answers of one engine (Speed). A sudden deviation, as
+// of an engine that stalls or has more load than this router sees, is a factor of its own (Factor).
 //
-// Invariants: a prediction is never negative and rises with the number of tokens; a factor that is
-// not confirmed by answers returns to one.
+// The fit describes an engine of mean speed: it is fed waits from which the learned speed has been
+// divided out, and speeds are measured against its predictions without any learned speed.
+//
+// Invariants: a prediction is never negative and rises with the number of tokens; a Factor that is
+// not confirmed by answers returns to one, a Speed returns to one only as its observations age.
 package predictor
 
 import (
@@ -41,44 +45,37 @@
 // Fit is the linear fit of the waits for the first token over the engines of one service. The zero
 // value has seen no answers and predicts from the initial parameters.
 type Fit struct {
-	count, tokens, waited, square, product float64 // decayed sums, in tokens and seconds
-	base, tokenTime                        float64 // in seconds, and in seconds per token
-	deviation                              float64 // mean absolute deviation of answers from their predictions, in seconds
+	waits           line    // tokens and seconds
+	base, tokenTime float64 // in seconds, and in seconds per token
+	deviation       float64 // mean absolute deviation of answers from their predictions, in seconds
 }
 
 // Observe records an answer: the wait for its first token, and the number of unread tokens when it
 // was sent.
 func (f *Fit) Observe(tokens int, waited time.Duration) {
 	f.initialize()
-	x, w := float64(tokens), waited.Seconds()
-	f.count = decayPerAnswer*f.count + 1
-	f.tokens = decayPerAnswer*f.tokens + x
-	f.waited = decayPerAnswer*f.waited + w
-	f.square = decayPerAnswer*f.square + x*x
-	f.product = decayPerAnswer*f.product + x*w
+	f.waits.observe(float64(tokens), waited.Seconds())
 	f.solve()
 }
 
 // initialize replaces missing answers by the initial parameters.
 func (f *Fit) initialize() {
-	if f.count > 0 {
+	if f.waits.count > 0 {
 		return
 	}
 	f.base, f.tokenTime, f.deviation = initialBase.Seconds(), initialTokenTime.Seconds(), initialDeviation.Seconds()
-	mean := initialSpread
-	f.count = initialWeight
-	f.tokens = initialWeight * mean
-	f.square = initialWeight * (mean*mean + initialSpread*initialSpread)
-	f.waited = f.base*f.count + f.tokenTime*f.tokens
-	f.product = f.base*f.tokens + f.tokenTime*f.square
+	mean, square := initialSpread, 2*initialSpread*initialSpread
+	f.waits = line{
+		count: initialWeight, x: initialWeight * mean, y: initialWeight * (f.base + f.tokenTime*mean),
+		square: initialWeight * square, product: initialWeight * (f.base*mean + f.tokenTime*square),
+	}
 }
 
 // solve computes the least-squares line, within the bounds.
 func (f *Fit) solve() {
-	meanTokens, meanWaited := f.tokens/f.count, f.waited/f.count
-	spread := f.square/f.count - meanTokens*meanTokens
-	if spread > 1 {
-		f.tokenTime = (f.product/f.count - meanTokens*meanWaited) / spread
+	meanTokens, meanWaited := f.waits.means()
+	if slope, found := f.waits.slope(); found {
+		f.tokenTime = slope
 	}
 	f.tokenTime = min(max(f.tokenTime, minTokenTime.Seconds()), maxTokenTime.Seconds())
 	f.base = min(max(meanWaited-f.tokenTime*meanTokens, 0), maxBase.Seconds())
@@ -148,6 +145,8 @@
 	// maxRatio bounds the effect of one answer in both directions: an answer that waited behind a
 	// prompt unknown to this router says little about the next one.
 	maxRatio = 4.0
+	// minCompared replaces shorter times in a ratio.
+	minCompared = 100 * time.Microsecond
 	// minLog is the logarithm below which a factor counts as one: a hundredth, which is not visible
 	// in any answer.
 	minLog = 0.01
@@ -165,9 +164,13 @@
 // Observe records an answer's wait and the prediction for it.
 func (f *Factor) Observe(now time.Time, waited, predicted time.Duration) {
 	f.decay(now)
-	ratio := max(waited.Seconds(), 1e-3) / max(predicted.Seconds(), 1e-3)
-	ratio = min(max(ratio, 1/maxRatio), maxRatio)
-	f.log += factorGain * (math.Log(ratio) - f.log)
+	f.log += factorGain * (logRatio(waited, predicted) - f.log)
+}
+
+// logRatio returns the logarithm of the ratio of an observed to a predicted time, within the bounds.
+func logRatio(observed, predicted time.Duration) float64 {
+	ratio := max(observed, minCompared).Seconds() / max(predicted, minCompared).Seconds()
+	return math.Log(min(max(ratio, 1/maxRatio), maxRatio))
 }
 
 // Get returns the factor, decayed until now.
