Price requests by the work of the whole fleet and by the speed of each engine

A router sees a tenth of an answer per second of each engine, so it knew neither that an engine was slow nor that its slots were in use. Routers now report running requests, remaining output tokens and their observations of each engine's speed; keepers sum them and return the sums. The expected wait includes the wait for a free slot and the learned speed, remaining output falls as events arrive, homes of shared parts are ranked by speed in coarse steps, and the slowdown by running requests replaces the constant price of each where step times are known.

The length hint and the tokens per event are decoded.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -56,6 +56,7 @@
 	sentQuarantine   uint64    // revision of the quarantines that the follower got last
 	sentQuarantineAt time.Time // when it got them
 	newlyUnreachable []string  // for a keeper: the keepers it reports as unreachable since this poll
+	occasional       occasional
 }
 
 // receiveHeartbeat records a heartbeat that an instance sent to this keeper. It reports whether the
@@ -110,6 +111,7 @@
 			d.updateSums(f, -1)
 			f.report.Loads, f.report.Uses = nil, nil
 		}
+		d.expireOccasional(now, f)
 		if now.Sub(f.at) > followerMemory {
 			delete(d.followers, name)
 		}
@@ -169,6 +171,7 @@
 	known.newlyUnreachable = newlyUnreachable(known.report.GetUnheard(), request.GetUnheard())
 	known.at, known.keeper, known.report = now, request.GetKeeper(), request
 	d.updateSums(known, 1)
+	d.updateOccasional(now, known, request)
 	changed := false
 	for _, h := range request.GetHeard() {
 		if d.list.Refresh(now, h.GetId(), lister.FromMillis(h.GetStartedMs()), h.GetSequence()) {
@@ -265,6 +268,7 @@
 		if !request.GetBrief() {
 			response.Uses = d.totalSums.uses.toWire()
 			response.Loads = d.totalSums.loads.excluding(request.GetLoads())
+			d.addOccasional(now, request, response)
 			response.BacklogMs = summary.backlog
 			response.Homes = d.subset.homeSamples()
 		}
--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -36,6 +36,7 @@
 	mutex        sync.Mutex
 	pending      map[netip.AddrPort]time.Time // start of the poll in flight
 	acknowledged map[netip.AddrPort]time.Time // start of the last poll that was answered
+	occasional   map[netip.AddrPort]*occasional
 }
 
 // begin records the start of a poll of a peer. It returns the start of the last poll that
@@ -51,6 +52,19 @@
 	return t.acknowledged[keeper]
 }
 
+// occasionalOf records when the peer was sent what is not in each report.
+func (t *deliveryTimes) occasionalOf(keeper netip.AddrPort) *occasional {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.occasional == nil {
+		t.occasional = make(map[netip.AddrPort]*occasional)
+	}
+	if t.occasional[keeper] == nil {
+		t.occasional[keeper] = &occasional{}
+	}
+	return t.occasional[keeper]
+}
+
 // acknowledge records that a peer has received the content of the poll in flight.
 func (t *deliveryTimes) acknowledge(keeper netip.AddrPort) {
 	t.mutex.Lock()
@@ -69,6 +83,7 @@
 		Unheard: c.subscriber.UnansweringKeepers(), Begun: c.directory.streamOrigins.since(now, since),
 	}
 	c.directory.summarize(now, since, report)
+	c.directory.addOccasionalTo(now, c.deliveries.occasionalOf(keeper), report)
 	return report
 }
 
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -41,6 +41,11 @@
 	Parts  []Part
 	Prompt int // prompt tokens
 	Output int // maximum number of generated tokens
+	// Hint is the client's own estimate of the generated tokens, and Expected what is expected by it
+	// and by earlier requests. Both are 0 if unknown.
+	Hint, Expected int
+	// Gap is the longest time between two events that is still in time, 0 if none is set.
+	Gap time.Duration
 	// Version is the software version that the endpoint must have, empty if any version may run the
 	// request.
 	Version string
@@ -96,8 +101,11 @@
 	services        map[string]*pool
 	cacheCapacities map[string]int // cache size of an engine in tokens, by service
 	zones           map[string]zoneState
-	fits            map[string]*predictor.Fit // prefill model of the engines, by service
-	otherLoadsAt    time.Time                 // time of the last update of the other routers' loads
+	fits            map[string]*predictor.Fit   // prefill model of the engines, by service
+	steps           map[string]*predictor.Steps // step times of the engines, by service
+	engines         map[string]resolver.Engine  // capacity of an engine, by service; services without engines are missing
+	otherLoadsAt    time.Time                   // time of the last update of the other routers' unread tokens
+	otherWorkAt     time.Time                   // time of the last update of the other routers' running requests
 	routers         int
 	choices         uint64 // number of choices made
 	draws           uint64 // number of random values drawn
@@ -112,11 +120,16 @@
 type endpoint struct {
 	lister.Listing
 	seed                uint64
-	tieBreak            uint64  // order among endpoints that were never chosen; it differs between routers
-	lastChosen          uint64  // value of Balancer.choices when it was last chosen
-	key                 uint64  // identifies it in load reports
-	own                 load    // load from this router
-	otherUnread         int     // unread tokens from the other routers, as last reported
+	tieBreak            uint64          // order among endpoints that were never chosen; it differs between routers
+	lastChosen          uint64          // value of Balancer.choices when it was last chosen
+	key                 uint64          // identifies it in load reports
+	own                 load            // load from this router
+	other               load            // load from the other routers, as last reported
+	speed               predictor.Speed // as observed by this router
+	otherSpeed          predictor.Sums  // as observed by the other routers
+	waitFactor          float64         // learned ratios of its waits and of its gaps to those of an engine of mean speed
+	gapFactor           float64
+	rankStep            int     // speed in steps of the home ranking
 	awaiting            []*Slot // slots that await their first token, oldest first
 	factor              predictor.Factor
 	cache               prefixCache
@@ -189,7 +202,7 @@
 }
 
 func (b *Balancer) add(listing lister.Listing) {
-	added := &endpoint{Listing: listing, seed: hashText(listing.ID), key: Key(listing)}
+	added := &endpoint{Listing: listing, seed: hashText(listing.ID), key: Key(listing), waitFactor: 1, gapFactor: 1}
 	if b.Seed != 0 {
 		added.tieBreak = mix(b.Seed, added.seed)
 	}
@@ -298,7 +311,7 @@
 	slot := &Slot{
 		ID: e.ID, Address: e.Address, Version: e.Version, PrefillTokens: c.prefillTokens, ExpectedWait: c.wait, ExpectedQueue: c.queue,
 		HealthPenalty: c.penalty.String(), Pause: max(e.pausedUntil.Sub(now), 0),
-		balancer: b, endpoint: e, key: e.key, sentAt: now, queuedTokens: c.queuedTokens, awaitsFirstToken: true,
+		balancer: b, endpoint: e, key: e.key, sentAt: now, queuedTokens: c.queuedTokens, slotWait: c.slotWait, awaitsFirstToken: true,
 	}
 	if !e.pausedUntil.IsZero() && !now.Before(e.pausedUntil) && !e.probing {
 		slot.probe, e.probing = true, true
@@ -314,6 +327,7 @@
 	e.own.running++
 	e.own.unread += c.prefillTokens
 	if len(work.Parts) > 0 {
+		slot.beginGeneration(work)
 		e.awaiting = append(e.awaiting, slot)
 		e.cache.add(work, b.cacheCapacities[e.Service])
 		if len(b.all(e.Service)) > maxFullScan {
--- a/lib/balancer/load.go
+++ b/lib/balancer/load.go
@@ -6,10 +6,16 @@
 	"shallotkeel.example/lib/lister"
 )
 
-// load is this router's load at one endpoint.
+// load is the load that some routers have put on one endpoint.
 type load struct {
-	unread  int // prompt tokens that were sent and are not prefilled yet
-	running int // requests that run or wait there
+	unread    int // prompt tokens that were sent and are not prefilled yet
+	running   int // requests that run or wait there
+	remaining int // output tokens that these requests will probably still generate
+}
+
+// Load is the load on one engine, as routers report it.
+type Load struct {
+	Unread, Running, Remaining int
 }
 
 // Key identifies one lifetime of an endpoint in the load reports of routers. It has 8 bytes, where
@@ -23,30 +29,46 @@
 // idle.
 const maxLoadAge = time.Second
 
-// UnreadTokens returns the number of prompt tokens, by endpoint key, that this router has sent to
-// each engine and that the engine has not prefilled yet. No other load is reported: running requests do
-// not change the choice of other routers, and plain calls end before a report arrives.
-func (b *Balancer) UnreadTokens() map[uint64]int {
+// Loads returns the load, by endpoint key, that this router has on each engine. Running requests are
+// reported for services with known engine capacity. Plain calls are not reported: they end before a
+// report arrives.
+func (b *Balancer) Loads() map[uint64]Load {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	unread := make(map[uint64]int)
+	loads := make(map[uint64]Load)
 	for _, e := range b.byID {
-		if e.own.unread > 0 {
-			unread[e.key] = e.own.unread
+		own := Load{Unread: e.own.unread}
+		if _, found := b.engines[e.Service]; found {
+			own.Running, own.Remaining = e.own.running, e.own.remaining
+		}
+		if own != (Load{}) {
+			loads[e.key] = own
 		}
 	}
-	return unread
+	return loads
 }
 
-// SetOtherLoads sets the unread tokens of all other routers at the engines. Each router sees only a
-// part of the requests: with only its own load a few engines would fill up unnoticed, and cause
-// most of the late answers.
-func (b *Balancer) SetOtherLoads(now time.Time, unread map[uint64]int) {
+// SetOtherLoads sets the loads of all other routers on the engines. Each router sees only a part of
+// the requests: with only its own load a few engines would fill up unnoticed, and cause most of the
+// late answers. Running requests are sent less often than unread tokens: loads of which none has any
+// leave the former ones in force.
+func (b *Balancer) SetOtherLoads(now time.Time, loads map[uint64]Load) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.otherLoadsAt = now
+	withWork := false
+	for _, other := range loads {
+		withWork = withWork || other.Running > 0
+	}
+	if withWork {
+		b.otherWorkAt = now
+	}
 	for _, e := range b.byID {
-		e.otherUnread = unread[e.key]
+		other := loads[e.key]
+		e.other.unread = other.Unread
+		if withWork {
+			e.other.running, e.other.remaining = other.Running, other.Remaining
+		}
 	}
 }
 
@@ -62,7 +84,7 @@
 // router.
 func (b *Balancer) unreadTokens(now time.Time, e *endpoint) int {
 	if now.Sub(b.otherLoadsAt) <= maxLoadAge {
-		return e.own.unread + e.otherUnread
+		return e.own.unread + e.other.unread
 	}
 	return max(b.routers, 1) * e.own.unread
 }
@@ -79,7 +101,7 @@
 		if !b.isWilling(now, e) || b.healthPenalty(now, e) != penaltyNone {
 			continue
 		}
-		total += time.Duration(float64(fit.PrefillTime(b.unreadTokens(now, e))) * e.factor.Get(now))
+		total += time.Duration(float64(fit.PrefillTime(b.unreadTokens(now, e))) * e.waitFactor * e.factor.Get(now))
 		count++
 	}
 	if count == 0 {
--- a/lib/balancer/load_test.go
+++ b/lib/balancer/load_test.go
@@ -15,14 +15,14 @@
 func TestLoadsOfAllRoutersAreKnown(t *testing.T) {
 	b := fleet(2)
 	slot := b.Pick(start, "engines", prompt(1, 2), nil)
-	require.Equal(t, map[uint64]int{slot.endpoint.key: slot.PrefillTokens}, b.UnreadTokens())
+	require.Equal(t, map[uint64]Load{slot.endpoint.key: {Unread: slot.PrefillTokens}}, b.Loads())
 	other := b.byID["i-1"].key
-	b.SetOtherLoads(start, map[uint64]int{other: 30_000, 99: 5})
+	b.SetOtherLoads(start, map[uint64]Load{other: {Unread: 30_000}, 99: {Unread: 5}})
 	require.Equal(t, (prefillTime(b, 30_000)+prefillTime(b, slot.PrefillTokens))/2, b.Backlog(start, "engines"))
 	require.Zero(t, b.Backlog(start, "desk"))
 	slot.NoteResponse(start)
 	slot.End(start, Served)
-	require.Empty(t, b.UnreadTokens())
+	require.Empty(t, b.Loads())
 }
 
 // Guards against all routers turning at once to the endpoint of a plain service that was idle in
@@ -34,13 +34,13 @@
 		listing.Service = "desk"
 		b.Update(listing)
 	}
-	b.SetOtherLoads(start, map[uint64]int{b.byID["i-1"].key: 6, b.byID["i-2"].key: 6})
+	b.SetOtherLoads(start, map[uint64]Load{b.byID["i-1"].key: {Unread: 6}, b.byID["i-2"].key: {Unread: 6}})
 	picked := make(map[string]int)
 	for range 12 {
 		picked[b.Pick(start, "desk", &Work{}, nil).ID]++
 	}
 	require.Equal(t, map[string]int{"i-1": 4, "i-2": 4, "i-3": 4}, picked)
-	require.Empty(t, b.UnreadTokens(), "plain calls are not reported")
+	require.Empty(t, b.Loads(), "plain calls are not reported")
 }
 
 // Guards against a router without keeper updates that assumes all engines to be idle, or as busy as
@@ -48,7 +48,7 @@
 func TestStaleLoadsAreExtrapolatedFromOwnLoad(t *testing.T) {
 	b := fleet(1)
 	b.SetRouterCount(4)
-	b.SetOtherLoads(start, map[uint64]int{b.byID["i-1"].key: 90_000})
+	b.SetOtherLoads(start, map[uint64]Load{b.byID["i-1"].key: {Unread: 90_000}})
 	slot := b.Pick(start, "engines", prompt(1, 2), nil)
 	later := start.Add(maxLoadAge + 1)
 	require.Equal(t, prefillTime(b, 4*slot.PrefillTokens), b.Backlog(later, "engines"))
@@ -73,7 +73,7 @@
 			home := b.Pick(start, "engines", prompt(1, 2), nil)
 			home.NoteResponse(start)
 			home.End(start, Served)
-			b.SetOtherLoads(start, map[uint64]int{home.endpoint.key: test.unread})
+			b.SetOtherLoads(start, map[uint64]Load{home.endpoint.key: {Unread: test.unread}})
 			work := prompt(1, 3)
 			work.Target = 400 * time.Millisecond
 			require.Equal(t, test.stays, b.Pick(start, "engines", work, nil).ID == home.ID)
--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -158,15 +158,28 @@
 }
 
 // highestRanked returns the eligible endpoint that ranks first for a part, nil if none is eligible.
+// An endpoint ranks first for a number of parts in proportion to its speed.
 func (b *Balancer) highestRanked(candidates []*endpoint, part uint64) *endpoint {
-	var best *endpoint
-	var bestRank uint64
+	// Among endpoints of one weight the highest hash ranks first: only the first of each weight is scored.
+	var first [2*maxRankStep + 1]*endpoint
+	var ranks [2*maxRankStep + 1]uint64
 	for _, e := range candidates {
 		if !b.isEligible(e) {
 			continue
 		}
-		if rank := mix(e.seed, part); best == nil || rank > bestRank {
-			best, bestRank = e, rank
+		i := e.rankStep + maxRankStep
+		if rank := mix(e.seed, part); first[i] == nil || rank > ranks[i] {
+			first[i], ranks[i] = e, rank
+		}
+	}
+	var best *endpoint
+	bestScore := 0.0
+	for i, e := range first {
+		if e == nil {
+			continue
+		}
+		if score := rationer.Score(rankWeight(i-maxRankStep), ranks[i]); best == nil || score > bestScore {
+			best, bestScore = e, score
 		}
 	}
 	return best
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -24,13 +24,19 @@
 	// ends before it is reported, and all routers would turn to the endpoint that was idle in the
 	// last report.
 	Plain float64
+	// Slowdown replaces Running where step times are known: it is the price of each token that the engine
+	// could prefill in the time by which the requests of all routers there lengthen this one's
+	// generation. MaxSlowdown bounds this price, so that load alone moves only requests whose shared parts
+	// are short: the parts of others would be prefilled again, which costs more than it gains.
+	Slowdown    float64
+	MaxSlowdown float64
 }
 
 // DefaultWeights suit all deployments. The first three weights apply to this router's own load
 // only: with the loads of all routers, requests would leave the engines that cache their parts too
 // often, and the parts would be prefilled again. Late moves requests away from engines where they
 // would be late.
-var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 0.3, Plain: 1}
+var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 0.3, Plain: 1, Slowdown: 0.1, MaxSlowdown: 1000}
 
 const (
 	// penaltyPrice is added to the price of an endpoint for each level of its health penalty. It
@@ -56,6 +62,7 @@
 	queuedTokens  int           // unread tokens of other requests there
 	wait          time.Duration // expected time to the first token
 	queue         time.Duration // share of wait spent on requests sent earlier
+	slotWait      time.Duration // share of queue until the engine has a free slot
 }
 
 // price returns the candidate for a request at an endpoint. cachedShare is the share of the shared
@@ -77,11 +84,13 @@
 	}
 	c.prefillTokens = max(work.Prompt-cached, 0)
 	c.queuedTokens = b.unreadTokens(now, e)
-	factor, overdue := e.factor.Get(now), e.overdue(now)
-	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + overdue
-	c.queue = scale(fit.PrefillTime(c.queuedTokens), factor) + overdue
-	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*float64(c.prefillTokens) +
-		weights.Running*float64(e.own.running) + weights.Late*fit.PrefillTokens(fit.ExpectedLateness(c.wait, work.target()))
+	factor, overdue := e.waitFactor*e.factor.Get(now), e.overdue(now)
+	c.slotWait = b.slotWait(now, e)
+	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + c.slotWait + overdue
+	c.queue = scale(fit.PrefillTime(c.queuedTokens), factor) + c.slotWait + overdue
+	late := fit.ExpectedLateness(c.wait, work.target()) + b.gapLateness(now, e, work)
+	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*e.waitFactor*float64(c.prefillTokens) +
+		b.runningPrice(now, e, fit, work, weights) + weights.Late*fit.PrefillTokens(late)
 	return c
 }
 
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -28,6 +28,8 @@
 	key          uint64 // of the endpoint when it was chosen
 	sentAt       time.Time
 	queuedTokens int // unread tokens of other requests there, when this one was sent
+	slotWait     time.Duration
+	generation   generation
 	// objective is the target latency of a plain call, 0 for other requests.
 	objective        time.Duration
 	awaitsFirstToken bool
@@ -97,9 +99,18 @@
 // observeWait updates the prefill model with the wait for the first token.
 func (s *Slot) observeWait(now time.Time) {
 	fit, waited := s.balancer.fit(s.endpoint.Service), now.Sub(s.sentAt)
-	s.endpoint.factor.Observe(now, waited, fit.Wait(s.queuedTokens+s.PrefillTokens))
-	fit.Observe(s.queuedTokens+s.PrefillTokens, waited)
+	predicted, e := fit.Wait(s.queuedTokens+s.PrefillTokens), s.endpoint
+	e.factor.Observe(now, waited, scale(predicted, e.waitFactor)+s.slotWait)
 	fit.ObserveDeviation(waited - s.ExpectedWait)
+	if s.slotWait > predicted {
+		return // the wait says more about the requests that ran than about the engine's prefill
+	}
+	prefilled := max(waited-s.slotWait, 0)
+	fit.Observe(s.queuedTokens+s.PrefillTokens, scale(prefilled, 1/e.waitFactor))
+	if s.balancer.learnsSpeed(e) {
+		e.speed.ObserveWait(now, prefilled, predicted)
+		e.updateSpeed(now)
+	}
 }
 
 // EndpointLifetime returns a context that is done once the endpoint has restarted: the request of
@@ -132,6 +143,7 @@
 	e := s.endpoint
 	heardNothing := s.heardNothing(now)
 	s.endPrefill()
+	s.endGeneration(now)
 	e.own.running--
 	if s.probe {
 		e.probing = false
--- a/lib/resolver/plan.go
+++ b/lib/resolver/plan.go
@@ -71,6 +71,8 @@
 	Slots int
 	// Tokens is the number of tokens that fit into an engine's memory.
 	Tokens int
+	// Stride is the number of tokens in each event of a stream, 0 if it is not known.
+	Stride int
 }
 
 // Service is a group of endpoints that do the same work.
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -28,6 +28,7 @@
 	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
 	"shallotkeel.example/lib/pacer"
+	"shallotkeel.example/lib/predictor"
 	"shallotkeel.example/lib/reloader"
 	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/lib/starter"
@@ -122,8 +123,9 @@
 	d.reader = updatereader.New(updatereader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
 		Crashes: &d.crashes, Endpoints: d.updateEndpoints, Plan: d.preparePlan, Routers: d.updateRouterCount,
-		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.UnreadTokens, FleetSums: d.updateFleetSums,
+		Uses: func() map[string]apportioner.Use { return d.shares.Uses(clock.Now()) }, Loads: d.balancer.Loads, FleetSums: d.updateFleetSums,
 		Backlog:           func() time.Duration { return d.backlog(clock.Now()) },
+		Speeds:            func() map[uint64]predictor.Sums { return d.balancer.Speeds(clock.Now()) },
 		Sampling:          d.balancer.SetSampling,
 		UnreportedStreams: d.streams.Report, ReportAnswered: d.streams.ReportAnswered, ReportLost: d.streams.ReportLost,
 		Evacuated: func(zones []string) { d.balancer.SetEvacuatedZones(clock.Now(), zones) },
@@ -194,6 +196,7 @@
 		d.balancer.SetColdLimit(name, service.Cold)
 		if service.Engine != nil {
 			d.balancer.SetCacheCapacity(name, service.Engine.Tokens)
+			d.balancer.SetEngine(name, *service.Engine)
 		}
 	}
 }
@@ -204,6 +207,9 @@
 func (d *Director) updateFleetSums(sums updatereader.FleetSums) {
 	now := d.clock.Now()
 	d.balancer.SetOtherLoads(now, sums.Loads)
+	if sums.Speeds != nil {
+		d.balancer.SetOtherSpeeds(now, sums.Speeds)
+	}
 	d.shares.SetFleetUse(now, sums.Uses, sums.Backlog)
 }
 
--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -69,7 +69,8 @@
 		q.deadline = q.received.Add(q.in.Deadline)
 	}
 	q.in.Work.Target, q.in.Work.Objective = q.remainingTarget(), q.route.Target
-	q.in.Work.Late = q.late()
+	q.in.Work.Late, q.in.Work.Gap = q.late(), q.route.Gap
+	q.in.Work.Expected = p.expectedOutput(q)
 	q.digest = fingerprint(q)
 	if !p.admitResume(q) {
 		return false
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -33,6 +33,7 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/damper"
+	"shallotkeel.example/lib/estimator"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/localizer"
@@ -119,6 +120,7 @@
 	retries            retryTracker
 	workspaces         workspaceStats
 	refusals           refusalRate
+	outputs            estimator.Shared // output tokens of streams, by workspace and route
 	prober             prober.Prober
 	received           atomic.Uint64 // requests that have arrived
 	refused            atomic.Uint64 // requests refused, including those refused by Screen
--- a/router/internal/proxier/start_test.go
+++ b/router/internal/proxier/start_test.go
@@ -58,11 +58,11 @@
 			f := newFixture(t)
 			id := f.endpoint(answerWith("served"))
 			now := time.Now()
-			f.balancer.SetOtherLoads(now, map[uint64]int{balancer.Key(lister.Listing{ID: id}): test.unread})
+			f.balancer.SetOtherLoads(now, map[uint64]balancer.Load{balancer.Key(lister.Listing{ID: id}): {Unread: test.unread}})
 			q := &request{received: now, service: "desk", route: &resolver.Route{Target: target}, beyondShare: test.beyondShare}
 			q.in.Work = balancer.Work{Model: "m", Prompt: test.prompt, Parts: []balancer.Part{{ID: 1, Tokens: test.prompt}}, Target: target}
 			require.Equal(t, test.want, f.proxier.wouldDelayOthers(q))
-			require.Empty(t, f.balancer.UnreadTokens(), "an estimate changes no state")
+			require.Empty(t, f.balancer.Loads(), "an estimate changes no state")
 		})
 	}
 }
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -24,6 +24,8 @@
 	lastID       string // id of the last event that was relayed
 	partial      []byte // the start of an event whose end has not arrived
 	versionNoted bool   // the software version at which the stream began has been recorded
+	events       int    // events among those that the last call of split returned
+	hasData      bool   // a data line of the current event has been counted
 }
 
 // split adds a piece of the stream and returns the events that are complete. The result is valid
@@ -36,7 +38,9 @@
 	}
 	complete := e.partial[:end:end]
 	e.partial = append([]byte(nil), e.partial[end:]...)
+	e.events = 0
 	for _, line := range bytes.Split(complete, []byte("\n")) {
+		e.count(line)
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			e.lastID = string(bytes.TrimSpace(id))
 		}
@@ -44,6 +48,18 @@
 	return complete, nil
 }
 
+// count counts the event that a line of complete events ends. Comments, which keep connections alive, are no
+// events.
+func (e *eventSplitter) count(line []byte) {
+	switch {
+	case bytes.HasPrefix(line, []byte("data")):
+		e.hasData = true
+	case e.hasData && len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
+		e.events++
+		e.hasData = false
+	}
+}
+
 // lastEnd returns the offset at which the last complete event ends: after an empty line.
 func lastEnd(text []byte) int {
 	end := 0
@@ -86,6 +102,7 @@
 			}
 			if inEvents && len(piece) > 0 {
 				p.noteVersion(q, slot)
+				slot.NoteEvents(q.lastHeard, q.stream.events)
 			}
 			if err := p.relayPiece(q, flusher, x, piece); err != nil {
 				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
@@ -97,6 +114,7 @@
 			continue
 		}
 		if errors.Is(readErr, io.EOF) && len(q.stream.partial) == 0 {
+			p.learnOutput(q, slot)
 			return p.endStream(q, flusher, x)
 		}
 		if errors.Is(readErr, io.EOF) {
--- a/router/internal/updatereader/silence.go
+++ b/router/internal/updatereader/silence.go
@@ -13,6 +13,8 @@
 		r.options.ReportLost(keeper)
 	}
 	r.crashes.Lost(keeper)
+	r.workReported.reset()
+	r.speedsReported.reset()
 	r.mutex.Lock()
 	delete(r.answeringKeepers, keeper)
 	ids := make(map[string]bool)
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -23,6 +23,7 @@
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
+	"shallotkeel.example/lib/predictor"
 	"shallotkeel.example/lib/resolver"
 )
 
@@ -44,9 +45,10 @@
 	Routers func(count int)
 	// Uses returns the demand of each workspace at this router, and how much of it is served and shed.
 	Uses func() map[string]apportioner.Use
-	// Loads returns the number of unread tokens that this router has at each engine: prompt tokens
-	// that were sent and are not prefilled yet.
-	Loads func() map[uint64]int
+	// Loads returns the load that this router has on each engine.
+	Loads func() map[uint64]balancer.Load
+	// Speeds returns this router's observations of the speed of each engine.
+	Speeds func() map[uint64]predictor.Sums
 	// Backlog returns the prefill backlog of the engines, as this router estimates it.
 	Backlog func() time.Duration
 	// FleetSums receives the sums over the whole fleet.
@@ -84,6 +86,8 @@
 	fetching         sync.Mutex
 	logDamper        damper.Damper // of log lines on endpoints
 	droppedAt        time.Time     // time of the last removal of gone endpoints
+	workReported     schedule
+	speedsReported   schedule
 	planChanged      chan struct{} // closed and replaced when another configuration comes into force
 }
 
@@ -131,11 +135,8 @@
 			request.Uses = append(request.Uses, &messenger.Use{Workspace: workspace, Asked: use.Demand, Got: use.Served, Unheard: use.Shed})
 		}
 	}
-	if r.options.Loads != nil {
-		for endpoint, unread := range r.options.Loads() {
-			request.Loads = append(request.Loads, &messenger.Load{Endpoint: endpoint, Unread: uint32(max(unread, 0))})
-		}
-	}
+	r.addLoads(request)
+	r.addSpeeds(request)
 	if r.options.Backlog != nil {
 		request.BacklogMs = uint32(max(r.options.Backlog(), 0) / time.Millisecond)
 	}
