--- a/lib/balancer/generation.go
+++ b/lib/balancer/generation.go
@@ -16,11 +16,11 @@
 	expected  int // tokens that it will probably generate in total
 	generated int // tokens in the events that have arrived
 	remaining int // its part of the endpoint's remaining tokens
-	events    int // events of this attempt that have arrived
-	// window is the number of events since windowStart, when the first of them was expected to be
-	// generated, and running the number of requests that the engine ran then.
+	// window is the number of events since the event at windowStart, lastEvent the time of the last of
+	// them, and running the number of requests that the engine ran at windowStart.
 	window      int
 	windowStart time.Time
+	lastEvent   time.Time
 	running     int
 }
 
@@ -66,7 +66,6 @@
 		return
 	}
 	g, stride := &s.generation, s.balancer.stride(s.endpoint)
-	g.events += events
 	g.generated += events * stride
 	// A request that has generated what was expected goes on for at least one event.
 	s.setRemaining(max(g.expected-g.generated, stride))
@@ -75,17 +74,13 @@
 		return
 	}
 	g.window += events
+	g.lastEvent = now
 	if g.window >= gapWindow {
 		s.observeGaps(now)
 		s.beginWindow(now)
 	}
 }
 
-// Events returns the number of events that have arrived.
-func (s *Slot) Events() int {
-	return s.generation.events
-}
-
 // OutputTokens returns the number of tokens in the events that have arrived.
 func (s *Slot) OutputTokens() int {
 	return s.generation.generated
@@ -102,7 +97,7 @@
 	if g.window == 0 || !b.learnsSpeed(e) {
 		return
 	}
-	perToken := now.Sub(g.windowStart) / time.Duration(g.window*b.stride(e))
+	perToken := g.lastEvent.Sub(g.windowStart) / time.Duration(g.window*b.stride(e))
 	steps := b.stepTimes(e.Service)
 	if steps.Known() {
 		e.speed.ObserveGap(now, perToken, steps.Time(g.running))
--- a/lib/balancer/generation_test.go
+++ b/lib/balancer/generation_test.go
@@ -141,6 +141,25 @@
 	require.InDelta(t, 1.2/0.55, slow.gapFactor/fast.gapFactor, 0.2)
 }
 
+// Guards against speeds that are forgotten while no keeper answers, and against the time between the last event
+// of a stream and its end that counts as a gap.
+func TestSpeedsStayWithoutKeepers(t *testing.T) {
+	b := engines(1)
+	e := b.byID["i-1"]
+	b.SetOtherSpeeds(start, map[uint64]predictor.Sums{e.key: {Waits: 100, WaitLog: 80, Gaps: 100, GapLog: 80}})
+	learned := e.waitFactor
+	later := start.Add(time.Minute)
+	b.SetOtherLoads(later, nil)
+	slot := b.Pick(later, "engines", streamOf(1, 2, 400), nil)
+	require.InDelta(t, learned, e.waitFactor, 0)
+	slot.NoteEvents(later, 1)
+	slot.NoteEvents(later.Add(10*stepTime), 1)
+	slot.End(later.Add(5*time.Second), Cancelled)
+	sums := e.speed.Sums(later.Add(10 * stepTime))
+	require.InDelta(t, 1, sums.Gaps, 0.01)
+	require.InDelta(t, 0, sums.GapLog, 0.01)
+}
+
 // Guards against homes on which routers disagree because their observations differ a little, and against
 // homes that move with each observation.
 func TestHomesFollowSpeedInSteps(t *testing.T) {
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -26,7 +26,7 @@
 	Plain float64
 	// Slowdown replaces Running where step times are known: it is the price of each token that the engine
 	// could prefill in the time by which the requests of all routers there lengthen this one's
-	// generation. MaxSlowdown bounds this price, so that load alone moves only requests whose shared parts
+	// generation. A slow engine lengthens it as well. MaxSlowdown bounds this price, so that load alone moves only requests whose shared parts
 	// are short: the parts of others would be prefilled again, which costs more than it gains.
 	Slowdown    float64
 	MaxSlowdown float64
@@ -36,7 +36,7 @@
 // only: with the loads of all routers, requests would leave the engines that cache their parts too
 // often, and the parts would be prefilled again. Late moves requests away from engines where they
 // would be late.
-var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 0.3, Plain: 1, Slowdown: 0.1, MaxSlowdown: 1000}
+var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 0.3, Plain: 1, Slowdown: 0.1, MaxSlowdown: 300}
 
 const (
 	// penaltyPrice is added to the price of an endpoint for each level of its health penalty. It
@@ -89,7 +89,7 @@
 	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + c.slotWait + overdue
 	c.queue = scale(fit.PrefillTime(c.queuedTokens), factor) + c.slotWait + overdue
 	late := fit.ExpectedLateness(c.wait, work.target()) + b.gapLateness(now, e, work)
-	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*e.waitFactor*float64(c.prefillTokens) +
+	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*float64(c.prefillTokens) +
 		b.runningPrice(now, e, fit, work, weights) + weights.Late*fit.PrefillTokens(late)
 	return c
 }
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -119,6 +119,11 @@
 	return s.endpoint.lifetime
 }
 
+// SlotWait returns the part of ExpectedQueue until the engine has a free slot.
+func (s *Slot) SlotWait() time.Duration {
+	return s.slotWait
+}
+
 // Key identifies the lifetime of the endpoint that the slot was taken from, as Key does.
 func (s *Slot) Key() uint64 {
 	return s.key
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -1,6 +1,9 @@
 package director
 
 import (
+	"slices"
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"shallotkeel.example/router/internal/screener"
@@ -52,6 +55,12 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_pressed_endpoints", Help: "Endpoints of plain services from which this router keeps a part of the calls away, as they answer late or have no room."}, func() float64 {
 		return float64(d.balancer.CountThrottled())
 	})
+	for _, quantile := range []float64{0, 0.1, 0.5, 0.9, 1} {
+		gauge(prometheus.GaugeOpts{
+			Name: "shallotkeel_direct_engine_slowness", Help: "Learned ratio of engines' waits to those of an engine of mean speed, by quantile over the engines.",
+			ConstLabels: prometheus.Labels{"quantile": strconv.FormatFloat(quantile, 'g', -1, 64)},
+		}, func() float64 { return quantileOf(d.balancer.SpeedFactors(), quantile) })
+	}
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_starts", Help: "Requests a second that this router may start now."}, d.pacer.Starts.Value)
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_away", Help: "1 while new clients are sent to other routers."}, func() float64 {
 		if d.diverter.diverting.Load() {
@@ -74,6 +83,15 @@
 	counter("shallotkeel_direct_screened_requests_total", "Requests that were refused before the server took their connections.", d.screenerCounter((*screener.Listener).Refused))
 }
 
+// quantileOf returns a quantile of the values, 0 if there are none.
+func quantileOf(values []float64, quantile float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(quantile*float64(len(values)-1))]
+}
+
 // screenerCounter returns a function that reads a counter of the screening listener, 0 before there is one.
 func (d *Director) screenerCounter(counter func(*screener.Listener) uint64) func() uint64 {
 	return func() uint64 {
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -40,6 +40,7 @@
 	}
 	q.tried[slot.ID] = true
 	q.endpoint, q.prefillTokens, q.queueWait, q.expectedFirst = slot.ID, slot.PrefillTokens, slot.ExpectedQueue, slot.ExpectedWait
+	q.slotWait = slot.SlotWait()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.endpointAnswer, q.answerBegan, q.lastHeard = forwarder.Answer{}, time.Time{}, now
@@ -166,6 +167,10 @@
 func (p *Proxier) noteAnswerStarted(q *request, slot *balancer.Slot) {
 	now := p.options.Clock.Now()
 	slot.NoteResponse(now)
+	if q.answerBegan.IsZero() && slot.ExpectedWait > 0 {
+		q.firstError = now.Sub(q.lastHeard) - slot.ExpectedWait
+		p.options.Metrics.observeFirstError(q.firstError)
+	}
 	q.lastHeard = now
 	if q.answerBegan.IsZero() {
 		q.answerBegan = now
--- a/router/internal/proxier/metrics.go
+++ b/router/internal/proxier/metrics.go
@@ -19,6 +19,7 @@
 	crashes     prometheus.Counter
 	timeToFirst prometheus.Histogram
 	duration    prometheus.Histogram
+	firstError  prometheus.Histogram
 }
 
 // NewMetrics registers the proxier's metrics.
@@ -50,8 +51,12 @@
 			Name: "shallotkeel_passed_whole_seconds", Help: "Time until the end of an answer.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
 		}),
+		firstError: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "shallotkeel_passed_first_error_seconds", Help: "Observed minus expected time until an engine's first token.",
+			Buckets: []float64{-0.8, -0.4, -0.2, -0.1, -0.05, -0.025, 0, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8},
+		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.crashes, m.timeToFirst, m.duration)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.crashes, m.timeToFirst, m.duration, m.firstError)
 	return m
 }
 
@@ -76,6 +81,12 @@
 	m.duration.Observe(took.Seconds())
 }
 
+func (m *Metrics) observeFirstError(deviation time.Duration) {
+	if m != nil {
+		m.firstError.Observe(deviation.Seconds())
+	}
+}
+
 func (m *Metrics) countCrash() {
 	if m != nil {
 		m.crashes.Inc()
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -174,6 +174,8 @@
 	prefillTokens    int           // tokens that the last endpoint probably had to prefill
 	queueWait        time.Duration // expected time until the endpoint finishes the prefills queued before it
 	expectedFirst    time.Duration // expected time until the first token
+	slotWait         time.Duration // part of queueWait until the endpoint has a free slot
+	firstError       time.Duration // observed minus expected time until the first token at the last endpoint
 	status           int
 	refusedBy        refusalCause
 	reason           string
--- a/router/internal/proxier/record.go
+++ b/router/internal/proxier/record.go
@@ -44,6 +44,7 @@
 		Int("sends", q.sends).Int("unreached", q.unsentAttempts).Int("status", q.status).
 		Str("framing", q.framing.String()).Str("cut_by", cutLabels[q.cutBy]).Str("reason", q.reason).
 		Int("tokens", q.tokens()).Int("reading", q.prefillTokens).Bool("spare", q.beyondShare).Dur("target_ms", q.in.Work.Target).
-		Dur("queue_ms", q.queueWait).Dur("expected_ms", q.expectedFirst).Dur("since_ms", q.sinceFirst()).
+		Dur("queue_ms", q.queueWait).Dur("expected_ms", q.expectedFirst).Dur("slot_ms", q.slotWait).Dur("error_ms", q.firstError).
+		Int("expected_output", q.in.Work.Expected).Int("hint", q.in.Work.Hint).Dur("since_ms", q.sinceFirst()).
 		Dur("first_ms", q.timeToFirst).Dur("took_ms", took).Msg("request")
 }
