--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -129,8 +129,11 @@
 	otherSpeed          predictor.Sums  // as observed by the other routers
 	waitFactor          float64         // learned ratios of its waits and of its gaps to those of an engine of mean speed
 	gapFactor           float64
-	rankStep            int     // speed in steps of the home ranking
-	awaiting            []*Slot // slots that await their first token, oldest first
+	engine              resolver.Engine // capacity; the zero value if its service has no engines
+	hasEngine           bool
+	steps               *predictor.Steps // of its service
+	rankStep            int              // speed in steps of the home ranking
+	awaiting            []*Slot          // slots that await their first token, oldest first
 	factor              predictor.Factor
 	cache               prefixCache
 	failureShare        float64         // EWMA of the share of failures
@@ -216,6 +219,8 @@
 		b.services[e.Service] = &pool{}
 	}
 	b.services[e.Service].add(e, e.Zone == b.Zone)
+	e.engine, e.hasEngine = b.engines[e.Service]
+	e.steps = b.stepTimes(e.Service)
 }
 
 func (b *Balancer) unlist(e *endpoint) {
--- a/lib/balancer/bench_test.go
+++ b/lib/balancer/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/resolver"
 )
 
 // BenchmarkPick chooses an engine and releases the slot, as a router does for each request with a
@@ -16,6 +17,10 @@
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
 			balancer := &Balancer{}
 			balancer.SetCacheCapacity("engines", 300_000)
+			balancer.SetEngine("engines", resolver.Engine{Slots: 16, Stride: 10})
+			for range 100 {
+				balancer.stepTimes("engines").Observe(8, stepTime)
+			}
 			for i := range engines {
 				e := engine(i % 250)
 				e.ID = fmt.Sprint("i-", i)
@@ -28,6 +33,7 @@
 				own++
 				now = now.Add(3 * time.Millisecond)
 				work := prompt(own%400, own)
+				work.Output = 400
 				work.Target = 500 * time.Millisecond
 				slot := balancer.Pick(now, "engines", work, nil)
 				slot.NoteResponse(now.Add(80 * time.Millisecond))
--- a/lib/balancer/generation.go
+++ b/lib/balancer/generation.go
@@ -33,6 +33,9 @@
 		b.engines = make(map[string]resolver.Engine)
 	}
 	b.engines[service] = engine
+	for _, e := range b.all(service) {
+		e.engine, e.hasEngine = engine, true
+	}
 }
 
 // beginGeneration adds the output that a request will probably generate to the endpoint's remaining tokens.
@@ -65,7 +68,7 @@
 	if s.ended {
 		return
 	}
-	g, stride := &s.generation, s.balancer.stride(s.endpoint)
+	g, stride := &s.generation, s.endpoint.stride()
 	g.generated += events * stride
 	// A request that has generated what was expected goes on for at least one event.
 	s.setRemaining(max(g.expected-g.generated, stride))
@@ -93,12 +96,12 @@
 
 // observeGaps updates the step times and the engine's speed with the mean gap of the window's events.
 func (s *Slot) observeGaps(now time.Time) {
-	g, e, b := &s.generation, s.endpoint, s.balancer
-	if g.window == 0 || !b.learnsSpeed(e) {
+	g, e := &s.generation, s.endpoint
+	if g.window == 0 || !e.hasEngine {
 		return
 	}
-	perToken := g.lastEvent.Sub(g.windowStart) / time.Duration(g.window*b.stride(e))
-	steps := b.stepTimes(e.Service)
+	perToken := g.lastEvent.Sub(g.windowStart) / time.Duration(g.window*e.stride())
+	steps := e.steps
 	if steps.Known() {
 		e.speed.ObserveGap(now, perToken, steps.Time(g.running))
 		e.updateSpeed(now)
@@ -114,8 +117,8 @@
 
 // stride returns the number of tokens in an event of an engine, 1 if it is not configured: remaining work
 // is then counted in events.
-func (b *Balancer) stride(e *endpoint) int {
-	return max(b.engines[e.Service].Stride, 1)
+func (e *endpoint) stride() int {
+	return max(e.engine.Stride, 1)
 }
 
 // stepTimes returns the model of the step times of a service's engines.
@@ -145,9 +148,12 @@
 // evenly over the time that they take: of s running ones with r tokens remaining in the mean, one ends
 // every 2r/(s+1) steps.
 func (b *Balancer) slotWait(now time.Time, e *endpoint) time.Duration {
-	slots, steps := b.engines[e.Service].Slots, b.stepTimes(e.Service)
+	slots := e.engine.Slots
+	if slots <= 0 || !e.steps.Known() {
+		return 0
+	}
 	running := b.runningRequests(now, e)
-	if slots <= 0 || running < slots || !steps.Known() {
+	if running < slots {
 		return 0
 	}
 	remaining := e.own.remaining
@@ -156,28 +162,28 @@
 	}
 	mean := float64(remaining) / float64(running)
 	stepsUntilFree := 2 * mean * float64(running-slots+1) / float64(slots+1)
-	return scale(steps.Time(slots), e.gapFactor*stepsUntilFree)
+	return scale(e.steps.Time(slots), e.gapFactor*stepsUntilFree)
 }
 
 // gapLateness returns by how much the expected gap between the events of a request's stream exceeds the
 // longest gap that is in time.
 func (b *Balancer) gapLateness(now time.Time, e *endpoint, work *Work) time.Duration {
-	steps := b.stepTimes(e.Service)
+	steps := e.steps
 	if work.Gap <= 0 || !steps.Known() {
 		return 0
 	}
-	gap := scale(steps.Time(b.runningRequests(now, e)+1), e.gapFactor*float64(b.stride(e)))
+	gap := scale(steps.Time(b.runningRequests(now, e)+1), e.gapFactor*float64(e.stride()))
 	return max(gap-work.Gap, 0)
 }
 
 // runningPrice returns the price of the requests that an engine runs: the time by which they lengthen the
 // generation of this request, or a constant for each where step times are not known.
 func (b *Balancer) runningPrice(now time.Time, e *endpoint, fit *predictor.Fit, work *Work, weights Weights) float64 {
-	steps := b.stepTimes(e.Service)
-	if !b.learnsSpeed(e) || !steps.Known() {
+	steps := e.steps
+	if !e.hasEngine || !steps.Known() {
 		return weights.Running * float64(e.own.running)
 	}
-	slots := b.engines[e.Service].Slots
+	slots := e.engine.Slots
 	running := b.runningRequests(now, e) + 1
 	if slots > 0 {
 		running = min(running, slots)
--- a/lib/balancer/load.go
+++ b/lib/balancer/load.go
@@ -38,7 +38,7 @@
 	loads := make(map[uint64]Load)
 	for _, e := range b.byID {
 		own := Load{Unread: e.own.unread}
-		if _, found := b.engines[e.Service]; found {
+		if e.hasEngine {
 			own.Running, own.Remaining = e.own.running, e.own.remaining
 		}
 		if own != (Load{}) {
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -107,7 +107,7 @@
 	}
 	prefilled := max(waited-s.slotWait, 0)
 	fit.Observe(s.queuedTokens+s.PrefillTokens, scale(prefilled, 1/e.waitFactor))
-	if s.balancer.learnsSpeed(e) {
+	if e.hasEngine {
 		e.speed.ObserveWait(now, prefilled, predicted)
 		e.updateSpeed(now)
 	}
--- a/lib/balancer/speed.go
+++ b/lib/balancer/speed.go
@@ -19,12 +19,6 @@
 	minRankObservations = 20
 )
 
-// learnsSpeed reports whether the speed of an endpoint is learned: its service has engines.
-func (b *Balancer) learnsSpeed(e *endpoint) bool {
-	_, found := b.engines[e.Service]
-	return found
-}
-
 // Speeds returns this router's observations of the speed of each engine, by endpoint key.
 func (b *Balancer) Speeds(now time.Time) map[uint64]predictor.Sums {
 	b.mutex.Lock()
@@ -74,7 +68,7 @@
 	defer b.mutex.Unlock()
 	var factors []float64
 	for _, e := range b.byID {
-		if b.learnsSpeed(e) {
+		if e.hasEngine {
 			factors = append(factors, e.waitFactor)
 		}
 	}
