--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -59,6 +59,7 @@
 	sentQuarantineAt time.Time // when it got them
 	newlyUnreachable []string  // for a keeper: the keepers it reports as unreachable since this poll
 	holdingsAt       time.Time // when it last got an answer that may contain holdings
+	occasional       occasional
 }
 
 // receiveHeartbeat records a heartbeat that an instance sent to this keeper. It reports whether the
@@ -114,6 +115,7 @@
 			d.updateSums(f, -1)
 			f.report.Loads, f.report.Uses = nil, nil
 		}
+		d.expireOccasional(now, f)
 		if now.Sub(f.at) > followerMemory {
 			delete(d.followers, name)
 		}
@@ -174,6 +176,7 @@
 	known.newlyUnreachable = newlyUnreachable(known.report.GetUnheard(), request.GetUnheard())
 	known.at, known.keeper, known.report = now, request.GetKeeper(), request
 	d.updateSums(known, 1)
+	d.updateOccasional(now, known, request)
 	changed := false
 	for _, h := range request.GetHeard() {
 		if d.list.Refresh(now, h.GetId(), lister.FromMillis(h.GetStartedMs()), h.GetSequence()) {
@@ -271,6 +274,7 @@
 		if !request.GetBrief() {
 			response.Uses = d.totalSums.uses.toWire()
 			response.Loads = d.totalSums.loads.excluding(request.GetLoads())
+			d.addOccasional(now, request, response)
 			response.BacklogMs = summary.backlog
 			response.Homes = d.subset.homeSamples()
 		}
--- a/lib/balancer/transfers_fleet_test.go
+++ b/lib/balancer/transfers_fleet_test.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	simPrefillTime = 16180 * time.Nanosecond // of one token
-	simDecodeTime  = 300 * time.Millisecond
+	fetchPrefillTime = 16180 * time.Nanosecond // of one token
+	fetchDecodeTime  = 300 * time.Millisecond
 	pollTime       = 70 * time.Millisecond
-	simSeconds     = 12
-	simLength      = simSeconds * time.Second
-	simTarget      = 500 * time.Millisecond
-	simCapacity    = 390_000 // tokens that an engine caches
+	fetchSeconds     = 12
+	fleetLength      = fetchSeconds * time.Second
+	fetchTarget      = 500 * time.Millisecond
+	fetchCapacity    = 390_000 // tokens that an engine caches
 	sharedTokens   = 5382
 	ownTokens      = 6610
 )
 
-// simEngine is an engine that prefills prompts and transfers prefixes one after another.
-type simEngine struct {
+// fetchEngine is an engine that prefills prompts and transfers prefixes one after another.
+type fetchEngine struct {
 	listing     lister.Listing
-	cached      map[uint64]simPrefix
+	cached      map[uint64]fetchPrefix
 	read        int // tokens of all prompts that were prefilled or fetched since the start
 	idleAt      time.Time
 	linkIdleAt  time.Time
@@ -40,54 +40,54 @@
 	transferred int // fetches from it
 }
 
-// simPrefix is a prefix that an engine has cached.
-type simPrefix struct {
+// fetchPrefix is a prefix that an engine has cached.
+type fetchPrefix struct {
 	at   time.Time // when it was prefilled or fetched
 	read int       // tokens that the engine had read when the prefix was last used
 }
 
-// simFleet is a fleet of routers with one keeper and engines, without a network.
-type simFleet struct {
+// fetchFleet is a fleet of routers with one keeper and engines, without a network.
+type fetchFleet struct {
 	clock    time.Time
 	random   *rand.Rand
 	routers  []*Balancer
 	after    []uint64
-	engines  map[netip.AddrPort]*simEngine
+	engines  map[netip.AddrPort]*fetchEngine
 	keeper   indexer.Directory
 	losses   int // one in so many reports is lost, 0 for none
-	events   simEvents
+	events   fetchEvents
 	waits    []time.Duration
 	reported int
 	answered int
 }
 
-type simEvent struct {
+type fetchEvent struct {
 	at  time.Time
 	run func()
 }
 
-type simEvents []simEvent
+type fetchEvents []fetchEvent
 
-func (e simEvents) Len() int           { return len(e) }
-func (e simEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
+func (e fetchEvents) Len() int           { return len(e) }
+func (e fetchEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e fetchEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *fetchEvents) Push(x any)        { *e = append(*e, x.(fetchEvent)) }
+func (e *fetchEvents) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
 }
 
-func newSimFleet(routers, engines int, transfers bool) *simFleet {
-	f := &simFleet{clock: start, random: rand.New(rand.NewPCG(1, 2)), engines: make(map[netip.AddrPort]*simEngine), after: make([]uint64, routers)}
+func newFetchFleet(routers, engines int, transfers bool) *fetchFleet {
+	f := &fetchFleet{clock: start, random: rand.New(rand.NewPCG(1, 2)), engines: make(map[netip.AddrPort]*fetchEngine), after: make([]uint64, routers)}
 	for i := range engines {
 		listing := engine(i + 1)
 		listing.Started = start
-		f.engines[listing.Address] = &simEngine{listing: listing, cached: make(map[uint64]simPrefix)}
+		f.engines[listing.Address] = &fetchEngine{listing: listing, cached: make(map[uint64]fetchPrefix)}
 	}
 	for i := range routers {
 		b := &Balancer{Seed: uint64(i + 1)}
-		b.SetCacheCapacity("engines", simCapacity)
+		b.SetCacheCapacity("engines", fetchCapacity)
 		b.SetRouterCount(routers)
 		if transfers {
 			b.Prefixes = &indexer.Exchange{}
@@ -102,14 +102,14 @@
 	return f
 }
 
-func (f *simFleet) schedule(delay time.Duration, run func()) {
-	heap.Push(&f.events, simEvent{at: f.clock.Add(delay), run: run})
+func (f *fetchFleet) schedule(delay time.Duration, run func()) {
+	heap.Push(&f.events, fetchEvent{at: f.clock.Add(delay), run: run})
 }
 
 // runUntil runs the events up to a time.
-func (f *simFleet) runUntil(end time.Time) {
+func (f *fetchFleet) runUntil(end time.Time) {
 	for len(f.events) > 0 && f.events[0].at.Before(end) {
-		next := heap.Pop(&f.events).(simEvent)
+		next := heap.Pop(&f.events).(fetchEvent)
 		f.clock = next.at
 		next.run()
 	}
@@ -118,7 +118,7 @@
 
 // poll exchanges the prefixes and the loads of a router with the keeper. Holdings are answered every
 // seventh poll.
-func (f *simFleet) poll(router int) {
+func (f *fetchFleet) poll(router int) {
 	b := f.routers[router]
 	unread := make(map[uint64]int)
 	for i, other := range f.routers {
@@ -155,7 +155,7 @@
 }
 
 // request sends a request with a shared prefix from a random router.
-func (f *simFleet) request(shared uint64) {
+func (f *fetchFleet) request(shared uint64) {
 	work := &Work{
 		Model: "m", Prompt: sharedTokens + ownTokens, Target: time.Second,
 		Parts: []Part{{ID: shared, Tokens: sharedTokens}, {ID: f.random.Uint64(), Tokens: ownTokens}},
@@ -166,16 +166,16 @@
 	ready := e.serve(f, slot, shared)
 	f.waits = append(f.waits, ready.Sub(begun))
 	f.schedule(ready.Sub(begun), func() { slot.NoteResponse(f.clock) })
-	f.schedule(ready.Sub(begun)+simDecodeTime, func() { slot.End(f.clock, Served) })
+	f.schedule(ready.Sub(begun)+fetchDecodeTime, func() { slot.End(f.clock, Served) })
 }
 
 // serve returns when an engine has prefilled the prompt of a request.
-func (e *simEngine) serve(f *simFleet, slot *Slot, shared uint64) time.Time {
+func (e *fetchEngine) serve(f *fetchFleet, slot *Slot, shared uint64) time.Time {
 	begin := e.idleAt
 	if begin.Before(f.clock) {
 		begin = f.clock
 	}
-	done := begin.Add(ownTokens * simPrefillTime)
+	done := begin.Add(ownTokens * fetchPrefillTime)
 	e.read += ownTokens
 	cachedAt := e.cached[shared].at
 	if !e.holds(shared) {
@@ -190,25 +190,25 @@
 		}
 		if fetched.IsZero() {
 			e.prefills++
-			done = done.Add(sharedTokens * simPrefillTime)
+			done = done.Add(sharedTokens * fetchPrefillTime)
 		} else {
-			done = fetched.Add(ownTokens * simPrefillTime)
+			done = fetched.Add(ownTokens * fetchPrefillTime)
 		}
 		cachedAt = done
 	}
-	e.cached[shared] = simPrefix{at: cachedAt, read: e.read}
+	e.cached[shared] = fetchPrefix{at: cachedAt, read: e.read}
 	e.idleAt = done
 	return done
 }
 
 // holds reports whether an engine has a prefix and has not evicted it.
-func (e *simEngine) holds(shared uint64) bool {
+func (e *fetchEngine) holds(shared uint64) bool {
 	cached, found := e.cached[shared]
-	return found && e.read-cached.read <= simCapacity
+	return found && e.read-cached.read <= fetchCapacity
 }
 
 // transfer returns when an engine has transferred a prefix, zero if it does not have it.
-func (e *simEngine) transfer(begin time.Time, shared uint64) time.Time {
+func (e *fetchEngine) transfer(begin time.Time, shared uint64) time.Time {
 	if !e.holds(shared) || e.cached[shared].at.After(begin) || e.unreachable {
 		return time.Time{}
 	}
@@ -221,7 +221,7 @@
 }
 
 // load sends requests at a rate for a time, with prefixes chosen at random.
-func (f *simFleet) load(length time.Duration, perSecond int, prefixes uint64) {
+func (f *fetchFleet) load(length time.Duration, perSecond int, prefixes uint64) {
 	end := f.clock.Add(length)
 	for f.clock.Before(end) {
 		f.runUntil(f.clock.Add(time.Second / time.Duration(perSecond)))
@@ -234,7 +234,7 @@
 	prefills, fetches, misses, mostFrom int
 }
 
-func (f *simFleet) totals() totals {
+func (f *fetchFleet) totals() totals {
 	var sum totals
 	for _, e := range f.engines {
 		sum.prefills += e.prefills
@@ -246,7 +246,7 @@
 }
 
 // late returns the fraction of the requests whose first token took more than a length.
-func (f *simFleet) late(than time.Duration) float64 {
+func (f *fetchFleet) late(than time.Duration) float64 {
 	count := 0
 	for _, wait := range f.waits {
 		if wait > than {
@@ -272,11 +272,11 @@
 			var results []totals
 			var late []float64
 			for _, transfers := range []bool{false, true} {
-				f := newSimFleet(20, 40, transfers)
-				f.load(simLength, test.perSecond, test.prefixes)
-				results, late = append(results, f.totals()), append(late, f.late(simTarget))
+				f := newFetchFleet(20, 40, transfers)
+				f.load(fleetLength, test.perSecond, test.prefixes)
+				results, late = append(results, f.totals()), append(late, f.late(fetchTarget))
 				t.Logf("transfers %t: %+v, late %.4f, reported %d per second, answered %d per second and router",
-					transfers, f.totals(), f.late(simTarget), f.reported/simSeconds, f.answered/simSeconds/20)
+					transfers, f.totals(), f.late(fetchTarget), f.reported/fetchSeconds, f.answered/fetchSeconds/20)
 			}
 			require.Less(t, results[1].prefills, results[0].prefills)
 			require.LessOrEqual(t, late[1], late[0]+0.01)
@@ -286,37 +286,37 @@
 
 // Guards against a part that costs more than it saves while keepers and engines fail.
 func TestFetchesUnderFailure(t *testing.T) {
-	tests := map[string]func(f *simFleet){
-		"nothing fails": func(*simFleet) {},
-		"a source leaves": func(f *simFleet) {
+	tests := map[string]func(f *fetchFleet){
+		"nothing fails": func(*fetchFleet) {},
+		"a source leaves": func(f *fetchFleet) {
 			f.listAll(f.busiestSource(), func(l *lister.Listing) { l.State = lister.Leaving })
 		},
-		"a source restarts": func(f *simFleet) {
+		"a source restarts": func(f *fetchFleet) {
 			e := f.busiestSource()
-			e.cached = make(map[uint64]simPrefix)
+			e.cached = make(map[uint64]fetchPrefix)
 			f.listAll(e, func(l *lister.Listing) { l.Started = f.clock })
 		},
-		"a source is cut off from other engines": func(f *simFleet) { f.busiestSource().unreachable = true },
-		"the keeper restarts": func(f *simFleet) {
+		"a source is cut off from other engines": func(f *fetchFleet) { f.busiestSource().unreachable = true },
+		"the keeper restarts": func(f *fetchFleet) {
 			f.keeper = indexer.Directory{}
 			for _, b := range f.routers {
 				b.Prefixes.Lost(keeperAddress)
 			}
 		},
-		"half of the reports are lost": func(f *simFleet) { f.losses = 2 },
-		"no keeper answers":            func(f *simFleet) { f.losses = 1 },
+		"half of the reports are lost": func(f *fetchFleet) { f.losses = 2 },
+		"no keeper answers":            func(f *fetchFleet) { f.losses = 1 },
 	}
-	plain := newSimFleet(20, 40, false)
-	plain.load(simLength, 280, 600)
+	plain := newFetchFleet(20, 40, false)
+	plain.load(fleetLength, 280, 600)
 	for name, fail := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := newSimFleet(20, 40, true)
-			f.load(simLength/2, 280, 600)
+			f := newFetchFleet(20, 40, true)
+			f.load(fleetLength/2, 280, 600)
 			fail(f)
-			f.load(simLength-simLength/2, 280, 600)
-			t.Logf("%+v, without transfers %+v, late %.4f and %.4f", f.totals(), plain.totals(), f.late(simTarget), plain.late(simTarget))
+			f.load(fleetLength-fleetLength/2, 280, 600)
+			t.Logf("%+v, without transfers %+v, late %.4f and %.4f", f.totals(), plain.totals(), f.late(fetchTarget), plain.late(fetchTarget))
 			require.Less(t, f.totals().prefills, plain.totals().prefills)
-			require.LessOrEqual(t, f.late(simTarget), plain.late(simTarget)+0.02)
+			require.LessOrEqual(t, f.late(fetchTarget), plain.late(fetchTarget)+0.02)
 			for _, e := range f.engines {
 				for _, b := range f.routers {
 					require.GreaterOrEqual(t, b.byID[e.listing.ID].transfers, 0)
@@ -327,8 +327,8 @@
 }
 
 // busiestSource returns the engine from which most prefixes were fetched.
-func (f *simFleet) busiestSource() *simEngine {
-	var busiest *simEngine
+func (f *fetchFleet) busiestSource() *fetchEngine {
+	var busiest *fetchEngine
 	for i := range len(f.engines) {
 		e := f.engines[engine(i+1).Address]
 		if busiest == nil || e.transferred > busiest.transferred {
@@ -339,7 +339,7 @@
 }
 
 // listAll changes the listing of an engine at all routers.
-func (f *simFleet) listAll(e *simEngine, change func(l *lister.Listing)) {
+func (f *fetchFleet) listAll(e *fetchEngine, change func(l *lister.Listing)) {
 	change(&e.listing)
 	for _, b := range f.routers {
 		b.Update(e.listing)
--- a/lib/resolver/plan.go
+++ b/lib/resolver/plan.go
@@ -74,6 +74,8 @@
 	// TransferTime is the time to transfer the cache of one prompt token from one engine to another,
 	// 0 if engines don't transfer cached prompt prefixes.
 	TransferTime time.Duration
+	// Stride is the number of tokens in each event of a stream, 0 if it is not known.
+	Stride int
 }
 
 // Service is a group of endpoints that do the same work.
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -34,6 +34,7 @@
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/budgeter"
 	"shallotkeel.example/lib/damper"
+	"shallotkeel.example/lib/estimator"
 	"shallotkeel.example/lib/forwarder"
 	"shallotkeel.example/lib/framer"
 	"shallotkeel.example/lib/localizer"
@@ -120,6 +121,7 @@
 	retries            retryTracker
 	workspaces         workspaceStats
 	refusals           refusalRate
+	outputs            estimator.Shared // output tokens of streams, by workspace and route
 	prober             prober.Prober
 	received           atomic.Uint64 // requests that have arrived
 	refused            atomic.Uint64 // requests refused, including those refused by Screen
@@ -175,6 +177,8 @@
 	fetchTokens      int            // tokens that it probably fetched
 	queueWait        time.Duration  // expected time until the endpoint finishes the prefills queued before it
 	expectedFirst    time.Duration  // expected time until the first token
+	slotWait         time.Duration  // part of queueWait until the endpoint has a free slot
+	firstError       time.Duration  // observed minus expected time until the first token at the last endpoint
 	status           int
 	refusedBy        refusalCause
 	reason           string
