--- a/lib/balancer/transfers_fleet_test.go
+++ b/lib/balancer/transfers_fleet_test.go
@@ -17,13 +17,13 @@
 const (
 	fetchPrefillTime = 16180 * time.Nanosecond // of one token
 	fetchDecodeTime  = 300 * time.Millisecond
-	pollTime       = 70 * time.Millisecond
+	pollTime         = 70 * time.Millisecond
 	fetchSeconds     = 12
 	fleetLength      = fetchSeconds * time.Second
 	fetchTarget      = 500 * time.Millisecond
 	fetchCapacity    = 390_000 // tokens that an engine caches
-	sharedTokens   = 5382
-	ownTokens      = 6610
+	sharedTokens     = 5382
+	ownTokens        = 6610
 )
 
 // fetchEngine is an engine that prefills prompts and transfers prefixes one after another.
@@ -120,16 +120,18 @@
 // seventh poll.
 func (f *fetchFleet) poll(router int) {
 	b := f.routers[router]
-	unread := make(map[uint64]int)
+	loads := make(map[uint64]Load)
 	for i, other := range f.routers {
 		if i == router {
 			continue
 		}
-		for key, tokens := range other.UnreadTokens() {
-			unread[key] += tokens
+		for key, load := range other.Loads() {
+			sum := loads[key]
+			sum.Unread += load.Unread
+			loads[key] = sum
 		}
 	}
-	b.SetOtherLoads(f.clock, unread)
+	b.SetOtherLoads(f.clock, loads)
 	f.schedule(pollTime, func() { f.poll(router) })
 	if b.Prefixes == nil {
 		return
