Refuse beyond the share first, and tell owed requests to retry at once

A full router refused late requests of small workspaces beside a flood, held each workspace to an even part even if others left room, and delayed owed retries as long as the flood's. It now refuses what exceeds the guaranteed share first, divides starts and requests in flight by max-min fairness, and refuses late requests only where the rest exceeds its capacity.

--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -26,6 +26,15 @@
 	countSpan = 500 * time.Millisecond
 	// maxClients bounds the clients that are counted separately in a span; each takes 50 bytes.
 	maxClients = 256
+	// maxStartDebt bounds what clients within their share start beyond the rate, in seconds of the rate:
+	// after a burst of them, the others wait no longer than that.
+	maxStartDebt = 500 * time.Millisecond
+	// debtThreshold is the debt from which clients within their share alone exceed the rate: it is twice
+	// what they start at once in a burst.
+	debtThreshold = 80 * time.Millisecond
+	// levelAge is how long a fair level is used: sorting many clients for each refusal would take as
+	// long as the refusal.
+	levelAge = 25 * time.Millisecond
 )
 
 // Rate bounds how many requests a process starts per second, depending on its lateness.
@@ -36,8 +45,8 @@
 // start, so that starts are paced. Min and Initial are starts per second; the zero value bounds
 // nothing.
 //
-// A client that has started less than an even share of the capacity may start more even if no token
-// is left: otherwise one client that floods a process would keep all others out.
+// A client that has started less than its max-min fair share of the capacity may start more even if no
+// token is left: otherwise one client that floods a process would keep all others out.
 type Rate struct {
 	Min, Initial float64
 
@@ -50,6 +59,8 @@
 
 	spanStart        time.Time // start of the span that recent counts
 	recent, previous map[string]int
+	level            float64   // starts of one client within a span that its fair share allows
+	levelAt          time.Time // when level was computed
 }
 
 // unbounded reports whether the rate bounds nothing.
@@ -72,26 +83,57 @@
 	return false
 }
 
-// ExceedsShare reports whether a client has started an even share of the capacity or more.
+// Exhausted reports whether clients within their share alone exceed the rate, so that not all of them
+// can be served.
+func (r *Rate) Exhausted(now time.Time) bool {
+	if r.unbounded() {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.refill(now)
+	return r.tokens < -r.current()*debtThreshold.Seconds()
+}
+
+// ExceedsShare reports whether a client has started its max-min fair share of the capacity or more.
 func (r *Rate) ExceedsShare(now time.Time, client string) bool {
+	return r.usesPart(now, client, 1)
+}
+
+// UsesHalfShare reports whether a client has started half of its max-min fair share or more. Less urgent
+// requests are held to that, so that the client's others find room.
+func (r *Rate) UsesHalfShare(now time.Time, client string) bool {
+	return r.usesPart(now, client, 0.5)
+}
+
+// usesPart reports whether a client has started a part of its fair share or more.
+func (r *Rate) usesPart(now time.Time, client string, part float64) bool {
 	if r.unbounded() {
 		return false
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.rotate(now)
-	clients := len(r.previous)
-	for other := range r.recent {
-		if _, found := r.previous[other]; !found {
-			clients++
-		}
+	if now.Sub(r.levelAt) >= levelAge {
+		r.updateLevel(now)
 	}
 	started := r.recent[client] + r.previous[client]
-	if started == 0 {
-		clients++
+	return len(r.recent) > maxClients || len(r.previous) > maxClients || float64(started) >= max(part*r.level, 1)
+}
+
+// updateLevel computes the fair level from the starts of the current and the previous span.
+func (r *Rate) updateLevel(now time.Time) {
+	started := make([]int, 0, len(r.recent)+len(r.previous))
+	for client, count := range r.recent {
+		started = append(started, count+r.previous[client])
+	}
+	for client, count := range r.previous {
+		if _, found := r.recent[client]; !found {
+			started = append(started, count)
+		}
 	}
 	capacity := r.current() * (now.Sub(r.spanStart) + countSpan).Seconds()
-	return clients > maxClients || float64(started) >= max(capacity/float64(clients), 1)
+	r.level, r.levelAt = FairLevel(started, capacity), now
 }
 
 // rotate begins a new span when the current one is over.
@@ -114,7 +156,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.refill(now)
-	r.tokens--
+	r.tokens = max(r.tokens-1, -r.current()*maxStartDebt.Seconds())
 	r.rotate(now)
 	if len(r.recent) <= maxClients {
 		r.recent[client]++
--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -58,7 +58,7 @@
 	if p.busy(q) {
 		// Admitting the request to an overloaded router would delay it and every other request.
 		p.noteOverload(q)
-		p.refuse(q, byRouter, http.StatusServiceUnavailable, reasonRouterBusy, p.overloadRetryAfter(q.received))
+		p.refuse(q, byRouter, http.StatusServiceUnavailable, reasonRouterBusy, p.overloadRetryAfter(q))
 		return false
 	}
 	if !p.readBody(q) || p.refusedAtStop(q) {
@@ -162,9 +162,33 @@
 	return q.route.Target > 0 && q.received.Sub(q.firstReceived) >= time.Duration(lateFraction*float64(q.route.Target))
 }
 
-// busy reports whether the router has no capacity for another request of the request's workspace.
+// busy reports whether the router has no capacity for the request. A full router refuses what exceeds a
+// workspace's share first, be it the guaranteed one or the fair share of this router. Only if the
+// rest still exceeds what it can start, or their workspace leaves little of its fair share unused, it
+// refuses requests that are late already.
 func (p *Proxier) busy(q *request) bool {
-	return p.full(q.received) && (q.late() || p.overFairShare(q.received, q.workspace))
+	if !p.full(q.received) {
+		return false
+	}
+	q.standing = p.standing(q)
+	return !q.standing.Owed || p.overFairShare(q.received, q.workspace) || q.late() && (p.exhausted(q.received) || p.options.StartRate.UsesHalfShare(q.received, q.workspace))
+}
+
+// standing returns how the request relates to the guaranteed share of its workspace.
+func (p *Proxier) standing(q *request) apportioner.Standing {
+	if p.options.Shares == nil || q.table == nil {
+		return apportioner.Standing{Owed: true}
+	}
+	standing := p.options.Shares.Standing(q.received, q.workspace)
+	if !p.sharesEngines(q) {
+		standing.Owed = true // plain services have no shares
+	}
+	return standing
+}
+
+// exhausted reports whether the router cannot serve even the requests within shares.
+func (p *Proxier) exhausted(now time.Time) bool {
+	return p.options.CPUStarved != nil && p.options.CPUStarved() || p.options.StartRate.Exhausted(now)
 }
 
 // full reports whether the router has no capacity for another request of any workspace.
@@ -179,7 +203,7 @@
 	return full
 }
 
-// overFairShare reports whether a workspace uses at least its even part of a full router.
+// overFairShare reports whether a workspace uses at least its max-min fair part of a full router.
 func (p *Proxier) overFairShare(now time.Time, workspace string) bool {
 	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(workspace, p.options.MaxRequests)
 }
--- a/router/internal/proxier/inflight.go
+++ b/router/internal/proxier/inflight.go
@@ -1,8 +1,12 @@
 package proxier
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
+
+	"shallotkeel.example/lib/pacer"
 )
 
 // inFlight counts the requests in flight, for a planned stop and for the limit on them.
@@ -11,7 +15,8 @@
 	refusing   atomic.Bool // requests that are read from now on are refused
 	mutex      sync.Mutex
 	running    int
-	workspaces map[string]int // requests in flight, of workspaces that have any
+	admitted   int            // requests in flight that have been admitted
+	workspaces map[string]int // those by workspace, of workspaces that have any
 }
 
 // enterWorkspace counts a request of a workspace.
@@ -21,32 +26,32 @@
 	if f.workspaces == nil {
 		f.workspaces = make(map[string]int)
 	}
+	f.admitted++
 	f.workspaces[workspace]++
 }
 
 func (f *inFlight) leaveWorkspace(workspace string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.admitted--
 	f.workspaces[workspace]--
 	if f.workspaces[workspace] <= 0 {
 		delete(f.workspaces, workspace)
 	}
 }
 
-// overFairShare reports whether a workspace has at least its even part of the limit in flight.
+// overFairShare reports whether a workspace has its max-min fair part of the limit in flight or more.
 // A workspace with less is admitted even if the limit is reached: otherwise a workspace that
-// floods the router would keep all others out of it.
+// floods the router would keep all others out of it. Requests that are being refused do not count
+// toward the hard limit: with them, a flood alone would reach it.
 func (f *inFlight) overFairShare(workspace string, limit int) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.running > hardLimitFactor*limit {
+	if f.admitted > hardLimitFactor*limit {
 		return true
 	}
-	workspaces := len(f.workspaces)
-	if f.workspaces[workspace] == 0 {
-		workspaces++
-	}
-	return f.workspaces[workspace] >= max(limit/max(workspaces, 1), 1)
+	level := pacer.FairLevel(slices.Collect(maps.Values(f.workspaces)), float64(limit))
+	return float64(f.workspaces[workspace]) >= max(level, 1)
 }
 
 // hardLimitFactor is the factor by which the limit may be exceeded so that workspaces with few
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -166,12 +166,13 @@
 	framing          framer.Framing   // of the last endpoint's answer
 	tried            map[string]bool  // ids of instances
 	endpoint         string
-	lastHeard        time.Time     // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
-	answerBegan      time.Time     // when the last endpoint began its answer, zero before that
-	beyondShare      bool          // it exceeds its workspace's guaranteed share
-	prefillTokens    int           // tokens that the last endpoint probably had to prefill
-	queueWait        time.Duration // expected time until the endpoint finishes the prefills queued before it
-	expectedFirst    time.Duration // expected time until the first token
+	lastHeard        time.Time            // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
+	answerBegan      time.Time            // when the last endpoint began its answer, zero before that
+	beyondShare      bool                 // it exceeds its workspace's guaranteed share
+	standing         apportioner.Standing // set if the router is full when it arrives
+	prefillTokens    int                  // tokens that the last endpoint probably had to prefill
+	queueWait        time.Duration        // expected time until the endpoint finishes the prefills queued before it
+	expectedFirst    time.Duration        // expected time until the first token
 	status           int
 	refusedBy        refusalCause
 	reason           string
--- a/router/internal/proxier/refusalrate.go
+++ b/router/internal/proxier/refusalrate.go
@@ -69,11 +69,15 @@
 	return p.refusals.ratio(now)
 }
 
-// overloadRetryAfter returns the pause of a client that was refused for lack of router capacity. A retry is as
-// likely to be refused as a new request. If one request in twenty is admitted, retries at once
+// overloadRetryAfter returns the pause of a client that was refused for lack of router capacity. Its retry uses
+// a new connection, which mostly reaches another router. A retry that is owed should get there in time. Any
+// other is as likely to be refused as a new request: if one request in twenty is admitted, retries at once
 // only take processor time from requests that could be served.
-func (p *Proxier) overloadRetryAfter(now time.Time) time.Duration {
-	return retryAfterFor(p.refusals.ratio(now))
+func (p *Proxier) overloadRetryAfter(q *request) time.Duration {
+	if q.standing.Underserved {
+		return minRetryAfter
+	}
+	return retryAfterFor(p.refusals.ratio(q.received))
 }
 
 // retryAfterFor returns the pause before a retry if a fraction of the requests, 0 to 1, is refused.
--- a/router/internal/proxier/refusalrate_test.go
+++ b/router/internal/proxier/refusalrate_test.go
@@ -38,7 +38,7 @@
 			for i := range test.asked {
 				p.refusals.add(now, i < test.refused)
 			}
-			require.InDelta(t, test.want.Seconds(), p.overloadRetryAfter(now.Add(test.age)).Seconds(), 1e-6)
+			require.InDelta(t, test.want.Seconds(), p.overloadRetryAfter(&request{received: now.Add(test.age)}).Seconds(), 1e-6)
 		})
 	}
 }
--- a/router/internal/proxier/screen.go
+++ b/router/internal/proxier/screen.go
@@ -51,7 +51,7 @@
 	if p.busy(q) {
 		q.refusedBy = byRouter
 		p.noteOverload(q)
-		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: reasonRouterBusy, Retry: p.overloadRetryAfter(q.received)}
+		return &screener.Refusal{Status: http.StatusServiceUnavailable, Reason: reasonRouterBusy, Retry: p.overloadRetryAfter(q)}
 	}
 	if !p.sharesEngines(q) {
 		return nil
