--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -175,7 +175,7 @@
 	lastHeard        time.Time            // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
 	answerBegan      time.Time            // when the last endpoint began its answer, zero before that
 	beyondShare      bool                 // it exceeds its workspace's guaranteed share
-	standing         apportioner.Standing // set if the router is full when it arrives
+	standing         apportioner.Standing // as found when it arrived at a full router, owed otherwise
 	prefillTokens    int                  // tokens that the last endpoint probably had to prefill
 	queueWait        time.Duration        // expected time until the endpoint finishes the prefills queued before it
 	expectedFirst    time.Duration        // expected time until the first token
@@ -193,7 +193,7 @@
 
 // ServeHTTP serves one request.
 func (p *Proxier) ServeHTTP(w http.ResponseWriter, h *http.Request) {
-	q := &request{http: h, writer: w, received: p.options.Clock.Now()}
+	q := &request{http: h, writer: w, received: p.options.Clock.Now(), standing: apportioner.Standing{Owed: true}}
 	p.received.Add(1)
 	p.inFlight.enter()
 	defer p.inFlight.leave()
