--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -61,7 +61,6 @@
 		p.refuse(q, byRouter, http.StatusServiceUnavailable, reasonRouterBusy, p.overloadRetryAfter(q))
 		return false
 	}
-	p.owedRefusals.add(q.received, false)
 	if !p.readBody(q) || p.refusedAtStop(q) {
 		return false
 	}
@@ -194,7 +193,7 @@
 
 // full reports whether the router has no capacity for another request of any workspace.
 func (p *Proxier) full(now time.Time) bool {
-	limit := p.limit()
+	limit := p.options.MaxRequests
 	if limit == 0 {
 		return false
 	}
@@ -207,7 +206,7 @@
 
 // overFairShare reports whether a workspace uses at least its max-min fair part of a full router.
 func (p *Proxier) overFairShare(now time.Time, workspace string) bool {
-	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(workspace, p.limit())
+	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(workspace, p.options.MaxRequests)
 }
 
 // targetOf returns path and query exactly as the client sent them.
--- a/router/internal/proxier/inflight.go
+++ b/router/internal/proxier/inflight.go
@@ -91,16 +91,3 @@
 	defer p.inFlight.mutex.Unlock()
 	return p.inFlight.running
 }
-
-// SetMaxRequests replaces Options.MaxRequests once the cost of requests has been measured.
-func (p *Proxier) SetMaxRequests(limit int) {
-	p.maxRequests.Store(int64(limit))
-}
-
-// limit returns the maximum number of requests in flight, 0 if there is none.
-func (p *Proxier) limit() int {
-	if set := p.maxRequests.Load(); set > 0 {
-		return int(set)
-	}
-	return p.options.MaxRequests
-}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -98,7 +98,7 @@
 	// CloseRate bounds the connections that are closed behind answers to workspaces beyond their share
 	// while the router refuses requests. If it is nil, they are kept.
 	CloseRate *pacer.Rate
-	// MaxRequests limits the requests in flight, 0 for no limit. SetMaxRequests replaces it.
+	// MaxRequests limits the requests in flight, 0 for no limit.
 	MaxRequests int
 	// MaxTotalBodyBytes limits the bytes of request bodies held at a time, 0 for no limit.
 	MaxTotalBodyBytes int64
@@ -122,8 +122,6 @@
 	retries            retryTracker
 	workspaces         workspaceStats
 	refusals           refusalRate
-	owedRefusals       refusalRate   // of requests that are owed
-	maxRequests        atomic.Int64  // set by SetMaxRequests, 0 if it has not been called
 	closedBehind       atomic.Uint64 // connections closed behind answers to a flood
 	prober             prober.Prober
 	received           atomic.Uint64 // requests that have arrived
--- a/router/internal/proxier/refusalrate.go
+++ b/router/internal/proxier/refusalrate.go
@@ -14,8 +14,6 @@
 	// maxRetryAfter is the longest pause after a refusal for lack of capacity. Clients honour a
 	// Retry-After of at most a third of their timeout, and by then others may have taken the capacity.
 	maxRetryAfter = time.Second
-	// minOwedSamples is that minimum for requests that are owed: a router gets few of them beside a flood.
-	minOwedSamples = 10
 	// likelyRefused is the refusal rate above which a retry is more likely to be refused again
 	// than not.
 	likelyRefused = 0.5
@@ -43,16 +41,11 @@
 
 // ratio returns the fraction of recent requests that were refused, 0 to 1.
 func (r *refusalRate) ratio(now time.Time) float64 {
-	return r.ratioOf(now, minRefusalSamples)
-}
-
-// ratioOf returns that fraction, 0 if there are fewer recent requests than a minimum.
-func (r *refusalRate) ratioOf(now time.Time, samples int) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.rotate(now)
 	total := r.current.total + r.previous.total
-	if total < samples {
+	if total < minRefusalSamples {
 		return 0
 	}
 	return float64(r.current.refused+r.previous.refused) / float64(total)
@@ -76,15 +69,9 @@
 	return p.refusals.ratio(now)
 }
 
-// OwedRefusalRatio returns the fraction of recent requests refused for lack of router capacity, 0 to 1, of
-// those that are owed to workspaces served less than their share, and of those admitted.
-func (p *Proxier) OwedRefusalRatio(now time.Time) float64 {
-	return p.owedRefusals.ratioOf(now, minOwedSamples)
-}
-
 // overloadRetryAfter returns the pause of a client that was refused for lack of router capacity. Its retry uses
-// a new connection, which mostly reaches another router. A retry that is owed should get there in time. Any
-// other is as likely to be refused as a new request: if one request in twenty is admitted, retries at once
+// a new connection, which mostly reaches another router. If its workspace gets less than its guaranteed share, the
+// retry should get there in time. Any other is as likely to be refused as a new request: if one request in twenty is admitted, retries at once
 // only take processor time from requests that could be served.
 func (p *Proxier) overloadRetryAfter(q *request) time.Duration {
 	if q.standing.Underserved {
--- a/router/internal/proxier/screen.go
+++ b/router/internal/proxier/screen.go
@@ -68,9 +68,6 @@
 // of its workspace: the fleet must know that the workspace is waiting.
 func (p *Proxier) noteOverload(q *request) {
 	p.refusedForCapacity.Add(1)
-	if q.standing.Owed && q.standing.Underserved {
-		p.owedRefusals.add(q.received, true)
-	}
 	if p.sharesEngines(q) {
 		p.options.Shares.CountShed(q.received, q.workspace, float64(q.tokens()))
 	}
--- a/router/internal/proxier/shedding_test.go
+++ b/router/internal/proxier/shedding_test.go
@@ -142,29 +142,3 @@
 	}
 	require.True(t, f.overFairShare("small", limit))
 }
-
-// Guards against a router that diverts its clients because it refuses a flood, which is not owed, or that
-// does not notice that it refuses what is owed.
-func TestOwedRefusalsAreCountedApart(t *testing.T) {
-	tests := map[string]struct {
-		workspace string
-		served    uint64 // tokens per second of the flood that the fleet serves
-		want      float64
-	}{
-		"small workspace":             {workspace: "small", served: 1e6, want: 0.5},
-		"a flood that gets its share": {workspace: "flood", served: 1e6},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			f := newSheddingFixture(t, test.served)
-			f.options.CPUStarved = func() bool { return true }
-			for range minOwedSamples {
-				q := f.request(test.workspace, "engines", 300*time.Millisecond)
-				require.True(t, f.busy(q))
-				f.noteOverload(q)
-				f.owedRefusals.add(q.received, false)
-			}
-			require.InDelta(t, test.want, f.OwedRefusalRatio(f.clock.Now()), 1e-9)
-		})
-	}
-}
