Judge by average and present service whether a workspace is underserved

Standing compared only the latest service with the share, so that a flood's refused clients were told by turns to retry at once and to wait. It now uses the larger of both, as ShedRates does.

--- a/lib/apportioner/apportioner.go
+++ b/lib/apportioner/apportioner.go
@@ -104,7 +104,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, w := range a.workspaces {
-		if max(w.servedAverage, float64(w.fleetUse.Served)) >= w.guaranteed.share {
+		if w.served() >= w.guaranteed.share {
 			continue
 		}
 		w.decay(now)
--- a/lib/apportioner/standing.go
+++ b/lib/apportioner/standing.go
@@ -27,6 +27,6 @@
 	a.decide(now, w, false) // it refills the allowances
 	return Standing{
 		Owed:        !w.guaranteed.bounded || w.guaranteed.tokens >= 0,
-		Underserved: math.IsInf(w.guaranteed.share, 1) || float64(w.fleetUse.Served) < w.guaranteed.share,
+		Underserved: math.IsInf(w.guaranteed.share, 1) || w.served() < w.guaranteed.share,
 	}
 }
--- a/lib/apportioner/standing_test.go
+++ b/lib/apportioner/standing_test.go
@@ -53,3 +53,35 @@
 		})
 	}
 }
+
+// Guards against a flood whose refused clients are told by turns to retry at once and to wait, because
+// the service that the fleet gives it varies from one report to the next.
+func TestStandingDoesNotFollowShortDips(t *testing.T) {
+	const reports, guaranteed = 100 * time.Millisecond, 1_000_000 * guaranteedStretch / 2
+	tests := map[string]struct {
+		before, now float64 // parts of the guaranteed share that the fleet serves
+		length      time.Duration
+		want        bool
+	}{
+		"a dip":               {before: 1.5, length: 2 * reports},
+		"a rise":              {before: 0.1, now: 1.1, length: reports},
+		"a lasting fall":      {before: 1.5, length: time.Minute, want: true},
+		"little all the time": {before: 0.5, now: 0.5, length: time.Minute, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var a Apportioner
+			a.SetCapacity(1_000_000)
+			now := time.Unix(1000, 0)
+			serve := func(length time.Duration, part float64) {
+				for range length / reports {
+					now = now.Add(reports)
+					a.SetFleetUse(now, map[string]Use{"w": {Demand: 9e6, Served: uint64(part * guaranteed)}, "other": {Demand: 9e6, Served: guaranteed}}, 0)
+				}
+			}
+			serve(time.Minute, test.before)
+			serve(test.length, test.now)
+			require.Equal(t, test.want, a.Standing(now, "w").Underserved)
+		})
+	}
+}
--- a/lib/apportioner/workspace.go
+++ b/lib/apportioner/workspace.go
@@ -82,6 +82,13 @@
 	return w
 }
 
+// served returns the larger of the present and the average service rate of the whole fleet, in tokens per
+// second. The service of a flood varies with the routers that its clients reach: by either rate alone, a
+// workspace that gets its share would count as underserved at times.
+func (w *workspace) served() float64 {
+	return max(w.servedAverage, float64(w.fleetUse.Served))
+}
+
 // addDemand counts the tokens of a request as demand.
 func (w *workspace) addDemand(now time.Time, tokens float64) {
 	w.decay(now)
