Cache the fair part of the requests in flight

A full router sorted and allocated under the mutex of the requests in flight for each check. The fair level is now computed at most every 25 ms, by the same code as that of the starts.

--- a/lib/pacer/fair_test.go
+++ b/lib/pacer/fair_test.go
@@ -27,8 +27,31 @@
 	}
 }
 
+// Guards against a full process that sorts and allocates for each refusal, and against a level that stays
+// in force after the use has changed.
+func TestLevelIsComputedOncePerInterval(t *testing.T) {
+	var l Level
+	now := time.Unix(1000, 0)
+	used := map[string]int{"a": 100, "b": 1}
+	counted := 0
+	values := func(yield func(int) bool) {
+		counted++
+		for _, count := range used {
+			if !yield(count) {
+				return
+			}
+		}
+	}
+	require.InDelta(t, 9, l.At(now, 10, values), 1e-9)
+	used["b"] = 4
+	require.Zero(t, testing.AllocsPerRun(100, func() { l.At(now.Add(levelAge-1), 10, values) }))
+	require.Equal(t, 1, counted)
+	require.InDelta(t, 6, l.At(now.Add(levelAge), 10, values), 1e-9)
+	require.Equal(t, 2, counted)
+}
+
 // Guards against workspaces with few requests being refused because another one floods the router: with
-// thirty of them, an even part of the starts is one request per second.
+// thirty of them, an even part of these 200 starts per second is six.
 func TestFloodLeavesStartsToSmallClients(t *testing.T) {
 	const smallClients, perSpan = 30, 2
 	now := time.Unix(1000, 0)
--- a/lib/pacer/rate.go
+++ b/lib/pacer/rate.go
@@ -26,15 +26,12 @@
 	countSpan = 500 * time.Millisecond
 	// maxClients bounds the clients that are counted separately in a span; each takes 50 bytes.
 	maxClients = 256
-	// maxStartDebt bounds what clients within their share start beyond the rate, in seconds of the rate:
+	// maxStartDebt bounds what clients within their fair share start beyond the rate, in seconds of the rate:
 	// after a burst of them, the others wait no longer than that.
 	maxStartDebt = 500 * time.Millisecond
-	// debtThreshold is the debt from which clients within their share alone exceed the rate: it is twice
-	// what they start at once in a burst.
+	// debtThreshold is the debt from which clients within their fair share alone exceed the rate: it is
+	// twice startBurst.
 	debtThreshold = 80 * time.Millisecond
-	// levelAge is how long a fair level is used: sorting many clients for each refusal would take as
-	// long as the refusal.
-	levelAge = 25 * time.Millisecond
 )
 
 // Rate bounds how many requests a process starts per second, depending on its lateness.
@@ -59,8 +56,7 @@
 
 	spanStart        time.Time // start of the span that recent counts
 	recent, previous map[string]int
-	level            float64   // starts of one client within a span that its fair share allows
-	levelAt          time.Time // when level was computed
+	level            Level // starts of one client within a span that its fair share allows
 }
 
 // unbounded reports whether the rate bounds nothing.
@@ -83,8 +79,8 @@
 	return false
 }
 
-// Exhausted reports whether clients within their share alone exceed the rate, so that not all of them
-// can be served.
+// Exhausted reports whether clients within their fair share alone exceed the rate, so that not all of
+// them can be served.
 func (r *Rate) Exhausted(now time.Time) bool {
 	if r.unbounded() {
 		return false
@@ -114,26 +110,24 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.rotate(now)
-	if now.Sub(r.levelAt) >= levelAge {
-		r.updateLevel(now)
-	}
+	capacity := r.current() * (now.Sub(r.spanStart) + countSpan).Seconds()
+	level := r.level.At(now, capacity, r.starts)
 	started := r.recent[client] + r.previous[client]
-	return len(r.recent) > maxClients || len(r.previous) > maxClients || float64(started) >= max(part*r.level, 1)
+	return len(r.recent) > maxClients || len(r.previous) > maxClients || float64(started) >= max(part*level, 1)
 }
 
-// updateLevel computes the fair level from the starts of the current and the previous span.
-func (r *Rate) updateLevel(now time.Time) {
-	started := make([]int, 0, len(r.recent)+len(r.previous))
+// starts yields the starts of each client in the current and the previous span.
+func (r *Rate) starts(yield func(int) bool) {
 	for client, count := range r.recent {
-		started = append(started, count+r.previous[client])
+		if !yield(count + r.previous[client]) {
+			return
+		}
 	}
 	for client, count := range r.previous {
-		if _, found := r.recent[client]; !found {
-			started = append(started, count)
+		if _, found := r.recent[client]; !found && !yield(count) {
+			return
 		}
 	}
-	capacity := r.current() * (now.Sub(r.spanStart) + countSpan).Seconds()
-	r.level, r.levelAt = FairLevel(started, capacity), now
 }
 
 // rotate begins a new span when the current one is over.
--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -206,7 +206,7 @@
 
 // overFairShare reports whether a workspace uses at least its max-min fair part of a full router.
 func (p *Proxier) overFairShare(now time.Time, workspace string) bool {
-	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(workspace, p.options.MaxRequests)
+	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(now, workspace, p.options.MaxRequests)
 }
 
 // targetOf returns path and query exactly as the client sent them.
--- a/router/internal/proxier/inflight.go
+++ b/router/internal/proxier/inflight.go
@@ -2,9 +2,9 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"shallotkeel.example/lib/pacer"
 )
@@ -17,6 +17,7 @@
 	running    int
 	admitted   int            // requests in flight that have been admitted
 	workspaces map[string]int // those by workspace, of workspaces that have any
+	level      pacer.Level    // fair part of the limit for one workspace
 }
 
 // enterWorkspace counts a request of a workspace.
@@ -44,13 +45,13 @@
 // A workspace with less is admitted even if the limit is reached: otherwise a workspace that
 // floods the router would keep all others out of it. Requests that are being refused do not count
 // toward the hard limit: with them, a flood alone would reach it.
-func (f *inFlight) overFairShare(workspace string, limit int) bool {
+func (f *inFlight) overFairShare(now time.Time, workspace string, limit int) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.admitted > hardLimitFactor*limit {
 		return true
 	}
-	level := pacer.FairLevel(slices.Collect(maps.Values(f.workspaces)), float64(limit))
+	level := f.level.At(now, float64(limit), maps.Values(f.workspaces))
 	return float64(f.workspaces[workspace]) >= max(level, 1)
 }
 
--- a/router/internal/proxier/inflight_test.go
+++ b/router/internal/proxier/inflight_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -17,8 +18,10 @@
 func TestFloodDoesNotStarveOtherWorkspaces(t *testing.T) {
 	const limit = 12
 	var f inFlight
+	now := time.Unix(1000, 0)
 	admit := func(workspace string) bool {
-		if f.running > limit && f.overFairShare(workspace, limit) {
+		now = now.Add(time.Millisecond)
+		if f.running > limit && f.overFairShare(now, workspace, limit) {
 			return false
 		}
 		f.enter()
--- a/router/internal/proxier/shedding_test.go
+++ b/router/internal/proxier/shedding_test.go
@@ -132,13 +132,14 @@
 // holds for all workspaces.
 func TestRefusedRequestsDoNotReachTheHardLimit(t *testing.T) {
 	const limit = 10
+	now := time.Unix(1000, 0)
 	var f inFlight
 	for range 5 * limit {
 		f.enter()
 	}
-	require.False(t, f.overFairShare("small", limit))
+	require.False(t, f.overFairShare(now, "small", limit))
 	for range hardLimitFactor*limit + 1 {
 		f.enterWorkspace("flood")
 	}
-	require.True(t, f.overFairShare("small", limit))
+	require.True(t, f.overFairShare(now, "small", limit))
 }
