Refuse beyond the share only where the router has no room

A router whose start tokens were a little below 0, as after five simultaneous starts at a small one, refused all requests beyond the guaranteed share, also in a calm fleet. They are now refused if the rate is exhausted, their workspace has started half of its fair part, or too many requests are in flight.

--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -162,16 +162,22 @@
 	return q.route.Target > 0 && q.received.Sub(q.firstReceived) >= time.Duration(lateFraction*float64(q.route.Target))
 }
 
-// busy reports whether the router has no capacity for the request. A full router refuses what exceeds a
-// workspace's share first, be it the guaranteed one or the fair share of this router. Only if the
-// rest still exceeds what it can start, or their workspace leaves little of its fair share unused, it
-// refuses requests that are late already.
+// busy reports whether the router has no capacity for the request. A full router refuses all requests of
+// workspaces that use their max-min fair part of it. Requests beyond the guaranteed share of their
+// workspace, and late ones, are refused sooner: if starts exceed the rate by more than a short burst, or
+// their workspace has used half of its fair part. Too many requests in flight are a reason to refuse
+// only the former, since the engines may serve the others in time. A lagging process is one to refuse
+// only the latter: its start rate falls until it holds back the former.
 func (p *Proxier) busy(q *request) bool {
 	if !p.full(q.received) {
 		return false
 	}
 	q.standing = p.standing(q)
-	return !q.standing.Owed || p.overFairShare(q.received, q.workspace) || q.late() && (p.exhausted(q.received) || p.options.StartRate.UsesHalfShare(q.received, q.workspace))
+	if p.overFairShare(q.received, q.workspace) {
+		return true
+	}
+	tight := p.options.StartRate.Exhausted(q.received) || p.options.StartRate.UsesHalfShare(q.received, q.workspace)
+	return !q.standing.Owed && (tight || p.overLimit()) || q.late() && (tight || p.starved())
 }
 
 // standing returns how the request relates to the guaranteed share of its workspace.
@@ -186,18 +192,22 @@
 	return standing
 }
 
-// exhausted reports whether the router cannot serve even the requests within shares.
-func (p *Proxier) exhausted(now time.Time) bool {
-	return p.options.CPUStarved != nil && p.options.CPUStarved() || p.options.StartRate.Exhausted(now)
+// starved reports whether the process lags because it gets too little processor time.
+func (p *Proxier) starved() bool {
+	return p.options.CPUStarved != nil && p.options.CPUStarved()
+}
+
+// overLimit reports whether more requests than MaxRequests are in flight.
+func (p *Proxier) overLimit() bool {
+	return p.Running() > p.options.MaxRequests
 }
 
 // full reports whether the router has no capacity for another request of any workspace.
 func (p *Proxier) full(now time.Time) bool {
-	limit := p.options.MaxRequests
-	if limit == 0 {
+	if p.options.MaxRequests == 0 {
 		return false
 	}
-	full := p.Running() > limit || p.options.CPUStarved != nil && p.options.CPUStarved() || !p.options.StartRate.Available(now)
+	full := p.overLimit() || p.starved() || !p.options.StartRate.Available(now)
 	if full {
 		p.notePressure(now)
 	}
