--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -58,7 +58,7 @@
 	if p.busy(q) {
 		// Admitting the request to an overloaded router would delay it and every other request.
 		p.noteOverload(q)
-		p.refuse(q, byRouter, http.StatusServiceUnavailable, reasonRouterBusy, p.overloadRetryAfter(q.received))
+		p.refuse(q, byRouter, http.StatusServiceUnavailable, reasonRouterBusy, p.overloadRetryAfter(q))
 		return false
 	}
 	if !p.readBody(q) || p.refusedAtStop(q) {
@@ -163,9 +163,44 @@
 	return q.route.Target > 0 && q.received.Sub(q.firstReceived) >= time.Duration(lateFraction*float64(q.route.Target))
 }
 
-// busy reports whether the router has no capacity for another request of the request's workspace.
+// busy reports whether the router has no capacity for the request. A full router refuses all requests of
+// workspaces that use their max-min fair part of it. Requests beyond the guaranteed share of their
+// workspace, and late ones, are refused sooner: if starts exceed the rate by more than a short burst, or
+// their workspace has used half of its fair part. Too many requests in flight are a reason to refuse
+// only the former, since the engines may serve the others in time. A lagging process is one to refuse
+// only the latter: its start rate falls until it holds back the former.
 func (p *Proxier) busy(q *request) bool {
-	return p.full(q.received) && (q.late() || p.overFairShare(q.received, q.workspace))
+	if !p.full(q.received) {
+		return false
+	}
+	q.standing = p.standing(q)
+	if p.overFairShare(q.received, q.workspace) {
+		return true
+	}
+	tight := p.options.StartRate.Exhausted(q.received) || p.options.StartRate.UsesHalfShare(q.received, q.workspace)
+	return !q.standing.Owed && (tight || p.overLimit()) || q.late() && (tight || p.starved())
+}
+
+// standing returns how the request relates to the guaranteed share of its workspace.
+func (p *Proxier) standing(q *request) apportioner.Standing {
+	if p.options.Shares == nil || q.table == nil {
+		return apportioner.Standing{Owed: true}
+	}
+	standing := p.options.Shares.Standing(q.received, q.workspace)
+	if !p.sharesEngines(q) {
+		standing.Owed = true // plain services have no shares
+	}
+	return standing
+}
+
+// starved reports whether the process lags because it gets too little processor time.
+func (p *Proxier) starved() bool {
+	return p.options.CPUStarved != nil && p.options.CPUStarved()
+}
+
+// overLimit reports whether more requests than MaxRequests are in flight.
+func (p *Proxier) overLimit() bool {
+	return p.Running() > p.options.MaxRequests
 }
 
 // full reports whether the router has no capacity for another request of any workspace.
@@ -173,16 +208,16 @@
 	if p.options.MaxRequests == 0 {
 		return false
 	}
-	full := p.Running() > p.options.MaxRequests || p.options.CPUStarved != nil && p.options.CPUStarved() || !p.options.StartRate.Available(now)
+	full := p.overLimit() || p.starved() || !p.options.StartRate.Available(now)
 	if full {
 		p.notePressure(now)
 	}
 	return full
 }
 
-// overFairShare reports whether a workspace uses at least its even part of a full router.
+// overFairShare reports whether a workspace uses at least its max-min fair part of a full router.
 func (p *Proxier) overFairShare(now time.Time, workspace string) bool {
-	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(workspace, p.options.MaxRequests)
+	return p.options.StartRate.ExceedsShare(now, workspace) || p.inFlight.overFairShare(now, workspace, p.options.MaxRequests)
 }
 
 // targetOf returns path and query exactly as the client sent them.
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -97,6 +97,9 @@
 	DisablesKeepAlive func() bool
 	// Diverting reports whether new clients are sent to other routers. It may be nil.
 	Diverting func() bool
+	// CloseRate bounds the connections that are closed behind answers to workspaces beyond their share
+	// while the router refuses requests. If it is nil, they are kept.
+	CloseRate *pacer.Rate
 	// MaxRequests limits the requests in flight, 0 for no limit.
 	MaxRequests int
 	// MaxTotalBodyBytes limits the bytes of request bodies held at a time, 0 for no limit.
@@ -122,6 +125,7 @@
 	workspaces         workspaceStats
 	refusals           refusalRate
 	outputs            estimator.Shared // output tokens of streams, by workspace and route
+	closedBehind       atomic.Uint64    // connections closed behind answers to a flood
 	prober             prober.Prober
 	received           atomic.Uint64 // requests that have arrived
 	refused            atomic.Uint64 // requests refused, including those refused by Screen
@@ -169,16 +173,17 @@
 	framing          framer.Framing   // of the last endpoint's answer
 	tried            map[string]bool  // ids of instances
 	endpoint         string
-	lastHeard        time.Time      // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
-	answerBegan      time.Time      // when the last endpoint began its answer, zero before that
-	beyondShare      bool           // it exceeds its workspace's guaranteed share
-	prefillTokens    int            // tokens that the last endpoint probably had to prefill
-	fetchSource      netip.AddrPort // engine from which the last endpoint was to fetch a prefix of the prompt
-	fetchTokens      int            // tokens that it probably fetched
-	queueWait        time.Duration  // expected time until the endpoint finishes the prefills queued before it
-	expectedFirst    time.Duration  // expected time until the first token
-	slotWait         time.Duration  // part of queueWait until the endpoint has a free slot
-	firstError       time.Duration  // observed minus expected time until the first token at the last endpoint
+	lastHeard        time.Time            // when it was sent to the last endpoint, or that endpoint last sent a part of its answer
+	answerBegan      time.Time            // when the last endpoint began its answer, zero before that
+	beyondShare      bool                 // it exceeds its workspace's guaranteed share
+	standing         apportioner.Standing // as found when it arrived at a full router, owed otherwise
+	prefillTokens    int                  // tokens that the last endpoint probably had to prefill
+	fetchSource      netip.AddrPort       // engine from which the last endpoint was to fetch a prefix of the prompt
+	fetchTokens      int                  // tokens that it probably fetched
+	queueWait        time.Duration        // expected time until the endpoint finishes the prefills queued before it
+	expectedFirst    time.Duration        // expected time until the first token
+	slotWait         time.Duration        // part of queueWait until the endpoint has a free slot
+	firstError       time.Duration        // observed minus expected time until the first token at the last endpoint
 	status           int
 	refusedBy        refusalCause
 	reason           string
@@ -193,7 +198,7 @@
 
 // ServeHTTP serves one request.
 func (p *Proxier) ServeHTTP(w http.ResponseWriter, h *http.Request) {
-	q := &request{http: h, writer: w, received: p.options.Clock.Now()}
+	q := &request{http: h, writer: w, received: p.options.Clock.Now(), standing: apportioner.Standing{Owed: true}}
 	p.received.Add(1)
 	p.inFlight.enter()
 	defer p.inFlight.leave()
@@ -204,6 +209,9 @@
 	defer p.record(q)
 	defer func() { p.bodyMemory.release(q.reserved) }()
 	if p.admit(q) {
+		if p.closesBehind(q.received, q.beyondShare) {
+			w.Header().Set("Connection", "close")
+		}
 		p.boundWrites(q, q.deadline.Add(writeGrace))
 		defer p.boundWrites(q, time.Time{})
 		p.inFlight.enterWorkspace(q.workspace)
@@ -335,7 +343,7 @@
 // refuse answers that the request has not run and will not run.
 func (p *Proxier) refuse(q *request, by refusalCause, status int, reason string, pause time.Duration) {
 	q.refusedBy = by
-	if by == byRouter && p.options.Diverting != nil && p.options.Diverting() {
+	if by == byRouter && (p.options.Diverting != nil && p.options.Diverting() || p.closesBehind(q.received, !q.standing.Owed)) {
 		// The client's next connection may reach a router that has capacity.
 		q.writer.Header().Set("Connection", "close")
 	}
