Count the gap of running streams as a bound on an engine's queue, and let refused clients return in time

An engine prefills queued prompts between the steps of its running streams. Where the queue was longer than the gap that a route allows, all streams there were late. The price of lateness now applies from three quarters of the gap, if that is less than the request's target.

A client whose workspace had used its share was told to return when the share is refilled, up to two seconds later; its answer then was late whatever happened. Its retry now arrives within a quarter of the time left.

--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -36,7 +36,7 @@
 // only: with the loads of all routers, requests would leave the engines that cache their parts too
 // often, and the parts would be prefilled again. Late moves requests away from engines where they
 // would be late.
-var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 0.3, Plain: 1, Slowdown: 0.1, MaxSlowdown: 300}
+var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 1, Plain: 1, Slowdown: 0.1, MaxSlowdown: 300}
 
 const (
 	// penaltyPrice is added to the price of an endpoint for each level of its health penalty. It
@@ -49,6 +49,9 @@
 	// zoneHomeCachedShare is the share at the zone's home engine, to which only routers of one zone
 	// send the part, and only as a second choice.
 	zoneHomeCachedShare = 0.3
+	// maxPrefillShare is the share of the longest gap between two events that prefills may take. The rest
+	// is for the steps that generate an event, and for its way to the client.
+	maxPrefillShare = 0.75
 	// defaultTarget is the target of a request that has none.
 	defaultTarget = 500 * time.Millisecond
 )
@@ -86,12 +89,22 @@
 	c.slotWait = b.slotWait(now, e)
 	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + c.slotWait + overdue + c.tokens.fetchTime
 	c.queue = scale(fit.PrefillTime(c.queuedTokens), factor) + c.slotWait + overdue
-	late := fit.ExpectedLateness(c.wait, work.target()) + b.gapLateness(now, e, work)
+	late := fit.ExpectedLateness(c.wait, work.maxWait()) + b.gapLateness(now, e, work)
 	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*(float64(c.prefillTokens)+c.tokens.fetchPrice) +
 		b.runningPrice(now, e, fit, work, weights) + weights.Late*fit.PrefillTokens(late)
 	return c
 }
 
+// maxWait returns the wait from which on answers are late: that of the request itself, by its target, or
+// those of the streams that run at the engine, by the gap between their events. The engine prefills
+// queued prompts between the steps of its running streams, whose next events wait for all of them.
+func (w *Work) maxWait() time.Duration {
+	if w.Gap <= 0 {
+		return w.target()
+	}
+	return min(w.target(), time.Duration(maxPrefillShare*float64(w.Gap)))
+}
+
 // target returns the time within which the first token should arrive.
 func (w *Work) target() time.Duration {
 	if w.Target <= 0 {
--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -21,6 +21,9 @@
 	firstConfigurationWait = 400 * time.Millisecond
 	// noConfigurationRetryAfter is the Retry-After of a router that still has no configuration.
 	noConfigurationRetryAfter = 500 * time.Millisecond
+	// retryTargetShare is the fraction of the time left to a request's target within which its retry is
+	// to arrive, so that most of it is left for the answer.
+	retryTargetShare = 0.25
 	// lateFraction is the fraction of its target after which a retried request counts as late:
 	// engines with free capacity answer within a third of the target.
 	lateFraction = 0.6
@@ -116,7 +119,7 @@
 	d := p.options.Shares.Admit(q.received, q.workspace, tokens, q.late())
 	if !d.Admitted {
 		p.noteShareUsed(q, d)
-		p.refuse(q, byShare, http.StatusTooManyRequests, reasonShareUsed, max(d.RetryAfter, minRetryAfter))
+		p.refuse(q, byShare, http.StatusTooManyRequests, reasonShareUsed, q.retryInTime(d.RetryAfter))
 		return false
 	}
 	q.beyondShare = d.BestEffort
@@ -163,6 +166,17 @@
 	return q.route.Target > 0 && q.received.Sub(q.firstReceived) >= time.Duration(lateFraction*float64(q.route.Target))
 }
 
+// retryInTime returns the pause of a refused client, bounded so that its retry can still be answered in
+// time. A retry on a new connection mostly reaches another router, which may admit it whatever this one
+// has left. A later one is late even if it is admitted then, and takes as much of an engine's time. The
+// bound does not apply to a request that is late already.
+func (q *request) retryInTime(pause time.Duration) time.Duration {
+	if q.route.Target > 0 && !q.late() {
+		pause = min(pause, time.Duration(retryTargetShare*float64(q.remainingTarget())))
+	}
+	return max(pause, minRetryAfter)
+}
+
 // busy reports whether the router has no capacity for the request. A full router refuses all requests of
 // workspaces that use their max-min fair part of it. Requests beyond the guaranteed share of their
 // workspace, and late ones, are refused sooner: if starts exceed the rate by more than a short burst, or
--- a/router/internal/proxier/refusalrate_test.go
+++ b/router/internal/proxier/refusalrate_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/forwarder"
+	"shallotkeel.example/lib/resolver"
 	"shallotkeel.example/platform"
 )
 
@@ -73,3 +74,26 @@
 		})
 	}
 }
+
+// Guards against clients that are told to return when their answers can only be late, although another
+// router might admit them at once.
+func TestRetryAfterAShareRefusalCanBeInTime(t *testing.T) {
+	tests := map[string]struct {
+		target, age, pause, want time.Duration
+	}{
+		"share is refilled soon":    {target: 800 * time.Millisecond, pause: 100 * time.Millisecond, want: 100 * time.Millisecond},
+		"share is refilled late":    {target: 800 * time.Millisecond, pause: time.Second, want: 200 * time.Millisecond},
+		"a part of the time passed": {target: 800 * time.Millisecond, age: 400 * time.Millisecond, pause: time.Second, want: 100 * time.Millisecond},
+		"short target":              {target: 120 * time.Millisecond, pause: time.Second, want: minRetryAfter},
+		"late already":              {target: 800 * time.Millisecond, age: 700 * time.Millisecond, pause: time.Second, want: time.Second},
+		"no target":                 {pause: time.Second, want: time.Second},
+		"no pause":                  {target: 800 * time.Millisecond, want: minRetryAfter},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			q := &request{route: &resolver.Route{Target: test.target}, received: now, firstReceived: now.Add(-test.age)}
+			require.Equal(t, test.want, q.retryInTime(test.pause))
+		})
+	}
+}
--- a/router/internal/proxier/screen.go
+++ b/router/internal/proxier/screen.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	p.noteShareUsed(q, d)
-	return &screener.Refusal{Status: http.StatusTooManyRequests, Reason: reasonShareUsed, Retry: max(d.RetryAfter, minRetryAfter)}
+	return &screener.Refusal{Status: http.StatusTooManyRequests, Reason: reasonShareUsed, Retry: q.retryInTime(d.RetryAfter)}
 }
 
 // noteOverload counts a request for which the router has no capacity, and adds its tokens to the demand
