Fit waits and step times as observed, so that speeds and fits do not drift

The fit took waits with the learned speed divided out of them. The mean of logarithms lies below that of noisy waits, so that factors fell and the fit rose with each round: within minutes predictions doubled. A batch counts at most the slots of its engine.

--- a/lib/balancer/generation.go
+++ b/lib/balancer/generation.go
@@ -91,7 +91,7 @@
 
 func (s *Slot) beginWindow(now time.Time) {
 	s.generation.window, s.generation.windowStart = 0, now
-	s.generation.running = s.balancer.runningRequests(now, s.endpoint)
+	s.generation.running = s.endpoint.batch(s.balancer.runningRequests(now, s.endpoint))
 }
 
 // observeGaps updates the step times and the engine's speed with the mean gap of the window's events.
@@ -106,7 +106,7 @@
 		e.speed.ObserveGap(now, perToken, steps.Time(g.running))
 		e.updateSpeed(now)
 	}
-	steps.Observe(g.running, scale(perToken, 1/e.gapFactor))
+	steps.Observe(g.running, perToken)
 }
 
 // endGeneration removes the request's remaining tokens from the endpoint's.
@@ -165,6 +165,14 @@
 	return scale(e.steps.Time(slots), e.gapFactor*stepsUntilFree)
 }
 
+// batch returns how many of the given requests an engine runs at once.
+func (e *endpoint) batch(requests int) int {
+	if e.engine.Slots <= 0 {
+		return requests
+	}
+	return min(requests, e.engine.Slots)
+}
+
 // gapLateness returns by how much the expected gap between the events of a request's stream exceeds the
 // longest gap that is in time.
 func (b *Balancer) gapLateness(now time.Time, e *endpoint, work *Work) time.Duration {
@@ -172,7 +180,7 @@
 	if work.Gap <= 0 || !steps.Known() {
 		return 0
 	}
-	gap := scale(steps.Time(b.runningRequests(now, e)+1), e.gapFactor*float64(e.stride()))
+	gap := scale(steps.Time(e.batch(b.runningRequests(now, e)+1)), e.gapFactor*float64(e.stride()))
 	return max(gap-work.Gap, 0)
 }
 
@@ -183,11 +191,7 @@
 	if !e.hasEngine || !steps.Known() {
 		return weights.Running * float64(e.own.running)
 	}
-	slots := e.engine.Slots
-	running := b.runningRequests(now, e) + 1
-	if slots > 0 {
-		running = min(running, slots)
-	}
+	running := e.batch(b.runningRequests(now, e) + 1)
 	// An engine that is slower than the mean lengthens the generation as well as one that runs more requests.
 	longer := scale(steps.Time(running), e.gapFactor) - steps.Time(0)
 	return min(weights.Slowdown*fit.PrefillTokens(longer*time.Duration(work.expectedOutput())), weights.MaxSlowdown)
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -115,7 +115,9 @@
 		return // the wait says more about the requests that ran than about the engine's prefill
 	}
 	prefilled := max(waited-s.slotWait, 0)
-	fit.Observe(s.queuedTokens+s.PrefillTokens, scale(prefilled, 1/e.waitFactor))
+	// The fit takes waits as they are. If learned speeds were divided out of them, each would follow the
+	// other: the mean of logarithms is below that of the waits, so that factors would fall and the fit rise.
+	fit.Observe(s.queuedTokens+s.PrefillTokens, prefilled)
 	if e.hasEngine {
 		e.speed.ObserveWait(now, prefilled, predicted)
 		e.updateSpeed(now)
