--- a/lib/predictor/speed_test.go
+++ b/lib/predictor/speed_test.go
@@ -10,9 +10,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a slow engine whose learned speed is forgotten once it is learned: routers measure
-// against predictions that already include it. The fit takes part in the feedback, since it is fed
-// waits from which the speed has been divided out.
+// Guards against a slow engine whose learned speed is forgotten once it is learned, and against predictions
+// that drift away because the fit and the learned speeds follow each other.
 func TestSpeedConvergesAndStays(t *testing.T) {
 	const (
 		slow, fast = 1 / 0.55, 1 / 1.2
