balancer: keep a gone endpoint out of the index of lifetimes

A Gone listing that names the start of an endpoint that was listed without one removed the endpoint and then added it again under its new key. It was named as a source of fetches, and was shortlisted in large services. It is now indexed only while it is listed, and lookups skip endpoints that are not.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -206,7 +206,9 @@
 	if learned {
 		b.unindex(known)
 		known.key = Key(listing)
-		b.index(known)
+		if b.byID[listing.ID] == known {
+			b.index(known)
+		}
 	}
 	return restarted
 }
--- a/lib/balancer/transfers.go
+++ b/lib/balancer/transfers.go
@@ -87,7 +87,7 @@
 	for _, level := range slices.Backward(work.sharedLevels()) {
 		b.Prefixes.Holders(now, level.key, func(key uint64) {
 			e := b.byKey[key]
-			if e == nil || e.Service != service {
+			if e == nil || e.Service != service || b.byID[e.ID] != e {
 				return // of a former lifetime, or unknown to this router
 			}
 			if e.held.lookup != p.lookup {
--- a/lib/balancer/transfers_test.go
+++ b/lib/balancer/transfers_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// Guards against requests to an engine that is gone, and fetches from there, if only its last listing
+// names its start.
+func TestGoneEndpointIsNoHolder(t *testing.T) {
+	b := fetchingFleet(1)
+	unstarted, gone := engine(2), engine(2)
+	unstarted.Sequence = 1
+	b.Update(unstarted)
+	gone.Sequence, gone.State, gone.Started = 2, lister.Gone, start
+	known := b.byID["i-2"]
+	b.Update(gone)
+	b.learn(start, gone, prompt(1, 2))
+	require.Equal(t, Key(gone), known.key)
+	require.Len(t, b.byKey, 1)
+	require.Empty(t, b.lookUp(start, "engines", prompt(1, 2)).sources)
+	require.False(t, b.Pick(start, "engines", prompt(1, 2), nil).Source.IsValid())
+	b.index(known)
+	require.Empty(t, b.lookUp(start, "engines", prompt(1, 2)).sources, "it is not listed")
+}
+
 // Guards against a prefix that others fetch before its engine has prefilled it, and against reports
 // of prefixes at an engine that has restarted meanwhile.
 func TestPrefixIsReportedOncePrefilled(t *testing.T) {
