proxier: report a prefix only after a successful answer

Any data of an answer counted as proof that the engine had prefilled the prompt, so that engines which fail requests were reported to the fleet as holders. Slot.NotePrefilled is now called at the first bytes of a stream, and for other answers with a 2xx status only.

--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -80,9 +80,6 @@
 	if s.awaitsFirstToken && len(s.endpoint.awaiting) > 0 {
 		s.observeWait(now)
 	}
-	if s.awaitsFirstToken {
-		s.noteHeld(now)
-	}
 	if s.awaitsFirstToken && s.objective > 0 {
 		s.endpoint.pressure.observeAnswer(now.Sub(s.sentAt), s.objective)
 	}
--- a/lib/balancer/transfers.go
+++ b/lib/balancer/transfers.go
@@ -238,13 +238,18 @@
 	}
 }
 
-// noteHeld records that the engine has prefilled the prompt of the slot. Before, others could fetch
-// nothing from there.
-func (s *Slot) noteHeld(now time.Time) {
+// NotePrefilled records that the engine has prefilled the prompt of the slot, as the start of a
+// successful answer shows. Before, others could fetch nothing from there; an engine that answers with an
+// error may not have read the prompt. Later calls do nothing.
+func (s *Slot) NotePrefilled(now time.Time) {
+	s.balancer.mutex.Lock()
+	defer s.balancer.mutex.Unlock()
+	levels := s.levels
+	s.levels = nil
 	if s.balancer.byKey[s.endpoint.key] != s.endpoint {
 		return // its lifetime has ended
 	}
-	for _, level := range s.levels {
+	for _, level := range levels {
 		if level.tokens >= minFetchTokens {
 			s.balancer.Prefixes.Add(now, indexer.Holding{Prefix: level.key, Endpoint: s.endpoint.key}, level.tokens >= minReportedTokens)
 		}
--- a/lib/balancer/transfers_fleet_test.go
+++ b/lib/balancer/transfers_fleet_test.go
@@ -167,7 +167,10 @@
 	begun := f.clock
 	ready := e.serve(f, slot, shared)
 	f.waits = append(f.waits, ready.Sub(begun))
-	f.schedule(ready.Sub(begun), func() { slot.NoteResponse(f.clock) })
+	f.schedule(ready.Sub(begun), func() {
+		slot.NoteResponse(f.clock)
+		slot.NotePrefilled(f.clock)
+	})
 	f.schedule(ready.Sub(begun)+fetchDecodeTime, func() { slot.End(f.clock, Served) })
 }
 
--- a/lib/balancer/transfers_test.go
+++ b/lib/balancer/transfers_test.go
@@ -205,6 +205,8 @@
 	slot := b.Pick(start, "engines", work, nil)
 	require.Empty(t, reported())
 	slot.NoteResponse(start)
+	require.Empty(t, reported(), "the answer may be an error")
+	slot.NotePrefilled(start)
 	levels := work.sharedLevels()
 	require.Equal(t, []int{100, 700, 1700, 4700}, []int{levels[0].tokens, levels[1].tokens, levels[2].tokens, levels[3].tokens})
 	key := Key(engine(1))
@@ -216,6 +218,7 @@
 	b.Update(restarted)
 	require.Zero(t, b.Prefixes.Len(start))
 	other.NoteResponse(start)
+	other.NotePrefilled(start)
 	require.Zero(t, b.Prefixes.Len(start))
 }
 
--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -33,6 +33,9 @@
 		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 	}
 	p.noteAnswerStarted(q, slot)
+	if x.StatusCode < http.StatusMultipleChoices {
+		slot.NotePrefilled(p.options.Clock.Now())
+	}
 	q.timeToFirst = p.options.Clock.Since(q.received)
 	if len(body) == maxBufferedAnswerBytes {
 		return p.relayUnbuffered(ctx, q, slot, x, body)
--- a/router/internal/proxier/fetch_test.go
+++ b/router/internal/proxier/fetch_test.go
@@ -12,6 +12,7 @@
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/indexer"
+	"shallotkeel.example/lib/messenger"
 )
 
 const fetchHeader = "Kv-Fetch"
@@ -68,6 +69,41 @@
 	require.Equal(t, "none", slot.HealthPenalty, "the source did not fail")
 }
 
+// Guards against fetches from an engine that answered with an error, and that may have prefilled nothing.
+func TestOnlySuccessShowsThatAnEngineHoldsAPrefix(t *testing.T) {
+	answerStatus := func(status int) func(net.Conn, *http.Request) {
+		return func(conn net.Conn, request *http.Request) { reply(conn, request, status, "text") }
+	}
+	tests := map[string]struct {
+		serve func(conn net.Conn, request *http.Request)
+		held  bool
+	}{
+		"stream": {serve: func(conn net.Conn, request *http.Request) {
+			beginStream(conn, request, 1, 3)
+			endStream(conn)
+		}, held: true},
+		"other success": {serve: answerStatus(http.StatusCreated), held: true},
+		"redirect":      {serve: answerStatus(http.StatusSeeOther)},
+		"bad request":   {serve: answerStatus(http.StatusBadRequest)},
+		"error":         {serve: answerStatus(http.StatusInternalServerError)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.fleetState.table.Store(engineTable(t))
+			f.balancer.Prefixes = &indexer.Exchange{}
+			f.balancer.SetTransferTime("desk", time.Microsecond)
+			f.endpoint(test.serve)
+			_, err := f.fetch(http.MethodPost, "/draft/", "", "X-Shallotkeel-Model", "m", "X-Shallotkeel-Token-Counts", "6000,10",
+				"X-Shallotkeel-Prefix-Hash", "a:5000,b:1000")
+			require.NoError(t, err)
+			report := &messenger.FollowRequest{}
+			f.balancer.Prefixes.AddReport(time.Now(), netip.AddrPort{}, report)
+			require.Equal(t, test.held, len(report.GetHoldings()) > 0)
+		})
+	}
+}
+
 // counterValue returns the value of a counter without labels.
 func counterValue(t *testing.T, registry *prometheus.Registry, name string) float64 {
 	t.Helper()
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -88,11 +88,15 @@
 	buffer := make([]byte, streamBufferBytes)
 	flusher := http.NewResponseController(q.writer)
 	q.stream.partial = nil
-	inEvents := isEventStream(x.Header)
+	inEvents, prefilled := isEventStream(x.Header), false
 	for {
 		n, readErr := x.Body.Read(buffer)
 		if n > 0 {
 			p.noteAnswerStarted(q, slot)
+			if !prefilled {
+				prefilled = true
+				slot.NotePrefilled(p.options.Clock.Now())
+			}
 			piece := buffer[:n]
 			if inEvents {
 				var err error
