director: end fetches when a configuration drops the engine settings

The transfer time was set only for services with an engine block, so that requests carried Kv-Fetch after the block was removed. It is now set to 0 there.

--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -198,11 +198,13 @@
 	d.shares.SetCapacity(table.Limits().Rate)
 	for name, service := range table.Services() {
 		d.balancer.SetColdLimit(name, service.Cold)
+		transferTime := time.Duration(0)
 		if service.Engine != nil {
+			transferTime = service.Engine.TransferTime
 			d.balancer.SetCacheCapacity(name, service.Engine.Tokens)
-			d.balancer.SetTransferTime(name, service.Engine.TransferTime)
 			d.balancer.SetEngine(name, *service.Engine)
 		}
+		d.balancer.SetTransferTime(name, transferTime)
 	}
 }
 
