keeper: drop the holdings of engines that leave

Only some heartbeats of an ended lifetime removed its entries: departures that an engine announces itself, and tombstones of peers, did not. The listings before and after each change are now compared.

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -68,8 +68,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	urgent = d.urgent(heartbeat)
-	d.dropEndedHoldings(heartbeat)
-	changed = d.list.ApplyHeartbeat(now, heartbeat)
+	changed = d.changeEndpoint(heartbeat.ID, func() bool { return d.list.ApplyHeartbeat(now, heartbeat) })
 	d.sources.recordDirect(heartbeat.ID)
 	if d.heartbeats == nil {
 		d.heartbeats = make(map[string]latestHeartbeat)
@@ -101,7 +100,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.sources.recordDirect(id)
-	return d.list.Leave(now, id, started)
+	return d.changeEndpoint(id, func() bool { return d.list.Leave(now, id, started) })
 }
 
 // expire drops reports, followers, crashes and leases of parts that are too old, marks silent
@@ -150,8 +149,7 @@
 		// Each keeper judges silence by itself: this one may still receive the heartbeats.
 		listing.Silent = false
 		urgent := d.urgent(listing)
-		d.dropEndedHoldings(listing)
-		if d.list.ApplyHeartbeat(now, listing) {
+		if d.changeEndpoint(listing.ID, func() bool { return d.list.ApplyHeartbeat(now, listing) }) {
 			d.sources.recordKeeper(listing.ID, keeper)
 			m.changed, m.urgent = true, m.urgent || urgent
 		}
--- a/keeper/internal/server/holdings.go
+++ b/keeper/internal/server/holdings.go
@@ -103,16 +103,21 @@
 	return lacking[:min(len(lacking), indexer.MaxReported)]
 }
 
-// dropEndedHoldings removes the entries of an engine whose lifetime ends with a listing.
-func (d *directory) dropEndedHoldings(listing lister.Listing) {
-	known, found := d.list.Find(listing.ID)
-	if !found {
-		return
-	}
-	gone := listing.State == lister.Gone && listing.Started.Equal(known.Started)
-	if gone || known.Started.Before(listing.Started) {
-		d.holdings.removeEndpoint(balancer.Key(known))
+// changeEndpoint applies a change to the list, and removes the entries of an endpoint whose lifetime ends
+// with it. It reports whether the list changed.
+func (d *directory) changeEndpoint(id string, change func() bool) bool {
+	before, found := d.list.Find(id)
+	changed := change()
+	after, _ := d.list.Find(id)
+	if found && endsLifetime(before, after) {
+		d.holdings.removeEndpoint(balancer.Key(before))
 	}
+	return changed
+}
+
+// endsLifetime reports whether the lifetime of an endpoint has ended between two of its listings.
+func endsLifetime(before, after lister.Listing) bool {
+	return !before.Started.Equal(after.Started) || before.State != lister.Gone && after.State == lister.Gone
 }
 
 // holdingsCount returns the number of entries.
--- a/keeper/internal/server/holdings_test.go
+++ b/keeper/internal/server/holdings_test.go
@@ -111,6 +111,7 @@
 	restarted.Started, restarted.Sequence = testStart.Add(time.Second), 1
 	gone.State, gone.Sequence = lister.Gone, 2
 	late.State, late.Started = lister.Gone, testStart.Add(-time.Second)
+	tombstone := lister.Listing{ID: "a", State: lister.Gone}
 	tests := map[string]struct {
 		next lister.Listing
 		want int
@@ -119,6 +120,7 @@
 		"restarted":                    {next: restarted},
 		"gone":                         {next: gone},
 		"the end of an earlier one":    {next: late, want: 1},
+		"its end without a start":      {next: tombstone},
 		"another endpoint of the list": {next: endpointAt("b", 1, lister.Gone), want: 1},
 	}
 	for name, test := range tests {
@@ -140,6 +142,32 @@
 	}
 }
 
+// Guards against fetches from an engine that announced its departure to this keeper.
+func TestHoldingsEndWhenTheirEndpointLeaves(t *testing.T) {
+	tests := map[string]struct {
+		id      string
+		started time.Time
+		want    int
+	}{
+		"without a start":     {id: "a"},
+		"with its start":      {id: "a", started: testStart},
+		"an earlier lifetime": {id: "a", started: testStart.Add(-time.Second), want: 1},
+		"a later lifetime":    {id: "a", started: testStart.Add(time.Second)},
+		"another endpoint":    {id: "b", want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var d directory
+			listing := endpointAt("a", 1, lister.Ready)
+			listing.Started = testStart
+			d.receiveHeartbeat(testStart, listing)
+			holdingsAt(&d, testStart, "r", 0, indexer.Holding{Prefix: 1, Endpoint: balancer.Key(listing)})
+			d.leave(testStart, test.id, test.started)
+			require.Equal(t, test.want, d.holdingsCount(testStart))
+		})
+	}
+}
+
 // holdingsGroup is a group of keepers that exchange holdings.
 type holdingsGroup struct {
 	keepers []*directory
