--- a/lib/indexer/exchange.go
+++ b/lib/indexer/exchange.go
@@ -28,7 +28,8 @@
 // sentPrefix is an entry that is to be reported.
 type sentPrefix struct {
 	Holding
-	at time.Time
+	at      time.Time
+	removed bool // its engine has lost its cache; it keeps its place, since reports are acknowledged by number
 }
 
 // Add records that this router has sent a prefix to an engine that has prefilled it, unless the
@@ -48,7 +49,7 @@
 		x.unreported = x.unreported[1:]
 		x.firstNumber++
 	}
-	x.unreported = append(x.unreported, sentPrefix{holding, now})
+	x.unreported = append(x.unreported, sentPrefix{Holding: holding, at: now})
 }
 
 // Holders calls visit with the key of each engine that probably caches a prefix. Visit must not call
@@ -59,11 +60,16 @@
 	x.directory.Holders(now, prefix, visit)
 }
 
-// RemoveEndpoint removes all entries of one lifetime of an engine.
+// RemoveEndpoint removes all entries of one lifetime of an engine, also those that are to be reported.
 func (x *Exchange) RemoveEndpoint(endpoint uint64) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.directory.RemoveEndpoint(endpoint)
+	for i := range x.unreported {
+		if x.unreported[i].Endpoint == endpoint {
+			x.unreported[i].removed = true
+		}
+	}
 }
 
 // Len returns the number of entries.
@@ -96,7 +102,9 @@
 	x.reportEnd[keeper] = x.firstNumber + uint64(len(x.unreported))
 	holdings := make([]Holding, 0, len(x.unreported))
 	for _, sent := range x.unreported {
-		holdings = append(holdings, sent.Holding)
+		if !sent.removed {
+			holdings = append(holdings, sent.Holding)
+		}
 	}
 	request.Holdings, request.HoldingsAfter = ToWire(holdings), x.after[keeper]
 }
--- a/lib/indexer/exchange_test.go
+++ b/lib/indexer/exchange_test.go
@@ -72,6 +72,18 @@
 	require.Len(t, report(&x, now.Add(RefreshInterval), first).GetHoldings(), 1)
 }
 
+// Guards against a report that an engine holds a prefix after its connection broke or it restarted.
+func TestRemovedEntriesAreNotReported(t *testing.T) {
+	var x Exchange
+	x.Add(start, Holding{1, 10}, true)
+	x.Add(start, Holding{1, 20}, true)
+	x.RemoveEndpoint(10)
+	require.Equal(t, []Holding{{1, 20}}, FromWire(report(&x, start, first).GetHoldings()))
+	x.Add(start, Holding{1, 10}, true) // it has prefilled the prefix again
+	x.Answered(start, first, &messenger.FollowResponse{})
+	require.Equal(t, []Holding{{1, 10}}, FromWire(report(&x, start, first).GetHoldings()))
+}
+
 // Guards against reports that grow while no keeper answers.
 func TestUnreportedEntriesAreBounded(t *testing.T) {
 	var x Exchange
