--- a/lib/balancer/transfers_test.go
+++ b/lib/balancer/transfers_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// Guards against requests to an engine that is gone, and fetches from there, if only its last listing
+// names its start.
+func TestGoneEndpointIsNoHolder(t *testing.T) {
+	b := fetchingFleet(1)
+	unstarted, gone := engine(2), engine(2)
+	unstarted.Sequence = 1
+	b.Update(unstarted)
+	gone.Sequence, gone.State, gone.Started = 2, lister.Gone, start
+	known := b.byID["i-2"]
+	b.Update(gone)
+	b.learn(start, gone, prompt(1, 2))
+	require.Equal(t, Key(gone), known.key)
+	require.Len(t, b.byKey, 1)
+	require.Empty(t, b.lookUp(start, "engines", prompt(1, 2)).sources)
+	require.False(t, b.Pick(start, "engines", prompt(1, 2), nil).Source.IsValid())
+	b.index(known)
+	require.Empty(t, b.lookUp(start, "engines", prompt(1, 2)).sources, "it is not listed")
+}
+
 // Guards against a prefix that others fetch before its engine has prefilled it, and against reports
 // of prefixes at an engine that has restarted meanwhile.
 func TestPrefixIsReportedOncePrefilled(t *testing.T) {
@@ -186,6 +205,8 @@
 	slot := b.Pick(start, "engines", work, nil)
 	require.Empty(t, reported())
 	slot.NoteResponse(start)
+	require.Empty(t, reported(), "the answer may be an error")
+	slot.NotePrefilled(start)
 	levels := work.sharedLevels()
 	require.Equal(t, []int{100, 700, 1700, 4700}, []int{levels[0].tokens, levels[1].tokens, levels[2].tokens, levels[3].tokens})
 	key := Key(engine(1))
@@ -197,6 +218,7 @@
 	b.Update(restarted)
 	require.Zero(t, b.Prefixes.Len(start))
 	other.NoteResponse(start)
+	other.NotePrefilled(start)
 	require.Zero(t, b.Prefixes.Len(start))
 }
 
