Count refusals at a planned stop by workspace without a panic

The counts of refusals had no element for requests that a stop refuses. One whose workspace was known panicked with an index out of range, and the server closed its connection without an answer. TestWorkspaceStatsCountEveryCause panics without the change.

--- a/router/internal/proxier/workspacestats.go
+++ b/router/internal/proxier/workspacestats.go
@@ -72,7 +72,7 @@
 type workspaceCounts struct {
 	workspace string
 	started   int // of requests sent to an endpoint
-	refused   [byQuarantine + 1]int
+	refused   [byStop + 1]int
 }
 
 // totalRefused returns the tokens of all requests that were not sent.
--- a/router/internal/proxier/workspacestats_test.go
+++ b/router/internal/proxier/workspacestats_test.go
@@ -48,3 +48,16 @@
 		"by_endpoints":0,"unanswered":0,"fleet":250,"owed":1100,"most":2500,"message":"workspace held back"}`, lines[0])
 	require.NotContains(t, written.String(), "served")
 }
+
+// Guards against a request that panics because its refusal has no count: one that a stop refuses after
+// its workspace is known.
+func TestWorkspaceStatsCountEveryCause(t *testing.T) {
+	var s workspaceStats
+	var shares apportioner.Apportioner
+	for by := range refusalLabels {
+		s.add(time.Unix(1000, 0), zerolog.Nop(), &shares, &request{
+			workspace: "club", refusedBy: by, in: forwarder.Incoming{Work: balancer.Work{Prompt: 1}},
+		})
+	}
+	require.Equal(t, len(refusalLabels), s.entries["club"].totalRefused())
+}
