Bound the head of an endpoint's answer

An endpoint that sent an endless status line, header or series of informational answers was read into memory until the deadline of the request: the standard parser has no limit of its own.

--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -11,7 +11,9 @@
 //   - a connection is reused only after a complete answer that belonged to its request, with no unread
 //     bytes behind it;
 //   - an answer with the ID of another request is skipped, never returned to the caller;
-//   - every wait ends with the context.
+//   - every wait ends with the context;
+//   - whatever an endpoint sends, an exchange holds little memory: heads are limited, bodies are read as
+//     the caller reads them, and a connection with bytes behind its answer is closed.
 package forwarder
 
 import (
@@ -89,6 +91,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	unread  *allowance // beneath the reader
 	address netip.AddrPort
 	expires time.Time // when it must not be reused any more
 	reused  bool
@@ -187,13 +190,10 @@
 func (x *Exchange) receive(out *Outgoing) error {
 	request := &http.Request{Method: out.Method}
 	for range maxForeign + 1 {
-		answer, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // Exchange.Close closes or keeps the connection
+		answer, err := x.readHead(request) //nolint:bodyclose // Exchange.Close closes or keeps the connection
 		if err != nil {
 			return merry.Errorf("%w: %w", ErrBroken, err)
 		}
-		if answer.StatusCode < http.StatusOK {
-			continue
-		}
 		if x.client.Matches == nil || x.client.Matches(answer, out.ID) {
 			x.Response = answer
 			answer.Body = &body{inner: answer.Body, exchange: x}
@@ -207,6 +207,19 @@
 	return merry.Errorf("%w several times", ErrForeign)
 }
 
+// readHead reads the head of the next final answer. Informational answers before it are skipped; their
+// number is limited by their bytes, which count toward the same limit as the head.
+func (x *Exchange) readHead(request *http.Request) (*http.Response, error) {
+	x.conn.unread.limit(maxHeadBytes)
+	defer x.conn.unread.lift()
+	for {
+		answer, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil || answer.StatusCode >= http.StatusOK {
+			return answer, err
+		}
+	}
+}
+
 // body records that an answer has been read to its end.
 type body struct {
 	inner    io.ReadCloser
@@ -319,7 +332,12 @@
 		return nil, err
 	}
 	c.opened.Add(1)
-	return &conn{Conn: made, reader: bufio.NewReaderSize(made, readBufferSize), address: address}, nil
+	return newConn(made, address), nil
+}
+
+func newConn(made net.Conn, address netip.AddrPort) *conn {
+	unread := &allowance{inner: made}
+	return &conn{Conn: made, reader: bufio.NewReaderSize(unread, readBufferSize), unread: unread, address: address}
 }
 
 // count adds change to the number of open connections to an address.
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -466,7 +466,7 @@
 	f.Fuzz(func(t *testing.T, bytes []byte) {
 		near, far := net.Pipe()
 		c := newClient()
-		x := &Exchange{client: c, conn: &conn{Conn: near, reader: bufio.NewReader(near)}, stopCancel: func() bool { return true }}
+		x := &Exchange{client: c, conn: newConn(near, netip.AddrPort{}), stopCancel: func() bool { return true }}
 		go func() {
 			far.Write(bytes) //nolint:errcheck // the reader may have closed its end
 			far.Close()
