Count endless answers against their endpoint

The body of a refusal was read until the deadline of its request if it did not end; it is now bounded by bytes and by a short time, and the request goes to another endpoint. An error answer without a length that exceeds the buffer was relayed without end; it now counts as a broken connection. Tests cover what an endpoint can send without end.

--- a/lib/forwarder/endless_test.go
+++ b/lib/forwarder/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -236,3 +237,37 @@
 	}
 	require.EqualValues(t, 1, e.accepts.Load())
 }
+
+// Guards against a connection that is lost with each refusal, and against a refusal whose body is waited for
+// without a bound.
+func TestDiscard(t *testing.T) {
+	const maxBytes = 64
+	tests := map[string]struct {
+		body string // as chunks
+		wait time.Duration
+		err  error
+		kept int
+	}{
+		"whole":        {body: "2\r\nno\r\n0\r\n\r\n", wait: testDeadline, kept: 1},
+		"empty":        {body: "0\r\n\r\n", wait: testDeadline, kept: 1},
+		"too long":     {body: "40\r\n" + strings.Repeat("x", maxBytes), wait: testDeadline, err: ErrUndelimited},
+		"not finished": {body: "2\r\nno\r\n", wait: 20 * time.Millisecond, err: ErrUndelimited},
+		"not begun":    {wait: 20 * time.Millisecond, err: os.ErrDeadlineExceeded},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t, func(_ int64, conn net.Conn, reader *bufio.Reader) {
+				for readRequest(reader) != nil {
+					fmt.Fprint(conn, answerHead+"Transfer-Encoding: chunked\r\n\r\n"+test.body)
+				}
+			})
+			c := newClient()
+			x, err := c.Do(t.Context(), e.address, newRequest("1"), nil)
+			require.NoError(t, err)
+			require.ErrorIs(t, x.Discard(maxBytes, test.wait), test.err)
+			x.Close()
+			require.Equal(t, test.kept, c.idleTo(e.address))
+			require.Equal(t, test.kept, c.openTo(e.address))
+		})
+	}
+}
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,8 @@
 	ErrBroken = merry.Sentinel("the connection to the endpoint broke")
 	// ErrForeign means that the endpoint sent the answer to another request instead.
 	ErrForeign = merry.Sentinel("the endpoint answered another request")
+	// ErrUndelimited means that the end of a body was not found within the bounds of Discard.
+	ErrUndelimited = merry.Sentinel("the body has no end within its bounds")
 )
 
 const (
@@ -243,6 +246,23 @@
 	return x.complete
 }
 
+// Discard reads the body of an answer to its end, so that the connection can be reused, but less than so many
+// bytes and for so long. The error is ErrUndelimited if the body goes on, and wraps os.ErrDeadlineExceeded if
+// nothing of it has arrived in time; Close closes the connection after either.
+func (x *Exchange) Discard(bytes int64, wait time.Duration) error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Body, bytes))
+	switch {
+	case n == bytes || n > 0 && errors.Is(err, os.ErrDeadlineExceeded):
+		return ErrUndelimited
+	case err != nil:
+		return err
+	}
+	return x.conn.SetReadDeadline(time.Time{})
+}
+
 // Close ends the exchange. The connection is kept if the answer is complete and the connection reusable.
 func (x *Exchange) Close() {
 	interrupted := !x.stopCancel()
--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -19,6 +21,14 @@
 // retried or answered with an error.
 const maxBufferedAnswerBytes = 64 << 10
 
+const (
+	// maxRefusalBytes bounds the body of a refusal. Refusals have a line of text.
+	maxRefusalBytes = 16 << 10
+	// maxRefusalWait is how long the body of a refusal is waited for. It usually arrives with the head, and
+	// its request could be sent to another endpoint meanwhile.
+	maxRefusalWait = 100 * time.Millisecond
+)
+
 // bufferedAnswer is an answer that has been read to its end.
 type bufferedAnswer struct {
 	exchange *forwarder.Exchange // already closed
@@ -35,6 +45,9 @@
 	p.noteAnswerStarted(q, slot)
 	q.timeToFirst = p.options.Clock.Since(q.received)
 	if len(body) == maxBufferedAnswerBytes {
+		if x.StatusCode >= http.StatusInternalServerError && x.ContentLength < 0 {
+			return p.failed(ctx, q, slot, errEndlessError)
+		}
 		return p.relayUnbuffered(ctx, q, slot, x, body)
 	}
 	buffered := &bufferedAnswer{exchange: x, framing: q.framing, body: body}
@@ -45,6 +58,20 @@
 	return nil
 }
 
+// errEndlessError means that an error answer without a length is longer than any real one. It may have no
+// end, and would be relayed until the deadline of its request.
+var errEndlessError = merry.Errorf("%w: its error answer has no length and does not end", forwarder.ErrBroken)
+
+// discardRefusal discards the body of a refusal, and reports whether the refusal was a valid answer. If
+// nothing of its body arrives in time, the connection is closed, which says nothing about the endpoint.
+func (p *Proxier) discardRefusal(q *request, x *forwarder.Exchange) bool {
+	err := x.Discard(maxRefusalBytes, maxRefusalWait)
+	if err != nil {
+		p.options.Log.Debug().Err(err).Str("id", q.in.ID).Msg("body of the endpoint's refusal did not end; its connection is closed")
+	}
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // sendAnswer sends a buffered answer of an endpoint to the client.
 func (p *Proxier) sendAnswer(q *request, a *bufferedAnswer) {
 	q.framing = a.framing
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -152,13 +151,13 @@
 
 // declined returns the failure of an attempt that the endpoint did not run.
 func (p *Proxier) declined(q *request, x *forwarder.Exchange, answer forwarder.Answer) *attemptFailure {
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Body, maxBufferedAnswerBytes)); err != nil {
-		p.options.Log.Debug().Err(err).Str("id", q.in.ID).Msg("body of the endpoint's refusal was truncated; its connection is closed")
-	}
 	e := &attemptFailure{outcome: balancer.Full, notRun: true, reason: "the endpoint refused it with " + strconv.Itoa(x.StatusCode)}
 	if answer.Misdirected {
 		e.outcome = balancer.WrongInstance
 	}
+	if !p.discardRefusal(q, x) {
+		e.outcome = balancer.ConnectionBroken
+	}
 	return e
 }
 
