Bound the answers that other clients read

Heads of answers to orders, to the callers' client and to calls between processes were bounded by the standard library's 10 MB only, and bodies of the latter not at all.

--- a/lib/caller/driver.go
+++ b/lib/caller/driver.go
@@ -43,10 +43,14 @@
 	dropped  int
 }
 
+// maxHeadBytes bounds the head of an answer, which the client holds in memory.
+const maxHeadBytes = 64 << 10
+
 // NewClient returns an HTTP client that keeps enough idle connections for a load.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConns: 0, MaxIdleConnsPerHost: 1024, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/lib/dialer/dialer.go
+++ b/lib/dialer/dialer.go
@@ -5,6 +5,7 @@
 //   - a call without the secret reaches no handler;
 //   - a call is sent at most once; only the caller decides on retries;
 //   - the secret is compared in constant time;
+//   - head and body of an answer are bounded;
 //   - counters count the bytes on the wire, including framing, so that control traffic is
 //     measured rather than estimated.
 package dialer
@@ -27,6 +28,9 @@
 	pingAfter         = 2 * time.Second
 	pingTimeout       = 1 * time.Second
 	maxControlHeaders = 16 << 10
+	// maxAnswerBytes bounds the body of an answer, which its reader holds in memory. The longest answers
+	// contain a configuration, whose command is bounded by 4 MB, beside the lists of endpoints.
+	maxAnswerBytes = 32 << 20
 )
 
 // Counter counts the bytes of a set of connections in both directions.
@@ -51,7 +55,8 @@
 			}
 			return &countingConn{Conn: conn, counter: counter}, nil
 		},
-		IdleConnTimeout: idleTimeout,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxControlHeaders,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingAfter,
 			PingTimeout:     pingTimeout,
@@ -75,7 +80,12 @@
 	// Without GetBody the transport does not retry a call that a stopping peer did not process.
 	// It would start the retry while the first attempt may still be reading the body.
 	authenticated.GetBody = nil
-	return s.next.RoundTrip(authenticated)
+	answer, err := s.next.RoundTrip(authenticated)
+	if err != nil {
+		return nil, err
+	}
+	answer.Body = http.MaxBytesReader(nil, answer.Body, maxAnswerBytes)
+	return answer, nil
 }
 
 // Server returns a server for control calls. Only calls with the secret reach its handler.
--- a/lib/dialer/dialer_test.go
+++ b/lib/dialer/dialer_test.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -65,3 +66,30 @@
 	perCall := (calling.Sent.Load() + calling.Received.Load()) / calls
 	require.Less(t, perCall, uint64(200), "a persistent connection compresses repeated headers")
 }
+
+// Guards against a peer whose answer never ends and is collected in memory.
+func TestEndlessAnswerIsCut(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	piece := make([]byte, 64<<10)
+	server := Server("fleet", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/head" {
+			w.Header().Set("Long", string(bytes.Repeat([]byte("x"), 2*maxControlHeaders)))
+			return
+		}
+		for err := error(nil); err == nil; {
+			_, err = w.Write(piece)
+		}
+	}))
+	go func() { _ = server.Serve(inner) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := Client("fleet", &Counter{})
+	_, err = client.Get("http://" + inner.Addr().String() + "/head") //nolint:bodyclose // there is no answer
+	require.Error(t, err)
+	response, err := client.Get("http://" + inner.Addr().String())
+	require.NoError(t, err)
+	defer response.Body.Close()
+	n, err := io.Copy(io.Discard, response.Body)
+	require.Error(t, err)
+	require.EqualValues(t, maxAnswerBytes, n)
+}
--- a/router/internal/commander/sender.go
+++ b/router/internal/commander/sender.go
@@ -22,6 +22,9 @@
 // counts.
 const maxAnswerBytes = 4096
 
+// maxAnswerHeadBytes bounds the head of an answer, which the transport holds in memory.
+const maxAnswerHeadBytes = 16 << 10
+
 // errDeadlinePassed means that the order's deadline had passed before the order was
 // written.
 var errDeadlinePassed = errors.New("order not written: its deadline has passed")
@@ -45,7 +48,8 @@
 	transport := &http.Transport{
 		// An idle connection kept for reuse would outlive the order that it was
 		// opened for.
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/router/internal/commander/sender_test.go
+++ b/router/internal/commander/sender_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +84,50 @@
 	require.Equal(t, orderer.Unknown, sender.Send(context.Background(), orderer.Order{Address: at}))
 	require.Empty(t, seen)
 }
+
+// Guards against an engine that answers an order with bytes that never end: they would be collected in
+// memory, or the order would be awaited beyond its deadline.
+func TestEndlessAnswerEndsTheOrder(t *testing.T) {
+	const maxMemory = 4 << 20
+	for name, test := range map[string]struct {
+		head, piece string
+		want        orderer.Result
+	}{
+		"status line":     {head: "HTTP/1.1 200 ", piece: "x", want: orderer.Unknown},
+		"header line":     {head: "HTTP/1.1 200 OK\r\nName: ", piece: "x", want: orderer.Unknown},
+		"header fields":   {head: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n", want: orderer.Unknown},
+		"no protocol":     {piece: "x", want: orderer.Unknown},
+		"interim answers": {piece: "HTTP/1.1 100 Continue\r\n\r\n", want: orderer.Unknown},
+		"body":            {head: "HTTP/1.1 200 OK\r\n\r\n", piece: "x", want: orderer.Accepted},
+		"chunk extension": {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", piece: "x", want: orderer.Accepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer close(ended)
+				defer conn.Close()
+				_, err = io.WriteString(conn, test.head)
+				pieces := []byte(strings.Repeat(test.piece, 1<<10))
+				for err == nil {
+					_, err = conn.Write(pieces)
+				}
+			}))
+			t.Cleanup(server.Close)
+			at := netip.MustParseAddrPort(server.Listener.Addr().String())
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			result := NewHTTPSender(clockwork.NewRealClock()).Send(ctx, orderer.Order{Address: at, Kind: orderer.Load, Model: "m"})
+			runtime.ReadMemStats(&after)
+			require.Equal(t, test.want, result)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxMemory))
+			require.NoError(t, ctx.Err())
+			<-ended
+		})
+	}
+}
