Bound what routers hold of answers that are read slowly

Each buffered answer and each event was bounded, but not all of them together: with many slow clients they could exceed the memory of the instance. They now count toward an eighth of its memory. A plain answer without memory is relayed as it arrives; a stream whose long event has no memory is cut or resumed.

--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -146,9 +146,9 @@
 		// MaxRequests limits the load before the process lags: lag arises only once too many requests
 		// have been accepted, and lasts until they are done.
 		MaxRequests:       d.maxRunning(),
-		MaxTotalBodyBytes: proxier.MaxTotalBodyBytes(settings.Memory),
-		CPUStarved:        d.pacer.Lags,
-		StartRate:         d.pacer.Starts,
+		MaxTotalBodyBytes: proxier.MaxTotalBodyBytes(settings.Memory), MaxTotalAnswerBytes: proxier.MaxTotalAnswerBytes(settings.Memory),
+		CPUStarved: d.pacer.Lags,
+		StartRate:  d.pacer.Starts,
 	})
 	d.registerGauges()
 	return d
--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -38,14 +38,14 @@
 
 // relayPlain relays an answer that is not an event stream.
 func (p *Proxier) relayPlain(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange) *attemptFailure {
-	body, err := io.ReadAll(io.LimitReader(x.Body, maxBufferedAnswerBytes))
+	body, ended, err := p.bufferAnswer(q, x.Body)
 	if err != nil {
 		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 	}
 	p.noteAnswerStarted(q, slot)
 	q.timeToFirst = p.options.Clock.Since(q.received)
-	if len(body) == maxBufferedAnswerBytes {
-		if x.StatusCode >= http.StatusInternalServerError && x.ContentLength < 0 {
+	if !ended {
+		if x.StatusCode >= http.StatusInternalServerError && x.ContentLength < 0 && len(body) >= maxBufferedAnswerBytes {
 			return p.failed(ctx, q, slot, errEndlessError)
 		}
 		return p.relayUnbuffered(ctx, q, slot, x, body)
@@ -58,6 +58,55 @@
 	return nil
 }
 
+// bufferAnswer reads the begin of an answer, and reports whether the answer ended there: if it is longer than
+// maxBufferedAnswerBytes, or if other answers hold the memory, the rest is left unread.
+func (p *Proxier) bufferAnswer(q *request, from io.Reader) (body []byte, ended bool, err error) {
+	body = make([]byte, 0, minBufferBytes)
+	for {
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) < cap(body):
+			continue
+		case len(body) >= maxBufferedAnswerBytes || !p.holdAnswer(q, 2*int64(cap(body))):
+			return body, false, nil
+		}
+		grown := make([]byte, len(body), 2*cap(body))
+		copy(grown, body)
+		body = grown
+	}
+}
+
+const (
+	// minBufferBytes is the buffer that each answer may have even if other answers hold all the memory
+	// reserved for answers: a read of a stream and the begin of an event. The number of requests in flight
+	// bounds the sum of these.
+	minBufferBytes = 2 * streamBufferBytes
+	// copyBufferBytes is the buffer for the rest of a long answer if the memory is available.
+	copyBufferBytes = 32 << 10
+)
+
+// holdAnswer reserves memory for the part of its answer that a request holds now, and reports whether it was
+// available. A client that does not read keeps the part, so that many such clients together could exceed the
+// instance's memory.
+func (p *Proxier) holdAnswer(q *request, bytes int64) bool {
+	if bytes <= minBufferBytes {
+		bytes = 0
+	}
+	if bytes > q.answerHeld && !p.answerMemory.reserve(bytes-q.answerHeld) {
+		return false
+	}
+	if bytes < q.answerHeld {
+		p.answerMemory.release(q.answerHeld - bytes)
+	}
+	q.answerHeld = bytes
+	return true
+}
+
 // errEndlessError means that an error answer without a length is longer than any real one. It may have no
 // end, and would be relayed until the deadline of its request.
 var errEndlessError = merry.Errorf("%w: its error answer has no length and does not end", forwarder.ErrBroken)
@@ -156,7 +205,12 @@
 	if err != nil {
 		return unwritten(err)
 	}
-	if _, err := io.Copy(q.writer, x.Body); err != nil {
+	size := copyBufferBytes
+	if !p.holdAnswer(q, copyBufferBytes) {
+		size = minBufferBytes
+	}
+	// The writer is hidden, because its own copy has a buffer that is not counted.
+	if _, err := io.CopyBuffer(struct{ io.Writer }{q.writer}, x.Body, make([]byte, size)); err != nil {
 		e := p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 		e.reason = "the answer broke off"
 		q.sends = q.route.Attempts // the rest cannot come from another endpoint
--- a/router/internal/proxier/bodymemory.go
+++ b/router/internal/proxier/bodymemory.go
@@ -2,23 +2,34 @@
 
 import "sync/atomic"
 
-// bodyMemoryFraction is the fraction of an instance's memory that the bodies of all requests may take together.
-const bodyMemoryFraction = 0.25
+const (
+	// bodyMemoryFraction is the fraction of an instance's memory that the bodies of all requests may take together.
+	bodyMemoryFraction = 0.25
+	// answerMemoryFraction is the fraction of an instance's memory that the buffered parts of all answers may
+	// take together. They have a bound of their own: otherwise clients that send much and wait could cut off
+	// the answers of others.
+	answerMemoryFraction = 0.125
+)
 
 // MaxTotalBodyBytes returns how many bytes of request bodies a router with that many megabytes of memory may hold.
 func MaxTotalBodyBytes(megabytes int) int64 {
 	return int64(bodyMemoryFraction * float64(megabytes<<20))
 }
 
-// bodyMemory limits the bytes of request bodies held at a time. Each body may be as large as the
-// configuration allows, so that all bodies together could exceed the instance's memory.
-type bodyMemory struct {
+// MaxTotalAnswerBytes returns how many bytes of answers a router with that many megabytes of memory may hold.
+func MaxTotalAnswerBytes(megabytes int) int64 {
+	return int64(answerMemoryFraction * float64(megabytes<<20))
+}
+
+// memory limits the bytes that requests hold at a time, either of their bodies or of their answers. Each of
+// them is bounded, but all together could exceed the instance's memory.
+type memory struct {
 	limit    int64 // bytes; 0 for no limit
 	reserved atomic.Int64
 }
 
 // reserve reserves memory, and reports whether it was available.
-func (m *bodyMemory) reserve(bytes int64) bool {
+func (m *memory) reserve(bytes int64) bool {
 	if reserved := m.reserved.Add(bytes); m.limit > 0 && reserved > m.limit {
 		m.reserved.Add(-bytes)
 		return false
@@ -27,6 +38,6 @@
 }
 
 // release releases reserved memory.
-func (m *bodyMemory) release(bytes int64) {
+func (m *memory) release(bytes int64) {
 	m.reserved.Add(-bytes)
 }
--- a/router/internal/proxier/cut.go
+++ b/router/internal/proxier/cut.go
@@ -21,13 +21,14 @@
 	cutByRestart           // the endpoint has restarted
 	cutByDeadline          // the request's deadline passed
 	cutByFraming           // the answer has no framing, and its connection cannot carry it
+	cutByMemory            // the answers of other requests hold the memory for answers
 	cutByStop              // the grace time of a planned stop is over
 )
 
 // cutLabels are the values of cut causes in metrics and log lines.
 var cutLabels = map[cutCause]string{
 	notCut: "", cutByClient: "client", cutByBody: "body", cutByEndpoint: "endpoint", cutByRestart: "restart",
-	cutByDeadline: "deadline", cutByFraming: "framing", cutByStop: "stop",
+	cutByDeadline: "deadline", cutByFraming: "framing", cutByMemory: "memory", cutByStop: "stop",
 }
 
 // cut closes the client's connection without a complete answer.
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -99,6 +99,8 @@
 	MaxRequests int
 	// MaxTotalBodyBytes limits the bytes of request bodies held at a time, 0 for no limit.
 	MaxTotalBodyBytes int64
+	// MaxTotalAnswerBytes limits the bytes of answers held at a time, 0 for no limit.
+	MaxTotalAnswerBytes int64
 	// CoalesceDelay is how long a stream may wait for more events under high load, 0 to
 	// relay each event at once.
 	CoalesceDelay time.Duration
@@ -113,7 +115,8 @@
 type Proxier struct {
 	options            Options
 	inFlight           inFlight
-	bodyMemory         bodyMemory
+	bodyMemory         memory
+	answerMemory       memory
 	logDamper          damper.Damper // of log lines about requests that were not sent
 	keyLogDamper       damper.Damper // of log lines about keys that no workspace holds
 	retries            retryTracker
@@ -129,7 +132,7 @@
 
 // New returns a Proxier.
 func New(options Options) *Proxier {
-	p := &Proxier{options: options, bodyMemory: bodyMemory{limit: options.MaxTotalBodyBytes}, keyLogDamper: damper.Damper{LinesPerSecond: maxKeyLogLines}}
+	p := &Proxier{options: options, bodyMemory: memory{limit: options.MaxTotalBodyBytes}, answerMemory: memory{limit: options.MaxTotalAnswerBytes}, keyLogDamper: damper.Damper{LinesPerSecond: maxKeyLogLines}}
 	p.prober = prober.Prober{Observer: options.Crashes, Clock: options.Clock, Log: options.Log}
 	options.Client.Matches = options.Dialect.Matches
 	return p
@@ -148,6 +151,7 @@
 	target        string // path and query as the client sent them
 	body          []byte
 	reserved      int64             // bytes of body memory reserved for it
+	answerHeld    int64             // bytes of answer memory reserved for it
 	digest        uint64            // identifies the request across its repeats
 	profile       localizer.Profile // what it has in common with other requests
 	trial         bool              // it is the trial of a quarantined feature
@@ -195,7 +199,10 @@
 	}
 	q.in = p.options.Dialect.Read(h.Header)
 	defer p.record(q)
-	defer func() { p.bodyMemory.release(q.reserved) }()
+	defer func() {
+		p.bodyMemory.release(q.reserved)
+		p.answerMemory.release(q.answerHeld)
+	}()
 	if p.admit(q) {
 		p.boundWrites(q, q.deadline.Add(writeGrace))
 		defer p.boundWrites(q, time.Time{})
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -83,6 +83,9 @@
 				if piece, err = q.stream.split(piece); err != nil {
 					return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: err.Error()}
 				}
+				if !p.holdAnswer(q, int64(len(piece)+len(q.stream.partial))) {
+					return &attemptFailure{outcome: balancer.Cancelled, endedBy: cutByMemory, reason: "the answers of other requests hold all the memory reserved for answers"}
+				}
 			}
 			if inEvents && len(piece) > 0 {
 				p.noteVersion(q, slot)
@@ -91,6 +94,7 @@
 				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
 				return unwritten(err)
 			}
+			p.holdAnswer(q, int64(len(q.stream.partial)))
 		}
 		if readErr == nil {
 			p.coalesce(q)
