Bound the connections that a router opens to one endpoint

max_connections was read and not used. A router now keeps connections beyond its even part for a second only, reuses or closes an idle one before it opens another beyond the part, and opens at most half of the bound to one endpoint; a request beyond that goes elsewhere unsent. The part is soft, since a flooded router needs more than an even part while endpoints have room.

--- a/lib/forwarder/endless_test.go
+++ b/lib/forwarder/endless_test.go
@@ -127,7 +127,7 @@
 					if cn == nil {
 						return true
 					}
-					defer c.putIdle(cn)
+					defer c.release(cn, Bound{})
 					return !isIdle(cn.Conn)
 				}, testDeadline, time.Millisecond)
 				_, err = fetch(t, c, e, newRequest("1"))
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -88,16 +88,18 @@
 type pool struct {
 	idle []*conn // the most recently used at the end
 	open int     // idle, in use, or being dialled
+	part int     // Bound.Part of the last request
 }
 
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	unread  *allowance // beneath the reader
-	address netip.AddrPort
-	expires time.Time // when it must not be reused any more
-	reused  bool
+	reader   *bufio.Reader
+	unread   *allowance // beneath the reader
+	address  netip.AddrPort
+	expires  time.Time // when it must not be reused any more
+	released time.Time // when it became idle
+	reused   bool
 }
 
 // Outgoing is a request for an endpoint.
@@ -111,6 +113,8 @@
 	// Fresh requests a new connection: the other end may have closed an idle connection unnoticed, and a
 	// request that must not be repeated would be lost on it.
 	Fresh bool
+	// Bound limits the connections to the address.
+	Bound Bound
 }
 
 // Exchange is a request in flight and its answer.
@@ -121,6 +125,7 @@
 
 	client      *Client
 	conn        *conn
+	bound       Bound
 	stopCancel  func() bool
 	bodyWritten chan error // result of a concurrent body write, nil if the body was written inline
 	complete    bool
@@ -135,15 +140,15 @@
 // before the first byte is written; if it returns false, nothing is sent. Errors wrap ErrUnsent,
 // ErrBroken or ErrForeign. The caller must close the exchange.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, out *Outgoing, sent func() bool) (*Exchange, error) {
-	cn, err := c.acquire(ctx, address, out.Fresh)
+	cn, err := c.acquire(ctx, address, out)
 	if err != nil {
 		return nil, merry.Errorf("%w: %w", ErrUnsent, err)
 	}
 	if sent != nil && !sent() {
-		c.putIdle(cn)
+		c.release(cn, out.Bound)
 		return nil, merry.Errorf("%w: %w", ErrUnsent, ErrWithdrawn)
 	}
-	x := &Exchange{client: c, conn: cn, Reused: cn.reused}
+	x := &Exchange{client: c, conn: cn, bound: out.Bound, Reused: cn.reused}
 	x.stopCancel = context.AfterFunc(ctx, func() {
 		// A deadline in the past ends reads and writes at once; their error makes Close discard the connection.
 		if err := cn.SetDeadline(time.Unix(1, 0)); err != nil {
@@ -272,7 +277,7 @@
 	}
 	x.conn.reused = true
 	x.conn.expires = x.client.Clock.Now().Add(idleTimeout(x.Header))
-	x.client.putIdle(x.conn)
+	x.client.release(x.conn, x.bound)
 }
 
 // reusable reports whether the connection can carry another request.
@@ -308,8 +313,8 @@
 }
 
 // acquire returns an idle connection that is still open, or a new one.
-func (c *Client) acquire(ctx context.Context, address netip.AddrPort, fresh bool) (*conn, error) {
-	for !fresh {
+func (c *Client) acquire(ctx context.Context, address netip.AddrPort, out *Outgoing) (*conn, error) {
+	for !out.Fresh {
 		cn := c.takeIdle(address)
 		if cn == nil {
 			break
@@ -319,6 +324,9 @@
 		}
 		c.discard(cn)
 	}
+	if err := c.reserve(address, out.Bound); err != nil {
+		return nil, err
+	}
 	return c.dial(ctx, address)
 }
 
@@ -335,9 +343,8 @@
 	return cn
 }
 
-// dial opens a new connection.
+// dial opens a new connection, which has been counted already.
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	c.count(address, 1)
 	timeout := c.DialTimeout
 	if timeout == 0 {
 		timeout = DefaultDialTimeout
@@ -364,6 +371,15 @@
 func (c *Client) count(address netip.AddrPort, change int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	p := c.pool(address)
+	p.open += change
+	if p.open == 0 && len(p.idle) == 0 {
+		delete(c.pools, address)
+	}
+}
+
+// pool returns the pool of an address. The caller holds the mutex.
+func (c *Client) pool(address netip.AddrPort) *pool {
 	if c.pools == nil {
 		c.pools = make(map[netip.AddrPort]*pool)
 	}
@@ -372,18 +388,7 @@
 		p = &pool{}
 		c.pools[address] = p
 	}
-	p.open += change
-	if p.open == 0 && len(p.idle) == 0 {
-		delete(c.pools, address)
-	}
-}
-
-// putIdle returns a connection to the pool.
-func (c *Client) putIdle(cn *conn) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	p := c.pools[cn.address]
-	p.idle = append(p.idle, cn)
+	return p
 }
 
 // discard closes a connection that is not in the pool.
@@ -407,21 +412,14 @@
 	}
 }
 
-// Sweep closes the idle connections whose idle time has expired. The caller runs it periodically.
+// Sweep closes the idle connections whose idle time has expired, and those beyond the even part that are not
+// reused. The caller runs it periodically.
 func (c *Client) Sweep() {
 	now := c.Clock.Now()
 	var closing []*conn
 	c.mutex.Lock()
 	for _, p := range c.pools {
-		kept := p.idle[:0]
-		for _, cn := range p.idle {
-			if now.Before(cn.expires) {
-				kept = append(kept, cn)
-			} else {
-				closing = append(closing, cn)
-			}
-		}
-		p.idle = kept
+		closing = append(closing, p.sweep(now)...)
 	}
 	c.mutex.Unlock()
 	for _, cn := range closing {
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -367,7 +367,7 @@
 	<-closed
 	require.Eventually(t, func() bool {
 		cn := c.takeIdle(e.address)
-		defer c.putIdle(cn)
+		defer c.release(cn, Bound{})
 		return !isIdle(cn.Conn)
 	}, 5*time.Second, time.Millisecond)
 	_, err = fetch(t, c, e, withID(newRequest("second")))
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -228,6 +228,7 @@
 	d.budget.SetRouters(count)
 	d.shares.SetRouterCount(count)
 	d.balancer.SetRouterCount(count)
+	d.proxier.SetRouterCount(count)
 	rate := d.requestRate.update(d.clock.Now(), d.proxier.Received())
 	d.subscriber.Pace(d.pollWaits(rate, count, d.subscriber.Keepers()))
 }
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -66,7 +66,7 @@
 // the client has its answer.
 func (p *Proxier) exchange(ctx context.Context, cancel context.CancelCauseFunc, q *request, slot *balancer.Slot) *attemptFailure {
 	outgoing := &forwarder.Outgoing{
-		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body,
+		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, Bound: p.connectionBound(q),
 		Header: p.options.Dialect.Outgoing(q.http.Header, forwarder.Mark{
 			Instance: slot.ID, Workspace: q.workspace, Remaining: q.deadline.Sub(p.options.Clock.Now()), Resume: q.stream.lastID,
 		}),
@@ -141,7 +141,7 @@
 func (p *Proxier) unsentOutcome(err error) balancer.Outcome {
 	var dialed net.Error
 	switch {
-	case errors.Is(err, forwarder.ErrWithdrawn):
+	case errors.Is(err, forwarder.ErrWithdrawn), errors.Is(err, forwarder.ErrCrowded):
 		return balancer.Cancelled
 	case errors.As(err, &dialed) && dialed.Timeout() && p.options.CPUStarved != nil && p.options.CPUStarved():
 		return balancer.ConnectLate
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -123,6 +123,7 @@
 	workspaces         workspaceStats
 	refusals           refusalRate
 	prober             prober.Prober
+	routers            atomic.Int64  // routers in the fleet, 0 if unknown
 	received           atomic.Uint64 // requests that have arrived
 	refused            atomic.Uint64 // requests refused, including those refused by Screen
 	started            atomic.Uint64 // requests forwarded to endpoints
