Reuse released connections, and charge no endpoint for a late refusal

An idle connection that was released between the look into the pool and the reservation of a new one was closed and replaced by a dial, or its request got ErrCrowded. Both steps now happen under one lock, and an idle connection gives way only to a request that needs a new one.

Discard returned ErrUndelimited for a body whose end was late. It now does so only for one that is too long or badly framed; lateness alone wraps os.ErrDeadlineExceeded.

The limit beneath a read buffer is named readLimiter, and Bound is documented from the view of the client that it limits.

--- a/lib/forwarder/bound.go
+++ b/lib/forwarder/bound.go
@@ -15,38 +15,42 @@
 // it earlier: closing it after each answer would cost a new connection for each request.
 const surplusIdle = time.Second
 
-// Bound limits the connections to an endpoint that accepts a limited number from all its callers together.
-// The zero value is no limit.
+// Bound limits the connections that this client opens to an endpoint, which accepts a limited number from all
+// its clients together. A field that is zero sets no limit.
 type Bound struct {
-	// Part is this caller's even part. Connections beyond it are opened only while none is idle, and are kept
-	// idle for a short time only.
+	// Part is this client's even part. It may be exceeded while requests need more connections; those beyond
+	// it are closed after surplusIdle, or when a request needs a new connection.
 	Part int
-	// Open is the number of connections beyond which none is opened.
+	// Open is the maximum number of connections, idle ones included. A request that needs one more gets
+	// ErrCrowded.
 	Open int
 }
 
-// reserve counts a connection that is about to be opened, or returns ErrCrowded. An idle connection is closed
-// for it if the address has its even part already.
-func (c *Client) reserve(address netip.AddrPort, bound Bound) error {
+// takeOrReserve removes the most recently used idle connection from the pool and returns it. If there is none,
+// or the request needs a new connection, it returns nil and counts one that is about to be opened, or returns
+// ErrCrowded. Both happen under one lock: otherwise a connection released in between would be left idle while
+// the request opens another one or gets ErrCrowded.
+//
+// An idle connection gives way to a new one if the address has its even part already. It is returned as
+// evicted, no longer counted, and the caller closes it.
+func (c *Client) takeOrReserve(address netip.AddrPort, out *Outgoing) (cn, evicted *conn, err error) {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	p := c.pool(address)
-	var closing *conn
-	if bound.Part > 0 && p.open >= bound.Part && len(p.idle) > 0 {
-		closing, p.idle = p.idle[0], p.idle[1:] // the longest unused
-		p.open--
+	if last := len(p.idle) - 1; last >= 0 && !out.Fresh {
+		cn, p.idle = p.idle[last], p.idle[:last]
+		return cn, nil, nil
 	}
-	crowded := bound.Open > 0 && p.open >= bound.Open
-	if !crowded {
-		p.open++
-	}
-	c.mutex.Unlock()
-	if closing != nil {
-		closing.Close()
+	bound := out.Bound
+	if len(p.idle) > 0 && (bound.Part > 0 && p.open >= bound.Part || bound.Open > 0 && p.open >= bound.Open) {
+		evicted, p.idle = p.idle[0], p.idle[1:] // the longest unused
+		p.open--
 	}
-	if crowded {
-		return ErrCrowded
+	if bound.Open > 0 && p.open >= bound.Open {
+		return nil, evicted, ErrCrowded
 	}
-	return nil
+	p.open++
+	return nil, evicted, nil
 }
 
 // release returns a connection to the pool.
--- a/lib/forwarder/bound_test.go
+++ b/lib/forwarder/bound_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -68,5 +71,38 @@
 		require.ErrorIs(t, err, ErrWithdrawn)
 		c.Forget(e.address)
 	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing := netip.MustParseAddrPort(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	for range 2 {
+		request := newRequest("1")
+		request.Bound = Bound{Part: 1, Open: 1}
+		_, err := c.Do(t.Context(), refusing, request, nil)
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+		require.Zero(t, c.openTo(refusing))
+	}
 	require.Zero(t, c.openTo(e.address))
 }
+
+// Guards against an idle connection that is closed, or left while its request gets ErrCrowded, because it was
+// released while the request looked for one.
+func TestReleasedConnectionIsReused(t *testing.T) {
+	const callers, requests = 4, 500
+	e := listen(t, echo)
+	c := newClient()
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range requests {
+				request := withID(newRequest("1"))
+				request.Bound = Bound{Part: 1, Open: callers}
+				if _, err := fetch(t, c, e, request); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	require.LessOrEqual(t, c.Opened(), uint64(callers))
+}
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -47,14 +47,14 @@
 	ErrBroken = merry.Sentinel("the connection to the endpoint broke")
 	// ErrForeign means that the endpoint sent the answer to another request instead.
 	ErrForeign = merry.Sentinel("the endpoint answered another request")
-	// ErrUndelimited means that the end of a body was not found within the bounds of Discard.
-	ErrUndelimited = merry.Sentinel("the body has no end within its bounds")
+	// ErrUndelimited means that a discarded body is too long or that its framing is invalid.
+	ErrUndelimited = merry.Sentinel("the end of the body was not found")
 )
 
 const (
 	// DefaultDialTimeout bounds the time for a new connection. Endpoints are a few milliseconds away, and a
 	// lost first packet is retransmitted after a second. The timeout is shorter than that, so that another
-	// endpoint is tried earlier, and within a usual target of 250 ms for the begin of an answer.
+	// endpoint is tried earlier, and within a usual target of 250 ms for the beginning of an answer.
 	DefaultDialTimeout = 200 * time.Millisecond
 	// DefaultIdle is how long an idle connection is kept if the endpoint does not announce a time. Services
 	// close idle connections after timeouts of their own.
@@ -95,7 +95,7 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
-	unread   *allowance // beneath the reader
+	limiter  *readLimiter // beneath the reader
 	address  netip.AddrPort
 	expires  time.Time // when it must not be reused any more
 	released time.Time // when it became idle
@@ -218,8 +218,8 @@
 // readHead reads the head of the next final answer. Informational answers before it are skipped; their
 // number is limited by their bytes, which count toward the same limit as the head.
 func (x *Exchange) readHead(request *http.Request) (*http.Response, error) {
-	x.conn.unread.limit(maxHeadBytes)
-	defer x.conn.unread.lift()
+	x.conn.limiter.limit(maxHeadBytes)
+	defer x.conn.limiter.lift()
 	for {
 		answer, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil || answer.StatusCode >= http.StatusOK {
@@ -251,19 +251,21 @@
 	return x.complete
 }
 
-// Discard reads the body of an answer to its end, so that the connection can be reused, but less than so many
-// bytes and for so long. The error is ErrUndelimited if the body goes on, and wraps os.ErrDeadlineExceeded if
-// nothing of it has arrived in time; Close closes the connection after either.
-func (x *Exchange) Discard(bytes int64, wait time.Duration) error {
+// Discard reads the body of an answer to its end, so that the connection can be reused, but less than limit
+// bytes and no longer than wait. The error wraps os.ErrDeadlineExceeded if the end has not arrived in time,
+// and otherwise ErrUndelimited; Close closes the connection after either.
+func (x *Exchange) Discard(limit int64, wait time.Duration) error {
 	if err := x.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return err
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(x.Body, bytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Body, limit))
 	switch {
-	case n == bytes || n > 0 && errors.Is(err, os.ErrDeadlineExceeded):
+	case n == limit:
 		return ErrUndelimited
-	case err != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return err
+	case err != nil:
+		return merry.Errorf("%w: %w", ErrUndelimited, err)
 	}
 	return x.conn.SetReadDeadline(time.Time{})
 }
@@ -314,33 +316,21 @@
 
 // acquire returns an idle connection that is still open, or a new one.
 func (c *Client) acquire(ctx context.Context, address netip.AddrPort, out *Outgoing) (*conn, error) {
-	for !out.Fresh {
-		cn := c.takeIdle(address)
-		if cn == nil {
-			break
+	for {
+		cn, evicted, err := c.takeOrReserve(address, out)
+		if evicted != nil {
+			evicted.Close()
 		}
-		if c.Clock.Now().Before(cn.expires) && isIdle(cn.Conn) {
+		switch {
+		case err != nil:
+			return nil, err
+		case cn == nil:
+			return c.dial(ctx, address)
+		case c.Clock.Now().Before(cn.expires) && isIdle(cn.Conn):
 			return cn, nil
 		}
 		c.discard(cn)
 	}
-	if err := c.reserve(address, out.Bound); err != nil {
-		return nil, err
-	}
-	return c.dial(ctx, address)
-}
-
-// takeIdle removes the most recently used idle connection from the pool and returns it, nil if none.
-func (c *Client) takeIdle(address netip.AddrPort) *conn {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	p, found := c.pools[address]
-	if !found || len(p.idle) == 0 {
-		return nil
-	}
-	cn := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return cn
 }
 
 // dial opens a new connection, which has been counted already.
@@ -363,8 +353,8 @@
 }
 
 func newConn(made net.Conn, address netip.AddrPort) *conn {
-	unread := &allowance{inner: made}
-	return &conn{Conn: made, reader: bufio.NewReaderSize(unread, readBufferSize), unread: unread, address: address}
+	limiter := &readLimiter{inner: made}
+	return &conn{Conn: made, reader: bufio.NewReaderSize(limiter, readBufferSize), limiter: limiter, address: address}
 }
 
 // count adds change to the number of open connections to an address.
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -494,3 +494,15 @@
 	require.ErrorIs(t, err, ErrUnsent)
 	require.Zero(t, c.Opened())
 }
+
+// takeIdle removes the most recently used idle connection from the pool and returns it, nil if none.
+func (c *Client) takeIdle(address netip.AddrPort) *conn {
+	if c.idleTo(address) == 0 {
+		return nil
+	}
+	cn, _, err := c.takeOrReserve(address, &Outgoing{})
+	if err != nil {
+		return nil
+	}
+	return cn
+}
--- a/lib/forwarder/allowance.go
+++ b/lib/forwarder/readlimiter.go
@@ -14,35 +14,35 @@
 // errHeadTooLong means that an endpoint has sent maxHeadBytes without a complete head.
 var errHeadTooLong = merry.Sentinel("the head of the answer is too long")
 
-// allowance limits the bytes that are read from a connection while a head is expected. The standard parser
+// readLimiter limits the bytes that are read from a connection while a head is expected. The standard parser
 // has no limit of its own, and would collect an endless line or endless header fields in memory. Bodies
 // are not limited: they are read piece by piece, and a stream may be long.
 //
 // Until limit is called, reads are passed on without a limit.
-type allowance struct {
+type readLimiter struct {
 	inner   io.Reader
 	limited bool
 	left    int // bytes that may still be read while limited
 }
 
 // limit allows bytes more to be read.
-func (a *allowance) limit(bytes int) {
-	a.limited, a.left = true, bytes
+func (l *readLimiter) limit(bytes int) {
+	l.limited, l.left = true, bytes
 }
 
 // lift ends the limit.
-func (a *allowance) lift() {
-	a.limited = false
+func (l *readLimiter) lift() {
+	l.limited = false
 }
 
-func (a *allowance) Read(buffer []byte) (int, error) {
-	if !a.limited {
-		return a.inner.Read(buffer)
+func (l *readLimiter) Read(buffer []byte) (int, error) {
+	if !l.limited {
+		return l.inner.Read(buffer)
 	}
-	if a.left <= 0 {
+	if l.left <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := a.inner.Read(buffer[:min(len(buffer), a.left)])
-	a.left -= n
+	n, err := l.inner.Read(buffer[:min(len(buffer), l.left)])
+	l.left -= n
 	return n, err
 }
