Relay long error answers, and repeat those that find no memory

A complete error answer without a length and of more than 64 KB became 502, and its endpoint was charged as broken and suspected of a crash. Only one of 1 MB or more, or of more than 64 KB that goes on until the deadline, counts as endless, and no endless one as a sign of a crash.

An error answer that found no memory was relayed as final. Now it is dropped where the request may be repeated, and never appended to the events of a stream.

Endpoints with too many open connections no longer count as unsent attempts: four of them hid a fifth one with room.

--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -21,6 +21,10 @@
 // retried or answered with an error.
 const maxBufferedAnswerBytes = 64 << 10
 
+// maxErrorBytes bounds an error answer without a length. Such an answer may have no end, and would be relayed
+// until the deadline of its request. Error pages with stack traces have some hundred KB at most.
+const maxErrorBytes = 1 << 20
+
 const (
 	// maxRefusalBytes bounds the body of a refusal. Refusals have a line of text.
 	maxRefusalBytes = 16 << 10
@@ -38,29 +42,25 @@
 
 // relayPlain relays an answer that is not an event stream.
 func (p *Proxier) relayPlain(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange) *attemptFailure {
-	body, ended, err := p.bufferAnswer(q, x.Body)
+	if x.StatusCode >= http.StatusInternalServerError {
+		return p.relayError(ctx, q, slot, x)
+	}
+	body, ended, err := p.bufferAnswer(q, x.Body, maxBufferedAnswerBytes)
 	if err != nil {
 		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 	}
 	p.noteAnswerStarted(q, slot)
 	q.timeToFirst = p.options.Clock.Since(q.received)
 	if !ended {
-		if x.StatusCode >= http.StatusInternalServerError && x.ContentLength < 0 && len(body) >= maxBufferedAnswerBytes {
-			return p.failed(ctx, q, slot, errEndlessError)
-		}
-		return p.relayUnbuffered(ctx, q, slot, x, body)
+		return p.relayUnbuffered(ctx, q, slot, x, x.Body, body)
 	}
-	buffered := &bufferedAnswer{exchange: x, framing: q.framing, body: body}
-	if x.StatusCode >= http.StatusInternalServerError {
-		return &attemptFailure{outcome: balancer.Faulty, endedBy: cutByEndpoint, reason: "the endpoint failed with " + strconv.Itoa(x.StatusCode), fallback: buffered}
-	}
-	p.sendAnswer(q, buffered)
+	p.sendAnswer(q, &bufferedAnswer{exchange: x, framing: q.framing, body: body})
 	return nil
 }
 
-// bufferAnswer reads the begin of an answer, and reports whether the answer ended there: if it is longer than
-// maxBufferedAnswerBytes, or if other answers hold the memory, the rest is left unread.
-func (p *Proxier) bufferAnswer(q *request, from io.Reader) (body []byte, ended bool, err error) {
+// bufferAnswer reads the beginning of an answer, and reports whether the answer ended there: if it has limit
+// bytes or more, or if other answers hold the memory, the rest is left unread.
+func (p *Proxier) bufferAnswer(q *request, from io.Reader, limit int) (body []byte, ended bool, err error) {
 	body = make([]byte, 0, minBufferBytes)
 	for {
 		n, err := from.Read(body[len(body):cap(body)])
@@ -72,7 +72,7 @@
 			return nil, false, err
 		case len(body) < cap(body):
 			continue
-		case len(body) >= maxBufferedAnswerBytes || !p.holdAnswer(q, 2*int64(cap(body))):
+		case len(body) >= limit || !p.holdAnswer(q, 2*int64(cap(body))):
 			return body, false, nil
 		}
 		grown := make([]byte, len(body), 2*cap(body))
@@ -83,7 +83,7 @@
 
 const (
 	// minBufferBytes is the buffer that each answer may have even if other answers hold all the memory
-	// reserved for answers: a read of a stream and the begin of an event. The number of requests in flight
+	// reserved for answers: a read of a stream and the beginning of an event. The number of requests in flight
 	// bounds the sum of these.
 	minBufferBytes = 2 * streamBufferBytes
 	// copyBufferBytes is the buffer for the rest of a long answer if the memory is available.
@@ -107,12 +107,8 @@
 	return true
 }
 
-// errEndlessError means that an error answer without a length is longer than any real one. It may have no
-// end, and would be relayed until the deadline of its request.
-var errEndlessError = merry.Errorf("%w: its error answer has no length and does not end", forwarder.ErrBroken)
-
-// discardRefusal discards the body of a refusal, and reports whether the refusal was a valid answer. If
-// nothing of its body arrives in time, the connection is closed, which says nothing about the endpoint.
+// discardRefusal discards the body of a refusal, and reports whether the refusal was a valid answer. If the end
+// of its body is late, the connection is closed, which says nothing about the endpoint.
 func (p *Proxier) discardRefusal(q *request, x *forwarder.Exchange) bool {
 	err := x.Discard(maxRefusalBytes, maxRefusalWait)
 	if err != nil {
@@ -194,10 +190,10 @@
 	return nil
 }
 
-// relayUnbuffered relays an answer piece by piece. It is sent with its length or chunked, so that
+// relayUnbuffered relays an answer piece by piece: its head, and the rest. It is sent with its length or chunked, so that
 // the client can detect truncation. An answer that ends with its connection is relayed in the same
 // way, and the client's connection is reset if the answer is truncated.
-func (p *Proxier) relayUnbuffered(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, head []byte) *attemptFailure {
+func (p *Proxier) relayUnbuffered(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, rest io.Reader, head []byte) *attemptFailure {
 	err := p.sendHead(q, x, x.ContentLength)
 	if err == nil {
 		_, err = q.writer.Write(head)
@@ -210,7 +206,7 @@
 		size = minBufferBytes
 	}
 	// The writer is hidden, because its own copy has a buffer that is not counted.
-	if _, err := io.CopyBuffer(struct{ io.Writer }{q.writer}, x.Body, make([]byte, size)); err != nil {
+	if _, err := io.CopyBuffer(struct{ io.Writer }{q.writer}, rest, make([]byte, size)); err != nil {
 		e := p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 		e.reason = "the answer broke off"
 		q.sends = q.route.Attempts // the rest cannot come from another endpoint
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -43,14 +43,7 @@
 	defer cancel(nil)
 	q.endpointAnswer, q.answerBegan, q.lastHeard = forwarder.Answer{}, time.Time{}, now
 	failure := p.exchange(attemptCtx, cancel, q, slot)
-	outcome := balancer.Served
-	if failure != nil {
-		outcome = failure.outcome
-	}
-	if ctx.Err() != nil && (outcome == balancer.ConnectionBroken || outcome == balancer.ConnectFailed) {
-		outcome = balancer.Cancelled // the request's deadline passed, or its client disconnected
-	}
-	slot.End(p.options.Clock.Now(), outcome)
+	slot.End(p.options.Clock.Now(), outcomeOf(ctx, failure))
 	p.noteEnd(q, slot, failure)
 	if failure != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", failure.reason).
@@ -62,6 +55,18 @@
 	return failure
 }
 
+// outcomeOf returns what the end of an attempt says about its endpoint.
+func outcomeOf(ctx context.Context, failure *attemptFailure) balancer.Outcome {
+	if failure == nil {
+		return balancer.Served
+	}
+	broken := failure.outcome == balancer.ConnectionBroken || failure.outcome == balancer.ConnectFailed
+	if ctx.Err() != nil && broken && !failure.endless {
+		return balancer.Cancelled // the request's deadline passed, or its client disconnected
+	}
+	return failure.outcome
+}
+
 // exchange sends the request to the endpoint of a slot and relays the answer. It returns nil once
 // the client has its answer.
 func (p *Proxier) exchange(ctx context.Context, cancel context.CancelCauseFunc, q *request, slot *balancer.Slot) *attemptFailure {
@@ -119,7 +124,7 @@
 	e := &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: endedBy(ctx, err), reason: err.Error()}
 	switch {
 	case errors.Is(err, forwarder.ErrUnsent):
-		e.unsent, e.outcome = true, p.unsentOutcome(err)
+		e.unsent, e.crowded, e.outcome = true, errors.Is(err, forwarder.ErrCrowded), p.unsentOutcome(err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.options.Crashes.Ended(p.options.Clock.Now(), localizer.Lifetime(slot.Key()))
 		}
@@ -127,6 +132,8 @@
 		// The request may have crashed the endpoint, as with a broken connection.
 		p.noteRestart(q, slot)
 		e.reason = errRestarted.Error()
+	case errors.Is(err, errEndless):
+		e.endless = true // the endpoint runs: nothing crashed
 	case context.Cause(ctx) != nil:
 		// The deadline passed or the client disconnected: nothing crashed.
 	case errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, os.ErrDeadlineExceeded):
--- a/router/internal/proxier/connections_test.go
+++ b/router/internal/proxier/connections_test.go
@@ -16,12 +16,12 @@
 		connections, routers int
 		want                 forwarder.Bound
 	}{
-		"not configured":          {routers: 81},
-		"even part":               {connections: 610, routers: 81, want: forwarder.Bound{Part: 7, Open: 305}},
-		"more routers than room":  {connections: 610, routers: 1000, want: forwarder.Bound{Part: 2, Open: 305}},
-		"one router":              {connections: 610, routers: 1, want: forwarder.Bound{Part: 610, Open: 610}},
-		"routers not known":       {connections: 610, want: forwarder.Bound{Part: 610, Open: 610}},
-		"little room":             {connections: 1, routers: 81, want: forwarder.Bound{Part: 2, Open: 2}},
+		"not configured":         {routers: 81},
+		"even part":              {connections: 610, routers: 81, want: forwarder.Bound{Part: 7, Open: 305}},
+		"more routers than room": {connections: 610, routers: 1000, want: forwarder.Bound{Part: 2, Open: 305}},
+		"one router":             {connections: 610, routers: 1, want: forwarder.Bound{Part: 610, Open: 610}},
+		"routers not known":      {connections: 610, want: forwarder.Bound{Part: 610, Open: 610}},
+		"little room":            {connections: 1, routers: 81, want: forwarder.Bound{Part: 2, Open: 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
@@ -85,3 +85,36 @@
 		require.Equal(t, "first", <-bodies)
 	}
 }
+
+// Guards against a request that is refused although an endpoint has room, because several others have as many
+// connections as one router may open.
+func TestCrowdedEndpointsHideNoneWithRoom(t *testing.T) {
+	const crowded, requests = maxUnsentAttempts, 50
+	f := newFixture(t)
+	f.bound(1)
+	bound := f.proxier.connectionBound(&request{table: f.fleetState.Table(), service: "desk"})
+	for range crowded {
+		address := f.listen(func(net.Conn, *http.Request) {})
+		f.add(address)
+		for range bound.Open {
+			out := &forwarder.Outgoing{Method: http.MethodGet, Target: "/", Host: "h", Bound: bound}
+			answered := make(chan struct{})
+			t.Cleanup(func() { <-answered })
+			sent := make(chan struct{})
+			go func() {
+				defer close(answered)
+				_, err := f.proxier.options.Client.Do(t.Context(), address, out, func() bool { close(sent); return true })
+				if err == nil {
+					t.Error("an endpoint that does not answer answered")
+				}
+			}()
+			<-sent
+		}
+	}
+	f.endpoint(answerWith("whole"))
+	for range requests {
+		body, err := f.fetch("POST", "/book/", "prompt")
+		require.NoError(t, err)
+		require.Equal(t, "whole", body)
+	}
+}
--- a/router/internal/proxier/endless_test.go
+++ b/router/internal/proxier/endless_test.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,9 +11,11 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/balancer"
+	"shallotkeel.example/lib/forwarder"
 )
 
 // maxEndlessMemory bounds in bytes what a router may allocate in total for one request to an endpoint that
@@ -47,6 +50,7 @@
 
 const (
 	signedHead  = "HTTP/1.1 200 OK\r\n" + idHeader + ": %s\r\n" + stampHeader + ": stamp\r\n"
+	errorHead   = "HTTP/1.1 500 Fault\r\n" + idHeader + ": %s\r\n"
 	refusalHead = "HTTP/1.1 503 Service Unavailable\r\n" + idHeader + ": %s\r\n" + notRunHeader + ": 1\r\n"
 )
 
@@ -163,14 +167,189 @@
 	require.Equal(t, "whole", body)
 }
 
-// Guards against a long error answer of a healthy endpoint that is replaced by the router's own.
+// Guards against a long error answer of a healthy endpoint that is replaced by the router's own, or for which
+// the endpoint counts as broken.
 func TestLongErrorAnswerIsRelayed(t *testing.T) {
-	f := newFixture(t)
-	long := strings.Repeat("x", 2*maxBufferedAnswerBytes)
-	f.endpoint(func(conn net.Conn, request *http.Request) { reply(conn, request, http.StatusInternalServerError, long) })
-	response := f.do("POST", "/book/", "prompt")
-	body, err := readText(response)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusInternalServerError, response.StatusCode)
-	require.True(t, body == long)
+	for framing, reply := range map[string]func(conn net.Conn, request *http.Request, body string){
+		"length": func(conn net.Conn, request *http.Request, body string) {
+			reply(conn, request, http.StatusInternalServerError, body)
+		},
+		"chunks":     replyErrorInChunks,
+		"connection": replyErrorUnframed,
+	} {
+		for _, size := range []int{80 << 10, maxErrorBytes - 1, 2 * maxErrorBytes} {
+			if framing != "length" && size >= maxErrorBytes {
+				continue // it counts as endless
+			}
+			for _, limit := range []int64{0, 1} {
+				t.Run(fmt.Sprint(framing, " ", size, " memory ", limit), func(t *testing.T) {
+					f := newFixture(t)
+					f.proxier.answerMemory.limit = limit
+					outcomes := f.recordOutcomes()
+					long := strings.Repeat("x", size)
+					f.endpoint(func(conn net.Conn, request *http.Request) { reply(conn, request, long) })
+					response := f.do("POST", "/book/", "prompt")
+					body, err := readText(response)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusInternalServerError, response.StatusCode)
+					require.True(t, body == long)
+					require.NotEqual(t, balancer.ConnectionBroken, <-outcomes)
+				})
+			}
+		}
+	}
+}
+
+func replyErrorInChunks(conn net.Conn, request *http.Request, body string) {
+	fmt.Fprintf(conn, errorHead+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", request.Header.Get(idHeader), len(body), body)
+}
+
+func replyErrorUnframed(conn net.Conn, request *http.Request, body string) {
+	fmt.Fprintf(conn, errorHead+"\r\n%s", request.Header.Get(idHeader), body)
+	conn.Close()
+}
+
+// Guards against a request that may be repeated and gets the error answer of one endpoint as final because other
+// answers hold the memory, although another endpoint is well.
+func TestErrorAnswerWithoutMemoryIsRepeated(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply func(conn net.Conn, request *http.Request)
+		want  balancer.Outcome
+	}{
+		"length": {func(conn net.Conn, request *http.Request) {
+			reply(conn, request, http.StatusInternalServerError, strings.Repeat("x", 20<<10))
+		}, balancer.Faulty},
+		"chunks": {func(conn net.Conn, request *http.Request) {
+			replyErrorInChunks(conn, request, strings.Repeat("x", 20<<10))
+		}, balancer.Faulty},
+		"endless": {func(conn net.Conn, request *http.Request) { sendEndlessly(conn, request, errorHead+"\r\n", "x") }, balancer.ConnectionBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.proxier.answerMemory.limit = 1
+			outcomes := f.recordOutcomes()
+			var sends atomic.Int64
+			serve := func(conn net.Conn, request *http.Request) {
+				if sends.Add(1) == 1 {
+					test.reply(conn, request)
+					return
+				}
+				reply(conn, request, http.StatusOK, "whole")
+			}
+			f.endpoint(serve)
+			f.endpoint(serve)
+			body, err := f.fetch("POST", "/read/", "prompt")
+			require.NoError(t, err)
+			require.Equal(t, "whole", body)
+			require.Equal(t, test.want, <-outcomes)
+		})
+	}
+}
+
+// Guards against an error answer that is appended to the events of a stream.
+func TestErrorAnswerEndsAResumedStream(t *testing.T) {
+	for name, size := range map[string]int{"short": 1 << 10, "no memory": 20 << 10, "long": maxErrorBytes + 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.proxier.answerMemory.limit = 1
+			var sends atomic.Int64
+			serve := func(conn net.Conn, request *http.Request) {
+				if sends.Add(1) == 1 {
+					beginStream(conn, request, 1, 1)
+					conn.Close()
+					return
+				}
+				reply(conn, request, http.StatusInternalServerError, strings.Repeat("x", size))
+			}
+			f.endpoint(serve)
+			f.endpoint(serve)
+			body, err := f.fetch("POST", "/list/", "prompt")
+			require.Error(t, err, "a truncated stream ended cleanly")
+			require.Equal(t, event(1), body)
+			require.EqualValues(t, 2, sends.Load())
+		})
+	}
+}
+
+// Guards against an endpoint whose error answers never end and that is not charged because they are slow, or
+// because there is no memory for them.
+func TestEndlessErrorAnswerIsCharged(t *testing.T) {
+	const piece = maxBufferedAnswerBytes + 1
+	for name, test := range map[string]struct {
+		limit int64
+		path  string
+		serve func(conn net.Conn, request *http.Request)
+	}{
+		"no memory": {limit: 1, path: "/book/", serve: func(conn net.Conn, request *http.Request) { sendEndlessly(conn, request, errorHead+"\r\n", "x") }},
+		"until the deadline": {path: "/book/", serve: func(conn net.Conn, request *http.Request) {
+			fmt.Fprintf(conn, errorHead+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", request.Header.Get(idHeader), piece, strings.Repeat("x", piece))
+			awaitClose(conn)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.proxier.answerMemory.limit = test.limit
+			outcomes := f.recordOutcomes()
+			f.endpoint(test.serve)
+			response, err := f.send(t.Context(), "POST", test.path, "prompt", deadlineHeader, "300")
+			if err == nil {
+				readText(response) //nolint:errcheck // only the endpoint's outcome counts
+			}
+			require.Equal(t, balancer.ConnectionBroken, <-outcomes)
+		})
+	}
+}
+
+// Guards against requests that are suspected of a crash because their endpoint sends an endless error answer.
+func TestEndlessErrorAnswerIsNoCrash(t *testing.T) {
+	p := &Proxier{} // a report to the observer would panic
+	failure := p.failed(t.Context(), &request{}, nil, merry.Errorf("%w: %w", forwarder.ErrBroken, errEndless))
+	require.Equal(t, balancer.ConnectionBroken, failure.outcome)
+}
+
+// Guards against an endpoint that is charged for a refusal whose body is late.
+func TestLateRefusalIsNotCharged(t *testing.T) {
+	for name, begin := range map[string]string{"nothing": "", "a part": "2\r\nno\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			outcomes := f.recordOutcomes()
+			f.endpoint(func(conn net.Conn, request *http.Request) {
+				fmt.Fprintf(conn, refusalHead+"Transfer-Encoding: chunked\r\n\r\n%s", request.Header.Get(idHeader), begin)
+				awaitClose(conn)
+			})
+			response := f.do("POST", "/book/", "prompt")
+			_, err := readText(response)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, balancer.Full, <-outcomes)
+		})
+	}
+}
+
+// recordOutcomes makes the server pass on what each attempt says about its endpoint.
+func (f *fixture) recordOutcomes() <-chan balancer.Outcome {
+	outcomes := make(chan balancer.Outcome, 8)
+	p := f.proxier
+	f.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		q := &request{http: h, writer: w, received: p.options.Clock.Now(), tried: make(map[string]bool), in: p.options.Dialect.Read(h.Header)}
+		if !p.admit(q) {
+			f.t.Error("the request was refused")
+			return
+		}
+		ctx, cancel := context.WithDeadline(h.Context(), q.deadline)
+		defer cancel()
+		for {
+			failure := p.attempt(ctx, q)
+			outcomes <- outcomeOf(ctx, failure)
+			if failure == nil {
+				return
+			}
+			q.mayHaveRun = q.mayHaveRun || !failure.unsent && !failure.notRun
+			if !p.mayRetry(ctx, q, *failure) {
+				p.giveUp(ctx, q, *failure)
+				return
+			}
+		}
+	})
+	return outcomes
 }
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -275,6 +275,8 @@
 type attemptFailure struct {
 	outcome    balancer.Outcome
 	unsent     bool // no byte was sent
+	crowded    bool // nothing was sent because too many connections to the endpoint are open
+	endless    bool // the endpoint's answer does not end
 	noEndpoint bool // there is also no endpoint to try
 	overloaded bool // there are endpoints, but none has capacity
 	notRun     bool // the endpoint answered that it did not run the request
@@ -295,6 +297,9 @@
 	if e.noEndpoint || q.answerStarted && q.in.Work.Version == "" {
 		return false // without the version of a begun stream, no endpoint is known to be able to resume it
 	}
+	if e.crowded {
+		return true // it costs no time, and no endpoint is tried twice
+	}
 	if e.unsent {
 		q.unsentAttempts++
 		return q.unsentAttempts < maxUnsentAttempts
