Wait for the timer of a planned stop before advancing the clock

TestPlannedStopCutsNothing and the tests that call closeListener advanced the fake clock possibly before the stop had registered its timer: the advance was lost and the stop did not go on, or repeated advances went beyond the grace time and cut requests. They now wait for that timer, and advance by drainTime once. The clock reports the timer by its duration: BlockUntilContext counts timers, and other parts of the router register theirs at the same time. All assertions are as they were.

--- a/router/internal/director/director_test.go
+++ b/router/internal/director/director_test.go
@@ -78,7 +78,7 @@
 	settings := validSettings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(path, []byte("{}"), 0o600))
-	clock := clockwork.NewFakeClock()
+	clock := newTimerClock()
 	d := New(settings, path, zerolog.Nop(), clock)
 	plan := `{"version":1,"services":[{"name":"desk"}],"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"non_idempotent","timeout_ms":60000,"service":"desk"}]}`
 	d.planning[netip.MustParseAddrPort("127.0.0.1:1")] = stubKeeper{plan: plan}
@@ -137,6 +137,7 @@
 	require.Equal(t, http.StatusOK, status, "new requests are served while the router drains")
 	require.Equal(t, "whole", body)
 	require.True(t, closes, "and their connections are closed")
+	clock.awaitDrainTimer(t)
 	clock.Advance(drainTime)
 	require.Eventually(t, func() bool { status, _, _ := get(settings.Listen, "/fast"); return status == 0 }, waitTimeout, time.Millisecond)
 	close(end)
--- a/router/internal/director/stop_test.go
+++ b/router/internal/director/stop_test.go
@@ -15,7 +15,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -28,7 +27,7 @@
 type stoppingRouter struct {
 	*Director
 	t       *testing.T
-	clock   *clockwork.FakeClock
+	clock   *timerClock
 	path    string
 	began   chan struct{} // gets a value when the endpoint begins to wait
 	release chan struct{}
@@ -44,7 +43,7 @@
 func newStoppingRouter(t *testing.T) *stoppingRouter {
 	t.Helper()
 	r := &stoppingRouter{
-		t: t, clock: clockwork.NewFakeClock(), path: filepath.Join(t.TempDir(), "settings.json"),
+		t: t, clock: newTimerClock(), path: filepath.Join(t.TempDir(), "settings.json"),
 		began: make(chan struct{}, 8), release: make(chan struct{}), lines: make(chan string, 256), ended: make(chan error, 1),
 	}
 	require.NoError(t, os.WriteFile(r.path, []byte("{}"), 0o600))
@@ -132,8 +131,9 @@
 			return false
 		}
 	}, waitTimeout, time.Millisecond)
+	r.clock.awaitDrainTimer(r.t)
+	r.clock.Advance(drainTime)
 	require.Eventually(r.t, func() bool {
-		r.clock.Advance(drainTime / 8)
 		cn, err := net.Dial("tcp", r.settings.Listen.String())
 		if err == nil {
 			cn.Close()
