--- a/lib/forwarder/endless_test.go
+++ b/lib/forwarder/endless_test.go
@@ -268,7 +268,7 @@
 			require.NoError(t, err)
 			err = x.Discard(maxBytes, test.wait)
 			require.ErrorIs(t, err, test.err)
-			require.Equal(t, test.err == ErrUndelimited, errors.Is(err, ErrUndelimited))
+			require.Equal(t, errors.Is(test.err, ErrUndelimited), errors.Is(err, ErrUndelimited))
 			x.Close()
 			require.Equal(t, test.kept, c.idleTo(e.address))
 			require.Equal(t, test.kept, c.openTo(e.address))
