--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -11,7 +11,9 @@
 //   - a connection is reused only after a complete answer that belonged to its request, with no unread
 //     bytes behind it;
 //   - an answer with the ID of another request is skipped, never returned to the caller;
-//   - every wait ends with the context.
+//   - every wait ends with the context;
+//   - whatever an endpoint sends, an exchange holds little memory: heads are limited, bodies are read as
+//     the caller reads them, and a connection with bytes behind its answer is closed.
 package forwarder
 
 import (
@@ -23,6 +25,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,12 +47,14 @@
 	ErrBroken = merry.Sentinel("the connection to the endpoint broke")
 	// ErrForeign means that the endpoint sent the answer to another request instead.
 	ErrForeign = merry.Sentinel("the endpoint answered another request")
+	// ErrUndelimited means that a discarded body is too long or that its framing is invalid.
+	ErrUndelimited = merry.Sentinel("the end of the body was not found")
 )
 
 const (
 	// DefaultDialTimeout bounds the time for a new connection. Endpoints are a few milliseconds away, and a
 	// lost first packet is retransmitted after a second. The timeout is shorter than that, so that another
-	// endpoint is tried earlier, and within a usual target of 250 ms for the begin of an answer.
+	// endpoint is tried earlier, and within a usual target of 250 ms for the beginning of an answer.
 	DefaultDialTimeout = 200 * time.Millisecond
 	// DefaultIdle is how long an idle connection is kept if the endpoint does not announce a time. Services
 	// close idle connections after timeouts of their own.
@@ -83,15 +88,18 @@
 type pool struct {
 	idle []*conn // the most recently used at the end
 	open int     // idle, in use, or being dialled
+	part int     // Bound.Part of the last request
 }
 
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	address netip.AddrPort
-	expires time.Time // when it must not be reused any more
-	reused  bool
+	reader   *bufio.Reader
+	limiter  *readLimiter // beneath the reader
+	address  netip.AddrPort
+	expires  time.Time // when it must not be reused any more
+	released time.Time // when it became idle
+	reused   bool
 }
 
 // Outgoing is a request for an endpoint.
@@ -105,6 +113,8 @@
 	// Fresh requests a new connection: the other end may have closed an idle connection unnoticed, and a
 	// request that must not be repeated would be lost on it.
 	Fresh bool
+	// Bound limits the connections to the address.
+	Bound Bound
 }
 
 // Exchange is a request in flight and its answer.
@@ -115,6 +125,7 @@
 
 	client      *Client
 	conn        *conn
+	bound       Bound
 	stopCancel  func() bool
 	bodyWritten chan error // result of a concurrent body write, nil if the body was written inline
 	complete    bool
@@ -129,15 +140,15 @@
 // before the first byte is written; if it returns false, nothing is sent. Errors wrap ErrUnsent,
 // ErrBroken or ErrForeign. The caller must close the exchange.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, out *Outgoing, sent func() bool) (*Exchange, error) {
-	cn, err := c.acquire(ctx, address, out.Fresh)
+	cn, err := c.acquire(ctx, address, out)
 	if err != nil {
 		return nil, merry.Errorf("%w: %w", ErrUnsent, err)
 	}
 	if sent != nil && !sent() {
-		c.putIdle(cn)
+		c.release(cn, out.Bound)
 		return nil, merry.Errorf("%w: %w", ErrUnsent, ErrWithdrawn)
 	}
-	x := &Exchange{client: c, conn: cn, Reused: cn.reused}
+	x := &Exchange{client: c, conn: cn, bound: out.Bound, Reused: cn.reused}
 	x.stopCancel = context.AfterFunc(ctx, func() {
 		// A deadline in the past ends reads and writes at once; their error makes Close discard the connection.
 		if err := cn.SetDeadline(time.Unix(1, 0)); err != nil {
@@ -187,13 +198,10 @@
 func (x *Exchange) receive(out *Outgoing) error {
 	request := &http.Request{Method: out.Method}
 	for range maxForeign + 1 {
-		answer, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // Exchange.Close closes or keeps the connection
+		answer, err := x.readHead(request) //nolint:bodyclose // Exchange.Close closes or keeps the connection
 		if err != nil {
 			return merry.Errorf("%w: %w", ErrBroken, err)
 		}
-		if answer.StatusCode < http.StatusOK {
-			continue
-		}
 		if x.client.Matches == nil || x.client.Matches(answer, out.ID) {
 			x.Response = answer
 			answer.Body = &body{inner: answer.Body, exchange: x}
@@ -207,6 +215,19 @@
 	return merry.Errorf("%w several times", ErrForeign)
 }
 
+// readHead reads the head of the next final answer. Informational answers before it are skipped; their
+// number is limited by their bytes, which count toward the same limit as the head.
+func (x *Exchange) readHead(request *http.Request) (*http.Response, error) {
+	x.conn.limiter.limit(maxHeadBytes)
+	defer x.conn.limiter.lift()
+	for {
+		answer, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil || answer.StatusCode >= http.StatusOK {
+			return answer, err
+		}
+	}
+}
+
 // body records that an answer has been read to its end.
 type body struct {
 	inner    io.ReadCloser
@@ -230,6 +251,25 @@
 	return x.complete
 }
 
+// Discard reads the body of an answer to its end, so that the connection can be reused, but less than limit
+// bytes and no longer than wait. The error wraps os.ErrDeadlineExceeded if the end has not arrived in time,
+// and otherwise ErrUndelimited; Close closes the connection after either.
+func (x *Exchange) Discard(limit int64, wait time.Duration) error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Body, limit))
+	switch {
+	case n == limit:
+		return ErrUndelimited
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	case err != nil:
+		return merry.Errorf("%w: %w", ErrUndelimited, err)
+	}
+	return x.conn.SetReadDeadline(time.Time{})
+}
+
 // Close ends the exchange. The connection is kept if the answer is complete and the connection reusable.
 func (x *Exchange) Close() {
 	interrupted := !x.stopCancel()
@@ -239,7 +279,7 @@
 	}
 	x.conn.reused = true
 	x.conn.expires = x.client.Clock.Now().Add(idleTimeout(x.Header))
-	x.client.putIdle(x.conn)
+	x.client.release(x.conn, x.bound)
 }
 
 // reusable reports whether the connection can carry another request.
@@ -275,36 +315,26 @@
 }
 
 // acquire returns an idle connection that is still open, or a new one.
-func (c *Client) acquire(ctx context.Context, address netip.AddrPort, fresh bool) (*conn, error) {
-	for !fresh {
-		cn := c.takeIdle(address)
-		if cn == nil {
-			break
+func (c *Client) acquire(ctx context.Context, address netip.AddrPort, out *Outgoing) (*conn, error) {
+	for {
+		cn, evicted, err := c.takeOrReserve(address, out)
+		if evicted != nil {
+			evicted.Close()
 		}
-		if c.Clock.Now().Before(cn.expires) && isIdle(cn.Conn) {
+		switch {
+		case err != nil:
+			return nil, err
+		case cn == nil:
+			return c.dial(ctx, address)
+		case c.Clock.Now().Before(cn.expires) && isIdle(cn.Conn):
 			return cn, nil
 		}
 		c.discard(cn)
 	}
-	return c.dial(ctx, address)
-}
-
-// takeIdle removes the most recently used idle connection from the pool and returns it, nil if none.
-func (c *Client) takeIdle(address netip.AddrPort) *conn {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	p, found := c.pools[address]
-	if !found || len(p.idle) == 0 {
-		return nil
-	}
-	cn := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return cn
 }
 
-// dial opens a new connection.
+// dial opens a new connection, which has been counted already.
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	c.count(address, 1)
 	timeout := c.DialTimeout
 	if timeout == 0 {
 		timeout = DefaultDialTimeout
@@ -319,13 +349,27 @@
 		return nil, err
 	}
 	c.opened.Add(1)
-	return &conn{Conn: made, reader: bufio.NewReaderSize(made, readBufferSize), address: address}, nil
+	return newConn(made, address), nil
+}
+
+func newConn(made net.Conn, address netip.AddrPort) *conn {
+	limiter := &readLimiter{inner: made}
+	return &conn{Conn: made, reader: bufio.NewReaderSize(limiter, readBufferSize), limiter: limiter, address: address}
 }
 
 // count adds change to the number of open connections to an address.
 func (c *Client) count(address netip.AddrPort, change int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	p := c.pool(address)
+	p.open += change
+	if p.open == 0 && len(p.idle) == 0 {
+		delete(c.pools, address)
+	}
+}
+
+// pool returns the pool of an address. The caller holds the mutex.
+func (c *Client) pool(address netip.AddrPort) *pool {
 	if c.pools == nil {
 		c.pools = make(map[netip.AddrPort]*pool)
 	}
@@ -334,18 +378,7 @@
 		p = &pool{}
 		c.pools[address] = p
 	}
-	p.open += change
-	if p.open == 0 && len(p.idle) == 0 {
-		delete(c.pools, address)
-	}
-}
-
-// putIdle returns a connection to the pool.
-func (c *Client) putIdle(cn *conn) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	p := c.pools[cn.address]
-	p.idle = append(p.idle, cn)
+	return p
 }
 
 // discard closes a connection that is not in the pool.
@@ -369,21 +402,14 @@
 	}
 }
 
-// Sweep closes the idle connections whose idle time has expired. The caller runs it periodically.
+// Sweep closes the idle connections whose idle time has expired, and those beyond the even part that are not
+// reused. The caller runs it periodically.
 func (c *Client) Sweep() {
 	now := c.Clock.Now()
 	var closing []*conn
 	c.mutex.Lock()
 	for _, p := range c.pools {
-		kept := p.idle[:0]
-		for _, cn := range p.idle {
-			if now.Before(cn.expires) {
-				kept = append(kept, cn)
-			} else {
-				closing = append(closing, cn)
-			}
-		}
-		p.idle = kept
+		closing = append(closing, p.sweep(now)...)
 	}
 	c.mutex.Unlock()
 	for _, cn := range closing {
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -367,7 +367,7 @@
 	<-closed
 	require.Eventually(t, func() bool {
 		cn := c.takeIdle(e.address)
-		defer c.putIdle(cn)
+		defer c.release(cn, Bound{})
 		return !isIdle(cn.Conn)
 	}, 5*time.Second, time.Millisecond)
 	_, err = fetch(t, c, e, withID(newRequest("second")))
@@ -466,7 +466,7 @@
 	f.Fuzz(func(t *testing.T, bytes []byte) {
 		near, far := net.Pipe()
 		c := newClient()
-		x := &Exchange{client: c, conn: &conn{Conn: near, reader: bufio.NewReader(near)}, stopCancel: func() bool { return true }}
+		x := &Exchange{client: c, conn: newConn(near, netip.AddrPort{}), stopCancel: func() bool { return true }}
 		go func() {
 			far.Write(bytes) //nolint:errcheck // the reader may have closed its end
 			far.Close()
@@ -494,3 +494,15 @@
 	require.ErrorIs(t, err, ErrUnsent)
 	require.Zero(t, c.Opened())
 }
+
+// takeIdle removes the most recently used idle connection from the pool and returns it, nil if none.
+func (c *Client) takeIdle(address netip.AddrPort) *conn {
+	if c.idleTo(address) == 0 {
+		return nil
+	}
+	cn, _, err := c.takeOrReserve(address, &Outgoing{})
+	if err != nil {
+		return nil
+	}
+	return cn
+}
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -153,9 +153,9 @@
 		// MaxRequests limits the load before the process lags: lag arises only once too many requests
 		// have been accepted, and lasts until they are done.
 		MaxRequests:       d.maxRunning(),
-		MaxTotalBodyBytes: proxier.MaxTotalBodyBytes(settings.Memory),
-		CPUStarved:        d.pacer.Lags,
-		StartRate:         d.pacer.Starts,
+		MaxTotalBodyBytes: proxier.MaxTotalBodyBytes(settings.Memory), MaxTotalAnswerBytes: proxier.MaxTotalAnswerBytes(settings.Memory),
+		CPUStarved: d.pacer.Lags,
+		StartRate:  d.pacer.Starts,
 	})
 	d.registerGauges()
 	return d
@@ -242,6 +242,7 @@
 	d.budget.SetRouters(count)
 	d.shares.SetRouterCount(count)
 	d.balancer.SetRouterCount(count)
+	d.proxier.SetRouterCount(count)
 	rate := d.requestRate.update(d.clock.Now(), d.proxier.Received())
 	d.subscriber.Pace(d.pollWaits(rate, count, d.subscriber.Keepers()))
 }
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -46,14 +45,7 @@
 	defer cancel(nil)
 	q.endpointAnswer, q.answerBegan, q.lastHeard = forwarder.Answer{}, time.Time{}, now
 	failure := p.exchange(attemptCtx, cancel, q, slot)
-	outcome := balancer.Served
-	if failure != nil {
-		outcome = failure.outcome
-	}
-	if ctx.Err() != nil && (outcome == balancer.ConnectionBroken || outcome == balancer.ConnectFailed) {
-		outcome = balancer.Cancelled // the request's deadline passed, or its client disconnected
-	}
-	slot.End(p.options.Clock.Now(), outcome)
+	slot.End(p.options.Clock.Now(), outcomeOf(ctx, failure))
 	p.noteEnd(q, slot, failure)
 	if failure != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", failure.reason).
@@ -66,11 +58,23 @@
 	return failure
 }
 
+// outcomeOf returns what the end of an attempt says about its endpoint.
+func outcomeOf(ctx context.Context, failure *attemptFailure) balancer.Outcome {
+	if failure == nil {
+		return balancer.Served
+	}
+	broken := failure.outcome == balancer.ConnectionBroken || failure.outcome == balancer.ConnectFailed
+	if ctx.Err() != nil && broken && !failure.endless {
+		return balancer.Cancelled // the request's deadline passed, or its client disconnected
+	}
+	return failure.outcome
+}
+
 // exchange sends the request to the endpoint of a slot and relays the answer. It returns nil once
 // the client has its answer.
 func (p *Proxier) exchange(ctx context.Context, cancel context.CancelCauseFunc, q *request, slot *balancer.Slot) *attemptFailure {
 	outgoing := &forwarder.Outgoing{
-		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body,
+		ID: q.in.ID, Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, Bound: p.connectionBound(q),
 		Header: p.options.Dialect.Outgoing(q.http.Header, forwarder.Mark{
 			Instance: slot.ID, Workspace: q.workspace, Remaining: q.deadline.Sub(p.options.Clock.Now()), Resume: q.stream.lastID,
 			Source: slot.Source,
@@ -125,7 +129,7 @@
 	e := &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: endedBy(ctx, err), reason: err.Error()}
 	switch {
 	case errors.Is(err, forwarder.ErrUnsent):
-		e.unsent, e.outcome = true, p.unsentOutcome(err)
+		e.unsent, e.crowded, e.outcome = true, errors.Is(err, forwarder.ErrCrowded), p.unsentOutcome(err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.options.Crashes.Ended(p.options.Clock.Now(), localizer.Lifetime(slot.Key()))
 		}
@@ -133,6 +137,8 @@
 		// The request may have crashed the endpoint, as with a broken connection.
 		p.noteRestart(q, slot)
 		e.reason = errRestarted.Error()
+	case errors.Is(err, errEndless):
+		e.endless = true // the endpoint runs: nothing crashed
 	case context.Cause(ctx) != nil:
 		// The deadline passed or the client disconnected: nothing crashed.
 	case errors.Is(err, forwarder.ErrBroken) && !errors.Is(err, os.ErrDeadlineExceeded):
@@ -147,7 +153,7 @@
 func (p *Proxier) unsentOutcome(err error) balancer.Outcome {
 	var dialed net.Error
 	switch {
-	case errors.Is(err, forwarder.ErrWithdrawn):
+	case errors.Is(err, forwarder.ErrWithdrawn), errors.Is(err, forwarder.ErrCrowded):
 		return balancer.Cancelled
 	case errors.As(err, &dialed) && dialed.Timeout() && p.options.CPUStarved != nil && p.options.CPUStarved():
 		return balancer.ConnectLate
@@ -157,13 +163,13 @@
 
 // declined returns the failure of an attempt that the endpoint did not run.
 func (p *Proxier) declined(q *request, x *forwarder.Exchange, answer forwarder.Answer) *attemptFailure {
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Body, maxBufferedAnswerBytes)); err != nil {
-		p.options.Log.Debug().Err(err).Str("id", q.in.ID).Msg("body of the endpoint's refusal was truncated; its connection is closed")
-	}
 	e := &attemptFailure{outcome: balancer.Full, notRun: true, reason: "the endpoint refused it with " + strconv.Itoa(x.StatusCode)}
 	if answer.Misdirected {
 		e.outcome = balancer.WrongInstance
 	}
+	if !p.discardRefusal(q, x) {
+		e.outcome = balancer.ConnectionBroken
+	}
 	return e
 }
 
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -104,6 +104,8 @@
 	MaxRequests int
 	// MaxTotalBodyBytes limits the bytes of request bodies held at a time, 0 for no limit.
 	MaxTotalBodyBytes int64
+	// MaxTotalAnswerBytes limits the bytes of answers held at a time, 0 for no limit.
+	MaxTotalAnswerBytes int64
 	// CoalesceDelay is how long a stream may wait for more events under high load, 0 to
 	// relay each event at once.
 	CoalesceDelay time.Duration
@@ -118,7 +120,8 @@
 type Proxier struct {
 	options            Options
 	inFlight           inFlight
-	bodyMemory         bodyMemory
+	bodyMemory         memory
+	answerMemory       memory
 	logDamper          damper.Damper // of log lines about requests that were not sent
 	keyLogDamper       damper.Damper // of log lines about keys that no workspace holds
 	retries            retryTracker
@@ -127,6 +130,7 @@
 	outputs            estimator.Shared // output tokens of streams, by workspace and route
 	closedBehind       atomic.Uint64    // connections closed behind answers to a flood
 	prober             prober.Prober
+	routers            atomic.Int64  // routers in the fleet, 0 if unknown
 	received           atomic.Uint64 // requests that have arrived
 	refused            atomic.Uint64 // requests refused, including those refused by Screen
 	started            atomic.Uint64 // requests forwarded to endpoints
@@ -136,7 +140,7 @@
 
 // New returns a Proxier.
 func New(options Options) *Proxier {
-	p := &Proxier{options: options, bodyMemory: bodyMemory{limit: options.MaxTotalBodyBytes}, keyLogDamper: damper.Damper{LinesPerSecond: maxKeyLogLines}}
+	p := &Proxier{options: options, bodyMemory: memory{limit: options.MaxTotalBodyBytes}, answerMemory: memory{limit: options.MaxTotalAnswerBytes}, keyLogDamper: damper.Damper{LinesPerSecond: maxKeyLogLines}}
 	p.prober = prober.Prober{Observer: options.Crashes, Clock: options.Clock, Log: options.Log}
 	options.Client.Matches = options.Dialect.Matches
 	return p
@@ -155,6 +159,7 @@
 	target        string // path and query as the client sent them
 	body          []byte
 	reserved      int64             // bytes of body memory reserved for it
+	answerHeld    int64             // bytes of answer memory reserved for it
 	digest        uint64            // identifies the request across its repeats
 	profile       localizer.Profile // what it has in common with other requests
 	trial         bool              // it is the trial of a quarantined feature
@@ -207,7 +212,10 @@
 	}
 	q.in = p.options.Dialect.Read(h.Header)
 	defer p.record(q)
-	defer func() { p.bodyMemory.release(q.reserved) }()
+	defer func() {
+		p.bodyMemory.release(q.reserved)
+		p.answerMemory.release(q.answerHeld)
+	}()
 	if p.admit(q) {
 		if p.closesBehind(q.received, q.beyondShare) {
 			w.Header().Set("Connection", "close")
@@ -282,6 +290,8 @@
 type attemptFailure struct {
 	outcome    balancer.Outcome
 	unsent     bool // no byte was sent
+	crowded    bool // nothing was sent because too many connections to the endpoint are open
+	endless    bool // the endpoint's answer does not end
 	noEndpoint bool // there is also no endpoint to try
 	overloaded bool // there are endpoints, but none has capacity
 	notRun     bool // the endpoint answered that it did not run the request
@@ -302,6 +312,9 @@
 	if e.noEndpoint || q.answerStarted && q.in.Work.Version == "" {
 		return false // without the version of a begun stream, no endpoint is known to be able to resume it
 	}
+	if e.crowded {
+		return true // it costs no time, and no endpoint is tried twice
+	}
 	if e.unsent {
 		q.unsentAttempts++
 		return q.unsentAttempts < maxUnsentAttempts
