indexer: report the time since a keeper named a prefix

The age of the newest entry was refreshed by the router's own requests, so that it did not show that no keeper is heard. Directory.NewestAge is removed; its test checks the refresh times instead. The package comment now says that entries are added once an engine has prefilled a prefix.

--- a/lib/indexer/exchange.go
+++ b/lib/indexer/exchange.go
@@ -23,6 +23,8 @@
 	firstNumber uint64
 	reportEnd   map[netip.AddrPort]uint64 // sequence number after the last entry in the current report to a keeper
 	after       map[netip.AddrPort]uint64 // revision of each keeper's directory in its last answer
+	// heardAt is when a keeper last sent an entry; until one has, when the first entry was added.
+	heardAt time.Time
 }
 
 // sentPrefix is an entry that is to be reported.
@@ -42,6 +44,9 @@
 		return
 	}
 	x.directory.Merge(now, holding)
+	if x.heardAt.IsZero() {
+		x.heardAt = now
+	}
 	if !report {
 		return
 	}
@@ -79,11 +84,15 @@
 	return x.directory.Len(now)
 }
 
-// NewestAge returns the time since the last refresh of any entry, 0 if there is no entry.
-func (x *Exchange) NewestAge(now time.Time) time.Duration {
+// Silence returns the time since a keeper last sent an entry, 0 if there is no entry. The router's own
+// requests do not shorten it: keepers send the entries of all routers, its own included.
+func (x *Exchange) Silence(now time.Time) time.Duration {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	return x.directory.NewestAge(now)
+	if x.directory.Len(now) == 0 {
+		return 0
+	}
+	return now.Sub(x.heardAt)
 }
 
 // AddReport adds to a poll what no keeper has acknowledged, and the revision of the keeper's directory
@@ -119,6 +128,7 @@
 	}
 	for _, holding := range FromWire(response.GetHoldings()) {
 		x.directory.Merge(now, holding)
+		x.heardAt = now
 	}
 }
 
--- a/lib/indexer/exchange_test.go
+++ b/lib/indexer/exchange_test.go
@@ -84,6 +84,24 @@
 	require.Equal(t, []Holding{{1, 10}}, FromWire(report(&x, start, first).GetHoldings()))
 }
 
+// Guards against a router that hears no keeper and whose metrics don't show it, because it sends requests.
+func TestSilenceOfKeepersIsShown(t *testing.T) {
+	var x Exchange
+	require.Zero(t, x.Silence(start))
+	now := start
+	for range 10 {
+		x.Add(now, Holding{1, 10}, true)
+		x.Answered(now, first, &messenger.FollowResponse{})
+		now = now.Add(time.Second)
+	}
+	require.Equal(t, 10*time.Second, x.Silence(now))
+	x.Answered(now, first, &messenger.FollowResponse{Holdings: ToWire([]Holding{{1, 10}})})
+	require.Zero(t, x.Silence(now))
+	x.Add(now.Add(3*time.Second), Holding{2, 10}, true)
+	require.Equal(t, 4*time.Second, x.Silence(now.Add(4*time.Second)))
+	require.Zero(t, x.Silence(now.Add(time.Minute)), "nothing is in use")
+}
+
 // Guards against reports that grow while no keeper answers.
 func TestUnreportedEntriesAreBounded(t *testing.T) {
 	var x Exchange
--- a/lib/indexer/indexer.go
+++ b/lib/indexer/indexer.go
@@ -1,12 +1,12 @@
 // Package indexer holds a directory of the engines that probably cache the prompt prefixes which
 // requests share.
 //
-// Routers report to keepers which prefixes they have sent to which engines. Keepers merge the reports,
+// Routers report to keepers which engines have prefilled which prefixes of their requests. Keepers merge the reports,
 // exchange them, and tell all routers what has changed. A router that sends a request to an engine
 // without its prefix can name another engine from which the prefix is fetched, which takes a tenth of
 // the time of prefilling it again.
 //
-// An entry says only that a prefix was sent, not that it is still cached. Engines evict the least
+// An entry says only that an engine has prefilled a prefix, not that it is still cached. Engines evict the least
 // recently used prefixes, so that an entry expires a short time after its last refresh. Revisions of a
 // Directory have a meaning only for the process that has it.
 //
@@ -95,7 +95,8 @@
 }
 
 // Since returns the entries that were refreshed after a revision, newest first, and the current
-// revision. It omits those whose last refresh is RefreshInterval ago: the receiver takes them for new. It returns at most MaxReported entries: those that are left out are refreshed again within
+// revision. It omits those whose last refresh is RefreshInterval ago: the receiver takes them for new.
+// It returns at most MaxReported entries: those that are left out are refreshed again within
 // RefreshInterval if they are in use, while a receiver that got the oldest first would fall behind
 // until all that it gets has expired.
 func (d *Directory) Since(now time.Time, revision uint64) ([]Holding, uint64) {
@@ -139,15 +140,6 @@
 	return len(d.entries)
 }
 
-// NewestAge returns the time since the last refresh of any entry, 0 if there is no entry.
-func (d *Directory) NewestAge(now time.Time) time.Duration {
-	d.expire(now)
-	if d.newest == nil {
-		return 0
-	}
-	return now.Sub(d.newest.refreshed)
-}
-
 // expire removes the entries whose last refresh is TTL ago.
 func (d *Directory) expire(now time.Time) {
 	for d.oldest != nil && now.Sub(d.oldest.refreshed) >= TTL {
--- a/lib/indexer/indexer_test.go
+++ b/lib/indexer/indexer_test.go
@@ -27,9 +27,9 @@
 	require.ElementsMatch(t, []uint64{10, 11}, holders(&d, start.Add(TTL-1), 1))
 	require.Equal(t, []uint64{11}, holders(&d, start.Add(TTL), 1))
 	require.Equal(t, 1, d.Len(start.Add(TTL)))
-	require.Equal(t, 2*time.Second, d.NewestAge(start.Add(TTL)))
+	require.Equal(t, start.Add(4*time.Second), d.newest.refreshed)
 	require.Zero(t, d.Len(start.Add(4*time.Second+TTL)))
-	require.Zero(t, d.NewestAge(start.Add(4*time.Second+TTL)))
+	require.Nil(t, d.newest)
 	require.Empty(t, d.byPrefix)
 }
 
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -58,8 +58,8 @@
 	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_known_prefixes", Help: "Shared prompt prefixes at engines that this router or another one has recently sent."}, func() float64 {
 		return float64(d.prefixes.Len(d.clock.Now()))
 	})
-	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_prefix_age_seconds", Help: "Time since this router last learned that an engine caches a shared prompt prefix."}, func() float64 {
-		return d.prefixes.NewestAge(d.clock.Now()).Seconds()
+	gauge(prometheus.GaugeOpts{Name: "shallotkeel_direct_prefix_age_seconds", Help: "Time since a keeper last told this router that an engine caches a shared prompt prefix, 0 while it knows none."}, func() float64 {
+		return d.prefixes.Silence(d.clock.Now()).Seconds()
 	})
 	for _, quantile := range []float64{0, 0.1, 0.5, 0.9, 1} {
 		gauge(prometheus.GaugeOpts{
