--- a/keeper/internal/server/holdings.go
+++ b/keeper/internal/server/holdings.go
@@ -43,13 +43,16 @@
 
 // relayedBy returns the entries that a peer sent first.
 func (h *holdings) relayedBy(keeper string) *indexer.Directory {
+	known, found := h.relayed[keeper]
+	if found {
+		return known
+	}
 	if h.relayed == nil || len(h.relayed) >= maxPeerClients {
 		h.relayed = make(map[string]*indexer.Directory)
 	}
-	if h.relayed[keeper] == nil {
-		h.relayed[keeper] = &indexer.Directory{}
-	}
-	return h.relayed[keeper]
+	added := &indexer.Directory{}
+	h.relayed[keeper] = added
+	return added
 }
 
 // mergeAnswer merges the entries in a peer's answer.
--- a/keeper/internal/server/holdings_test.go
+++ b/keeper/internal/server/holdings_test.go
@@ -168,6 +168,19 @@
 	}
 }
 
+// Guards against a keeper that forgets the entries of all peers with each entry, once it has met many
+// peers.
+func TestEntriesOfKnownPeersAreKept(t *testing.T) {
+	var h holdings
+	for peer := range maxPeerClients {
+		require.True(t, h.relayedBy(fmt.Sprint("keeper-", peer)).Merge(testStart, indexer.Holding{Prefix: 1, Endpoint: 10}))
+	}
+	require.Equal(t, 1, h.relayedBy("keeper-0").Len(testStart))
+	require.Len(t, h.relayed, maxPeerClients)
+	require.Zero(t, h.relayedBy("another").Len(testStart))
+	require.Len(t, h.relayed, 1, "the number of peers is bounded")
+}
+
 // holdingsGroup is a group of keepers that exchange holdings.
 type holdingsGroup struct {
 	keepers []*directory
