--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -300,7 +300,7 @@
 		return candidate{}
 	}
 	home := b.home(listed, work)
-	home.prefixes = b.lookUp(now, service, work)
+	home.prefixes, home.transfers = b.lookUp(now, service, work), b.transferTimes[service] > 0
 	if len(listed.all) > maxFullScan && work.Version == "" {
 		best := b.cheapest(now, service, b.addHolders(b.shortlist(listed, home, work), home), home, work, excluded)
 		if best.endpoint != nil && best.penalty == penaltyNone {
--- a/lib/balancer/pool.go
+++ b/lib/balancer/pool.go
@@ -130,6 +130,8 @@
 	fleet, zone *endpoint
 	// prefixes is what the directory says about the prompt, nil if it was not looked up.
 	prefixes *prefixes
+	// transfers is set if the service's engines fetch prefixes from one another.
+	transfers bool
 }
 
 // home returns the engines that rank first for the last shared part of a prompt. All routers agree
--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -19,6 +19,9 @@
 	// Late is the price of each token that the engine could prefill in the expected lateness of the
 	// first token. The expectation includes the loads of all routers.
 	Late float64
+	// LateTransfers replaces Late where engines fetch cached prefixes from one another: a request that
+	// leaves the engine that caches its prefix then costs little, and load decides where it goes.
+	LateTransfers float64
 	// Plain is the price of each running request of this router at an endpoint of a plain service.
 	// Any value above 0 spreads requests evenly. The loads of other routers are not counted: a call
 	// ends before it is reported, and all routers would turn to the endpoint that was idle in the
@@ -36,7 +39,7 @@
 // only: with the loads of all routers, requests would leave the engines that cache their parts too
 // often, and the parts would be prefilled again. Late moves requests away from engines where they
 // would be late.
-var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 1, Plain: 1, Slowdown: 0.1, MaxSlowdown: 300}
+var DefaultWeights = Weights{Unread: 0.2, Prefill: 2, Running: 200, Late: 0.3, LateTransfers: 1, Plain: 1, Slowdown: 0.1, MaxSlowdown: 300}
 
 const (
 	// penaltyPrice is added to the price of an endpoint for each level of its health penalty. It
@@ -89,9 +92,16 @@
 	c.slotWait = b.slotWait(now, e)
 	c.wait = scale(fit.Wait(c.queuedTokens+c.prefillTokens), factor) + c.slotWait + overdue + c.tokens.fetchTime
 	c.queue = scale(fit.PrefillTime(c.queuedTokens), factor) + c.slotWait + overdue
-	late := fit.ExpectedLateness(c.wait, work.maxWait()) + b.gapLateness(now, e, work)
+	late := b.gapLateness(now, e, work)
+	lateWeight := weights.Late
+	if home.transfers {
+		late += fit.ExpectedLateness(c.wait, work.maxWait())
+		lateWeight = weights.LateTransfers
+	} else {
+		late += fit.ExpectedLateness(c.wait, work.target())
+	}
 	c.price += weights.Unread*float64(e.own.unread) + weights.Prefill*(float64(c.prefillTokens)+c.tokens.fetchPrice) +
-		b.runningPrice(now, e, fit, work, weights) + weights.Late*fit.PrefillTokens(late)
+		b.runningPrice(now, e, fit, work, weights) + lateWeight*fit.PrefillTokens(late)
 	return c
 }
 
--- a/lib/balancer/transfers.go
+++ b/lib/balancer/transfers.go
@@ -25,19 +25,27 @@
 	// minTransferRatio is the minimum of the price of a fetched token relative to a prefilled one. A
 	// copied prefix takes memory of the engine, and evicts others there, however fast the link is.
 	minTransferRatio = 0.05
+	// maxTransferTime is the time to transfer one token up to which prefixes are fetched. An engine's
+	// transfers run one after another: with slower ones, the engines that hold a hot prefix become the
+	// queue in place of those that prefill it.
+	maxTransferTime = 2 * time.Microsecond
 	// maxSourceTransfers is the number of fetches of this router from one engine up to which it is
 	// preferred for its zone. The transfers of an engine run one after another.
 	maxSourceTransfers = 2
 )
 
 // SetTransferTime sets how long engines of a service take to transfer the cache of one prompt token to
-// another engine; 0 means that they transfer none.
+// another engine; 0 means that they transfer none. Transfers that take longer than maxTransferTime are
+// not used.
 func (b *Balancer) SetTransferTime(service string, perToken time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.transferTimes == nil {
 		b.transferTimes = make(map[string]time.Duration)
 	}
+	if perToken > maxTransferTime {
+		perToken = 0
+	}
 	b.transferTimes[service] = perToken
 }
 
