--- a/lib/balancer/price.go
+++ b/lib/balancer/price.go
@@ -29,13 +29,14 @@
 	Plain float64
 	// Slowdown replaces Running where step times are known: it is the price of each token that the engine
 	// could prefill in the time by which the requests of all routers there lengthen this one's
-	// generation. A slow engine lengthens it as well. MaxSlowdown bounds this price, so that load alone moves only requests whose shared parts
-	// are short: the parts of others would be prefilled again, which costs more than it gains.
+	// generation. A slow engine lengthens it as well. MaxSlowdown bounds this price, so that load alone
+	// moves only requests whose shared parts are short: the parts of others would be prefilled again,
+	// which costs more than it gains.
 	Slowdown    float64
 	MaxSlowdown float64
 }
 
-// DefaultWeights suit all deployments. The first three weights apply to this router's own load
+// DefaultWeights suit all deployments. Unread, Prefill and Running apply to this router's own load
 // only: with the loads of all routers, requests would leave the engines that cache their parts too
 // often, and the parts would be prefilled again. Late moves requests away from engines where they
 // would be late.
--- a/lib/forwarder/readlimiter.go
+++ b/lib/forwarder/readlimiter.go
@@ -35,6 +35,7 @@
 	l.limited = false
 }
 
+// Read implements io.Reader. It fails once the limit is used up.
 func (l *readLimiter) Read(buffer []byte) (int, error) {
 	if !l.limited {
 		return l.inner.Read(buffer)
