--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -111,6 +111,9 @@
 	clients int
 	pause   time.Duration // mean pause between the requests of a client
 	next    func() call
+	// retries has clients send a request once more, under another id, after a promise that it has
+	// not run.
+	retries bool
 
 	mutex   sync.Mutex
 	replies []reply
@@ -127,11 +130,10 @@
 			defer c.close()
 			for ctx.Err() == nil {
 				out := l.next()
-				r := c.send(ctx, out)
-				l.mutex.Lock()
-				l.replies = append(l.replies, r)
-				l.calls[r.id] = out
-				l.mutex.Unlock()
+				r := l.send(ctx, c, out)
+				if l.retries && (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) {
+					l.send(ctx, c, out)
+				}
 				select {
 				case <-ctx.Done():
 				case <-time.After(time.Duration(rand.ExpFloat64() * float64(l.pause))):
@@ -142,6 +144,16 @@
 	group.Wait()
 }
 
+// send sends one attempt, and keeps what the client saw.
+func (l *load) send(ctx context.Context, c *client, out call) reply {
+	r := c.send(ctx, out)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.replies = append(l.replies, r)
+	l.calls[r.id] = out
+	return r
+}
+
 // byID returns what clients saw, by the id of the attempt.
 func (l *load) byID() map[string]reply {
 	l.mutex.Lock()
--- a/review/standin/false_promise.go
+++ b/review/standin/false_promise.go
@@ -8,6 +8,15 @@
 	"time"
 )
 
+// distinctCall returns a confirmation that no other request asks for, or a lookup.
+func distinctCall() call {
+	out := mixedCall()
+	if out.method == http.MethodPost {
+		out.body = fmt.Sprintf("confirm %016x", rand.Uint64())
+	}
+	return out
+}
+
 // playFalsePromise has one of seven workers fail two in five of the requests that it has run, with 503 and
 // without saying that they did not run. A client must not be told 503 about a request that has run and
 // must not be repeated.
@@ -21,7 +30,7 @@
 			return http.StatusOK
 		}
 	}
-	traffic := &load{fleet: b.fleet, record: b.record, clients: 12, pause: 100 * time.Millisecond, next: mixedCall}
+	traffic := &load{fleet: b.fleet, record: b.record, clients: 12, pause: 100 * time.Millisecond, next: distinctCall, retries: true}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	traffic.run(ctx)
@@ -37,7 +46,14 @@
 			}
 		}
 	}
+	doubled := 0
+	for _, runs := range b.pool.runsByBody() {
+		if runs > 1 {
+			doubled++
+		}
+	}
 	b.record.conclude("answers by status (0: none): %v", traffic.summary())
+	b.record.conclude("%d confirmations ran twice, as their clients sent them again after the promise", doubled)
 	b.record.conclude("%d requests that must not be repeated were answered 503 and had run", broken)
 	if broken > 0 {
 		return fmt.Errorf("REFUSED: %w", errBroken)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -34,7 +34,7 @@
 
 // run is a request that a worker began to run.
 type run struct {
-	id, worker, method, path, from string
+	id, worker, method, path, body string
 	at                             time.Time
 }
 
@@ -220,6 +220,19 @@
 	return found
 }
 
+// runsByBody counts the runs of POST requests by their bodies.
+func (p *pool) runsByBody() map[string]int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	counts := make(map[string]int)
+	for _, r := range p.runs {
+		if r.method == http.MethodPost {
+			counts[r.body]++
+		}
+	}
+	return counts
+}
+
 // runsAt returns the runs at a worker after a time.
 func (p *pool) runsAt(worker string, after time.Time) []run {
 	p.mutex.Lock()
@@ -280,7 +293,7 @@
 	p := w.pool
 	begun := time.Now()
 	p.mutex.Lock()
-	p.runs = append(p.runs, run{id: id, worker: w.id, method: h.Method, path: h.URL.Path, from: h.RemoteAddr, at: begun})
+	p.runs = append(p.runs, run{id: id, worker: w.id, method: h.Method, path: h.URL.Path, body: string(body), at: begun})
 	p.mutex.Unlock()
 	p.record.addAt(begun, "worker %s runs %s %s %s", w.id, id, h.Method, h.URL.Path)
 	if p.before != nil && p.before(w, body) {
