Keep acknowledged departures of endpoints in the replicated log

Cause: the list of endpoints is in memory, with a copy on disk that may be a second old. The acknowledgement waited for neither. An endpoint that sends DELETE sends no further heartbeat, so nothing mended the restored copy.

Why this works: a departure (DELETE, or a heartbeat in state draining) is acknowledged once a quorum has it on disk, so that it outlasts the loss of all memory and of one disk. On record it overrides a restored copy and late heartbeats of that incarnation. The list and the followers change at once, as before.

--- a/keeper/internal/applier/applier.go
+++ b/keeper/internal/applier/applier.go
@@ -1,8 +1,8 @@
 // Package applier applies committed commands to the replicated state of the
 // keepers: the configuration of objects, the plan (a configuration that is always
-// sent complete), the evacuated zones, the claims of idempotency keys, the
-// quarantined fingerprints and the leases of pools. The state includes the
-// replicated clock, by which claims and fingerprints expire.
+// sent complete), the evacuated zones, the departures of endpoints, the claims of
+// idempotency keys, the quarantined fingerprints and the leases of pools. The state
+// includes the replicated clock, by which claims, fingerprints and departures expire.
 //
 // Invariants: the state depends on the committed commands alone and is the same
 // at every replica; the replicated clock never goes back, and it advances only by
@@ -45,6 +45,7 @@
 	leases        *lessor.Table
 	plan          *messenger.Plan
 	zones         zones
+	departures    departures
 }
 
 // New returns an empty state.
@@ -122,6 +123,9 @@
 	if order := command.GetEvacuation(); order != nil {
 		result.Overtaken = s.zones.apply(order)
 	}
+	if departure := command.GetDeparture(); departure != nil {
+		s.departures.add(s.clock, departure)
+	}
 	return result, nil
 }
 
@@ -137,6 +141,8 @@
 		Plan:               s.plan,
 		Zones:              s.zones.encode(),
 		ZonesRevision:      s.zones.revision,
+		Departures:         s.departures.encode(),
+		DeparturesRevision: s.departures.revision,
 	})
 }
 
@@ -154,6 +160,7 @@
 		plan:          wire.GetPlan(),
 	}
 	s.zones.decode(wire.GetZones(), wire.GetZonesRevision())
+	s.departures.decode(wire.GetDepartures(), wire.GetDeparturesRevision())
 	s.quarantine.decode(wire.GetQuarantined(), wire.GetQuarantineRevision())
 	return s, nil
 }
--- a/keeper/internal/applier/applier_test.go
+++ b/keeper/internal/applier/applier_test.go
@@ -96,6 +96,7 @@
 	apply(t, s, time.Minute, &messenger.Command{Change: &messenger.VerifiedChange{Change: &messenger.ApplyRequest{
 		Change: "id", Edits: []*messenger.Edit{{Object: &messenger.Object{Kind: "endpoint", Name: "e"}}},
 	}}})
+	apply(t, s, time.Minute, departureCommand("leaving", time.Time{}))
 	apply(t, s, time.Minute, &messenger.Command{Lease: &messenger.LeaseGrant{Pool: &messenger.Pool{Zone: "a", Service: "s"}, Holder: "one"}})
 	data, err := s.Encode()
 	require.NoError(t, err)
--- a/keeper/internal/server/archiving.go
+++ b/keeper/internal/server/archiving.go
@@ -29,7 +29,13 @@
 		return
 	}
 	s.directory.restore(s.clock.Now(), listings)
-	s.log.Info().Int("endpoints", len(listings)).Msg("restored the endpoint list from the copy on disk")
+	leaving := 0
+	for i := range listings {
+		if listings[i].State != lister.Ready {
+			leaving++
+		}
+	}
+	s.log.Info().Int("endpoints", len(listings)).Int("leaving", leaving).Msg("restored the endpoint list from the copy on disk")
 }
 
 // archive writes a copy of the list of endpoints to disk whenever the list has changed, until
--- a/keeper/internal/server/archiving_test.go
+++ b/keeper/internal/server/archiving_test.go
@@ -21,7 +21,7 @@
 	address := freeAddress()
 	p := newSeededKeeper(t, "keeper-1", address, []netip.AddrPort{address})
 	p.start(t)
-	p.served.ReceiveHeartbeat(endpointAt("a", 4, lister.Ready))
+	heartbeat(t, p.served, endpointAt("a", 4, lister.Ready))
 	require.Eventually(t, func() bool {
 		_, err := os.Stat(filepath.Join(p.settings.Data, "endpoints"))
 		return err == nil
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -18,8 +18,9 @@
 )
 
 // directory is the soft state of a keeper that serves the list of endpoints: the
-// list itself, its followers (routers and other keepers), and their reports. None of
-// it is replicated; heartbeats and polls rebuild it after a restart.
+// list itself, its followers (routers and other keepers), and their reports. Heartbeats
+// and polls rebuild it after a restart. Only departures are replicated: an endpoint that
+// has announced its departure may send no further heartbeat.
 //
 // It has a lock of its own and is not part of the control loop, because the control
 // loop waits for the disk, and heartbeats must be answered while a disk hangs.
@@ -41,6 +42,7 @@
 	subset        subset
 	streamOrigins streamOrigins
 	holdings      holdings
+	departures    departures
 }
 
 // latestHeartbeat identifies the latest heartbeat that this keeper received from an instance.
@@ -67,6 +69,7 @@
 func (d *directory) receiveHeartbeat(now time.Time, heartbeat lister.Listing) (changed, urgent bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.departures.correct(&heartbeat)
 	urgent = d.urgent(heartbeat)
 	changed = d.changeEndpoint(heartbeat.ID, func() bool { return d.list.ApplyHeartbeat(now, heartbeat) })
 	d.sources.recordDirect(heartbeat.ID)
@@ -122,6 +125,7 @@
 	quarantinesChanged := d.crashes.expire(now)
 	d.summaryCache = routerSummaryCache{}
 	d.lessor.DropExpired(now)
+	d.expireDepartures(now)
 	widened := d.subset.updateSizes(d.list.Services())
 	for _, service := range widened {
 		d.list.Resend(service)
@@ -148,6 +152,7 @@
 		}
 		// Each keeper judges silence by itself: this one may still receive the heartbeats.
 		listing.Silent = false
+		d.departures.correct(&listing)
 		urgent := d.urgent(listing)
 		if d.changeEndpoint(listing.ID, func() bool { return d.list.ApplyHeartbeat(now, listing) }) {
 			d.sources.recordKeeper(listing.ID, keeper)
--- a/keeper/internal/server/evacuating_test.go
+++ b/keeper/internal/server/evacuating_test.go
@@ -79,7 +79,7 @@
 	require.Equal(t, twirp.NotFound, known.Code())
 	listing := endpointAt("a", 1, lister.Ready)
 	listing.Zone = "loft"
-	p.served.ReceiveHeartbeat(listing)
+	heartbeat(t, p.served, listing)
 	sendOrder(t, p, "loft", true)
 
 	group[1].stop(t)
@@ -99,7 +99,7 @@
 	require.Eventually(t, func() bool { return p.served.(planning).view.Load().plan.GetVersion() == 1 }, waitTimeout, 20*time.Millisecond)
 	cold := endpointAt("a", 1, lister.Ready)
 	cold.ColdUntil = time.Now().Add(time.Hour)
-	p.served.ReceiveHeartbeat(cold)
+	heartbeat(t, p.served, cold)
 	poll := func(router string, brief bool) *messenger.FollowResponse {
 		response, err := p.planning.Follow(t.Context(), &messenger.FollowRequest{Node: router, Brief: brief})
 		require.NoError(t, err)
@@ -131,7 +131,7 @@
 	p := group[0]
 	submit(t, p.served, version(1, "desk=17"))
 	require.Eventually(t, func() bool { return p.served.(planning).view.Load().plan.GetVersion() == 1 }, waitTimeout, 20*time.Millisecond)
-	p.served.ReceiveHeartbeat(endpointAt("a", 1, lister.Ready))
+	heartbeat(t, p.served, endpointAt("a", 1, lister.Ready))
 	require.Zero(t, awaitEvacuations(t, p, 0).GetListings()[0].GetColdMs())
 	sendOrder(t, p, "zone", true)
 	awaitEvacuations(t, p, 1)
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -13,7 +13,9 @@
 type metrics struct {
 	registry *prometheus.Registry
 	unusable *prometheus.CounterVec // heartbeats without a usable endpoint, by reason
-	traffic  traffic
+	// unconfirmed counts announcements of departures that were not acknowledged.
+	unconfirmed prometheus.Counter
+	traffic     traffic
 }
 
 // newMetrics registers the metrics of a keeper.
@@ -62,6 +64,11 @@
 	for _, reason := range lister.Reasons {
 		unusable.WithLabelValues(string(reason)) // exported from the start: a rate needs an initial 0
 	}
+	unconfirmed := prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "keeper", Name: "unconfirmed_departures_total",
+		Help: "Announcements of endpoints that leave which were not acknowledged, because no quorum of keepers stored them in time.",
+	})
+	registry.MustRegister(unconfirmed)
 	calls := traffic{
 		calls:   counters("calls_total", "Calls answered, by kind.", "kind"),
 		read:    counters("call_read_bytes_total", "Bytes of the bodies of calls, by kind.", "kind"),
@@ -72,7 +79,7 @@
 			vector.WithLabelValues(kind)
 		}
 	}
-	return &metrics{registry: registry, unusable: unusable, traffic: calls}
+	return &metrics{registry: registry, unusable: unusable, unconfirmed: unconfirmed, traffic: calls}
 }
 
 // boolToFloat returns 1 for true and 0 for false.
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -6,6 +6,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"shallotkeel.example/keeper/internal/applier"
 	"shallotkeel.example/keeper/internal/driver"
 	"shallotkeel.example/lib/lister"
 	"shallotkeel.example/lib/messenger"
@@ -25,11 +26,14 @@
 	// quorum that it is the newest. A plan of version 0 means that none exists.
 	Current(ctx context.Context, request *messenger.CurrentRequest) (*messenger.Plan, error)
 	// ReceiveHeartbeat processes a heartbeat of an endpoint. The followers are notified of a change
-	// of the list, at once or after the pause for coalescing notifications.
-	ReceiveHeartbeat(heartbeat lister.Listing)
+	// of the list, at once or after the pause for coalescing notifications. It returns at once,
+	// except for an endpoint that leaves: then it returns once this is durable. An error means that
+	// it is not known to be; the followers are notified all the same.
+	ReceiveHeartbeat(ctx context.Context, heartbeat lister.Listing) error
 	// Leave records that an instance gets no new work. Started is the start time of the
-	// instance's process that leaves, zero if the instance did not send it.
-	Leave(id string, started time.Time)
+	// instance's process that leaves, zero if the instance did not send it. It returns once this
+	// is durable, as ReceiveHeartbeat does.
+	Leave(ctx context.Context, id string, started time.Time) error
 	// Unusable counts a heartbeat that contains no usable endpoint.
 	Unusable(id string, fault lister.Unusable)
 	// SetEvacuated starts or ends the evacuation of a zone, during which its endpoints get no
@@ -153,12 +157,12 @@
 // ReceiveHeartbeat processes a heartbeat. It ignores a heartbeat of a service that the plan
 // does not contain, unless the instance is listed already: a listed instance may always announce
 // that it leaves.
-func (p planning) ReceiveHeartbeat(heartbeat lister.Listing) {
+func (p planning) ReceiveHeartbeat(ctx context.Context, heartbeat lister.Listing) error {
 	services := p.services()
 	service, named := services[heartbeat.Service]
 	if services != nil && !named && !p.directory.hasListing(heartbeat.ID, heartbeat.Service) {
 		p.Unusable(heartbeat.ID, lister.Unusable{Reason: lister.UnknownService, Field: "service"})
-		return
+		return nil
 	}
 	heartbeat.ColdUntil = boundColdUntil(p.clock.Now(), heartbeat.ColdUntil, service)
 	if changed, urgent := p.directory.receiveHeartbeat(p.clock.Now(), heartbeat); changed {
@@ -167,14 +171,19 @@
 			Msg("endpoint changed")
 		p.updates.notify(urgent)
 	}
+	if heartbeat.State == lister.Ready {
+		return nil
+	}
+	return p.awaitDurable(ctx, applier.Departure{ID: heartbeat.ID, Started: heartbeat.Started})
 }
 
 // Leave records that an instance gets no new work, and notifies the followers.
-func (p planning) Leave(id string, started time.Time) {
+func (p planning) Leave(ctx context.Context, id string, started time.Time) error {
 	if p.directory.leave(p.clock.Now(), id, started) {
 		p.log.Info().Str("endpoint", id).Time("started", started).Msg("endpoint leaves")
 		p.updates.notify(true)
 	}
+	return p.awaitDurable(ctx, p.directory.incarnation(id, started))
 }
 
 // Unusable counts a heartbeat that contains no usable endpoint. Processes other than endpoints
--- a/keeper/internal/server/planning_test.go
+++ b/keeper/internal/server/planning_test.go
@@ -210,11 +210,23 @@
 	}
 }
 
+// heartbeat sends a heartbeat, with retries until it is acknowledged, as endpoints do.
+func heartbeat(t *testing.T, p Planner, listing lister.Listing) {
+	t.Helper()
+	require.Eventually(t, func() bool { return p.ReceiveHeartbeat(t.Context(), listing) == nil }, waitTimeout, 20*time.Millisecond)
+}
+
+// leave announces the end of an instance, with retries until it is acknowledged, as endpoints do.
+func leave(t *testing.T, p Planner, id string, started time.Time) {
+	t.Helper()
+	require.Eventually(t, func() bool { return p.Leave(t.Context(), id, started) == nil }, waitTimeout, 20*time.Millisecond)
+}
+
 // Guards against a router that sends work to an endpoint after its leaving was acknowledged: the
 // endpoint announces that it leaves to one keeper, and routers follow that keeper and others.
 func TestLeavingReachesEveryFollower(t *testing.T) {
 	group := startSeededGroup(t, 3)
-	group[0].served.ReceiveHeartbeat(endpointAt("a", 1, lister.Ready))
+	heartbeat(t, group[0].served, endpointAt("a", 1, lister.Ready))
 	follow := func(p *seededKeeper, request *messenger.FollowRequest) *messenger.FollowResponse {
 		var response *messenger.FollowResponse
 		require.Eventually(t, func() bool {
@@ -237,11 +249,11 @@
 			waiting <- follow(p, &messenger.FollowRequest{Node: "router", Epoch: last.GetEpoch(), After: last.GetNext(), WaitMs: 10_000})
 		}()
 		if p == group[0] {
-			p.served.ReceiveHeartbeat(endpointAt("a", 2, lister.Leaving))
+			heartbeat(t, p.served, endpointAt("a", 2, lister.Leaving))
 		}
 		if p != group[0] {
 			require.EqualValues(t, lister.Leaving, last.GetListings()[0].GetState())
-			p.served.Leave("a", time.Time{})
+			leave(t, p.served, "a", time.Time{})
 		}
 		update := <-waiting
 		require.Len(t, update.GetListings(), 1)
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -109,6 +109,7 @@
 	diskFull           bool
 	revision           uint64 // of the configuration
 	quarantineRevision uint64 // of the list of quarantined fingerprints
+	departuresRevision uint64 // number of endpoints' departures
 	claims             int    // number of remembered idempotency keys
 	appliedIndex       uint64 // index of the last applied log entry
 	diskBytes          int64  // size of the log on disk
@@ -369,6 +370,7 @@
 		status: d.Status(now), diskFull: d.DiskFull(),
 		revision:           d.State().Configuration().Revision(),
 		quarantineRevision: d.State().QuarantineRevision(),
+		departuresRevision: d.State().DeparturesRevision(),
 		claims:             d.State().ClaimCount(), appliedIndex: d.Applied(),
 		plan: d.State().Plan(), evacuations: d.State().Evacuations(),
 		diskBytes: d.DiskBytes(), counters: d.Counters(), droppedMessages: s.sender.Dropped(),
@@ -382,6 +384,11 @@
 	if published := s.view.Load().evacuations; published.Revision != next.evacuations.Revision {
 		s.markReturnedZonesCold(published.Zones, next.evacuations)
 	}
+	// The list is changed before the view is published, so that no follower gets a listing that the
+	// departures of this revision contradict.
+	if applied := s.view.Load().departuresRevision; applied != next.departuresRevision {
+		s.applyDepartures(now, d.State(), applied)
+	}
 	last := s.view.Swap(next)
 	s.retired.update(last.status.Group, next.status.Group)
 	for _, replica := range next.status.Group {
--- a/keeper/internal/server/services_test.go
+++ b/keeper/internal/server/services_test.go
@@ -24,30 +24,30 @@
 	}
 	other := endpointAt("x", 1, lister.Ready)
 	other.Service = "nobody's"
-	p.ReceiveHeartbeat(other)
+	heartbeat(t, p, other)
 	require.Equal(t, lister.Ready, listed("x"), "without a configuration, all services are accepted")
-	p.Leave("x", other.Started)
+	leave(t, p, "x", other.Started)
 
 	submit(t, p, version(1, "desk lounge"))
 	require.Eventually(t, func() bool { return p.(planning).view.Load().plan.GetVersion() == 1 }, waitTimeout, 20*time.Millisecond)
-	p.ReceiveHeartbeat(endpointAt("a", 1, lister.Ready))
+	heartbeat(t, p, endpointAt("a", 1, lister.Ready))
 	forged := endpointAt("y", 1, lister.Ready)
 	forged.Service = "nobody's"
-	p.ReceiveHeartbeat(forged)
+	heartbeat(t, p, forged)
 	forged.ID = "a"
 	forged.Sequence = 9
 	forged.State = lister.Leaving
-	p.ReceiveHeartbeat(forged)
+	heartbeat(t, p, forged)
 	require.Equal(t, lister.Ready, listed("a"))
 	require.Zero(t, listed("y"))
 
 	lounge := endpointAt("b", 1, lister.Ready)
 	lounge.Service = "lounge"
 	lounge.Address = netip.MustParseAddrPort("10.0.0.10:80")
-	p.ReceiveHeartbeat(lounge)
+	heartbeat(t, p, lounge)
 	submit(t, p, version(2, "desk"))
 	require.Eventually(t, func() bool { return p.(planning).view.Load().plan.GetVersion() == 2 }, waitTimeout, 20*time.Millisecond)
 	lounge.Sequence, lounge.State = 2, lister.Leaving
-	p.ReceiveHeartbeat(lounge)
+	heartbeat(t, p, lounge)
 	require.Equal(t, lister.Leaving, listed("b"), "a listed endpoint may always announce that it leaves")
 }
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -288,6 +288,19 @@
 	return true
 }
 
+// Depart marks an incarnation as leaving because its departure is on record, and reports whether this
+// changed the list. Unlike Leave, it never applies to another incarnation: the record may be older
+// than the instance's latest start.
+func (l *List) Depart(id string, started time.Time) bool {
+	known, found := l.entries[id]
+	if !found || known.State != Ready || !known.Started.Equal(started) {
+		return false
+	}
+	known.State = Leaving
+	l.markChanged(known)
+	return true
+}
+
 func (l *List) add(now time.Time, heartbeat Listing) bool {
 	if l.entries == nil {
 		l.entries = make(map[string]*entry)
