Take no stream of an unnamed request for an equal one

Cause: a stream without a name is looked up by content, and the first record found was believed: this router's own, before any keeper was asked; then that of the keeper that answered first, although another one knew of two; then one kept from an earlier answer, older than the stream. A stream that began at an unknown version left no record, so that an equal one's was found.

Why this works: a stream without a name goes on only if this router and all keepers that answer agree on the origin; a keeper says "recorded, but ambiguous" in place of "unknown"; nothing is kept of such an answer; streams of unknown version are recorded as that. Records that are renewed are passed on, since other keepers would drop theirs sooner.

TestRecordsWithoutAVersionSayNothing held that a record without a version is ignored, which is one of the causes; TestRecordsSurviveAMessage now has such records, and TestStreamsAreRememberedOrUnknown that they make a stream unknown.

--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -70,11 +70,12 @@
 	return located[:min(len(located), maxLocated)]
 }
 
-// Recall returns the service and the software version at which a stream began, empty if unknown.
+// Recall returns the service and the software version at which a stream began, empty if unknown, and
+// whether the stream is recorded.
 func (p planning) Recall(_ context.Context, request *messenger.RecallRequest) (*messenger.RecallResponse, error) {
 	if request.GetStream() == 0 {
 		return nil, twirp.RequiredArgumentError("stream")
 	}
-	origin, _ := p.directory.streamOrigins.memory.Find(p.clock.Now(), request.GetStream())
-	return &messenger.RecallResponse{Service: origin.Service, Version: origin.Version}, nil
+	origin, recorded := p.directory.streamOrigins.memory.Find(p.clock.Now(), request.GetStream())
+	return &messenger.RecallResponse{Service: origin.Service, Version: origin.Version, Recorded: recorded}, nil
 }
--- a/lib/versioner/versioner.go
+++ b/lib/versioner/versioner.go
@@ -5,8 +5,8 @@
 // do not name that request, by the content of the request.
 //
 // Invariants: the origin of a stream that is not recorded is unknown and is never derived from
-// anything else; a stream for which two different origins are reported becomes unknown; memory is
-// bounded.
+// anything else; a stream for which two different origins, or an unknown one, are reported becomes
+// unknown; memory is bounded.
 package versioner
 
 import (
@@ -29,10 +29,15 @@
 // Origin is the service and version at which a stream began.
 type Origin struct {
 	Service string
-	// Version is the version of the software, never empty.
+	// Version is the version of the software, empty if it is unknown.
 	Version string
 }
 
+// Known reports whether the origin is that of exactly one version.
+func (o Origin) Known() bool {
+	return o.Version != ""
+}
+
 // StreamID identifies a stream.
 type StreamID struct {
 	// Request is the id of the request that brought the stream's first event, empty if the client
@@ -71,35 +76,61 @@
 	origins map[Origin]*Origin
 }
 
-// Add records the origin of a stream, and reports whether this changed what is known of the stream.
+// Add records the origin of a stream, and reports whether other stores need the record: it changed
+// what is known of the stream, or renewed a record that they would soon drop.
 func (m *Store) Add(now time.Time, stream uint64, origin Origin) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.rotate(now)
 	existing, found := m.find(stream)
 	if found && (existing == nil || *existing == origin) {
-		m.current.put(stream, existing)
-		return false
+		_, recent := m.current.streams[stream]
+		return m.current.put(stream, existing) && !recent
 	}
-	if found {
-		m.current.put(stream, nil) // the origin is ambiguous from now on
-		return true
+	if found || !origin.Known() {
+		return m.current.put(stream, nil)
 	}
 	return m.current.put(stream, &origin)
 }
 
-// Find returns the origin of a stream, if it is known.
+// Find returns the origin of a stream, and whether the stream is recorded. The origin of a recorded
+// stream is not known if several streams share the key and began at different versions, or one of them
+// at an unknown version.
 func (m *Store) Find(now time.Time, stream uint64) (Origin, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.rotate(now)
-	origin, _ := m.find(stream)
+	origin, found := m.find(stream)
 	if origin == nil {
-		return Origin{}, false
+		return Origin{}, found
 	}
 	return *origin, true
 }
 
+// Records returns all records.
+func (m *Store) Records(now time.Time) []Record {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.rotate(now)
+	records := make([]Record, 0, len(m.current.streams)+len(m.previous.streams))
+	for stream, origin := range m.current.streams {
+		records = append(records, recordOf(stream, origin))
+	}
+	for stream, origin := range m.previous.streams {
+		if _, recent := m.current.streams[stream]; !recent {
+			records = append(records, recordOf(stream, origin))
+		}
+	}
+	return records
+}
+
+func recordOf(stream uint64, origin *Origin) Record {
+	if origin == nil {
+		return Record{Stream: stream}
+	}
+	return Record{Stream: stream, Origin: *origin}
+}
+
 // Size returns the number of records. Streams that are recorded in both generations count twice.
 func (m *Store) Size() int {
 	m.mutex.Lock()
@@ -172,13 +203,10 @@
 	return groups
 }
 
-// FromWire returns the records of a message. Groups without a version are ignored.
+// FromWire returns the records of a message. The origins of a group without a version are unknown.
 func FromWire(groups []*messenger.Begun) []Record {
 	var records []Record
 	for _, group := range groups {
-		if group.GetVersion() == "" {
-			continue
-		}
 		origin := Origin{Service: group.GetService(), Version: group.GetVersion()}
 		for _, stream := range group.GetStreams() {
 			records = append(records, Record{Stream: stream, Origin: origin})
--- a/lib/versioner/versioner_test.go
+++ b/lib/versioner/versioner_test.go
@@ -35,6 +35,9 @@
 		"long ago":                        {reports: []report{{origin: one}}, at: 2 * Retention},
 		"recorded again since":            {reports: []report{{origin: one}, {at: Retention, origin: one}}, at: 2*Retention + 1, want: one, found: true},
 		"two origins":                     {reports: []report{{origin: one}, {origin: two}}},
+		"an unknown origin":               {reports: []report{{origin: Origin{Service: "desk"}}}},
+		"one, and an unknown origin":      {reports: []report{{origin: one}, {origin: Origin{Service: "desk"}}}},
+		"an unknown origin, and one":      {reports: []report{{origin: Origin{Service: "desk"}}, {origin: one}}},
 		"two origins, and one again":      {reports: []report{{origin: one}, {origin: two}, {origin: two}}},
 		"two origins, in two generations": {reports: []report{{origin: one}, {at: Retention, origin: two}}, at: Retention},
 		"clock steps back":                {reports: []report{{at: time.Second, origin: one}}, want: one, found: true},
@@ -45,10 +48,11 @@
 			for _, report := range test.reports {
 				m.Add(start.Add(report.at), stream, report.origin)
 			}
-			origin, found := m.Find(start.Add(test.at), stream)
-			require.Equal(t, test.found, found)
+			origin, recorded := m.Find(start.Add(test.at), stream)
+			require.Equal(t, test.found, origin.Known())
 			require.Equal(t, test.want, origin)
-			_, found = m.Find(start.Add(test.at), StreamID{Request: "another"}.Hash())
+			require.Equal(t, len(test.reports) > 0 && test.at < 2*Retention || test.found, recorded, "what is ambiguous is recorded as that")
+			_, found := m.Find(start.Add(test.at), StreamID{Request: "another"}.Hash())
 			require.False(t, found)
 		})
 	}
@@ -72,7 +76,8 @@
 		want := make(map[Record]int)
 		for i := range rapid.IntRange(0, 20).Draw(t, "records") {
 			record := Record{Stream: uint64(i + 1), Origin: Origin{
-				Service: fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service")), Version: fmt.Sprint("v", rapid.IntRange(1, 3).Draw(t, "version")),
+				Service: fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service")),
+				Version: rapid.SampledFrom([]string{"", "v1", "v2", "v3"}).Draw(t, "version"),
 			}}
 			records = append(records, record)
 			want[record]++
@@ -85,6 +90,24 @@
 	})
 }
 
-func TestRecordsWithoutAVersionSayNothing(t *testing.T) {
-	require.Empty(t, FromWire(ToWire([]Record{{Stream: 1, Origin: Origin{Service: "desk"}}})))
+// Guards against a record that other keepers drop, although it outlasts those that they have.
+func TestRenewedRecordsArePassedOn(t *testing.T) {
+	var m Store
+	require.True(t, m.Add(start, 1, one))
+	require.False(t, m.Add(start.Add(time.Second), 1, one))
+	require.True(t, m.Add(start.Add(Retention), 1, one), "other stores would drop it with their older generation")
+	require.False(t, m.Add(start.Add(Retention), 1, one))
+	require.True(t, m.Add(start.Add(Retention), 1, two))
+	require.False(t, m.Add(start.Add(Retention), 1, one), "nothing more is known of it")
+}
+
+// Guards against records that a keeper does not get after its restart.
+func TestRecordsAreListed(t *testing.T) {
+	var m Store
+	m.Add(start, 1, one)
+	m.Add(start, 2, one)
+	m.Add(start, 2, two)
+	m.Add(start.Add(Retention), 3, two)
+	m.Add(start.Add(Retention), 1, one)
+	require.ElementsMatch(t, []Record{{Stream: 1, Origin: one}, {Stream: 2}, {Stream: 3, Origin: two}}, m.Records(start.Add(Retention)))
 }
--- a/router/internal/proxier/resume.go
+++ b/router/internal/proxier/resume.go
@@ -43,14 +43,15 @@
 }
 
 // noteVersion records the software version at which a stream begins or is resumed, so that it is
-// resumed only at that version: within this answer, or in a later request of its client.
+// resumed only at that version: within this answer, or in a later request of its client. An unknown
+// version is recorded as well: otherwise the stream would be taken for another one that is recorded.
 func (p *Proxier) noteVersion(q *request, slot *balancer.Slot) {
 	if q.stream.versionNoted {
 		return
 	}
 	q.stream.versionNoted = true
 	q.in.Work.Version = slot.Version
-	if slot.Version == "" || !q.route.Resumable {
+	if !q.route.Resumable {
 		return
 	}
 	name := versioner.StreamID{Request: q.in.Resumes, Content: q.digest}
--- a/router/internal/proxier/versions_test.go
+++ b/router/internal/proxier/versions_test.go
@@ -167,3 +167,35 @@
 }
 
 func (w stubStreams) LearnEndpoints(context.Context, versioner.Origin) { w.learn() }
+
+// Guards against a stream that began at an unknown version and is resumed at that of an equal stream,
+// because it left no record.
+func TestStreamOfUnknownVersionIsNotTakenForAnEqualOne(t *testing.T) {
+	f := newFixture(t)
+	f.addVersion("", func(conn net.Conn, request *http.Request) {
+		beginStream(conn, request, 1, 3)
+		conn.Close()
+	})
+	_, err := f.fetch("POST", "/list/", "prompt", idHeader, "first")
+	require.Error(t, err)
+	f.endAll()
+	f.addVersion("v1", func(conn net.Conn, request *http.Request) {
+		if request.Header.Get("Last-Event-Id") != "" {
+			t.Error("the stream was resumed at the version of another one")
+		}
+		beginStream(conn, request, 1, 3)
+		endStream(conn)
+	})
+	_, err = f.fetch("POST", "/list/", "prompt", idHeader, "second")
+	require.NoError(t, err)
+	response := f.do("POST", "/list/", "prompt", idHeader, "third", "Last-Event-Id", "3")
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+}
+
+// endAll removes all endpoints.
+func (f *fixture) endAll() {
+	for i := range f.lastID {
+		f.balancer.Update(lister.Listing{ID: fmt.Sprint("i-", i+1), State: lister.Gone})
+	}
+}
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -7,12 +7,17 @@
 // reported. If the record is lost, resuming the stream is refused: it never mixes events of two
 // versions.
 //
-// Invariants: an origin is returned only if this router or a keeper has a record of it; records that
-// a keeper has not acknowledged are reported again.
+// A stream whose client does not name the request that began it is known by its content alone, which
+// streams of equal requests share. Its origin is known if this router and all keepers that answer know
+// of no second one.
+//
+// Invariants: an origin is returned only if this router or a keeper has a record of it, and none has a
+// record that contradicts it; records that a keeper has not acknowledged are reported again.
 package recaller
 
 import (
 	"context"
+	"iter"
 	"net/netip"
 	"sync"
 	"time"
@@ -106,25 +111,45 @@
 	delete(r.reportEnd, keeper)
 }
 
-// Find returns the origin of a stream, if this router or a keeper that answers has a record of it.
+// Find returns the origin of a stream, if it is known to this router or to the keepers that answer.
 func (r *Recaller) Find(ctx context.Context, name versioner.StreamID) (versioner.Origin, bool) {
 	stream := name.Hash()
-	if origin, found := r.store.Find(r.options.Clock.Now(), stream); found {
+	origin, recorded := r.store.Find(r.options.Clock.Now(), stream)
+	switch {
+	case recorded && !origin.Known():
+		return origin, false
+	case name.Request == "":
+		return r.agreed(ctx, stream, origin)
+	case recorded:
 		return origin, true
 	}
-	origin, found := r.ask(ctx, stream)
+	answer, found := firstAnswer(ctx, r, r.recall(stream))
+	origin = versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
 	if found {
 		r.store.Add(r.options.Clock.Now(), stream, origin)
 	}
-	return origin, found
+	return origin, origin.Known()
+}
+
+// agreed returns the origin of all streams with a key, if there is only one. Own is that which this
+// router knows. The answer is not recorded: another stream may begin at any time.
+func (r *Recaller) agreed(ctx context.Context, stream uint64, own versioner.Origin) (versioner.Origin, bool) {
+	for answer := range answers(ctx, r, r.recall(stream)) {
+		told := versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
+		if own.Known() && own != told || !told.Known() {
+			return versioner.Origin{}, false
+		}
+		own = told
+	}
+	return own, own.Known()
 }
 
-// ask queries the keepers for the origin of a stream.
-func (r *Recaller) ask(ctx context.Context, stream uint64) (versioner.Origin, bool) {
-	return firstAnswer(ctx, r, func(ctx context.Context, keeper netip.AddrPort) (versioner.Origin, bool, error) {
+// recall returns the query for the record of a stream.
+func (r *Recaller) recall(stream uint64) query[*messenger.RecallResponse] {
+	return func(ctx context.Context, keeper netip.AddrPort) (*messenger.RecallResponse, bool, error) {
 		answer, err := r.options.Dial(keeper).Recall(ctx, &messenger.RecallRequest{Stream: stream})
-		return versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}, answer.GetVersion() != "", err
-	})
+		return answer, answer.GetRecorded() || answer.GetVersion() != "", err
+	}
 }
 
 // LearnEndpoints asks the keepers for endpoints where streams of an origin can be resumed, and passes
@@ -147,34 +172,47 @@
 	listings []*messenger.Listing
 }
 
+// query asks one keeper. It reports whether the answer is positive.
+type query[T any] func(ctx context.Context, keeper netip.AddrPort) (answer T, positive bool, err error)
+
 // firstAnswer queries all keepers that answer concurrently, and returns the first positive answer.
-func firstAnswer[T any](
-	ctx context.Context, r *Recaller, ask func(ctx context.Context, keeper netip.AddrPort) (T, bool, error),
-) (known T, found bool) {
-	if r.options.Keepers == nil {
-		return known, false
+func firstAnswer[T any](ctx context.Context, r *Recaller, ask query[T]) (known T, found bool) {
+	for answer := range answers(ctx, r, ask) {
+		return answer, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	keepers := r.options.Keepers()
-	answers := make(chan *T, len(keepers))
-	for _, keeper := range keepers {
-		go func() {
-			answer, positive, err := ask(ctx, keeper)
-			if err != nil && ctx.Err() == nil && r.logDamper.Admit(r.options.Clock.Now(), r.options.Log) {
-				r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("query to a keeper for a stream failed; the other keepers' answers are used")
-			}
-			if err != nil || !positive {
-				answers <- nil
+	return known, false
+}
+
+// answers queries all keepers that answer concurrently, and yields their positive answers as they
+// arrive.
+func answers[T any](ctx context.Context, r *Recaller, ask query[T]) iter.Seq[T] {
+	return func(yield func(T) bool) {
+		if r.options.Keepers == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		keepers := r.options.Keepers()
+		arrived := make(chan *T, len(keepers))
+		for _, keeper := range keepers {
+			go func() { arrived <- askOne(ctx, r, keeper, ask) }()
+		}
+		for range keepers {
+			if answer := <-arrived; answer != nil && !yield(*answer) {
 				return
 			}
-			answers <- &answer
-		}()
-	}
-	for range keepers {
-		if answer := <-answers; answer != nil {
-			return *answer, true
 		}
 	}
-	return known, false
+}
+
+// askOne queries one keeper and returns its answer, nil if it is not positive.
+func askOne[T any](ctx context.Context, r *Recaller, keeper netip.AddrPort, ask query[T]) *T {
+	answer, positive, err := ask(ctx, keeper)
+	if err != nil && ctx.Err() == nil && r.logDamper.Admit(r.options.Clock.Now(), r.options.Log) {
+		r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("query to a keeper for a stream failed; the other keepers' answers are used")
+	}
+	if err != nil || !positive {
+		return nil
+	}
+	return &answer
 }
--- a/router/internal/recaller/recaller_test.go
+++ b/router/internal/recaller/recaller_test.go
@@ -88,11 +88,8 @@
 	if p.fleet.cut[p.router+p.keeper.String()] {
 		return nil, errUnreachable
 	}
-	origin, found := p.fleet.keepers[p.keeper].Find(p.fleet.clock.Now(), request.GetStream())
-	if !found {
-		return &messenger.RecallResponse{}, nil
-	}
-	return &messenger.RecallResponse{Service: origin.Service, Version: origin.Version}, nil
+	origin, recorded := p.fleet.keepers[p.keeper].Find(p.fleet.clock.Now(), request.GetStream())
+	return &messenger.RecallResponse{Service: origin.Service, Version: origin.Version, Recorded: recorded}, nil
 }
 
 // restart restarts a keeper with an empty store.
@@ -352,3 +349,89 @@
 		})
 	}
 }
+
+// Guards against a stream whose client does not name it and that is resumed at the version of an equal
+// stream: this router, or the keeper that answers first, knows only the other one.
+func TestStreamOfUnnamedRequestIsNotTakenForAnEqualOne(t *testing.T) {
+	const content = 7
+	unnamed := versioner.StreamID{Content: content}
+	begin := func(f *fleet, r *Recaller, request string, origin versioner.Origin, keepers ...int) {
+		r.RecordOrigin(versioner.StreamID{Request: request, Content: content}, origin)
+		for _, keeper := range keepers {
+			f.keepers[address(keeper)].Add(f.clock.Now(), content, origin)
+		}
+	}
+	for name, test := range map[string]struct {
+		do   func(t *testing.T, f *fleet, asked *Recaller) // asked is the router at which the client resumes
+		want versioner.Origin
+	}{
+		"it began elsewhere, an equal one here": {do: func(_ *testing.T, f *fleet, asked *Recaller) {
+			begin(f, f.router("killed"), "first", one, 0, 1, 2)
+			begin(f, asked, "second", two)
+		}},
+		"an equal one of the same version here": {want: one, do: func(_ *testing.T, f *fleet, asked *Recaller) {
+			begin(f, f.router("killed"), "first", one, 0, 1, 2)
+			begin(f, asked, "second", one)
+		}},
+		"both began here": {do: func(_ *testing.T, f *fleet, asked *Recaller) {
+			begin(f, asked, "first", one, 0)
+			begin(f, asked, "second", two, 0)
+		}},
+		"each is known to one keeper": {do: func(_ *testing.T, f *fleet, _ *Recaller) {
+			begin(f, f.router("killed"), "first", one, 0)
+			begin(f, f.router("other"), "second", two, 1)
+		}},
+		"a keeper that has restarted knows only the later one": {do: func(_ *testing.T, f *fleet, _ *Recaller) {
+			begin(f, f.router("killed"), "first", one, 0, 1, 2)
+			f.restart(1)
+			begin(f, f.router("other"), "second", two, 0, 1, 2)
+		}},
+		"an equal one begins after the first was asked for": {do: func(t *testing.T, f *fleet, asked *Recaller) {
+			begin(f, f.router("killed"), "first", one, 0, 1, 2)
+			found, known := asked.Find(t.Context(), unnamed)
+			require.True(t, known)
+			require.Equal(t, one, found)
+			begin(f, f.router("other"), "second", two, 0, 1, 2)
+		}},
+		"it began at an unknown version": {do: func(_ *testing.T, f *fleet, _ *Recaller) {
+			begin(f, f.router("killed"), "first", versioner.Origin{Service: "desk"}, 0)
+			begin(f, f.router("other"), "second", two, 0, 1, 2)
+		}},
+		"it began here at an unknown version": {do: func(_ *testing.T, f *fleet, asked *Recaller) {
+			begin(f, asked, "first", versioner.Origin{Service: "desk"})
+			begin(f, f.router("other"), "second", two, 0, 1, 2)
+		}},
+		"it began at another service": {do: func(_ *testing.T, f *fleet, _ *Recaller) {
+			begin(f, f.router("killed"), "first", versioner.Origin{Service: "lounge", Version: "v1"}, 0)
+			begin(f, f.router("other"), "second", one, 1)
+		}},
+		"no other": {want: one, do: func(_ *testing.T, f *fleet, _ *Recaller) {
+			begin(f, f.router("killed"), "first", one, 1)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // the keepers' answers arrive in any order
+				f := newFleet(3)
+				asked := f.router("asked")
+				test.do(t, f, asked)
+				origin, known := asked.Find(t.Context(), unnamed)
+				require.Equal(t, test.want.Known(), known)
+				if known {
+					require.Equal(t, test.want, origin)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that its client names and that is resumed at an arbitrary version, because the
+// version at which it began is recorded as unknown.
+func TestNamedStreamOfUnknownVersionIsUnknown(t *testing.T) {
+	f := newFleet(1)
+	name := nameOf("first")
+	f.keepers[address(0)].Add(f.clock.Now(), name.Hash(), versioner.Origin{Service: "desk"})
+	for range 2 {
+		_, known := f.router("other").Find(t.Context(), name)
+		require.False(t, known)
+	}
+}
