Tell other lists that an instance has reported several versions

What callers would see: a stream that began at an endpoint goes on at another one of a version that the first may never have had. Not seen; read in the code and shown by tests.

Cause: that the heartbeats of one incarnation named two versions was known to the list that got them alone. A listing has an empty version then, which other lists take for "omitted": a router kept the version it knew, a keeper that had only the second heartbeat kept that one, and after a restart from the copy on disk the next heartbeat's version was believed.

Why this works: the dispute is part of the listing, on the wire and in the copy, and applies to its incarnation whatever the sequence numbers.

--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -54,6 +54,9 @@
 	Slots   int
 	// Version is the version of the instance's software, empty if unknown.
 	Version string
+	// Disputed is set when the heartbeats of this incarnation reported several versions. Its version
+	// is unknown from then on.
+	Disputed bool
 	// Started is the start time of this incarnation by the instance's own clock. It is zero
 	// for an instance that does not report it; such an instance has a single incarnation.
 	Started  time.Time
@@ -122,11 +125,10 @@
 
 type entry struct {
 	Listing
-	lastReceived    time.Time
-	revision        uint64 // revision of the list at this entry's last change
-	change          *list.Element
-	pending         bool // not listed: its only heartbeat may be a delayed one of an instance that is gone
-	versionConflict bool // its heartbeats reported different software versions
+	lastReceived time.Time
+	revision     uint64 // revision of the list at this entry's last change
+	change       *list.Element
+	pending      bool // not listed: its only heartbeat may be a delayed one of an instance that is gone
 }
 
 // Revision returns the number of the list's latest change.
@@ -177,15 +179,18 @@
 // renew applies a further heartbeat of the known incarnation.
 func (l *List) renew(now time.Time, known *entry, heartbeat Listing) bool {
 	// Refresh may have advanced the sequence before the heartbeat's contents arrive.
-	coldExtended := heartbeat.Sequence >= known.Sequence && l.extendCold(known, heartbeat.ColdUntil)
+	changed := heartbeat.Sequence >= known.Sequence && l.extendCold(known, heartbeat.ColdUntil)
+	if heartbeat.Disputed && known.dispute() {
+		changed = true // whichever heartbeats this list has missed
+	}
 	if heartbeat.Sequence <= known.Sequence && heartbeat.State <= known.State {
-		if coldExtended {
+		if changed {
 			l.markChanged(known)
 		}
-		return coldExtended
+		return changed
 	}
 	known.lastReceived = now
-	changed := known.Silent || known.pending || coldExtended
+	changed = changed || known.Silent || known.pending
 	if !known.Address.IsValid() {
 		// The end of this incarnation arrived before its first heartbeat.
 		known.Address = heartbeat.Address
@@ -216,7 +221,7 @@
 // incarnation, including leaving or gone, does not apply to the new one.
 func (l *List) restart(now time.Time, known *entry, heartbeat Listing) bool {
 	l.releaseAddress(known)
-	known.Listing, known.lastReceived, known.pending, known.versionConflict = heartbeat, now, false, false
+	known.Listing, known.lastReceived, known.pending = heartbeat, now, false
 	l.indexCold(known)
 	l.assignAddress(now, known)
 	l.markChanged(known)
@@ -240,13 +245,22 @@
 // one runs.
 func (e *entry) updateVersion(version string) bool {
 	switch {
-	case version == "" || version == e.Version || e.versionConflict:
+	case version == "" || version == e.Version || e.Disputed:
 		return false
 	case e.Version == "":
 		e.Version = version
-	default:
-		e.Version, e.versionConflict = "", true
+		return true
+	}
+	return e.dispute()
+}
+
+// dispute makes the version of the instance's software unknown for the rest of the incarnation, and
+// reports whether this changed the entry.
+func (e *entry) dispute() bool {
+	if e.Disputed {
+		return false
 	}
+	e.Version, e.Disputed = "", true
 	return true
 }
 
--- a/lib/lister/version_test.go
+++ b/lib/lister/version_test.go
@@ -47,3 +47,47 @@
 		})
 	}
 }
+
+// Guards against a router, or a keeper after a restart, that takes one of several reported versions for
+// the instance's: only the list that got the heartbeats knew that they differed.
+func TestDisputedVersionReachesOtherLists(t *testing.T) {
+	now := time.Unix(1000, 0)
+	source := &List{Interval: time.Second}
+	source.ApplyHeartbeat(now, versionHeartbeat(1, 1, "v1"))
+	source.ApplyHeartbeat(now, versionHeartbeat(1, 2, "v2"))
+	disputed, _ := source.Find("a")
+	for name, test := range map[string]struct {
+		before  []Listing
+		after   []Listing
+		want    string
+		ignored bool // the listing of the former incarnation changes nothing
+	}{
+		"nothing is known":              {},
+		"the first is known":            {before: []Listing{versionHeartbeat(1, 1, "v1")}},
+		"the second is known":           {before: []Listing{versionHeartbeat(1, 2, "v2")}},
+		"a later heartbeat is known":    {before: []Listing{versionHeartbeat(1, 4, "v2")}},
+		"a heartbeat follows":           {after: []Listing{versionHeartbeat(1, 3, "v2")}},
+		"the next incarnation is known": {before: []Listing{versionHeartbeat(2, 1, "v2")}, want: "v2", ignored: true},
+		"the next incarnation is told":  {after: []Listing{versionHeartbeat(2, 1, "v2")}, want: "v2"},
+		"known without a version":       {before: []Listing{versionHeartbeat(1, 2, "")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &List{Interval: time.Second}
+			for _, heartbeat := range test.before {
+				l.ApplyHeartbeat(now, heartbeat)
+			}
+			received, err := FromWire(ToWire(disputed, now), now)
+			require.NoError(t, err)
+			before := l.Revision()
+			changed := l.ApplyHeartbeat(now, received)
+			require.Equal(t, !test.ignored, changed, "followers are told")
+			require.Equal(t, changed, l.Revision() > before)
+			for _, heartbeat := range test.after {
+				l.ApplyHeartbeat(now, heartbeat)
+			}
+			known, found := l.Find("a")
+			require.True(t, found)
+			require.Equal(t, test.want, known.Version)
+		})
+	}
+}
--- a/lib/lister/wire.go
+++ b/lib/lister/wire.go
@@ -16,7 +16,7 @@
 func ToWire(l Listing, now time.Time) *messenger.Listing {
 	wire := &messenger.Listing{
 		Id: l.ID, Service: l.Service, Zone: l.Zone, Slots: uint32(l.Slots),
-		Sequence: l.Sequence, State: uint32(l.State), Silent: l.Silent, Version: l.Version,
+		Sequence: l.Sequence, State: uint32(l.State), Silent: l.Silent, Version: l.Version, Disputed: l.Disputed,
 	}
 	if l.Address.IsValid() {
 		wire.Address = l.Address.String()
@@ -51,7 +51,7 @@
 	l := Listing{
 		ID: wire.GetId(), Service: wire.GetService(), Zone: wire.GetZone(), Slots: int(wire.GetSlots()),
 		Sequence: wire.GetSequence(), State: State(wire.GetState()), Silent: wire.GetSilent(),
-		Started: FromMillis(wire.GetStartedMs()), Version: wire.GetVersion(),
+		Started: FromMillis(wire.GetStartedMs()), Version: wire.GetVersion(), Disputed: wire.GetDisputed(),
 	}
 	if left := wire.GetColdMs(); left > 0 {
 		l.ColdUntil = now.Add(time.Duration(left) * time.Millisecond)
