Doubt the version of a stream whose endpoint restarted with another one

What callers would see: a stream joined from two versions after an endpoint restarted under its id. Not seen; shown by a test.

Cause: an endpoint that starts again at its address and under its id takes requests before its router hears of it. A stream that the new process began was believed to be of the version listed before; when the restart became known, the stream was cancelled and went on at that former version.

Why this works: if the restarted endpoint is listed with another version and has sent a part of the stream within the last second, the stream's version is unknown from then on: it is cut, and not resumed. A process that has died sends nothing, so a stream that was silent for longer came from the former one and goes on at its version, as does one whose endpoint restarted at the same.

Red before, without the call: two of four cases of TestStreamOfARestartedEndpointGoesOnAtItsVersionOnly.

--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -161,6 +161,16 @@
 	endLifetime  context.CancelFunc
 }
 
+// Version returns the software version of an instance as listed now, empty if it is unknown.
+func (b *Balancer) Version(id string) string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if known, found := b.byID[id]; found {
+		return known.Version
+	}
+	return ""
+}
+
 // Update applies a listing of an endpoint. It reports whether the endpoint has restarted, which ends the
 // requests that run there. A start that becomes known while the sequence goes on is no restart.
 func (b *Balancer) Update(listing lister.Listing) bool {
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -136,6 +136,7 @@
 	case errors.Is(context.Cause(ctx), errRestarted):
 		// The request may have crashed the endpoint, as with a broken connection.
 		p.noteRestart(q, slot)
+		p.doubtVersion(q, slot)
 		e.reason = errRestarted.Error()
 	case errors.Is(err, errEndless):
 		e.endless = true // the endpoint runs: nothing crashed
--- a/router/internal/proxier/restart_test.go
+++ b/router/internal/proxier/restart_test.go
@@ -88,5 +88,5 @@
 	slot := f.balancer.Pick(time.Now(), "desk", &balancer.Work{}, func(other string) bool { return other != id })
 	require.NotNil(f.t, slot)
 	defer slot.End(time.Now(), balancer.Cancelled)
-	return lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: slot.Address}
+	return lister.Listing{ID: id, Service: "desk", State: lister.Ready, Slots: 6, Address: slot.Address, Version: slot.Version}
 }
--- a/router/internal/proxier/resume.go
+++ b/router/internal/proxier/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"shallotkeel.example/lib/balancer"
 	"shallotkeel.example/lib/resolver"
@@ -54,9 +55,34 @@
 	if !q.route.Resumable {
 		return
 	}
+	p.options.Streams.RecordOrigin(q.streamID(), versioner.Origin{Service: q.service, Version: slot.Version})
+}
+
+// streamID returns the name under which the stream of a request is recorded.
+func (q *request) streamID() versioner.StreamID {
 	name := versioner.StreamID{Request: q.in.Resumes, Content: q.digest}
 	if q.in.Resumes == "" {
 		name.Request = q.in.ID
 	}
-	p.options.Streams.RecordOrigin(name, versioner.Origin{Service: q.service, Version: slot.Version})
+	return name
+}
+
+// restartDoubt is the time within which a stream has had a part from the new process of an endpoint, if
+// it comes from that: a new process announces itself at its start, and streams pause for less.
+const restartDoubt = time.Second
+
+// doubtVersion makes the version of a stream unknown whose endpoint has restarted with another version,
+// if the new process may have sent events of it: the request may have reached that one, at the same
+// address and under the same id, before this router heard of the restart.
+func (p *Proxier) doubtVersion(q *request, slot *balancer.Slot) {
+	silence := p.options.Clock.Since(q.lastHeard)
+	if q.answerBegan.IsZero() || !q.stream.versionNoted || silence > restartDoubt || p.options.Balancer.Version(slot.ID) == slot.Version {
+		return
+	}
+	p.options.Log.Warn().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("version", slot.Version).
+		Msg("endpoint restarted with another version while it sent a stream; the stream is not resumed")
+	q.in.Work.Version = ""
+	if q.route.Resumable {
+		p.options.Streams.RecordOrigin(q.streamID(), versioner.Origin{Service: q.service})
+	}
 }
--- a/router/internal/proxier/versions_test.go
+++ b/router/internal/proxier/versions_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/lister"
@@ -199,3 +202,53 @@
 		f.balancer.Update(lister.Listing{ID: fmt.Sprint("i-", i+1), State: lister.Gone})
 	}
 }
+
+// Guards against a stream that goes on at another version after a restart that its router heard of too
+// late: the request had reached the new process at the same address, which ran another version.
+func TestStreamOfARestartedEndpointGoesOnAtItsVersionOnly(t *testing.T) {
+	for name, test := range map[string]struct {
+		restarted string // version of the new process
+		silent    time.Duration
+		resumes   bool
+	}{
+		"another version":                   {restarted: "v2"},
+		"another version, an unknown one":   {},
+		"the same version":                  {restarted: "v1", resumes: true},
+		"silent since before its new start": {restarted: "v2", silent: 2 * restartDoubt, resumes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			clock := clockwork.NewFakeClockAt(time.Now())
+			f.proxier.options.Clock = clock
+			began, end := make(chan struct{}, 1), make(chan struct{})
+			defer close(end)
+			f.addVersion("v1", func(conn net.Conn, request *http.Request) {
+				beginStream(conn, request, 1, 3)
+				began <- struct{}{}
+				<-end
+			})
+			listing := f.listing("i-1")
+			var resumed atomic.Int64
+			serve := func(conn net.Conn, request *http.Request) {
+				resumed.Add(1)
+				beginStream(conn, request, 4, 6)
+				endStream(conn)
+			}
+			response := f.do("POST", "/list/", "prompt", idHeader, "first")
+			<-began
+			begin := make([]byte, len(eventsUpTo(3)))
+			_, err := io.ReadFull(response.Body, begin)
+			require.NoError(t, err)
+			clock.Advance(test.silent)
+			f.addVersion("v1", serve)
+			listing.Started, listing.Version = time.Unix(2000, 0), test.restarted
+			f.balancer.Update(listing)
+			_, err = readText(response)
+			require.Equal(t, test.resumes, err == nil)
+			require.Equal(t, test.resumes, resumed.Load() == 1)
+			again := f.do("POST", "/list/", "prompt", idHeader, "second", "Last-Event-Id", "3", resumesHeader, "first")
+			defer again.Body.Close()
+			require.Equal(t, test.resumes, again.StatusCode == http.StatusOK, "the client's own resume")
+		})
+	}
+}
