Have origins of streams stored before their first event while versions mix

Cause: a record waits for the next report, up to half a second, and dies with its router. An equal stream of another version that is on record is then the only one known. The same happens to a record that only one keeper has when that one starts again, and to one that keepers drop during a long stream.

Why this works: keepers tell routers which services have, or lately had, several versions. If another keeper, or another run of it, answers reports, a router reports all its records again. Streams under way renew their records.

The report goes to keepers as before where one version serves.

--- a/keeper/internal/server/archiving.go
+++ b/keeper/internal/server/archiving.go
@@ -66,6 +66,7 @@
 	for _, listing := range listings {
 		listing.WasSilent = listing.Silent
 		d.list.ApplyHeartbeat(now, listing)
+		d.mixed.observe(listing)
 	}
 }
 
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -43,6 +43,7 @@
 	streamOrigins streamOrigins
 	holdings      holdings
 	departures    departures
+	mixed         mixedServices
 }
 
 // latestHeartbeat identifies the latest heartbeat that this keeper received from an instance.
@@ -126,6 +127,7 @@
 	d.summaryCache = routerSummaryCache{}
 	d.lessor.DropExpired(now)
 	d.expireDepartures(now)
+	d.updateMixed()
 	widened := d.subset.updateSizes(d.list.Services())
 	for _, service := range widened {
 		d.list.Resend(service)
@@ -270,6 +272,7 @@
 	}
 	if !request.GetKeeper() {
 		summary := d.summaryCache.get(now, d.followers)
+		response.Mixed = d.mixed.names()
 		response.Routers, response.Expected, response.Reporting = summary.routers, summary.routers, summary.reporting
 		if request.GetPartial() {
 			response.Routers, response.Expected = d.fleet.observe(now, summary.total())
--- a/keeper/internal/server/holdings.go
+++ b/keeper/internal/server/holdings.go
@@ -112,6 +112,7 @@
 	before, found := d.list.Find(id)
 	changed := change()
 	after, _ := d.list.Find(id)
+	d.mixed.observe(after)
 	if found && endsLifetime(before, after) {
 		d.holdings.removeEndpoint(balancer.Key(before))
 	}
--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,6 +42,46 @@
 	return versioner.ToWire(s.received.since(now, from))
 }
 
+// Begin records the origins of streams at once, as a report does with the next poll.
+func (p planning) Begin(_ context.Context, request *messenger.BeginRequest) (*messenger.BeginResponse, error) {
+	p.directory.streamOrigins.receive(p.clock.Now(), &messenger.FollowRequest{Begun: request.GetBegun()})
+	return &messenger.BeginResponse{}, nil
+}
+
+// mixedServices tells which services have endpoints of several software versions. Routers have the
+// origins of their streams confirmed. Its zero value has none.
+type mixedServices struct {
+	versions map[string]string // of each service, if it has only one
+	mixed    map[string]bool
+}
+
+// observe adds the version of an endpoint.
+func (m *mixedServices) observe(listing lister.Listing) {
+	if listing.Service == "" {
+		return
+	}
+	if m.versions == nil {
+		m.versions, m.mixed = make(map[string]string), make(map[string]bool)
+	}
+	version, found := m.versions[listing.Service]
+	if found && version != listing.Version {
+		m.mixed[listing.Service] = true
+	}
+	m.versions[listing.Service] = listing.Version
+}
+
+// names returns the sorted names of the services.
+func (m *mixedServices) names() []string {
+	return slices.Sorted(maps.Keys(m.mixed))
+}
+
+// updateMixed finds out again which services have several versions. Endpoints that are gone count
+// until they are dropped: streams that began at them may still be resumed.
+func (d *directory) updateMixed() {
+	d.mixed = mixedServices{}
+	d.list.Each(func(listing *lister.Listing) { d.mixed.observe(*listing) })
+}
+
 // maxLocated bounds the endpoints that are returned to a router that knows none of a version. So
 // many have enough capacity for the streams of one router; other routers get other endpoints.
 const maxLocated = 8
--- a/keeper/internal/server/recalling_test.go
+++ b/keeper/internal/server/recalling_test.go
@@ -91,3 +91,72 @@
 	require.NotEqual(t, locate("router-1", "v1"), locate("router-2", "v1"), "each router gets other endpoints")
 	require.Empty(t, locate("router-1", "v3"))
 }
+
+// Guards against a stream whose record is lost with its router, because the router does not know that its
+// service has several versions.
+func TestServicesOfSeveralVersionsAreTold(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions []string // of the endpoints, in the order of their heartbeats
+		gone     bool     // the first endpoint leaves
+		later    time.Duration
+		mixed    []string
+	}{
+		"none":                      {},
+		"one":                       {versions: []string{"v1", "v1"}},
+		"two":                       {versions: []string{"v1", "v2"}, mixed: []string{"desk"}},
+		"a new one, then the old":   {versions: []string{"v1", "v2", "v1"}, mixed: []string{"desk"}},
+		"one is not named":          {versions: []string{"v1", ""}, mixed: []string{"desk"}},
+		"the former has just left":  {versions: []string{"v1", "v2"}, gone: true, later: 10 * time.Second, mixed: []string{"desk"}},
+		"the former left long ago":  {versions: []string{"v1", "v2"}, gone: true, later: 2 * time.Minute},
+		"both have been lost since": {versions: []string{"v1", "v2"}, later: 2 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &directory{}
+			d.list.Interval = time.Second
+			beat := func(now time.Time, i int, sequence uint64) {
+				d.receiveHeartbeat(now, lister.Listing{
+					ID: fmt.Sprint("i-", i), Service: "desk", Zone: "hall", Slots: 4, State: lister.Ready, Version: test.versions[i],
+					Sequence: sequence, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
+				})
+			}
+			mixed := func(now time.Time, brief bool) []string {
+				return d.updatesFor(now, &messenger.FollowRequest{Node: "router", Brief: brief}, epoch).GetMixed()
+			}
+			for i := range test.versions {
+				beat(testStart, i, 1)
+			}
+			if test.later == 0 {
+				require.Equal(t, test.mixed, mixed(testStart, false), "at once")
+			}
+			if test.gone {
+				d.leave(testStart, "i-0", time.Time{})
+			}
+			now := testStart.Add(test.later)
+			d.expire(now)
+			if test.gone {
+				beat(now, 1, 2)
+			}
+			d.expire(now)
+			require.Equal(t, test.mixed, mixed(now, false))
+			require.Equal(t, test.mixed, mixed(now, true), "from a keeper that does not get the reports")
+		})
+	}
+}
+
+// Guards against the origin of a stream that a keeper has confirmed and does not pass on.
+func TestConfirmedOriginsReachEveryKeeper(t *testing.T) {
+	group := startSeededGroup(t, 2)
+	begun := versioner.ToWire([]versioner.Record{{Stream: 7, Origin: versioner.Origin{Service: "desk", Version: "v1"}}, {Stream: 8, Origin: versioner.Origin{Service: "desk"}}})
+	require.Eventually(t, func() bool {
+		_, err := group[0].planning.Begin(t.Context(), &messenger.BeginRequest{Begun: begun})
+		return err == nil
+	}, waitTimeout, 10*time.Millisecond)
+	for _, keeper := range group {
+		for stream, version := range map[uint64]string{7: "v1", 8: ""} {
+			require.Eventually(t, func() bool {
+				response, err := keeper.planning.Recall(t.Context(), &messenger.RecallRequest{Stream: stream})
+				return err == nil && response.GetRecorded() && response.GetVersion() == version
+			}, waitTimeout, 10*time.Millisecond)
+		}
+	}
+}
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -463,6 +463,15 @@
 	return services
 }
 
+// Each calls a function for each listing, in any order. It must not keep the listing.
+func (l *List) Each(call func(*Listing)) {
+	for _, e := range l.entries {
+		if !e.pending {
+			call(&e.Listing)
+		}
+	}
+}
+
 // Resend marks a service's ready instances as changed, so that Since and Select return them
 // again.
 func (l *List) Resend(service string) {
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -131,6 +131,7 @@
 		Speeds:            func() map[uint64]predictor.Sums { return d.balancer.Speeds(clock.Now()) },
 		Sampling:          d.balancer.SetSampling,
 		UnreportedStreams: d.streams.Report, ReportAnswered: d.streams.ReportAnswered, ReportLost: d.streams.ReportLost,
+		Mixed:     d.streams.SetMixed,
 		Prefixes:  &d.prefixes,
 		Evacuated: func(zones []string) { d.balancer.SetEvacuatedZones(clock.Now(), zones) },
 		Rations: func(pollSentAt time.Time, keeper netip.AddrPort, rations []balancer.Ration) {
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -69,8 +69,11 @@
 
 // Streams records the software versions at which streams began.
 type Streams interface {
-	// RecordOrigin records the origin of a stream that begins or is resumed.
-	RecordOrigin(name versioner.StreamID, origin versioner.Origin)
+	// RecordOrigin records the origin of a stream that begins or is resumed. It may wait for a moment
+	// until others know of it.
+	RecordOrigin(ctx context.Context, name versioner.StreamID, origin versioner.Origin)
+	// RenewOrigin records the origin of a stream that goes on for long.
+	RenewOrigin(name versioner.StreamID, origin versioner.Origin)
 	// Find returns the origin of a stream, if it is known.
 	Find(ctx context.Context, name versioner.StreamID) (versioner.Origin, bool)
 	// LearnEndpoints looks up further endpoints where streams of the origin can be resumed, and adds
--- a/router/internal/proxier/resume.go
+++ b/router/internal/proxier/resume.go
@@ -45,17 +45,23 @@
 
 // noteVersion records the software version at which a stream begins or is resumed, so that it is
 // resumed only at that version: within this answer, or in a later request of its client. An unknown
-// version is recorded as well: otherwise the stream would be taken for another one that is recorded.
+// version is recorded as well: otherwise the stream would be taken for another one that is recorded. The
+// record of a long stream is renewed before others drop it.
 func (p *Proxier) noteVersion(q *request, slot *balancer.Slot) {
-	if q.stream.versionNoted {
+	if q.lastHeard.Sub(q.stream.versionNoted) < versioner.Retention/4 {
 		return
 	}
-	q.stream.versionNoted = true
+	renewed := !q.stream.versionNoted.IsZero()
+	q.stream.versionNoted = q.lastHeard
 	q.in.Work.Version = slot.Version
-	if !q.route.Resumable {
-		return
+	origin := versioner.Origin{Service: q.service, Version: slot.Version}
+	switch {
+	case !q.route.Resumable:
+	case renewed:
+		p.options.Streams.RenewOrigin(q.streamID(), origin)
+	default:
+		p.options.Streams.RecordOrigin(q.http.Context(), q.streamID(), origin)
 	}
-	p.options.Streams.RecordOrigin(q.streamID(), versioner.Origin{Service: q.service, Version: slot.Version})
 }
 
 // streamID returns the name under which the stream of a request is recorded.
@@ -76,13 +82,13 @@
 // address and under the same id, before this router heard of the restart.
 func (p *Proxier) doubtVersion(q *request, slot *balancer.Slot) {
 	silence := p.options.Clock.Since(q.lastHeard)
-	if q.answerBegan.IsZero() || !q.stream.versionNoted || silence > restartDoubt || p.options.Balancer.Version(slot.ID) == slot.Version {
+	if q.answerBegan.IsZero() || q.stream.versionNoted.IsZero() || silence > restartDoubt || p.options.Balancer.Version(slot.ID) == slot.Version {
 		return
 	}
 	p.options.Log.Warn().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("version", slot.Version).
 		Msg("endpoint restarted with another version while it sent a stream; the stream is not resumed")
 	q.in.Work.Version = ""
 	if q.route.Resumable {
-		p.options.Streams.RecordOrigin(q.streamID(), versioner.Origin{Service: q.service})
+		p.options.Streams.RecordOrigin(q.http.Context(), q.streamID(), versioner.Origin{Service: q.service})
 	}
 }
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -21,11 +22,11 @@
 // eventSplitter splits a stream into events, so that the stream can be resumed between two events.
 // The zero value is a stream of which nothing has arrived.
 type eventSplitter struct {
-	lastID       string // id of the last event that was relayed
-	partial      []byte // the start of an event whose end has not arrived
-	versionNoted bool   // the software version at which the stream began has been recorded
-	events       int    // events among those that the last call of split returned
-	hasData      bool   // a data line of the current event has been counted
+	lastID       string    // id of the last event that was relayed
+	partial      []byte    // the start of an event whose end has not arrived
+	versionNoted time.Time // when the software version at which the stream began was last recorded
+	events       int       // events among those that the last call of split returned
+	hasData      bool      // a data line of the current event has been counted
 }
 
 // split adds a piece of the stream and returns the events that are complete. The result is valid
--- a/router/internal/proxier/stream_test.go
+++ b/router/internal/proxier/stream_test.go
@@ -98,7 +98,7 @@
 		beginStream(conn, request, 3, 4)
 		endStream(conn)
 	})
-	f.proxier.options.Streams.RecordOrigin(versioner.StreamID{Request: "first"}, versioner.Origin{Service: "desk", Version: "v1"})
+	f.proxier.options.Streams.RecordOrigin(t.Context(), versioner.StreamID{Request: "first"}, versioner.Origin{Service: "desk", Version: "v1"})
 	body, err := f.fetch("POST", "/list/", "prompt", "Last-Event-Id", "2", resumesHeader, "first")
 	require.NoError(t, err)
 	require.Equal(t, event(3)+event(4), body)
--- a/router/internal/proxier/versions_test.go
+++ b/router/internal/proxier/versions_test.go
@@ -163,7 +163,9 @@
 	learn func()
 }
 
-func (w stubStreams) RecordOrigin(versioner.StreamID, versioner.Origin) {}
+func (w stubStreams) RecordOrigin(context.Context, versioner.StreamID, versioner.Origin) {}
+
+func (w stubStreams) RenewOrigin(versioner.StreamID, versioner.Origin) {}
 
 func (w stubStreams) Find(context.Context, versioner.StreamID) (versioner.Origin, bool) {
 	return w.known, true
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -4,8 +4,8 @@
 // The record of each stream goes to the keeper that gets this router's reports, with the next report,
 // and from there to the other keepers. So a client may resume its stream at any router, even if the
 // router at which it began is gone. The first event of a stream does not wait for its record to be
-// reported. If the record is lost, resuming the stream is refused: it never mixes events of two
-// versions.
+// reported, unless several versions serve. If the record is lost, resuming the stream is refused: it
+// never mixes events of two versions.
 //
 // A stream whose client does not name the request that began it is known by its content alone, which
 // streams of equal requests share. Its origin is known if this router and all keepers that answer know
@@ -20,6 +20,7 @@
 	"iter"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -55,53 +56,106 @@
 	store     versioner.Store
 	logDamper damper.Damper
 
+	// unconfirmed counts the streams whose origin no keeper confirmed in time.
+	unconfirmed atomic.Uint64
+
 	mutex       sync.Mutex
 	unreported  []versioner.Record
 	firstNumber uint64                    // sequence number of unreported[0], counted since the start
+	dropped     chan struct{}             // closed and replaced when firstNumber rises
 	reportEnd   map[netip.AddrPort]uint64 // sequence number after the last record in the current report to a keeper
+	receiver    reportReceiver            // of the last answered report
+	mixed       map[string]bool           // services that have several software versions
+	waiting     int                       // streams that wait until their records are confirmed
+	confirming  bool                      // a goroutine confirms records
+}
+
+// reportReceiver is one run of a keeper that has received a report.
+type reportReceiver struct {
+	keeper netip.AddrPort
+	epoch  uint64
 }
 
 // New returns a recaller without records.
 func New(options Options) *Recaller {
-	return &Recaller{options: options, reportEnd: make(map[netip.AddrPort]uint64)}
+	return &Recaller{options: options, reportEnd: make(map[netip.AddrPort]uint64), dropped: make(chan struct{})}
 }
 
-// RecordOrigin records the origin of a stream that begins or is resumed.
-func (r *Recaller) RecordOrigin(name versioner.StreamID, origin versioner.Origin) {
+// RecordOrigin records the origin of a stream that begins or is resumed. While the
+// origin's service has several versions, it waits until keepers have the record, for confirmTimeout at
+// most: if the record were lost with this router, the stream could be taken for an equal one.
+func (r *Recaller) RecordOrigin(ctx context.Context, name versioner.StreamID, origin versioner.Origin) {
+	end := uint64(0)
 	for _, stream := range name.Hashes() {
 		if r.store.Add(r.options.Clock.Now(), stream, origin) {
-			r.queue(versioner.Record{Stream: stream, Origin: origin})
+			end = r.queue(versioner.Record{Stream: stream, Origin: origin})
 		}
 	}
+	if end > 0 && r.isMixed(origin.Service) && !r.confirm(ctx, end) {
+		r.unconfirmed.Add(1)
+	}
+}
+
+// RenewOrigin records the origin of a stream that goes on for long, before others drop their records.
+func (r *Recaller) RenewOrigin(name versioner.StreamID, origin versioner.Origin) {
+	for _, stream := range name.Hashes() {
+		r.store.Add(r.options.Clock.Now(), stream, origin)
+		r.queue(versioner.Record{Stream: stream, Origin: origin})
+	}
 }
 
-// queue adds a record to those that are to be reported. If there are too many, the oldest is dropped.
-func (r *Recaller) queue(record versioner.Record) {
+// queue adds a record to those that are to be reported, and returns the number of the next one. If there
+// are too many, the oldest is dropped.
+func (r *Recaller) queue(record versioner.Record) uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if len(r.unreported) >= maxUnreported {
-		r.unreported = r.unreported[1:]
-		r.firstNumber++
+		r.drop(r.firstNumber + 1)
 	}
 	r.unreported = append(r.unreported, record)
+	return r.end()
+}
+
+// end returns the sequence number of the next record. The caller holds the mutex.
+func (r *Recaller) end() uint64 {
+	return r.firstNumber + uint64(len(r.unreported))
+}
+
+// drop drops the records before a sequence number from those that are to be reported. The caller holds
+// the mutex.
+func (r *Recaller) drop(end uint64) {
+	if end <= r.firstNumber {
+		return
+	}
+	r.unreported = r.unreported[end-r.firstNumber:]
+	r.firstNumber = end
+	close(r.dropped)
+	r.dropped = make(chan struct{})
 }
 
 // Report returns the records for the report to a keeper: those that no keeper has acknowledged.
 func (r *Recaller) Report(keeper netip.AddrPort) []*messenger.Begun {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.reportEnd[keeper] = r.firstNumber + uint64(len(r.unreported))
+	r.reportEnd[keeper] = r.end()
 	return versioner.ToWire(r.unreported)
 }
 
-// ReportAnswered records that a keeper has answered its report, and drops the records in it.
-func (r *Recaller) ReportAnswered(keeper netip.AddrPort) {
+// ReportAnswered records that a keeper has answered its report, and drops the records in it. All records
+// are reported again if the last answer came from another keeper, or from this one before it started
+// again: what only the former one knew may be lost.
+func (r *Recaller) ReportAnswered(keeper netip.AddrPort, epoch uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if end := r.reportEnd[keeper]; end > r.firstNumber {
-		r.unreported = r.unreported[end-r.firstNumber:]
-		r.firstNumber = end
+	r.drop(min(r.reportEnd[keeper], r.end()))
+	answered := reportReceiver{keeper: keeper, epoch: epoch}
+	before := r.receiver
+	r.receiver = answered
+	if before == answered || before == (reportReceiver{}) {
+		return
 	}
+	records := r.store.Records(r.options.Clock.Now())
+	r.unreported = append(r.unreported, records[:min(len(records), maxUnreported-len(r.unreported))]...)
 }
 
 // ReportLost records that a report was not answered; its records are reported again.
--- a/router/internal/recaller/recaller_test.go
+++ b/router/internal/recaller/recaller_test.go
@@ -39,10 +39,12 @@
 	keepers map[netip.AddrPort]*versioner.Store
 	cut     map[string]bool // pairs of router name and keeper address without a connection
 	listed  []*messenger.Listing
+	epochs  map[int]uint64 // number of restarts, by keeper
+	begins  int            // calls that confirmed records
 }
 
 func newFleet(keepers int) *fleet {
-	f := &fleet{clock: clockwork.NewFakeClock(), keepers: make(map[netip.AddrPort]*versioner.Store), cut: make(map[string]bool)}
+	f := &fleet{clock: clockwork.NewFakeClock(), keepers: make(map[netip.AddrPort]*versioner.Store), cut: make(map[string]bool), epochs: make(map[int]uint64)}
 	for i := range keepers {
 		f.keepers[address(i)] = &versioner.Store{}
 	}
@@ -97,6 +99,26 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.keepers[address(keeper)] = &versioner.Store{}
+	f.epochs[keeper]++
+}
+
+func (f *fleet) epochOf(keeper int) uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.epochs[keeper] + 1
+}
+
+func (p *stubKeeper) Begin(_ context.Context, request *messenger.BeginRequest) (*messenger.BeginResponse, error) {
+	p.fleet.mutex.Lock()
+	defer p.fleet.mutex.Unlock()
+	if p.fleet.cut[p.router+p.keeper.String()] {
+		return nil, errUnreachable
+	}
+	p.fleet.begins++
+	for _, record := range versioner.FromWire(request.GetBegun()) {
+		p.fleet.keepers[p.keeper].Add(p.fleet.clock.Now(), record.Stream, record.Origin)
+	}
+	return &messenger.BeginResponse{}, nil
 }
 
 // setCut cuts or restores the connection of a router to a keeper.
@@ -127,13 +149,13 @@
 	begun := r.Report(address(keeper))
 	if arrives {
 		f.mutex.Lock()
-		defer f.mutex.Unlock()
 		for _, record := range versioner.FromWire(begun) {
 			f.keepers[address(keeper)].Add(f.clock.Now(), record.Stream, record.Origin)
 		}
+		f.mutex.Unlock()
 	}
 	if answered {
-		r.ReportAnswered(address(keeper))
+		r.ReportAnswered(address(keeper), f.epochOf(keeper))
 		return
 	}
 	r.ReportLost(address(keeper))
@@ -179,7 +201,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(2)
 			first := f.router("began")
-			first.RecordOrigin(nameOf("first"), one)
+			first.RecordOrigin(context.Background(), nameOf("first"), one)
 			test.do(f, first)
 			origin, found := f.router("other").Find(t.Context(), nameOf("first"))
 			require.Equal(t, test.found, found)
@@ -196,7 +218,7 @@
 func TestOwnStreamsAreFoundWithoutKeepers(t *testing.T) {
 	f := newFleet(0)
 	r := f.router("began")
-	r.RecordOrigin(nameOf("first"), one)
+	r.RecordOrigin(context.Background(), nameOf("first"), one)
 	origin, found := r.Find(t.Context(), nameOf("first"))
 	require.True(t, found)
 	require.Equal(t, one, origin)
@@ -205,26 +227,28 @@
 func TestRecordsAreReportedOnce(t *testing.T) {
 	f := newFleet(1)
 	r := f.router("began")
-	r.RecordOrigin(nameOf("first"), one)
+	f.report(r, 0, true, true)
+	r.RecordOrigin(context.Background(), nameOf("first"), one)
 	require.Len(t, versioner.FromWire(r.Report(address(0))), 2, "one record by request and one by content")
-	r.RecordOrigin(nameOf("second"), two) // before the answer to the report
-	r.ReportAnswered(address(0))
+	r.RecordOrigin(context.Background(), nameOf("second"), two) // before the answer to the report
+	r.ReportAnswered(address(0), f.epochOf(0))
 	reported := versioner.FromWire(r.Report(address(0)))
 	require.Equal(t, []versioner.Record{{Stream: nameOf("second").Hash(), Origin: two}, {Stream: nameOf("second").Content, Origin: two}}, reported)
-	r.ReportAnswered(address(0))
+	r.ReportAnswered(address(0), f.epochOf(0))
 	require.Empty(t, r.Report(address(0)))
-	r.RecordOrigin(nameOf("first"), one) // the stream is resumed
+	r.RecordOrigin(context.Background(), nameOf("first"), one) // the stream is resumed
 	require.Empty(t, r.Report(address(0)))
 }
 
 func TestUnreportedRecordsAreBounded(t *testing.T) {
 	f := newFleet(1)
 	r := f.router("began")
+	f.report(r, 0, true, true)
 	for i := range maxUnreported + 5 {
-		r.RecordOrigin(nameOf(fmt.Sprint(i)), one)
+		r.RecordOrigin(context.Background(), nameOf(fmt.Sprint(i)), one)
 	}
 	require.Len(t, versioner.FromWire(r.Report(address(0))), maxUnreported)
-	r.ReportAnswered(address(0))
+	r.ReportAnswered(address(0), f.epochOf(0))
 	require.Empty(t, r.Report(address(0)))
 }
 
@@ -256,7 +280,7 @@
 			case 3, 4, 5:
 				name := fmt.Sprint("stream-", step)
 				began[name] = []versioner.Origin{one, two}[draw.IntN(2)]
-				running[i].RecordOrigin(nameOf(name), began[name])
+				running[i].RecordOrigin(t.Context(), nameOf(name), began[name])
 			case 6, 7:
 				f.report(running[i], keeper, !cut, !cut && draw.IntN(3) > 0)
 			default:
@@ -274,7 +298,7 @@
 		}
 		for i := range running {
 			name := fmt.Sprint("last-", i)
-			running[i].RecordOrigin(nameOf(name), two)
+			running[i].RecordOrigin(t.Context(), nameOf(name), two)
 			f.report(running[i], draw.IntN(keepers), true, true)
 		}
 		for i := range running {
@@ -302,7 +326,7 @@
 			f := newFleet(1)
 			for request, origin := range test.begun {
 				r := f.router(request)
-				r.RecordOrigin(versioner.StreamID{Request: request, Content: ask.Content}, origin)
+				r.RecordOrigin(context.Background(), versioner.StreamID{Request: request, Content: ask.Content}, origin)
 				f.report(r, 0, true, true)
 			}
 			origin, found := f.router("other").Find(t.Context(), ask)
@@ -356,7 +380,7 @@
 	const content = 7
 	unnamed := versioner.StreamID{Content: content}
 	begin := func(f *fleet, r *Recaller, request string, origin versioner.Origin, keepers ...int) {
-		r.RecordOrigin(versioner.StreamID{Request: request, Content: content}, origin)
+		r.RecordOrigin(context.Background(), versioner.StreamID{Request: request, Content: content}, origin)
 		for _, keeper := range keepers {
 			f.keepers[address(keeper)].Add(f.clock.Now(), content, origin)
 		}
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -59,10 +59,12 @@
 	Sampling func(shifts map[string]int)
 	// UnreportedStreams returns the origins of streams that began here and that no keeper has
 	// acknowledged yet, for the report to a keeper. ReportAnswered is called when that keeper has
-	// answered the report, ReportLost when it does not answer.
+	// answered the report in an epoch, ReportLost when it does not answer.
 	UnreportedStreams func(keeper netip.AddrPort) []*messenger.Begun
-	ReportAnswered    func(keeper netip.AddrPort)
+	ReportAnswered    func(keeper netip.AddrPort, epoch uint64)
 	ReportLost        func(keeper netip.AddrPort)
+	// Mixed receives the services whose endpoints have, or lately had, several software versions.
+	Mixed func(services []string)
 	// Prefixes is exchanged with the keeper that gets this router's reports. It may be nil.
 	Prefixes *indexer.Exchange
 	// Evacuated receives, at each change, the zones whose endpoints get no new work.
@@ -162,7 +164,10 @@
 	r.answeringKeepers[keeper] = true
 	r.mutex.Unlock()
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
-		r.options.ReportAnswered(keeper)
+		r.options.ReportAnswered(keeper, update.GetEpoch())
+	}
+	if r.options.Mixed != nil && !update.GetBrief() {
+		r.options.Mixed(update.GetMixed())
 	}
 	if r.options.Prefixes != nil && !update.GetBrief() {
 		r.options.Prefixes.Answered(r.options.Clock.Now(), keeper, update)
--- a/router/internal/updatereader/updatereader_test.go
+++ b/router/internal/updatereader/updatereader_test.go
@@ -310,17 +310,25 @@
 func TestOnlyAnswersToReportsConfirmThem(t *testing.T) {
 	b := newFixture(t)
 	var answered, lost []netip.AddrPort
+	var epochs []uint64
+	var mixed []string
+	b.reader.options.Mixed = func(services []string) { mixed = services }
 	b.reader.options.UnreportedStreams = func(netip.AddrPort) []*messenger.Begun {
 		return []*messenger.Begun{{Service: "desk", Version: "v1", Streams: []uint64{7}}}
 	}
-	b.reader.options.ReportAnswered = func(keeper netip.AddrPort) { answered = append(answered, keeper) }
+	b.reader.options.ReportAnswered = func(keeper netip.AddrPort, epoch uint64) {
+		answered, epochs = append(answered, keeper), append(epochs, epoch)
+	}
 	b.reader.options.ReportLost = func(keeper netip.AddrPort) { lost = append(lost, keeper) }
 	require.Len(t, b.reader.Report(at(1), false).GetBegun(), 1)
 	require.Empty(t, b.reader.Report(at(1), true).GetBegun())
 	b.update(1, &messenger.FollowResponse{Brief: true})
 	require.Empty(t, answered)
-	b.update(1, &messenger.FollowResponse{})
+	require.Empty(t, mixed)
+	b.update(1, &messenger.FollowResponse{Epoch: 5, Mixed: []string{"desk"}})
 	require.Equal(t, []netip.AddrPort{at(1)}, answered)
+	require.Equal(t, []uint64{5}, epochs)
+	require.Equal(t, []string{"desk"}, mixed)
 	b.reader.Lost(at(1), nil)
 	require.Equal(t, []netip.AddrPort{at(1)}, lost)
 }
