--- a/router/internal/proxier/versions_test.go
+++ b/router/internal/proxier/versions_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -254,3 +256,70 @@
 		})
 	}
 }
+
+// observedStreams calls observe when an origin is recorded, and counts renewals.
+type observedStreams struct {
+	stubStreams
+	observe func(origin versioner.Origin)
+	renewed atomic.Int64
+}
+
+func (s *observedStreams) RecordOrigin(_ context.Context, _ versioner.StreamID, origin versioner.Origin) {
+	s.observe(origin)
+}
+
+func (s *observedStreams) RenewOrigin(versioner.StreamID, versioner.Origin) { s.renewed.Add(1) }
+
+// Guards against a client that has an event of a stream whose origin is recorded only later.
+func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
+	f := newFixture(t)
+	answer := httptest.NewRecorder()
+	var recorded []versioner.Origin
+	f.proxier.options.Streams = &observedStreams{observe: func(origin versioner.Origin) {
+		require.Empty(t, answer.Body.String())
+		recorded = append(recorded, origin)
+	}}
+	f.addVersion("v1", func(conn net.Conn, request *http.Request) {
+		beginStream(conn, request, 1, 3)
+		endStream(conn)
+	})
+	request := httptest.NewRequest("POST", "/list/", strings.NewReader("prompt"))
+	request.Host = "h"
+	request.Header.Set("Authorization", "Bearer key")
+	f.proxier.ServeHTTP(answer, request)
+	require.Equal(t, eventsUpTo(3), answer.Body.String())
+	require.Equal(t, []versioner.Origin{{Service: "desk", Version: "v1"}}, recorded)
+}
+
+// Guards against a record that keepers drop while its stream goes on.
+func TestRecordOfALongStreamIsRenewed(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	f := newFixture(t)
+	f.proxier.options.Clock = clock
+	streams := &observedStreams{observe: func(versioner.Origin) {}}
+	f.proxier.options.Streams = streams
+	next := make(chan struct{})
+	f.addVersion("v1", func(conn net.Conn, request *http.Request) {
+		beginStream(conn, request, 1, 1)
+		for id := 2; id <= 4; id++ {
+			<-next
+			sendEvent(conn, id)
+		}
+		endStream(conn)
+	})
+	response := f.do("POST", "/list/", "prompt")
+	defer response.Body.Close()
+	read := func(id int) {
+		text := make([]byte, len(event(id)))
+		_, err := io.ReadFull(response.Body, text)
+		require.NoError(t, err)
+		require.Equal(t, event(id), string(text))
+	}
+	read(1)
+	for i, pause := range []time.Duration{time.Second, versioner.Retention / 4, time.Second} {
+		clock.Advance(pause)
+		next <- struct{}{}
+		read(2 + i)
+	}
+	require.EqualValues(t, 1, streams.renewed.Load())
+}
