Send waiting records of streams to keepers once versions mix

What callers would see: a stream that began in the half second before its service got a second version, at a router that loses power at once, is taken for an equal stream of that version. Shown by a test.

Cause: its record waits for the next report; the wait for keepers begins with streams that begin after the router knows of two versions.

Why this works: the router sends what waits as soon as it is told of a further service with several versions. It is told in the answer that lists the first endpoint of the second version, before it sends that one anything.

Red before, without the call: TestWaitingRecordsAreSentOnceVersionsMix.

--- a/router/internal/recaller/confirming.go
+++ b/router/internal/recaller/confirming.go
@@ -26,16 +26,19 @@
 	confirmCalls = 3
 )
 
-// SetMixed sets the services whose endpoints have, or lately had, several software versions.
+// SetMixed sets the services whose endpoints have, or lately had, several software versions. The records
+// that wait for a report are sent to keepers at once if there are further ones.
 func (r *Recaller) SetMixed(services []string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.mixed = nil
+	before, further := r.mixed, false
+	r.mixed = make(map[string]bool, len(services))
 	for _, service := range services {
-		if r.mixed == nil {
-			r.mixed = make(map[string]bool, len(services))
-		}
 		r.mixed[service] = true
+		further = further || !before[service]
+	}
+	if end := r.end(); further && end > r.firstNumber {
+		go r.confirm(context.Background(), end)
 	}
 }
 
--- a/router/internal/recaller/confirming_test.go
+++ b/router/internal/recaller/confirming_test.go
@@ -265,3 +265,21 @@
 		}
 	}
 }
+
+// Guards against the record of a stream that began right before its service got a second version, and
+// that dies with its router before the next report.
+func TestWaitingRecordsAreSentOnceVersionsMix(t *testing.T) {
+	f := newFleet(2)
+	r := f.router("began")
+	r.RecordOrigin(t.Context(), nameOf("first"), one)
+	require.Zero(t, f.confirmed())
+	r.SetMixed([]string{"desk"})
+	require.Eventually(t, func() bool { return f.confirmed() == 2 }, time.Minute, time.Millisecond)
+	origin, known := f.router("asked").Find(t.Context(), nameOf("first"))
+	require.True(t, known)
+	require.Equal(t, one, origin)
+	f.settle(t, r)
+	r.SetMixed([]string{"desk"})
+	r.SetMixed(nil)
+	require.Equal(t, 2, f.confirmed(), "nothing further to send")
+}
