--- a/keeper/internal/server/departing.go
+++ b/keeper/internal/server/departing.go
@@ -104,7 +104,7 @@
 	if err == nil {
 		return nil
 	}
-	p.metrics.unconfirmed.Inc()
+	p.unconfirmedDepartures.Add(1)
 	if p.heartbeatDamper.Admit(p.clock.Now(), p.log) {
 		p.log.Warn().Err(err).Str("endpoint", departure.ID).Time("started", departure.Started).
 			Msg("departure of an endpoint is not acknowledged: no quorum of keepers has stored it; routers send it no new requests")
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -13,9 +13,7 @@
 type metrics struct {
 	registry *prometheus.Registry
 	unusable *prometheus.CounterVec // heartbeats without a usable endpoint, by reason
-	// unconfirmed counts announcements of departures that were not acknowledged.
-	unconfirmed prometheus.Counter
-	traffic     traffic
+	traffic  traffic
 }
 
 // newMetrics registers the metrics of a keeper.
@@ -55,6 +53,7 @@
 	counter("messages_dropped_total", "Messages of the agreement that were not delivered.", func(v *view) float64 { return float64(v.droppedMessages) })
 	counter("control_sent_bytes_total", "Bytes sent on control connections.", func(*view) float64 { return float64(s.traffic.Sent.Load()) })
 	counter("control_received_bytes_total", "Bytes received on control connections.", func(*view) float64 { return float64(s.traffic.Received.Load()) })
+	counter("unconfirmed_departures_total", "Announcements of endpoints that leave which were not acknowledged, because no quorum of keepers stored them in time.", func(*view) float64 { return float64(s.unconfirmedDepartures.Load()) })
 	counters := func(name, help, label string) *prometheus.CounterVec {
 		vector := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "keeper", Name: name, Help: help}, []string{label})
 		registry.MustRegister(vector)
@@ -64,11 +63,6 @@
 	for _, reason := range lister.Reasons {
 		unusable.WithLabelValues(string(reason)) // exported from the start: a rate needs an initial 0
 	}
-	unconfirmed := prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: "keeper", Name: "unconfirmed_departures_total",
-		Help: "Announcements of endpoints that leave which were not acknowledged, because no quorum of keepers stored them in time.",
-	})
-	registry.MustRegister(unconfirmed)
 	calls := traffic{
 		calls:   counters("calls_total", "Calls answered, by kind.", "kind"),
 		read:    counters("call_read_bytes_total", "Bytes of the bodies of calls, by kind.", "kind"),
@@ -79,7 +73,7 @@
 			vector.WithLabelValues(kind)
 		}
 	}
-	return &metrics{registry: registry, unusable: unusable, unconfirmed: unconfirmed, traffic: calls}
+	return &metrics{registry: registry, unusable: unusable, traffic: calls}
 }
 
 // boolToFloat returns 1 for true and 0 for false.
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -98,7 +98,9 @@
 	// leadershipChanged is notified whenever the known leader changes.
 	leadershipChanged broadcast
 	view              atomic.Pointer[view]
-	metrics           *metrics
+	// unconfirmedDepartures counts announcements of departures that were not acknowledged.
+	unconfirmedDepartures atomic.Uint64
+	metrics               *metrics
 }
 
 // view is the snapshot of the driver's state that the control loop published last. Other
