Drop fields of the schedulers' exchange that nobody reads or sets

CompareRequest.round was written and never read; CompareResponse.idle and totals were read and never set. No decision changes: the answer's values were zero.

--- a/bench/internal/policy/traffic.go
+++ b/bench/internal/policy/traffic.go
@@ -35,7 +35,7 @@
 	request := &messenger.CompareRequest{
 		From: &messenger.Pool{Zone: z.name, Service: "modelli"}, Origin: z.origin | originBit,
 		Returned: scheduler.PackLoans(offer.Returned), Renewed: scheduler.PackLoans(offer.Renewed),
-		Idle: uint32(offer.Idle), Round: uint32(z.fleet.traffic.calls),
+		Idle: uint32(offer.Idle),
 	}
 	for _, row := range offer.Totals {
 		request.Totals = append(request.Totals, &messenger.Total{
--- a/router/internal/coordinator/compare.go
+++ b/router/internal/coordinator/compare.go
@@ -58,13 +58,12 @@
 // comparePool sends one pool's offer to each other zone without an exchange in flight.
 // A zone gets no offer without changes until idleCompareInterval has passed.
 func (c *Coordinator) comparePool(now time.Time, h *hostedPool) {
-	c.compareRound++
 	totals, demand, returned, renewed, idle := h.registrar.Pool.Offer(now)
 	changed := len(totals)+len(demand)+len(returned)+len(renewed) > 0 || h.joining
 	var table interner.Writer
 	shared := &messenger.CompareRequest{
 		From: &messenger.Pool{Zone: c.options.Zone, Service: h.service}, Origin: h.registrar.Incarnation,
-		Totals: encodeTotals(&table, totals), Idle: uint32(idle), Joining: h.joining, Round: c.compareRound,
+		Totals: encodeTotals(&table, totals), Idle: uint32(idle), Joining: h.joining,
 	}
 	for _, row := range demand {
 		shared.Demand = append(shared.Demand, &messenger.Demand{
@@ -87,7 +86,7 @@
 	returned, renewed := pool.LoansOf(zone, now)
 	return &messenger.CompareRequest{
 		From: shared.GetFrom(), Origin: shared.GetOrigin(), Names: shared.GetNames(), Totals: shared.GetTotals(),
-		Demand: shared.GetDemand(), Idle: shared.GetIdle(), Joining: shared.GetJoining(), Round: shared.GetRound(),
+		Demand: shared.GetDemand(), Idle: shared.GetIdle(), Joining: shared.GetJoining(),
 		Returned: scheduler.PackLoans(returned), Renewed: scheduler.PackLoans(renewed),
 	}
 }
@@ -106,8 +105,7 @@
 			c.join(now, h, answer)
 		}
 		h.registrar.Apply(now, scheduler.Lent{
-			Zone: zone, Origin: answer.GetOrigin(), Idle: int(answer.GetIdle()), RequestedAt: sentAt,
-			Totals: decodeTotals(answer.GetNames(), answer.GetTotals()), Loans: decodeLoans(answer),
+			Zone: zone, Origin: answer.GetOrigin(), RequestedAt: sentAt, Loans: decodeLoans(answer),
 		})
 	})
 }
--- a/router/internal/coordinator/coordinator.go
+++ b/router/internal/coordinator/coordinator.go
@@ -109,7 +109,6 @@
 	origins       uint64                 // number of origins generated so far
 	heartbeatAt   time.Time              // next heartbeats
 	compareAt     time.Time              // next check for pools with an exchange due
-	compareRound  uint32                 // number of the last offer of any pool
 	announcements announcementTable
 	handovers     []handover // handovers to be retried
 }
