Decode a departure in one place, and correct three comments

The conversion from the message stood in add and in decode. The versions of mixedServices are those last observed, not those of services with only one; a stream counts as unconfirmed also where one of two keepers has its record. No behaviour changes.

--- a/keeper/internal/applier/departures.go
+++ b/keeper/internal/applier/departures.go
@@ -44,7 +44,7 @@
 	s.expire(now)
 	s.revision++
 	s.push(departed{
-		Departure: Departure{ID: wire.GetId(), Started: lister.FromMillis(wire.GetStartedMs())},
+		Departure: departureFromWire(wire),
 		expires:   now + DepartureRetention, revision: s.revision,
 	})
 	if s.order.Len() > maxDepartures {
@@ -102,9 +102,8 @@
 func (s *departures) decode(states []*messenger.DepartureState, revision uint64) {
 	s.revision = revision
 	for _, state := range states {
-		wire := state.GetDeparture()
 		s.push(departed{
-			Departure: Departure{ID: wire.GetId(), Started: lister.FromMillis(wire.GetStartedMs())},
+			Departure: departureFromWire(state.GetDeparture()),
 			expires:   time.Duration(state.GetExpiresMs()) * time.Millisecond, revision: state.GetRevision(),
 		})
 	}
@@ -115,6 +114,10 @@
 	return &messenger.Departure{Id: d.ID, StartedMs: lister.ToMillis(d.Started)}
 }
 
+func departureFromWire(wire *messenger.Departure) Departure {
+	return Departure{ID: wire.GetId(), Started: lister.FromMillis(wire.GetStartedMs())}
+}
+
 // DeparturesRevision returns the number of departures so far.
 func (s *State) DeparturesRevision() uint64 {
 	return s.departures.revision
--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -51,7 +51,7 @@
 // mixedServices tells which services have endpoints of several software versions. Routers have the
 // origins of their streams confirmed. Its zero value has none.
 type mixedServices struct {
-	versions map[string]string // of each service, if it has only one
+	versions map[string]string // of each service, as last observed
 	mixed    map[string]bool
 }
 
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -13,7 +13,7 @@
 func (d *Director) registerGauges() {
 	d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "shallotkeel_direct_unconfirmed_streams_total",
-		Help: "Streams whose software version no keeper had stored when their first event was sent on, while several versions served.",
+		Help: "Streams whose software version keepers had not confirmed when their first event was sent on, while several versions served.",
 	}, func() float64 { return float64(d.streams.Unconfirmed()) }))
 	gauge := func(opts prometheus.GaugeOpts, value func() float64) {
 		d.registry.MustRegister(prometheus.NewGaugeFunc(opts, value))
--- a/router/internal/recaller/confirming.go
+++ b/router/internal/recaller/confirming.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// Unconfirmed returns the number of streams whose origin no keeper confirmed in time.
+// Unconfirmed returns the number of streams whose origin was not confirmed in time.
 func (r *Recaller) Unconfirmed() uint64 {
 	return r.unconfirmed.Load()
 }
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -56,7 +56,7 @@
 	store     versioner.Store
 	logDamper damper.Damper
 
-	// unconfirmed counts the streams whose origin no keeper confirmed in time.
+	// unconfirmed counts the streams whose origin was not confirmed in time.
 	unconfirmed atomic.Uint64
 
 	mutex       sync.Mutex
@@ -81,9 +81,9 @@
 	return &Recaller{options: options, reportEnd: make(map[netip.AddrPort]uint64), dropped: make(chan struct{})}
 }
 
-// RecordOrigin records the origin of a stream that begins or is resumed. While the
-// origin's service has several versions, it waits until keepers have the record, for confirmTimeout at
-// most: if the record were lost with this router, the stream could be taken for an equal one.
+// RecordOrigin records the origin of a stream that begins or is resumed. While the origin's service has
+// several versions, it waits until keepers have the record, for confirmTimeout at most: if the record
+// were lost with this router, the stream could be taken for an equal one.
 func (r *Recaller) RecordOrigin(ctx context.Context, name versioner.StreamID, origin versioner.Origin) {
 	end := uint64(0)
 	for _, stream := range name.Hashes() {
