--- a/bench/internal/policy/fleet.go
+++ b/bench/internal/policy/fleet.go
@@ -356,7 +356,7 @@
 			continue
 		}
 		z.fleet.traffic.addAnswer(z, lend.Loans)
-		answer := scheduler.Lent{Zone: z.name, Origin: z.origin, Loans: lend.Loans, RequestedAt: requested}
+		answer := scheduler.Lent{Zone: z.name, Loans: lend.Loans, RequestedAt: requested}
 		z.fleet.after(z.fleet.zoneHop, func() { from.apply(borrower, answer) })
 	}
 }
--- a/lib/scheduler/event.go
+++ b/lib/scheduler/event.go
@@ -148,11 +148,8 @@
 // Lent is the other zone's answer to an exchange: the slots that this pool may
 // use.
 type Lent struct {
-	Zone   string
-	Origin uint64
-	Loans  []Loan
-	Totals []Total
-	Idle   int
+	Zone  string
+	Loans []Loan
 	// RequestedAt is when the exchange that this event answers was sent. The
 	// borrower counts leases and terms from this time: the lender counts from a
 	// later one, so that they never end at the lender first. Zero means the time
--- a/lib/scheduler/exchange.go
+++ b/lib/scheduler/exchange.go
@@ -31,7 +31,6 @@
 	name         string
 	lastExchange time.Time
 	interval     time.Duration // moving average of the time between its exchanges
-	freeSlots    int           // as reported by its last exchange or answer
 	holds        []hold        // slots here that wait for its next exchange
 }
 
@@ -75,7 +74,6 @@
 		p.ledger.ResendAll()
 	}
 	from.noteExchange(now)
-	from.freeSlots = c.Idle
 	p.addDeadline(now.Add(from.retention()))
 	p.endLoans(now, from, c.Returned)
 	p.renewLoans(now, from, c.Renewed)
@@ -272,7 +270,6 @@
 			p.addDeadline(expires)
 			continue
 		}
-		z.freeSlots = 0
 		p.minRemoteCounter = 0
 		p.releaseHolds(now, z)
 		for _, w := range p.workspaceList {
--- a/lib/scheduler/exchange_test.go
+++ b/lib/scheduler/exchange_test.go
@@ -41,7 +41,7 @@
 // applyLoans applies loans of zone verona-b to the borrowing pool and returns its
 // actions, without a check of grants, as they name endpoints of the other zone.
 func applyLoans(to *model, loans []scheduler.Loan) []scheduler.Action {
-	return to.pool.Apply(to.now, scheduler.Lent{Zone: "verona-b", Origin: 2, Loans: loans})
+	return to.pool.Apply(to.now, scheduler.Lent{Zone: "verona-b", Loans: loans})
 }
 
 // An idle slot is lent once, renewed while the loan is in use, and returned after its
@@ -196,7 +196,7 @@
 			p := newPair(t)
 			p.far.announce(scheduler.Announced{ID: "b", Incarnation: 1, Slots: 1, TTL: time.Hour})
 			p.near.enrol(router1, scheduler.Ticket{Seq: 1, Workspace: "one"}, scheduler.Ticket{Seq: 2, Workspace: "one"})
-			answer := scheduler.Lent{Zone: "verona-b", Origin: 2, Loans: sendOffer(p.near, p.far), RequestedAt: p.near.now}
+			answer := scheduler.Lent{Zone: "verona-b", Loans: sendOffer(p.near, p.far), RequestedAt: p.near.now}
 			p.near.now = p.near.now.Add(time.Millisecond)
 			if used {
 				require.Len(t, p.near.pool.Apply(p.near.now, answer), 1)
--- a/lib/scheduler/lending_test.go
+++ b/lib/scheduler/lending_test.go
@@ -32,7 +32,7 @@
 // answer to the near pool, and returns them.
 func (p poolPair) exchange() []scheduler.Loan {
 	loans := sendOffer(p.near, p.far)
-	p.near.apply(scheduler.Lent{Zone: "verona-b", Origin: 2, Loans: loans, RequestedAt: p.near.now})
+	p.near.apply(scheduler.Lent{Zone: "verona-b", Loans: loans, RequestedAt: p.near.now})
 	return loans
 }
 
--- a/lib/scheduler/loan.go
+++ b/lib/scheduler/loan.go
@@ -303,10 +303,6 @@
 // applyLent uses borrowed slots for waiting tickets and returns the slots that
 // no ticket can use.
 func (p *Pool) applyLent(now time.Time, l Lent) {
-	p.merge(now, l.Origin, l.Totals)
-	if l.Zone != "" {
-		p.zone(l.Zone).freeSlots = l.Idle
-	}
 	for _, offered := range l.Loans {
 		if l.mayHaveExpired(now, offered) {
 			continue
--- a/lib/scheduler/offer_test.go
+++ b/lib/scheduler/offer_test.go
@@ -86,7 +86,7 @@
 func TestLoansAreReportedToTheirLenders(t *testing.T) {
 	p := newLendingPair(t, 1)
 	loans := p.exchange()
-	p.near.apply(scheduler.Lent{Zone: "bolzano-c", Origin: 3, Loans: []scheduler.Loan{{ID: 7, Workspace: "one", Model: "draft", Endpoint: "c", Lease: time.Second}}})
+	p.near.apply(scheduler.Lent{Zone: "bolzano-c", Loans: []scheduler.Loan{{ID: 7, Workspace: "one", Model: "draft", Endpoint: "c", Lease: time.Second}}})
 	p.near.pool.Offer(p.near.now)
 	returned, renewed := p.near.pool.LoansOf("verona-b", p.near.now)
 	require.Empty(t, returned)
--- a/lib/scheduler/property_test.go
+++ b/lib/scheduler/property_test.go
@@ -89,7 +89,7 @@
 		scheduler.Compared{Zone: "verona-b", Origin: 7, Returned: []uint64{seq}, Renewed: []uint64{seq, 0}, Idle: -1},
 		scheduler.Compared{Zone: "trento-a", Origin: 7, Demand: []scheduler.Demand{{Workspace: "alpha", Model: "draft", Waiting: 9}}},
 		scheduler.Compared{Zone: "verona-b", Origin: 7, Demand: []scheduler.Demand{{Workspace: "alpha", Model: "absent", Waiting: -9}}},
-		scheduler.Lent{Zone: "verona-b", Origin: 7, Loans: []scheduler.Loan{{ID: seq, Workspace: "absent", Endpoint: "far", Lease: time.Second}}},
+		scheduler.Lent{Zone: "verona-b", Loans: []scheduler.Loan{{ID: seq, Workspace: "absent", Endpoint: "far", Lease: time.Second}}},
 		scheduler.History{},
 		scheduler.Announced{ID: "worker-1", Incarnation: 0, Slots: 1000},
 		scheduler.Announced{ID: "worker-9", Incarnation: 1, Slots: 1000, Leaving: true},
--- a/lib/scheduler/simulation_test.go
+++ b/lib/scheduler/simulation_test.go
@@ -247,7 +247,7 @@
 	}
 	w.messages = append(w.messages, zoneMessage{
 		from: s, to: answer.from, receiver: answer.sender, sentAt: answer.sentAt,
-		event: scheduler.Lent{Zone: s.name, Origin: s.origin, Loans: lend.Loans, RequestedAt: answer.sentAt},
+		event: scheduler.Lent{Zone: s.name, Loans: lend.Loans, RequestedAt: answer.sentAt},
 	})
 }
 
--- a/router/internal/coordinator/compare.go
+++ b/router/internal/coordinator/compare.go
@@ -105,7 +105,7 @@
 			c.join(now, h, answer)
 		}
 		h.registrar.Apply(now, scheduler.Lent{
-			Zone: zone, Origin: answer.GetOrigin(), RequestedAt: sentAt, Loans: decodeLoans(answer),
+			Zone: zone, RequestedAt: sentAt, Loans: decodeLoans(answer),
 		})
 	})
 }
