Log and count the parts of resumed streams, and where endpoints break answers off

Callers reported streams in which pieces came out of order or twice, and kept no logs. From the lines that existed nobody could have told why: the line of a request names its last endpoint only, and a second answer behind events left no line at all if it ended well.

Now each answer behind events that a client has has a line at its begin and at its end, with the ids on both sides of the seam, and a counter by how it continues the stream. Answers that endpoints break off are counted by framing and place. Nothing is decided by it. A first and whole part costs a few assignments, no line and no allocation.

--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -43,10 +43,11 @@
 	q.slotWait = slot.SlotWait()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	q.endpointAnswer, q.answerBegan, q.lastHeard = forwarder.Answer{}, time.Time{}, now
+	q.endpointAnswer, q.answerBegan, q.lastHeard, q.part = forwarder.Answer{}, time.Time{}, now, part{}
 	failure := p.exchange(attemptCtx, cancel, q, slot)
 	slot.End(p.options.Clock.Now(), outcomeOf(ctx, failure))
 	p.noteEnd(q, slot, failure)
+	p.endPart(q, slot, failure)
 	if failure != nil {
 		p.options.Log.Info().Str("id", q.in.ID).Str("endpoint", slot.ID).Str("reason", failure.reason).
 			Bool("unsent", failure.unsent).Bool("not_run", failure.notRun).Str("ended_by", cutLabels[failure.endedBy]).Int("sends", q.sends).
@@ -104,6 +105,7 @@
 	if x.StatusCode < http.StatusMultipleChoices && !answer.Signed {
 		return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: "the endpoint's success is not signed"}
 	}
+	p.beginPart(q, slot, x)
 	if q.route.Kind == resolver.Stream && x.StatusCode == http.StatusOK {
 		return p.relayStream(ctx, q, slot, x)
 	}
--- a/router/internal/proxier/cut_test.go
+++ b/router/internal/proxier/cut_test.go
@@ -79,23 +79,27 @@
 			}
 			test.send(f)
 			require.Equal(t, test.by, awaitRequestLine(t, lines))
-			require.Equal(t, map[string]float64{test.by: 1}, countedCuts(t, registry))
+			require.Equal(t, map[string]float64{test.by: 1}, counted(t, registry, "shallotkeel_passed_cuts_total"))
 		})
 	}
 }
 
-// countedCuts returns the counter of cut connections by its label.
-func countedCuts(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+// counted returns a counter by the values of its labels, in the order of their names.
+func counted(t *testing.T, registry *prometheus.Registry, name string) map[string]float64 {
 	t.Helper()
 	families, err := registry.Gather()
 	require.NoError(t, err)
 	counts := make(map[string]float64)
 	for _, family := range families {
-		if family.GetName() != "shallotkeel_passed_cuts_total" {
+		if family.GetName() != name {
 			continue
 		}
 		for _, metric := range family.GetMetric() {
-			counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+			var values []string
+			for _, label := range metric.GetLabel() {
+				values = append(values, label.GetValue())
+			}
+			counts[strings.Join(values, " ")] = metric.GetCounter().GetValue()
 		}
 	}
 	return counts
@@ -116,20 +120,26 @@
 
 // awaitRequestLine returns the cause in the line of a request.
 func awaitRequestLine(t *testing.T, lines <-chan string) string {
+	t.Helper()
+	var read struct {
+		CutBy string `json:"cut_by"`
+	}
+	awaitLine(t, lines, "request", &read)
+	return read.CutBy
+}
+
+// awaitLine decodes the next log line with a message.
+func awaitLine(t *testing.T, lines <-chan string, message string, into any) {
 	t.Helper()
 	for {
 		select {
 		case line := <-lines:
-			if !strings.Contains(line, `"message":"request"`) {
-				continue
-			}
-			var read struct {
-				CutBy string `json:"cut_by"`
+			if strings.Contains(line, `"message":"`+message+`"`) {
+				require.NoError(t, json.Unmarshal([]byte(line), into))
+				return
 			}
-			require.NoError(t, json.Unmarshal([]byte(line), &read))
-			return read.CutBy
 		case <-time.After(waitTimeout):
-			require.Fail(t, "no line for the request")
+			require.Fail(t, "no log line", message)
 		}
 	}
 }
--- a/router/internal/proxier/metrics.go
+++ b/router/internal/proxier/metrics.go
@@ -16,6 +16,8 @@
 	sends       prometheus.Counter
 	unframed    prometheus.Counter
 	cuts        *prometheus.CounterVec
+	parts       *prometheus.CounterVec
+	broken      *prometheus.CounterVec
 	crashes     prometheus.Counter
 	fetches     prometheus.Counter
 	fetchTokens prometheus.Counter
@@ -42,6 +44,12 @@
 		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_cuts_total", Help: "Clients' connections that were closed without a complete answer, by what ended it.",
 		}, []string{"by"}),
+		parts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_parts_total", Help: "Answers of endpoints behind events that the client has, by who resumed the stream and how they continue it.",
+		}, []string{"by", "result"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotkeel_passed_broken_total", Help: "Answers that endpoints broke off, by their framing and the place; no framing is known of those that broke in their head.",
+		}, []string{"framing", "place"}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotkeel_passed_crashes_total", Help: "Endpoints that were found to have crashed under requests of this router.",
 		}),
@@ -64,7 +72,7 @@
 			Buckets: []float64{-0.8, -0.4, -0.2, -0.1, -0.05, -0.025, 0, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8},
 		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.crashes, m.fetches, m.fetchTokens, m.timeToFirst, m.duration, m.firstError)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.parts, m.broken, m.crashes, m.fetches, m.fetchTokens, m.timeToFirst, m.duration, m.firstError)
 	return m
 }
 
@@ -100,3 +108,20 @@
 		m.crashes.Inc()
 	}
 }
+
+func (m *Metrics) countPart(byClient bool, result partResult) {
+	if m == nil {
+		return
+	}
+	by := "router"
+	if byClient {
+		by = "client"
+	}
+	m.parts.WithLabelValues(by, partLabels[result]).Inc()
+}
+
+func (m *Metrics) countBroken(framing framer.Framing, at place) {
+	if m != nil {
+		m.broken.WithLabelValues(framing.String(), placeLabels[at]).Inc()
+	}
+}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -197,6 +197,8 @@
 	reason           string
 	timeToFirst      time.Duration // time until the first part of the answer
 	stream           eventSplitter
+	part             part     // what the last endpoint sends of the answer
+	partEndpoints    []string // endpoints of the parts in their order; none for one complete part of a stream that no client resumes
 	endedBy          cutCause // what ended its last attempt that may have run
 	cutBy            cutCause // why its client's connection was closed without a complete answer
 	quarantinedBy    string   // the feature for which it was refused, "" if it was not
--- a/router/internal/proxier/record.go
+++ b/router/internal/proxier/record.go
@@ -39,6 +39,7 @@
 	if q.quarantinedBy != "" {
 		line = line.Str("feature", q.quarantinedBy).Str("part", q.quarantinedPart)
 	}
+	line = q.addParts(line)
 	line.Str("id", q.in.ID).Str("resumes", q.in.Resumes).Str("after_event", q.in.Resume).Str("workspace", q.workspace).
 		Str("service", q.service).Str("endpoint", q.endpoint).Str("version", q.in.Work.Version).
 		Int("sends", q.sends).Int("unreached", q.unsentAttempts).Int("status", q.status).
