Observe parts of streams before they are checked

The counter of parts read the events that were passed on. Once a check keeps an event back, such a part would be counted as broken before its first event, and nobody could tell a gap from a crash. It now reads what has arrived, whatever is relayed of it. Of a line it keeps 128 bytes at most.

--- a/router/internal/proxier/parts.go
+++ b/router/internal/proxier/parts.go
@@ -28,6 +28,9 @@
 	withoutID  int // events without an id
 	uneven     int // events whose id is not one higher than the one before
 	bytes      int64
+	line       []byte // the start of a line whose end has not arrived
+	id         string // of the event whose end has not arrived
+	hasData    bool   // that event has data
 }
 
 // beginPart notes that the head of an answer has arrived that is going to be relayed.
@@ -45,7 +48,7 @@
 
 // endPart counts and logs how an endpoint's answer ended.
 func (p *Proxier) endPart(q *request, slot *balancer.Slot, failure *attemptFailure) {
-	if failure != nil && failure.endedBy == cutByEndpoint && failure.outcome != balancer.Faulty {
+	if failure != nil && failure.endedBy == cutByEndpoint && failure.outcome == balancer.ConnectionBroken {
 		p.options.Metrics.countBroken(q.part.framing, q.place())
 	}
 	if q.part.number > 0 && (q.part.watched || failure != nil && q.answerStarted) {
@@ -88,23 +91,38 @@
 	return line.Int("answer_parts", len(q.partEndpoints)).Strs("answer_endpoints", q.partEndpoints).Str("last_event", q.stream.lastID)
 }
 
-// observe compares complete events of a watched part with those before.
-func (a *part) observe(complete []byte) {
-	if !a.watched {
+// maxObservedBytes is how much of a line is kept. Lines with ids are short.
+const maxObservedBytes = 128
+
+// observe reads what has arrived of the part, also of events that are not relayed. Events of a watched part are compared
+// with those before.
+func (a *part) observe(piece []byte) {
+	a.bytes += int64(len(piece))
+	if !a.watched || !a.inEvents {
 		return
 	}
-	id, hasData := "", false
-	for line := range bytes.Lines(complete) {
-		line = bytes.TrimRight(line, "\r\n")
-		switch value, found := bytes.CutPrefix(line, []byte("id:")); {
-		case found:
-			id = string(bytes.TrimSpace(value))
-		case bytes.HasPrefix(line, []byte("data")):
-			hasData = true
-		case len(line) == 0 && hasData:
-			a.addEvent(id)
-			id, hasData = "", false
+	for line := range bytes.Lines(piece) {
+		a.line = append(a.line, line[:min(len(line), maxObservedBytes-len(a.line))]...)
+		if !bytes.HasSuffix(line, []byte("\n")) {
+			return
+		}
+		a.addLine(bytes.TrimRight(a.line, "\r\n"))
+		a.line = a.line[:0]
+	}
+}
+
+// addLine adds a line of an event, or its end.
+func (a *part) addLine(line []byte) {
+	switch id, found := bytes.CutPrefix(line, []byte("id:")); {
+	case found:
+		a.id = string(bytes.TrimSpace(id))
+	case bytes.HasPrefix(line, []byte("data")):
+		a.hasData = true
+	case len(line) == 0:
+		if a.hasData {
+			a.addEvent(a.id)
 		}
+		a.id, a.hasData = "", false
 	}
 }
 
--- a/router/internal/proxier/parts_test.go
+++ b/router/internal/proxier/parts_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"shallotkeel.example/lib/versioner"
 )
@@ -139,3 +141,18 @@
 		})
 	}
 }
+
+// Guards against figures of a part that depend on how its bytes arrive.
+func TestPartIsObservedInAnyPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := ": alive\n\n" + event(4) + "data: no id\r\n\r\n" + event(6) + ": alive\n\n" + event(7) + "data: " + strings.Repeat("long ", maxObservedBytes) + "\nid: 8\n\nid: 9\nda"
+		a := part{number: 2, watched: true, inEvents: true, status: http.StatusOK, lastBefore: "3", lastID: "3"}
+		for rest := text; rest != ""; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			a.observe([]byte(rest[:n]))
+			rest = rest[n:]
+		}
+		require.Equal(t, []any{"4", "8", 5, 1, 1, int64(len(text))}, []any{a.firstID, a.lastID, a.events, a.withoutID, a.uneven, a.bytes})
+		require.Equal(t, partContinues, a.result(nil))
+	})
+}
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -99,7 +99,7 @@
 				slot.NotePrefilled(p.options.Clock.Now())
 			}
 			piece := buffer[:n]
-			q.part.bytes += int64(n)
+			q.part.observe(piece)
 			if inEvents {
 				var err error
 				if piece, err = q.stream.split(piece); err != nil {
@@ -112,7 +112,6 @@
 			if inEvents && len(piece) > 0 {
 				p.noteVersion(q, slot)
 				slot.NoteEvents(q.lastHeard, q.stream.events)
-				q.part.observe(piece)
 			}
 			if err := p.relayPiece(q, flusher, x, piece); err != nil {
 				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
