--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -99,6 +99,7 @@
 				slot.NotePrefilled(p.options.Clock.Now())
 			}
 			piece := buffer[:n]
+			q.part.observe(piece)
 			if inEvents {
 				var err error
 				if piece, err = q.stream.split(piece); err != nil {
