Relay no plain answer behind the events of a stream

Callers of a stream that was resumed within its answer could get another answer's bytes behind its events: an endpoint that answered the resume with 404 or 413, say, had its body written behind them, and the client's answer then ended as complete.

Cause: exchange passes every answer that is not a 200 to relayPlain, which did not ask whether the client has a part of another answer. sendHead sends nothing then, so only the body was written, and ended. Only 5xx were kept back. Now such an answer ends its attempt: another endpoint may go on, and without one the client's answer is cut, as it was before the resume, and the client may take the stream up itself. A client's own resume, of which nothing has been relayed, still gets the plain answer.

--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -45,6 +45,10 @@
 	if x.StatusCode >= http.StatusInternalServerError {
 		return p.relayError(ctx, q, slot, x)
 	}
+	if q.answerStarted {
+		p.noteAnswerStarted(q, slot)
+		return &attemptFailure{outcome: balancer.Cancelled, endedBy: cutByEndpoint, reason: "the endpoint answered with " + strconv.Itoa(x.StatusCode) + " to a stream that has begun"}
+	}
 	body, ended, err := p.bufferAnswer(q, x.Body, maxBufferedAnswerBytes)
 	if err != nil {
 		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -75,6 +75,7 @@
 	{Name: "read", Prefix: "/read/", Kind: resolver.Repeatable, Attempts: 2, Anonymous: true},
 	{Name: "draft", Prefix: "/draft/", Kind: resolver.Stream, Attempts: 1},
 	{Name: "list", Prefix: "/list/", Kind: resolver.Stream, Resumable: true, Attempts: 2},
+	{Name: "digest", Prefix: "/digest/", Kind: resolver.Stream, Resumable: true, Attempts: 3},
 	{Name: "brief", Prefix: "/brief/", Kind: resolver.AtMostOnce, Attempts: 1, Anonymous: true, Timeout: 80 * time.Millisecond},
 }
 
