Relay no text behind the events of a stream

Callers of a resumed stream got a second endpoint's answer of another content type behind the events, and an answer that ended as complete. A client that took a stream up got such an answer as the rest of its stream.

Cause: relayStream passes on raw what is no event stream, also where the client has a part of one. Such an answer now ends its attempt, so that another endpoint may go on; without one the answer is cut.

TestTextIsNotWrittenBehindEvents/text/plain failed before: actual : "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nno"

--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -44,6 +44,14 @@
 	return func(conn net.Conn, request *http.Request) { beginStream(conn, request, from, to) }
 }
 
+// typed returns a script that sends a successful answer with a content type.
+func typed(kind, body string) answerScript {
+	return func(conn net.Conn, request *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
+			idHeader, request.Header.Get(idHeader), stampHeader, kind, len(body), body)
+	}
+}
+
 // plain returns a script that sends an answer with a status and a body.
 func plain(status int, body string) answerScript {
 	return func(conn net.Conn, request *http.Request) { reply(conn, request, status, body) }
@@ -106,3 +114,28 @@
 		})
 	}
 }
+
+// Guards against an answer of another content type that is written behind the events of a stream.
+func TestTextIsNotWrittenBehindEvents(t *testing.T) {
+	for _, kind := range []string{"text/plain", "application/json", "text/html; charset=utf-8", "broken;;"} {
+		t.Run(kind, func(t *testing.T) {
+			requireNotJoined(t, typed(kind, "no"))
+			requireTakenUpElsewhere(t, typed(kind, "no"))
+		})
+	}
+}
+
+// requireTakenUpElsewhere checks that an answer is not passed on to a client that takes a stream up, and that
+// another endpoint is asked instead.
+func requireTakenUpElsewhere(t *testing.T, first answerScript) {
+	t.Helper()
+	f := newFixture(t)
+	f.recordOrigin()
+	requests := f.serveInTurn(first, events(4, 6))
+	response := f.takeUp("3")
+	defer response.Body.Close()
+	body, err := readText(response)
+	require.NoError(t, err)
+	require.Equal(t, event(4)+event(5)+event(6), body)
+	require.EqualValues(t, 2, requests.Load())
+}
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -90,6 +90,10 @@
 	flusher := http.NewResponseController(q.writer)
 	q.stream.partial = nil
 	inEvents, prefilled := isEventStream(x.Header), false
+	if !inEvents && (q.answerStarted || q.stream.lastID != "") {
+		p.noteAnswerStarted(q, slot)
+		return &attemptFailure{outcome: balancer.Cancelled, endedBy: cutByEndpoint, reason: "the endpoint answered with " + x.Header.Get("Content-Type") + " to a stream that has begun"}
+	}
 	for {
 		n, readErr := x.Body.Read(buffer)
 		if n > 0 {
