Relay no events of another run behind those of a stream

Callers of a resumed stream got pieces twice, out of order or of another run, if the second endpoint began at its first event or before the last one, and an endpoint whose ids went back was relayed as it was. The same held for the answer to a client that takes a stream up.

Cause: nothing compared the ids of events; the second endpoint was believed to go on after Last-Event-Id. A sequence now spans all attempts of a request: numeric ids increase, and an endpoint that is to go on begins with an event whose id shows that it does. Otherwise its attempt has failed, nothing of it from that event on is relayed, and another endpoint may go on. Ids that are no numbers pass as before, unless they are repeated. Gaps pass: ids need not increase by one.

TestEventsThatDoNotGoOnAreNotRelayed/from_the_beginning failed before: actual : "...id: 3\ndata: piece 3\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3..." TestEventsThatGoBackEndTheirAttempt/by_one failed before: actual : "...id: 3\ndata: piece 3\n\nid: 2\ndata: piece 2\n\nid: 4\ndata: piece 4\n\n"

--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -44,6 +44,15 @@
 	return func(conn net.Conn, request *http.Request) { beginStream(conn, request, from, to) }
 }
 
+// streamText returns a script that sends a whole event stream with any text.
+func streamText(text string) answerScript {
+	return func(conn net.Conn, request *http.Request) {
+		beginStream(conn, request, 1, 0)
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		endStream(conn)
+	}
+}
+
 // typed returns a script that sends a successful answer with a content type.
 func typed(kind, body string) answerScript {
 	return func(conn net.Conn, request *http.Request) {
@@ -139,3 +148,72 @@
 	require.Equal(t, event(4)+event(5)+event(6), body)
 	require.EqualValues(t, 2, requests.Load())
 }
+
+// Guards against pieces of another run behind the events of a stream: an endpoint that is to go on after the
+// last event begins anew, or earlier, or nothing shows where it begins.
+func TestEventsThatDoNotGoOnAreNotRelayed(t *testing.T) {
+	for name, second := range map[string]answerScript{
+		"from the beginning":        events(1, 6),
+		"from the last event":       events(3, 6),
+		"an earlier event only":     events(2, 2),
+		"the last event only":       events(3, 3),
+		"id without a number":       streamText("id: four\ndata: piece 4\n\n"),
+		"negative id":               streamText("id: -4\ndata: piece 4\n\n"),
+		"no ids":                    streamText("data: piece 1\n\ndata: piece 2\n\n"),
+		"empty id":                  streamText("id:\ndata: piece 1\n\n"),
+		"carriage returns":          streamText(strings.ReplaceAll(event(2), "\n", "\r\n")),
+		"id behind its data":        streamText("data: piece 1\nid: 1\n\n"),
+		"id that is less by digits": streamText("id: 03\ndata: piece 3\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireNotJoined(t, second)
+			requireTakenUpElsewhere(t, second)
+		})
+	}
+}
+
+// Guards against a stream that is cut although its second endpoint goes on soundly.
+func TestEventsThatGoOnAreRelayed(t *testing.T) {
+	for name, test := range map[string]struct{ first, second string }{
+		"numbers":              {first: eventsUpTo(3), second: event(4) + event(5)},
+		"numbers of two sizes": {first: eventsUpTo(9), second: event(10) + event(11)},
+		"uneven steps":         {first: event(7) + event(14), second: event(21) + event(30)},
+		"carriage returns":     {first: "id: 1\r\ndata: a\r\n\r\n", second: "id: 2\r\ndata: b\r\n\r\n"},
+		"comments":             {first: event(1) + ": wait\n\n", second: ": wait\n\n" + event(2) + ": wait\n\n"},
+		"header line":          {first: event(1), second: "x-version: 3\nid: 2\ndata: b\n\n"},
+		"names":                {first: "id: a\ndata: a\n\n", second: "id: b\ndata: b\n\n"},
+		"nothing is missing":   {first: eventsUpTo(3)},
+		"comment only":         {first: ": wait\n\n", second: eventsUpTo(3)},
+		"end without an id":    {first: eventsUpTo(2), second: event(3) + "data: end\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.serveInTurn(func(conn net.Conn, request *http.Request) {
+				beginStream(conn, request, 1, 0)
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(test.first), test.first)
+			}, streamText(test.second))
+			body, err := f.fetch("POST", "/list/", "prompt")
+			require.NoError(t, err)
+			require.Equal(t, test.first+test.second, body)
+		})
+	}
+}
+
+// Guards against pieces that come twice or out of order within the answer of one endpoint.
+func TestEventsThatGoBackEndTheirAttempt(t *testing.T) {
+	for name, back := range map[string]string{"to the beginning": event(1), "by one": event(2), "the same again": event(3)} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.serveInTurn(streamText(eventsUpTo(3)+back+event(4)), events(4, 6))
+			body, err := f.fetch("POST", "/list/", "prompt")
+			require.NoError(t, err)
+			require.Equal(t, eventsUpTo(6), body)
+
+			f = newFixture(t)
+			f.serveInTurn(streamText(eventsUpTo(3) + back + event(4)))
+			body, err = f.fetch("POST", "/draft/", "prompt")
+			require.Error(t, err)
+			require.Equal(t, eventsUpTo(3), body)
+		})
+	}
+}
--- /dev/null
+++ b/router/internal/proxier/sequence.go
@@ -0,0 +1,65 @@
+package proxier
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+)
+
+var (
+	// errRepeatedEvent means that an event is not after the last one: its endpoint runs the request anew.
+	errRepeatedEvent = merry.Sentinel("an event of the stream is not after the last one")
+	// errUnknownPlace means that nothing shows whether a resumed stream goes on after its last event.
+	errUnknownPlace = merry.Sentinel("the id of an event does not show whether the resumed stream goes on after the last one")
+)
+
+// sequence checks that the events of a stream have increasing ids. It spans all attempts of a request, and
+// the events that its client has from an earlier one, so that a resumed stream goes on after the last event.
+// The zero value is a stream without events.
+type sequence struct {
+	lastID  string // of the last event that has one
+	resumed bool   // the next event is the first one of an endpoint that is to go on after lastID
+}
+
+// resume prepares for the events of the next endpoint.
+func (s *sequence) resume() {
+	s.resumed = s.lastID != ""
+}
+
+// add adds the next event, or returns an error if it is not after the last one.
+func (s *sequence) add(e eventFields) error {
+	if e.id == "" {
+		if s.resumed && e.hasData {
+			return errUnknownPlace
+		}
+		return nil
+	}
+	last, lastErr := strconv.ParseUint(s.lastID, 10, 64)
+	next, nextErr := strconv.ParseUint(e.id, 10, 64)
+	switch {
+	case lastErr == nil && nextErr == nil && next <= last:
+		return errRepeatedEvent
+	case s.resumed && e.id == s.lastID:
+		return errRepeatedEvent
+	case s.resumed && (lastErr == nil) != (nextErr == nil):
+		return errUnknownPlace
+	}
+	s.lastID, s.resumed = e.id, false
+	return nil
+}
+
+// eventFields are the fields of an event that its place in the stream depends on. Without data it is a
+// comment, or only sets the id.
+type eventFields struct {
+	id      string
+	hasData bool
+}
+
+// note notes the field that a line of the event contains.
+func (e *eventFields) note(line []byte) {
+	if id, found := bytes.CutPrefix(line, []byte("id:")); found {
+		e.id = string(bytes.TrimSpace(id))
+	}
+	e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data"))
+}
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -22,15 +22,14 @@
 // eventSplitter splits a stream into events, so that the stream can be resumed between two events.
 // The zero value is a stream of which nothing has arrived.
 type eventSplitter struct {
-	lastID       string    // id of the last event that was relayed
+	sequence
 	partial      []byte    // the start of an event whose end has not arrived
 	versionNoted time.Time // when the software version at which the stream began was last recorded
 	events       int       // events among those that the last call of split returned
-	hasData      bool      // a data line of the current event has been counted
 }
 
-// split adds a piece of the stream and returns the events that are complete. The result is valid
-// until the next call.
+// split adds a piece of the stream and returns the events that are complete. With an error it returns those
+// before the event that is invalid. The result is valid until the next call.
 func (e *eventSplitter) split(piece []byte) ([]byte, error) {
 	e.partial = append(e.partial, piece...)
 	end := lastEnd(e.partial)
@@ -40,27 +39,25 @@
 	complete := e.partial[:end:end]
 	e.partial = append([]byte(nil), e.partial[end:]...)
 	e.events = 0
-	for _, line := range bytes.Split(complete, []byte("\n")) {
-		e.count(line)
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			e.lastID = string(bytes.TrimSpace(id))
+	var fields eventFields
+	sound, at := 0, 0
+	for line := range bytes.Lines(complete) {
+		at += len(line)
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			fields.note(line)
+			continue
+		}
+		if err := e.add(fields); err != nil {
+			return complete[:sound], err
 		}
+		if fields.hasData {
+			e.events++ // comments, which keep connections alive, are no events
+		}
+		sound, fields = at, eventFields{}
 	}
 	return complete, nil
 }
 
-// count counts the event that a line of complete events ends. Comments, which keep connections alive, are no
-// events.
-func (e *eventSplitter) count(line []byte) {
-	switch {
-	case bytes.HasPrefix(line, []byte("data")):
-		e.hasData = true
-	case e.hasData && len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
-		e.events++
-		e.hasData = false
-	}
-}
-
 // lastEnd returns the offset at which the last complete event ends: after an empty line.
 func lastEnd(text []byte) int {
 	end := 0
@@ -89,6 +86,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	flusher := http.NewResponseController(q.writer)
 	q.stream.partial = nil
+	q.stream.resume()
 	inEvents, prefilled := isEventStream(x.Header), false
 	if !inEvents && (q.answerStarted || q.stream.lastID != "") {
 		p.noteAnswerStarted(q, slot)
@@ -103,11 +101,9 @@
 				slot.NotePrefilled(p.options.Clock.Now())
 			}
 			piece := buffer[:n]
+			var invalid error
 			if inEvents {
-				var err error
-				if piece, err = q.stream.split(piece); err != nil {
-					return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: err.Error()}
-				}
+				piece, invalid = q.stream.split(piece)
 				if !p.holdAnswer(q, int64(len(piece)+len(q.stream.partial))) {
 					return &attemptFailure{outcome: balancer.Cancelled, endedBy: cutByMemory, reason: "the answers of other requests hold all the memory reserved for answers"}
 				}
@@ -120,6 +116,9 @@
 				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
 				return unwritten(err)
 			}
+			if invalid != nil {
+				return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: invalid.Error()}
+			}
 			p.holdAnswer(q, int64(len(q.stream.partial)))
 		}
 		if readErr == nil {
