Resume no stream whose last event has no id

Callers got events twice: a stream whose events have no ids was sent to a second endpoint without a Last-Event-Id, which began it anew, and one with an event without an id behind others went on before that event.

Cause: mayRetry asks for the version of the stream only, not whether an endpoint can know where to go on. Such a stream is now cut, and its client may take it up with what it knows. Comments need no id.

TestStreamWithoutAResumePointIsNotResumed failed before for each of its four streams.

--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -217,3 +217,26 @@
 		})
 	}
 }
+
+// Guards against events that come twice because the last one has no id, so that no endpoint knows where to
+// go on.
+func TestStreamWithoutAResumePointIsNotResumed(t *testing.T) {
+	for name, begun := range map[string]string{
+		"no ids":             "data: piece 1\n\ndata: piece 2\n\n",
+		"empty id":           "id:\ndata: piece 1\n\n",
+		"an id, then none":   event(1) + "data: piece 2\n\n",
+		"a number, then not": event(1) + "id: \ndata: piece 2\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			requests := f.serveInTurn(func(conn net.Conn, request *http.Request) {
+				beginStream(conn, request, 1, 0)
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(begun), begun)
+			}, events(1, 6))
+			body, err := f.fetch("POST", "/list/", "prompt")
+			require.Error(t, err)
+			require.Equal(t, begun, body)
+			require.EqualValues(t, 1, requests.Load())
+		})
+	}
+}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -312,6 +312,9 @@
 	if p.mayCrash(q, e) {
 		return false
 	}
+	if q.answerStarted && q.stream.unnamed {
+		return false
+	}
 	if e.noEndpoint || q.answerStarted && q.in.Work.Version == "" {
 		return false // without the version of a begun stream, no endpoint is known to be able to resume it
 	}
--- a/router/internal/proxier/sequence.go
+++ b/router/internal/proxier/sequence.go
@@ -20,6 +20,7 @@
 type sequence struct {
 	lastID  string // of the last event that has one
 	resumed bool   // the next event is the first one of an endpoint that is to go on after lastID
+	unnamed bool   // the last event has no id, so that no endpoint knows where to go on
 }
 
 // resume prepares for the events of the next endpoint.
@@ -33,6 +34,7 @@
 		if s.resumed && e.hasData {
 			return errUnknownPlace
 		}
+		s.unnamed = s.unnamed || e.hasData
 		return nil
 	}
 	last, lastErr := strconv.ParseUint(s.lastID, 10, 64)
@@ -45,7 +47,7 @@
 	case s.resumed && (lastErr == nil) != (nextErr == nil):
 		return errUnknownPlace
 	}
-	s.lastID, s.resumed = e.id, false
+	s.lastID, s.resumed, s.unnamed = e.id, false, false
 	return nil
 }
 
