Count no event as relayed that finds no memory

A stream that was ended because other answers hold the memory could go on behind an event that its client never got: split had moved the resume point already when the memory was asked for. The memory is now reserved before the events are split; the sum of bytes is the same.

TestStreamIsResumedAfterTheLastRelayedEvent failed before.

--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -240,3 +240,19 @@
 		})
 	}
 }
+
+// Guards against an event that is missing because the router counted it as relayed and then had no memory
+// for it.
+func TestStreamIsResumedAfterTheLastRelayedEvent(t *testing.T) {
+	f := newFixture(t)
+	f.proxier.answerMemory.limit = 1
+	long := "id: 2\ndata: " + strings.Repeat("x", minBufferBytes) + "\n\n"
+	f.serveInTurn(streamText(event(1)+long+event(3)), func(conn net.Conn, request *http.Request) {
+		from := 0
+		fmt.Sscan(request.Header.Get("Last-Event-Id"), &from) //nolint:errcheck // without the header the stream begins at its first event
+		events(from+1, 3)(conn, request)
+	})
+	body, err := f.fetch("POST", "/list/", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, eventsUpTo(3), body)
+}
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -103,10 +103,10 @@
 			piece := buffer[:n]
 			var invalid error
 			if inEvents {
-				piece, invalid = q.stream.split(piece)
 				if !p.holdAnswer(q, int64(len(piece)+len(q.stream.partial))) {
 					return &attemptFailure{outcome: balancer.Cancelled, endedBy: cutByMemory, reason: "the answers of other requests hold all the memory reserved for answers"}
 				}
+				piece, invalid = q.stream.split(piece)
 			}
 			if inEvents && len(piece) > 0 {
 				p.noteVersion(q, slot)
