Send nothing behind a long answer that could not be written

A client that takes a stream up and gets a long plain answer could have events of another endpoint written behind its first part: after a failed write the attempt counted as one that another endpoint may repeat, as only an answer that breaks off at its endpoint ruled that out.

TestNothingFollowsAnAnswerThatWasNotWritten/plain failed before: two requests where one is due.

--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -203,6 +203,7 @@
 func (p *Proxier) relayUnbuffered(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, rest io.Reader, head []byte) *attemptFailure {
 	err := p.sendHead(q, x, x.ContentLength)
 	if err == nil {
+		q.sends = q.route.Attempts // the rest cannot come from another endpoint
 		_, err = q.writer.Write(head)
 	}
 	if err != nil {
@@ -216,7 +217,6 @@
 	if _, err := io.CopyBuffer(struct{ io.Writer }{q.writer}, rest, make([]byte, size)); err != nil {
 		e := p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, err))
 		e.reason = "the answer broke off"
-		q.sends = q.route.Attempts // the rest cannot come from another endpoint
 		return e
 	}
 	if err := q.end.Complete(http.NewResponseController(q.writer)); err != nil {
--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -256,3 +258,44 @@
 	require.NoError(t, err)
 	require.Equal(t, eventsUpTo(3), body)
 }
+
+// failingWriter is a client's connection of which one write fails.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+	failed bool
+}
+
+func (w *failingWriter) Write(piece []byte) (int, error) {
+	if !w.failed {
+		w.failed = true
+		n, _ := w.ResponseRecorder.Write(piece[:len(piece)/2])
+		return n, io.ErrShortWrite
+	}
+	return w.ResponseRecorder.Write(piece)
+}
+
+// Guards against events behind a part of an answer that could not be written to its client.
+func TestNothingFollowsAnAnswerThatWasNotWritten(t *testing.T) {
+	long := strings.Repeat("a long answer. ", (maxBufferedAnswerBytes+5000)/15)
+	for name, first := range map[string]answerScript{
+		"stream": events(4, 6), "plain": plain(http.StatusNotFound, long), "short": plain(http.StatusNotFound, "none"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.recordOrigin()
+			requests := f.serveInTurn(first, events(5, 6))
+			request := httptest.NewRequest("POST", "/digest/", strings.NewReader("prompt"))
+			request.Host = "h"
+			request.Header.Set("Authorization", "Bearer key")
+			request.Header.Set("Last-Event-Id", "3")
+			request.Header.Set(resumesHeader, "first")
+			answer := &failingWriter{ResponseRecorder: httptest.NewRecorder()}
+			func() {
+				defer func() { recover() }() //nolint:errcheck // a cut answer panics
+				f.proxier.ServeHTTP(answer, request)
+			}()
+			require.EqualValues(t, 1, requests.Load())
+			require.NotContains(t, answer.Body.String(), event(6))
+		})
+	}
+}
