A reset that the write of a body receives no longer ends an unframed answer

Cause: requests with more than 8 KiB of body are written while the answer is read. The system reports a reset of a connection once, to the first call that asks. If that is the write, the read that follows returns the ordinary end of a closed connection.

Why it works: before the end of an unframed answer counts, the result of the concurrent write is awaited; the write has already returned if it took the report, and is otherwise ended by a deadline. Only ECONNRESET counts: after an ordinary close of the endpoint the system reports EPIPE. Framed answers were never affected.

Before the mend, TestResetDuringTheBodyNeverLooksComplete/reset: expected: true, actual: false (no error).

--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -30,10 +30,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
+
+	"shallotkeel.example/lib/framer"
 )
 
 // Errors of an exchange.
@@ -206,7 +209,7 @@
 		}
 		if x.client.Matches == nil || x.client.Matches(answer, out.ID) {
 			x.Response = answer
-			answer.Body = &body{inner: answer.Body, exchange: x}
+			answer.Body = &body{inner: answer.Body, exchange: x, framing: framer.Of(out.Method, answer)}
 			return nil
 		}
 		// A late answer to another request precedes the expected one.
@@ -239,16 +242,43 @@
 type body struct {
 	inner    io.ReadCloser
 	exchange *Exchange
+	framing  framer.Framing
+	reset    error // found at the end of an unframed answer
 }
 
 func (b *body) Read(buffer []byte) (int, error) {
+	if b.reset != nil {
+		return 0, b.reset
+	}
 	n, err := b.inner.Read(buffer)
+	if errors.Is(err, io.EOF) && b.framing == framer.ByConnection {
+		b.reset = b.exchange.hiddenReset()
+		if b.reset != nil {
+			return n, b.reset
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		b.exchange.complete = true
 	}
 	return n, err
 }
 
+// hiddenReset returns the error of a reset that the concurrent write of the body has received. The system
+// reports a reset only once: if the write gets it, reads end as at an ordinary close.
+func (x *Exchange) hiddenReset() error {
+	if x.bodyWritten == nil || x.complete {
+		return nil
+	}
+	// The endpoint has closed its side, so that a write that is still blocked may not end by itself.
+	if err := x.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	if err := <-x.bodyWritten; errors.Is(err, syscall.ECONNRESET) {
+		return err
+	}
+	return nil
+}
+
 func (b *body) Close() error {
 	return nil // Exchange.Close closes or keeps the connection
 }
--- a/lib/forwarder/heads_test.go
+++ b/lib/forwarder/heads_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -198,3 +199,38 @@
 		})
 	}
 }
+
+// Guards against an unframed answer that was reset and ends as if it were whole: the concurrent write of
+// the request's body gets the only report of the reset.
+func TestResetDuringTheBodyNeverLooksComplete(t *testing.T) {
+	const rounds, size = 16, 4 << 20 // more than the buffers of both ends
+	for name, test := range map[string]struct{ reset bool }{"closed": {}, "reset": {reset: true}} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t, func(_ int64, conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				io.WriteString(conn, answerHead+"\r\nthe whole answer") //nolint:errcheck // the reader may be gone
+				if test.reset {
+					io.CopyN(io.Discard, conn, size/4) //nolint:errcheck // the writer may be gone
+					conn.(*net.TCPConn).SetLinger(0)   //nolint:errcheck // it is a TCP connection
+					return
+				}
+				conn.(*net.TCPConn).CloseWrite()   //nolint:errcheck // it is a TCP connection
+				io.CopyN(io.Discard, conn, size/4) //nolint:errcheck // the writer may be gone
+				<-t.Context().Done()
+			})
+			c := newClient()
+			for range rounds {
+				out := newRequest("1")
+				out.Method, out.Body = http.MethodPost, []byte(strings.Repeat("x", size))
+				got, err := fetch(t, c, e, out)
+				require.Equal(t, test.reset, err != nil, "%v", err)
+				if !test.reset {
+					require.Equal(t, "the whole answer", got)
+				}
+				require.Zero(t, c.openTo(e.address))
+			}
+		})
+	}
+}
