Soak of real processes on the platform's interface: a first part

Routers and keepers run as the deploy file says; endpoints, clients, operator and platform are the rig's own. Faults come from a seed in overlapping series. ORDER, MIXED, TWICE and REFUSED are judged from what clients and endpoints see.

--- a/bench/internal/launcher/process.go
+++ b/bench/internal/launcher/process.go
@@ -70,13 +70,17 @@
 	if err := os.WriteFile(path, text, fileMode); err != nil {
 		return nil, merry.Errorf("%w: %s: %v; check the data folder", ErrProcess, name, err)
 	}
+	return Spawn(folder, name, exec.Command(program, "--settings", path))
+}
+
+// Spawn starts a command. Its output is appended to NAME.log in the folder.
+func Spawn(folder, name string, command *exec.Cmd) (*Process, error) {
 	log := filepath.Join(folder, name+".log")
 	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
 	if err != nil {
 		return nil, merry.Errorf("%w: %s: %v; check the data folder", ErrProcess, name, err)
 	}
 	defer out.Close()
-	command := exec.Command(program, "--settings", path)
 	command.Stdout, command.Stderr = out, out
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	failed := make(chan error)
--- /dev/null
+++ b/bench/internal/soaker/query.go
@@ -0,0 +1,60 @@
+package soaker
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// query is what a request asks an endpoint for, and the words in which all sides name it. Its text
+// is the request's body.
+type query struct {
+	id     string // request
+	stream string // what all attempts of one stream share
+	pieces int    // events, or hundreds of bytes
+	pace   int    // milliseconds between two events
+}
+
+func (q *query) text() string { return fmt.Sprintf("%s %d %d", q.stream, q.pieces, q.pace) }
+
+// readQuery reads a request's body.
+func readQuery(id, text string) (*query, bool) {
+	q := &query{id: id}
+	_, err := fmt.Sscanf(text, "%s %d %d", &q.stream, &q.pieces, &q.pace)
+	return q, err == nil
+}
+
+// event is a piece of a stream as it names itself.
+type event struct {
+	number, pieces int
+	stream, run    string
+	version        string
+	after          int // the piece after which its run goes on, 0 for the beginning
+}
+
+func (e *event) String() string {
+	return fmt.Sprintf("id: %d\ndata: %s %s %s after %d piece %d of %d\n\n", e.number, e.stream, e.run, e.version, e.after, e.number, e.pieces)
+}
+
+// readEvent reads an event, and is false for any other text.
+func readEvent(text string) (event, bool) {
+	var e event
+	var id int
+	_, err := fmt.Sscanf(text, "id: %d\ndata: %s %s %s after %d piece %d of %d", &id, &e.stream, &e.run, &e.version, &e.after, &e.number, &e.pieces)
+	return e, err == nil && id == e.number && e.String() == text
+}
+
+// events returns the pieces of a run, from the first on. The run says that it goes on after a piece.
+func (q *query) events(s *send, number, after, first int) []line {
+	var lines []line
+	for n := first; n <= q.pieces; n++ {
+		e := event{number: n, pieces: q.pieces, stream: q.stream, run: fmt.Sprintf("%s/%s/%d", s.endpoint, q.id, number), version: s.version, after: after}
+		lines = append(lines, line{pause: time.Duration(q.pace) * time.Millisecond, text: e.String()})
+	}
+	return lines
+}
+
+// plain returns the body of a plain answer.
+func (q *query) plain() string {
+	return strings.Repeat(fmt.Sprintf("%s %s. ", q.stream, q.id), 3*q.pieces)
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -17,6 +17,7 @@
 	"shallotkeel.example/bench/internal/faults"
 	"shallotkeel.example/bench/internal/measurer"
 	"shallotkeel.example/bench/internal/policy"
+	"shallotkeel.example/bench/internal/soaker"
 	"shallotkeel.example/lib/starter"
 )
 
@@ -104,6 +105,51 @@
 	return nil
 }
 
+// soakCommand plays seeded faults against the programs on the platform's interface.
+type soakCommand struct {
+	Programs string        `long:"programs" value-name:"FOLDER" description:"folder of router and keeper; built as the deploy file says by default"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the play"`
+	Seeds    string        `long:"seeds" value-name:"FROM-TO" description:"play these seeds one after the other"`
+	Duration time.Duration `long:"duration" default:"30s" description:"how long faults are played"`
+	Resuming bool          `long:"resuming" description:"endpoints that are asked to go on with a stream always do so as they are asked"`
+	Logs     string        `long:"logs" value-name:"FOLDER" description:"where plays keep their logs; the folder of temporary files by default"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	first, last := c.Seed, c.Seed
+	if c.Seeds != "" {
+		if _, err := fmt.Sscanf(c.Seeds, "%d-%d", &first, &last); err != nil {
+			return fmt.Errorf("--seeds is FROM-TO: %w", err)
+		}
+	}
+	root, err := os.Getwd()
+	if err != nil {
+		return err
+	}
+	programs := filepath.Join(root, "target")
+	if c.Programs != "" {
+		programs, err = filepath.Abs(c.Programs)
+	} else {
+		err = soaker.Build(root, programs)
+	}
+	if err != nil {
+		return err
+	}
+	kept := true
+	for seed := first; seed <= last; seed++ {
+		ok, err := soaker.Run(soaker.Options{Root: root, Programs: programs, Logs: c.Logs, Duration: c.Duration, Seed: seed, Resuming: c.Resuming}, os.Stdout)
+		if err != nil {
+			return err
+		}
+		kept = kept && ok
+	}
+	if !kept {
+		return reportedFailure{}
+	}
+	return nil
+}
+
 // lossesCommand prints where a played day's credit was lost, by cause.
 type lossesCommand struct {
 	Report string `long:"report" required:"true" value-name:"FILE" description:"report of the day"`
@@ -143,6 +189,7 @@
 	}{
 		{"demo", "run a small deployment and check it", &demoCommand{}},
 		{"faults", "cause every fault of the matrix under load and count what must never happen", &faultsCommand{}},
+		{"soak", "play seeded faults on the platform's interface and judge what clients get", &soakCommand{}},
 		{"losses", "say where a played day's credit was lost, by cause", &lossesCommand{}},
 		{"measure", "measure what the running path does and costs, against the baseline", &measureCommand{}},
 	} {
