--- a/bench/internal/soaker/endpoint.go
+++ b/bench/internal/soaker/endpoint.go
@@ -33,10 +33,10 @@
 	record *record
 	ledger *ledger
 	seed   uint64
-	// resuming means that endpoints go on with streams as they are asked.
-	resuming bool
 	faulty atomic.Int64 // percent of the answers that meet a fault
 	number atomic.Int64
+	// resuming means that endpoints go on with streams as they are asked.
+	resuming bool
 }
 
 // endpoint is one incarnation of an endpoint.
@@ -199,7 +199,7 @@
 		c := &gated{TCPConn: conn.(*net.TCPConn), in: &e.hearing, out: &e.talking}
 		e.lock.Lock()
 		if e.closed {
-			c.Close()
+			conn.Close()
 		} else {
 			e.conns[c] = nil
 			go e.serve(c)
@@ -214,7 +214,7 @@
 		e.lock.Lock()
 		defer e.lock.Unlock()
 		delete(e.conns, c)
-		c.Close()
+		_ = c.Close() // the caller may have closed it
 	}()
 	reader := bufio.NewReader(c)
 	for previous := ""; ; {
