--- a/bench/internal/soaker/client.go
+++ b/bench/internal/soaker/client.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +21,7 @@
 	requestDeadline = 8 * time.Second
 	eventPatience   = 4 * time.Second
 	maxTries        = 5
+	maxPad          = 9000 // bytes, more than a router reads at once
 	probeTime       = time.Millisecond
 )
 
@@ -58,6 +58,12 @@
 		r := routes[c.rand.IntN(len(routes))]
 		c.count++
 		q := &query{stream: fmt.Sprintf("s%d-%d", c.number, c.count), pieces: 4 + c.rand.IntN(30), pace: 5 + c.rand.IntN(50)}
+		if c.rand.IntN(5) == 0 {
+			q.pace = 0
+		}
+		if c.rand.IntN(6) == 0 {
+			q.pad = c.rand.IntN(maxPad)
+		}
 		if r.Kind == player.Streaming {
 			c.stream(ctx, r, q)
 		} else {
@@ -108,7 +114,10 @@
 	fmt.Fprintf(&out, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n",
 		r.Prefix, r.Host, platform.HeaderID, h.id, platform.HeaderDeadline, requestDeadline.Milliseconds(), len(text))
 	if after > 0 {
-		fmt.Fprintf(&out, "%s: %s\r\n%s: %s\r\n", platform.HeaderResume, strconv.Itoa(after), platform.HeaderResumes, resumes)
+		fmt.Fprintf(&out, "%s: %d\r\n", platform.HeaderResume, after)
+		if !c.play.options.Unnamed || c.number%2 == 0 {
+			fmt.Fprintf(&out, "%s: %s\r\n", platform.HeaderResumes, resumes)
+		}
 	}
 	c.play.record.add("client %d sends %s to %s (after %d)", c.number, h.id, h.router, after)
 	if _, answer.err = io.WriteString(c.conn, out.String()+"\r\n"+text); answer.err == nil {
--- a/bench/internal/soaker/endpoint.go
+++ b/bench/internal/soaker/endpoint.go
@@ -279,7 +279,7 @@
 		if s.resumed > from && !e.pool.resuming && r.IntN(100) < 2*int(e.pool.faulty.Load()) {
 			sc, name = resumeFault(r, q, s, number)
 		} else {
-			sc = e.compose(request, q, s, number)
+			sc = e.compose(r, request, q, s, number)
 		}
 		s.framing = sc.frame
 		if name == "sound" && r.IntN(100) < int(e.pool.faulty.Load()) {
@@ -300,9 +300,13 @@
 func isStream(request *http.Request) bool { return routeOf(request.URL.Path).Kind == player.Streaming }
 
 // compose returns the answer of a sound endpoint.
-func (e *endpoint) compose(request *http.Request, q *query, s *send, number int) *script {
+func (e *endpoint) compose(r *rand.Rand, request *http.Request, q *query, s *send, number int) *script {
 	if isStream(request) {
-		return newScript(s.status, q.id, s.stamp, eventStream, s.framing, q.events(s, number, s.resumed, s.resumed+1))
+		events := q.events(s, number, s.resumed, s.resumed+1)
+		if r.IntN(3) == 0 {
+			events = split(r, events)
+		}
+		return newScript(s.status, q.id, s.stamp, eventStream, s.framing, events)
 	}
 	return newScript(s.status, q.id, s.stamp, "text/plain", s.framing, []line{{pause: time.Duration(q.pace) * time.Millisecond, text: q.plain()}})
 }
--- a/bench/internal/soaker/fleet.go
+++ b/bench/internal/soaker/fleet.go
@@ -34,6 +34,8 @@
 	callTimeout       = time.Second
 	settingsPath      = "/etc/shallotkeel/settings.json" // as the deploy file names it
 	missesUntilOut    = 2
+	firstSubnet       = 20
+	lastSubnet        = 250
 )
 
 var zones = []string{"north-a", "north-b", "south-a"}
@@ -53,6 +55,7 @@
 	root, programs, folder string
 	record                 *record
 	subnet                 int
+	claimed                net.Listener // shows other plays that the subnet is taken
 	keepers, routers       []*machine
 
 	lock   sync.Mutex
@@ -64,10 +67,8 @@
 // newFleet lays out keepers and routers over the zones.
 func newFleet(o *options, folder string, log *record) (*fleet, error) {
 	f := &fleet{root: o.Root, programs: o.Programs, folder: folder, record: log, misses: make(map[*machine]int)}
-	for f.subnet = 20; !f.isFree(); f.subnet++ {
-		if f.subnet == 250 {
-			return nil, merry.Errorf("%w: no loopback addresses are free", ErrFleet)
-		}
+	if err := f.claim(); err != nil {
+		return nil, err
 	}
 	for i := range o.Keepers {
 		f.keepers = append(f.keepers, f.machine("keeper", i, 36+i))
@@ -81,13 +82,16 @@
 	return f, nil
 }
 
-// isFree reports whether no other play uses the addresses.
-func (f *fleet) isFree() bool {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.36:%s", f.subnet, player.PortControl))
-	if err != nil {
-		return false
+// claim takes loopback addresses that no other play uses, until the play ends.
+func (f *fleet) claim() error {
+	for f.subnet = firstSubnet; f.subnet <= lastSubnet; f.subnet++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%s", f.subnet, player.PortControl))
+		if err == nil {
+			f.claimed = listener
+			return nil
+		}
 	}
-	return listener.Close() == nil
+	return merry.Errorf("%w: no loopback addresses are free", ErrFleet)
 }
 
 func (f *fleet) machine(role string, number, host int) *machine {
--- a/bench/internal/soaker/script.go
+++ b/bench/internal/soaker/script.go
@@ -74,6 +74,19 @@
 	return sc
 }
 
+// split divides pieces of the body at any byte, so that no write or chunk is an event.
+func split(r *rand.Rand, body []line) []line {
+	var parts []line
+	for _, l := range body {
+		at := r.IntN(len(l.text))
+		if at > 0 {
+			parts = append(parts, line{pause: l.pause, text: l.text[:at]})
+		}
+		parts = append(parts, line{pause: l.pause * time.Duration(r.IntN(2)), text: l.text[at:]})
+	}
+	return parts
+}
+
 // size returns the bytes of the head and the body.
 func (sc *script) size() int {
 	size := len(sc.head)
@@ -94,16 +107,14 @@
 	sc.ending = end
 }
 
-// atBoundary reports whether the cut lies between two pieces of the body.
+// atBoundary reports whether the cut of an answer without framing lies between two events.
 func (sc *script) atBoundary() bool {
-	at := len(sc.head)
+	var text strings.Builder
 	for _, l := range sc.body {
-		if at == sc.cut {
-			return true
-		}
-		at += len(l.text)
+		text.WriteString(l.text)
 	}
-	return false
+	written := text.String()[:sc.cut-len(sc.head)]
+	return written == "" || strings.HasSuffix(written, "\n\n")
 }
 
 // play writes the script, and reports whether the connection serves on.
--- a/bench/internal/soaker/soaker.go
+++ b/bench/internal/soaker/soaker.go
@@ -28,6 +28,7 @@
 	Logs     string // folder in which a play makes its own; a temporary one if empty
 	Duration time.Duration
 	Seed     uint64
+	Unnamed  bool // half of the clients do not name the streams that they take up
 	Resuming bool // endpoints that are asked to go on with a stream do so; all other faults are played
 }
 
@@ -119,6 +120,7 @@
 	if p.fleet, err = newFleet(p.options, folder, p.record); err != nil {
 		return false, err
 	}
+	defer p.fleet.claimed.Close()
 	p.pool = &pool{fleet: p.fleet, record: p.record, ledger: p.ledger, seed: o.Seed, resuming: o.Resuming}
 	if err := p.run(); err != nil {
 		return false, fmt.Errorf("%w; logs: %s", err, folder)
