Grant no further trials with each keeper that begins to lead

Cause: the time of the next trial belonged to each keeper alone. A keeper that began to lead found a trial overdue that the leader before had granted already.

Trials now have a schedule that each keeper derives from the begin of the quarantine, which is replicated, and a keeper that begins to lead, or learns of a quarantine later, skips those that were due before.

--- a/keeper/internal/server/crashes.go
+++ b/keeper/internal/server/crashes.go
@@ -136,9 +136,12 @@
 }
 
 // setLeads records whether this keeper leads its group.
-func (d *directory) setLeads(leads bool) {
+func (d *directory) setLeads(now time.Time, leads bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	if leads && !d.crashes.leads {
+		d.crashes.judge.Lead(now)
+	}
 	d.crashes.leads = leads
 }
 
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -413,7 +413,7 @@
 		}
 	}
 	if leads := next.status.State == replicator.Leader; leads != (last.status.State == replicator.Leader) {
-		s.directory.setLeads(leads)
+		s.directory.setLeads(now, leads)
 	}
 	if last.status.Leader != next.status.Leader {
 		s.leadershipChanged.notify()
--- a/lib/localizer/quarantine.go
+++ b/lib/localizer/quarantine.go
@@ -19,6 +19,15 @@
 	pause      time.Duration
 }
 
+// skipTrials moves the next trial behind a time, on the schedule that all keepers derive from the begin
+// of the quarantine.
+func (q *quarantineState) skipTrials(now time.Time) {
+	for !now.Before(q.trial) {
+		q.trial = q.trial.Add(q.pause)
+		q.pause *= trialBackoff
+	}
+}
+
 // inForce reports whether requests with the feature are refused.
 func (q *quarantineState) inForce(now time.Time) bool {
 	return q.lifted.IsZero() && now.Before(q.until)
@@ -100,9 +109,11 @@
 	if _, found := j.quarantines[feature]; !found && len(j.quarantines) >= maxQuarantined {
 		j.dropFirstToEnd()
 	}
+	begun := now.Add(left - max(left, QuarantineTime))
 	j.quarantines[feature] = &quarantineState{
-		since: now, until: now.Add(left), convicted: convicted, trial: now.Add(firstTrial), pause: firstTrial * trialBackoff,
+		since: now, until: now.Add(left), convicted: convicted, trial: begun.Add(firstTrial), pause: firstTrial * trialBackoff,
 	}
+	j.quarantines[feature].skipTrials(now)
 	j.explain(feature)
 	j.revision++
 }
@@ -165,3 +176,11 @@
 	q.pause *= trialBackoff
 	return true
 }
+
+// Lead makes this Judge the one that grants trials. The trials that were due before are skipped: the
+// leader before may have granted them, and each may crash an endpoint.
+func (j *Judge) Lead(now time.Time) {
+	for _, q := range j.quarantines {
+		q.skipTrials(now)
+	}
+}
