Relay no events behind a gap, and log parts that are rejected as that

What callers saw: a stream with events missing (ORDER), where an endpoint that was to go on after the last event began later.

A stream whose ids went up by one until it broke goes on at the next id only. Where they went up unevenly, or the router has seen none, any later id is believed as before. TestEventsBehindAGapAreNotRelayed failed before: "id: 3", then "id: 5".

--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -174,6 +174,15 @@
 	}
 }
 
+// Guards against a stream with a gap: an endpoint goes on behind events that the client does not have.
+func TestEventsBehindAGapAreNotRelayed(t *testing.T) {
+	for name, second := range map[string]answerScript{
+		"one event is missing": events(5, 6), "many are missing": events(900, 901),
+	} {
+		t.Run(name, func(t *testing.T) { requireNotJoined(t, second) })
+	}
+}
+
 // Guards against a stream that is cut although its second endpoint goes on soundly.
 func TestEventsThatGoOnAreRelayed(t *testing.T) {
 	for name, test := range map[string]struct{ first, second string }{
--- a/router/internal/proxier/parts.go
+++ b/router/internal/proxier/parts.go
@@ -48,7 +48,7 @@
 
 // endPart counts and logs how an endpoint's answer ended.
 func (p *Proxier) endPart(q *request, slot *balancer.Slot, failure *attemptFailure) {
-	if failure != nil && failure.endedBy == cutByEndpoint && failure.outcome == balancer.ConnectionBroken {
+	if failure != nil && failure.endedBy == cutByEndpoint && failure.outcome == balancer.ConnectionBroken && !failure.rejected {
 		p.options.Metrics.countBroken(q.part.framing, q.place())
 	}
 	if q.part.number > 0 && (q.part.watched || failure != nil && q.answerStarted) {
@@ -62,6 +62,9 @@
 	line, end := p.partLine(q, slot), "whole"
 	if failure != nil {
 		end = placeLabels[q.place()]
+		if failure.rejected {
+			end = "rejected"
+		}
 		line = line.Str("ended_by", cutLabels[failure.endedBy]).Str("reason", failure.reason)
 	}
 	if step, known := stepBetween(q.part.lastBefore, q.part.firstID); known {
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -300,6 +300,7 @@
 	noEndpoint bool // there is also no endpoint to try
 	overloaded bool // there are endpoints, but none has capacity
 	notRun     bool // the endpoint answered that it did not run the request
+	rejected   bool // the endpoint's answer does not go on where the stream is
 	endedBy    cutCause
 	reason     string
 	// fallback is the endpoint's own error answer, which is relayed if no other attempt succeeds.
--- a/router/internal/proxier/sequence.go
+++ b/router/internal/proxier/sequence.go
@@ -10,6 +10,8 @@
 var (
 	// errRepeatedEvent means that an event is not after the last one: its endpoint runs the request anew.
 	errRepeatedEvent = merry.Sentinel("an event of the stream is not after the last one")
+	// errMissingEvents means that a resumed stream goes on after events that its client does not have.
+	errMissingEvents = merry.Sentinel("events are missing between the last one and those of the resumed stream")
 	// errUnknownPlace means that nothing shows whether a resumed stream goes on after its last event.
 	errUnknownPlace = merry.Sentinel("the id of an event does not show whether the resumed stream goes on after the last one")
 )
@@ -21,6 +23,8 @@
 	lastID  string // of the last event that has one
 	resumed bool   // the next event is the first one of an endpoint that is to go on after lastID
 	unnamed bool   // the last event has no id, so that no endpoint knows where to go on
+	events  int    // events with an id that endpoints sent for this request
+	uneven  bool   // one of them is not numbered one above the event before, from 0
 }
 
 // resume prepares for the events of the next endpoint.
@@ -46,11 +50,22 @@
 		return errRepeatedEvent
 	case s.resumed && (lastErr == nil) != (nextErr == nil):
 		return errUnknownPlace
+	case s.resumed && next > last+1 && s.isEven():
+		return errMissingEvents
+	}
+	s.events++
+	if nextErr != nil || s.lastID == "" && next != 1 || s.lastID != "" && next != last+1 {
+		s.uneven = true
 	}
 	s.lastID, s.resumed, s.unnamed = e.id, false, false
 	return nil
 }
 
+// isEven reports whether the events so far show that each number is one above the last.
+func (s *sequence) isEven() bool {
+	return s.events > 0 && !s.uneven
+}
+
 // eventFields are the fields of an event that its place in the stream depends on. Without data it is a
 // comment, or only sets the id.
 type eventFields struct {
