Relay no error of an engine behind the tokens of a chat

What callers of the own interface saw: a streamed chat whose engine broke off, and whose next engine answered 400 or 413: the text of the error behind the tokens, and an answer that ended as complete; with the header "not started" the answer was truncated although another engine could go on.

Cause: an error that says that the request is at fault was relayed whatever had been relayed before. Once tokens have been received, such an answer fails its attempt only. TestErrorIsNotWrittenBehindTokens failed before in all three cases.

--- a/router/internal/relayer/retry_test.go
+++ b/router/internal/relayer/retry_test.go
@@ -176,3 +176,22 @@
 	})
 	require.Equal(t, fullAnswer, tb.chat(true).text(t))
 }
+
+// Guards against an engine's error that is written behind the tokens of a chat, which then ends as answered.
+func TestErrorIsNotWrittenBehindTokens(t *testing.T) {
+	for name, refuse := range map[string]endpoint{
+		"bad request": func(w http.ResponseWriter, _ *http.Request, _ int) { http.Error(w, "no", http.StatusBadRequest) },
+		"too large": func(w http.ResponseWriter, _ *http.Request, _ int) {
+			http.Error(w, "no", http.StatusRequestEntityTooLarge)
+		},
+		"not started": func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("X-Started", "no")
+			http.Error(w, "no", http.StatusRequestEntityTooLarge)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tb := newTestbed(t, relayer.Limits{}, crashAfter(2), refuse, healthy)
+			require.Equal(t, fullAnswer, tb.chat(true).text(t))
+		})
+	}
+}
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -78,14 +78,18 @@
 		return tracker.Event{Kind: tracker.AttemptFailed}, true
 	}
 	r.noteBackoff(q, response)
+	// No status can follow the tokens of an answer, and another engine may resume it.
+	resumed := q.chat != nil && q.sequence.next > 0
 	if response.Header.Get(headerStarted) == "no" {
 		switch response.StatusCode {
 		case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
-			return tracker.Event{Kind: tracker.Rejected, Code: tracker.CodeBadBody}, true
+			if !resumed {
+				return tracker.Event{Kind: tracker.Rejected, Code: tracker.CodeBadBody}, true
+			}
 		}
 		return tracker.Event{Kind: tracker.NotStarted}, true
 	}
-	if q.chat != nil && response.StatusCode != http.StatusOK && !isRequestFault(response.StatusCode) {
+	if q.chat != nil && response.StatusCode != http.StatusOK && (resumed || !isRequestFault(response.StatusCode)) {
 		return tracker.Event{Kind: tracker.AttemptFailed}, true
 	}
 	return tracker.Event{}, false
