Mend what a review of joined answers found

An event with an id and no data cleared the check of a resumed stream, so that text of another run could follow; gaps were not seen in numbers that begin at 0; a keep-alive that repeats the last id ended its attempt; a long answer raised the number of sends; an endpoint whose part is rejected was noted as broken, and its request as a suspect. Three cases of tests failed before or are new: 'id alone, then no id', TestGapIsFoundInNumbersFromZero, 'id of the last without data'.

--- a/router/internal/proxier/answer.go
+++ b/router/internal/proxier/answer.go
@@ -203,7 +203,7 @@
 func (p *Proxier) relayUnbuffered(ctx context.Context, q *request, slot *balancer.Slot, x *forwarder.Exchange, rest io.Reader, head []byte) *attemptFailure {
 	err := p.sendHead(q, x, x.ContentLength)
 	if err == nil {
-		q.sends = q.route.Attempts // the rest cannot come from another endpoint
+		q.lastSend = true // the rest cannot come from another endpoint
 		_, err = q.writer.Write(head)
 	}
 	if err != nil {
--- a/router/internal/proxier/crashes.go
+++ b/router/internal/proxier/crashes.go
@@ -69,7 +69,7 @@
 // mayCrash reports whether a request whose attempt has failed may crash the next endpoint, too.
 func (p *Proxier) mayCrash(q *request, e attemptFailure) bool {
 	now := p.options.Clock.Now()
-	broke := !e.unsent && !e.notRun
+	broke := !e.unsent && !e.notRun && !e.rejected
 	return q.trial && q.sends > 0 || p.options.Crashes.Quarantined(now, q.profile) || broke && p.options.Crashes.Suspected(now, q.profile)
 }
 
--- a/router/internal/proxier/joined_test.go
+++ b/router/internal/proxier/joined_test.go
@@ -162,6 +162,7 @@
 		"id without a number":       streamText("id: four\ndata: piece 4\n\n"),
 		"negative id":               streamText("id: -4\ndata: piece 4\n\n"),
 		"no ids":                    streamText("data: piece 1\n\ndata: piece 2\n\n"),
+		"id alone, then no id":      streamText("id: 4\n\ndata: other\n\n"),
 		"empty id":                  streamText("id:\ndata: piece 1\n\n"),
 		"carriage returns":          streamText(strings.ReplaceAll(event(2), "\n", "\r\n")),
 		"id behind its data":        streamText("data: piece 1\nid: 1\n\n"),
@@ -183,19 +184,30 @@
 	}
 }
 
+// Guards against a gap in a stream whose numbers begin at 0.
+func TestGapIsFoundInNumbersFromZero(t *testing.T) {
+	f := newFixture(t)
+	requests := f.serveInTurn(brokenEvents(0, 2), events(4, 6), events(3, 5))
+	body, err := f.fetch("POST", "/digest/", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, event(0)+eventsUpTo(5), body)
+	require.EqualValues(t, 3, requests.Load())
+}
+
 // Guards against a stream that is cut although its second endpoint goes on soundly.
 func TestEventsThatGoOnAreRelayed(t *testing.T) {
 	for name, test := range map[string]struct{ first, second string }{
-		"numbers":              {first: eventsUpTo(3), second: event(4) + event(5)},
-		"numbers of two sizes": {first: eventsUpTo(9), second: event(10) + event(11)},
-		"uneven steps":         {first: event(7) + event(14), second: event(21) + event(30)},
-		"carriage returns":     {first: "id: 1\r\ndata: a\r\n\r\n", second: "id: 2\r\ndata: b\r\n\r\n"},
-		"comments":             {first: event(1) + ": wait\n\n", second: ": wait\n\n" + event(2) + ": wait\n\n"},
-		"header line":          {first: event(1), second: "x-version: 3\nid: 2\ndata: b\n\n"},
-		"names":                {first: "id: a\ndata: a\n\n", second: "id: b\ndata: b\n\n"},
-		"nothing is missing":   {first: eventsUpTo(3)},
-		"comment only":         {first: ": wait\n\n", second: eventsUpTo(3)},
-		"end without an id":    {first: eventsUpTo(2), second: event(3) + "data: end\n\n"},
+		"numbers":                     {first: eventsUpTo(3), second: event(4) + event(5)},
+		"numbers of two sizes":        {first: eventsUpTo(9), second: event(10) + event(11)},
+		"uneven steps":                {first: event(7) + event(14), second: event(21) + event(30)},
+		"carriage returns":            {first: "id: 1\r\ndata: a\r\n\r\n", second: "id: 2\r\ndata: b\r\n\r\n"},
+		"comments":                    {first: event(1) + ": wait\n\n", second: ": wait\n\n" + event(2) + ": wait\n\n"},
+		"header line":                 {first: event(1), second: "x-version: 3\nid: 2\ndata: b\n\n"},
+		"names":                       {first: "id: a\ndata: a\n\n", second: "id: b\ndata: b\n\n"},
+		"nothing is missing":          {first: eventsUpTo(3)},
+		"comment only":                {first: ": wait\n\n", second: eventsUpTo(3)},
+		"id of the last without data": {first: eventsUpTo(2), second: "id: 2\n\n" + event(3)},
+		"end without an id":           {first: eventsUpTo(2), second: event(3) + "data: end\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -172,6 +172,7 @@
 	deadline      time.Time // of the final answer
 
 	sends            int              // attempts that sent at least one byte of it
+	lastSend         bool             // no other endpoint may follow the one that has it
 	unsentAttempts   int              // attempts that sent nothing of it
 	mayHaveRun       bool             // an endpoint may have run it
 	answerStarted    bool             // the client has got a part of the answer
@@ -328,7 +329,7 @@
 		q.unsentAttempts++
 		return q.unsentAttempts < maxUnsentAttempts
 	}
-	if q.sends >= q.route.Attempts {
+	if q.lastSend || q.sends >= q.route.Attempts {
 		return false
 	}
 	if !e.notRun && !q.route.Retryable() {
--- a/router/internal/proxier/sequence.go
+++ b/router/internal/proxier/sequence.go
@@ -24,7 +24,7 @@
 	resumed bool   // the next event is the first one of an endpoint that is to go on after lastID
 	unnamed bool   // the last event has no id, so that no endpoint knows where to go on
 	events  int    // events with an id that endpoints sent for this request
-	uneven  bool   // one of them is not numbered one above the event before, from 0
+	uneven  bool   // one of them is not numbered one above the event before, or the first one 0 or 1
 }
 
 // resume prepares for the events of the next endpoint.
@@ -34,11 +34,17 @@
 
 // add adds the next event, or returns an error if it is not after the last one.
 func (s *sequence) add(e eventFields) error {
+	if !e.hasData {
+		if s.resumed && e.id != "" && e.id != s.lastID {
+			return errUnknownPlace // it would move the place where the client takes the stream up
+		}
+		return nil
+	}
 	if e.id == "" {
-		if s.resumed && e.hasData {
+		if s.resumed {
 			return errUnknownPlace
 		}
-		s.unnamed = s.unnamed || e.hasData
+		s.unnamed = true
 		return nil
 	}
 	last, lastErr := strconv.ParseUint(s.lastID, 10, 64)
@@ -54,7 +60,7 @@
 		return errMissingEvents
 	}
 	s.events++
-	if nextErr != nil || s.lastID == "" && next != 1 || s.lastID != "" && next != last+1 {
+	if nextErr != nil || s.lastID == "" && next > 1 || s.lastID != "" && next != last+1 {
 		s.uneven = true
 	}
 	s.lastID, s.resumed, s.unnamed = e.id, false, false
--- a/router/internal/proxier/stream.go
+++ b/router/internal/proxier/stream.go
@@ -114,11 +114,11 @@
 				slot.NoteEvents(q.lastHeard, q.stream.events)
 			}
 			if err := p.relayPiece(q, flusher, x, piece); err != nil {
-				q.sends = q.route.Attempts // the events before the resume point may not have reached the client
+				q.lastSend = true // the events before the resume point may not have reached the client
 				return unwritten(err)
 			}
 			if invalid != nil {
-				return &attemptFailure{outcome: balancer.ConnectionBroken, rejected: true, endedBy: cutByEndpoint, reason: invalid.Error()}
+				return &attemptFailure{outcome: balancer.Cancelled, rejected: true, endedBy: cutByEndpoint, reason: invalid.Error()}
 			}
 			p.holdAnswer(q, int64(len(q.stream.partial)))
 		}
@@ -134,7 +134,7 @@
 			readErr = errPartialEvent
 		}
 		if !inEvents && q.answerStarted {
-			q.sends = q.route.Attempts // the rest cannot come from another endpoint
+			q.lastSend = true // the rest cannot come from another endpoint
 		}
 		return p.failed(ctx, q, slot, merry.Errorf("%w: %w", forwarder.ErrBroken, readErr))
 	}
