Say why polls fail and at which side, how old the list is at each send, and what endpoints have not acknowledged

The record of an incident (docs/incidents/reached-after-leaving.md) has requests that reached an endpoint after its leaving was acknowledged. It cannot tell whether their routers had not heard of the leaving, or whether the requests had been sent before and were held on the way: a keeper whose answers cannot be encoded logged nothing, a router logged a failing keeper only if that had answered before, and no line tells the age of the list or whether a request had arrived.

- A failed poll names its side (path, timeout, here, keeper) in its line and in shallotkeel_direct_failed_polls_total; a change of the side is logged too.
- A keeper logs and counts calls that fail at itself (keeper_failed_calls_total).
- The line "request" has list_age_ms at the last send; shallotkeel_passed_list_age_seconds has all.
- An attempt that ends says how many bytes its endpoint has not acknowledged; shallotkeel_direct_undelivered_requests_total.

--- a/keeper/internal/server/handlers.go
+++ b/keeper/internal/server/handlers.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/twitchtv/twirp"
 
 	"shallotkeel.example/lib/messenger"
 )
@@ -16,15 +18,30 @@
 // controlHandler returns the handler for calls of routers and other keepers.
 func (s *Server) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	keeper := messenger.NewKeepingServer(keeping{s})
+	hooks := twirp.WithServerHooks(&twirp.ServerHooks{Error: s.noteFailedCall})
+	keeper := messenger.NewKeepingServer(keeping{s}, hooks)
 	mux.Handle(keeper.PathPrefix(), s.metrics.traffic.count(kindOther, markForwarded(keeper)))
-	planning := messenger.NewPlanningServer(planning{s})
+	planning := messenger.NewPlanningServer(planning{s}, hooks)
 	mux.Handle(planning.PathPrefix(), s.metrics.traffic.count(kindOther, withPollSlots(markForwarded(planning))))
-	agreement := messenger.NewReplicationServer(replication{s})
+	agreement := messenger.NewReplicationServer(replication{s}, hooks)
 	mux.Handle(agreement.PathPrefix(), s.metrics.traffic.count(kindAgreement, agreement))
 	return http.MaxBytesHandler(mux, maxControlBody)
 }
 
+// noteFailedCall counts and logs a call that failed at this keeper, whatever its caller did. Its caller sees
+// only that this keeper does not answer.
+func (s *Server) noteFailedCall(ctx context.Context, err twirp.Error) context.Context {
+	if err.Code() != twirp.Internal || ctx.Err() != nil {
+		return ctx
+	}
+	s.failedCalls.Add(1)
+	if s.heartbeatDamper.Admit(s.clock.Now(), s.log) {
+		method, _ := twirp.MethodName(ctx)
+		s.log.Error().Err(err).Str("method", method).Msg("call of another process failed here")
+	}
+	return ctx
+}
+
 // publicHandler returns the handler for health checks and metrics.
 func (s *Server) publicHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -54,6 +54,7 @@
 	counter("control_sent_bytes_total", "Bytes sent on control connections.", func(*view) float64 { return float64(s.traffic.Sent.Load()) })
 	counter("control_received_bytes_total", "Bytes received on control connections.", func(*view) float64 { return float64(s.traffic.Received.Load()) })
 	counter("unconfirmed_departures_total", "Announcements of endpoints that leave which were not acknowledged, because no quorum of keepers stored them in time.", func(*view) float64 { return float64(s.unconfirmedDepartures.Load()) })
+	counter("failed_calls_total", "Calls of routers and keepers that failed at this keeper, such as answers that could not be encoded.", func(*view) float64 { return float64(s.failedCalls.Load()) })
 	counters := func(name, help, label string) *prometheus.CounterVec {
 		vector := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "keeper", Name: name, Help: help}, []string{label})
 		registry.MustRegister(vector)
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -100,6 +100,8 @@
 	view              atomic.Pointer[view]
 	// unconfirmedDepartures counts announcements of departures that were not acknowledged.
 	unconfirmedDepartures atomic.Uint64
+	// failedCalls counts calls of other processes that failed here.
+	failedCalls atomic.Uint64
 	metrics               *metrics
 }
 
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -84,9 +84,10 @@
 	// Matches reports whether an answer belongs to the request with that ID. If it is nil, all do.
 	Matches func(answer *http.Response, id string) bool
 
-	mutex  sync.Mutex
-	pools  map[netip.AddrPort]*pool
-	opened atomic.Uint64
+	mutex       sync.Mutex
+	pools       map[netip.AddrPort]*pool
+	opened      atomic.Uint64
+	undelivered atomic.Uint64
 }
 
 // pool holds the connections to one address.
@@ -141,6 +142,12 @@
 	return c.opened.Load()
 }
 
+// Undelivered returns the number of requests that ended while the endpoint had not acknowledged all of their
+// bytes.
+func (c *Client) Undelivered() uint64 {
+	return c.undelivered.Load()
+}
+
 // Do sends a request and returns once the header of its answer has been received. Sent is called right
 // before the first byte is written; if it returns false, nothing is sent. Errors wrap ErrUnsent,
 // ErrBroken or ErrForeign. The caller must close the exchange.
@@ -160,15 +167,21 @@
 			cn.Close()
 		}
 	})
-	if err := x.send(out); err != nil {
-		x.Close()
-		return nil, merry.Errorf("%w: %w", ErrBroken, err)
+	err = x.send(out)
+	if err != nil {
+		err = merry.Errorf("%w: %w", ErrBroken, err)
+	} else {
+		err = x.receive(out)
 	}
-	if err := x.receive(out); err != nil {
-		x.Close()
-		return nil, err
+	if err == nil {
+		return x, nil
+	}
+	if waiting := unacknowledged(cn.Conn); waiting > 0 {
+		c.undelivered.Add(1)
+		err = merry.Errorf("%w; the endpoint has not acknowledged %d bytes of the request", err, waiting)
 	}
-	return x, nil
+	x.Close()
+	return nil, err
 }
 
 // send writes the request. The head and a short body are sent in one write.
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -115,6 +115,7 @@
 	firstListing   time.Time     // time of the first complete list from a keeper
 	answered       bool          // whether any keeper has answered since the start
 	firstAnswer    chan struct{} // closed at the first answer of any keeper
+	failures       map[Failure]uint64
 	group          sync.WaitGroup
 }
 
@@ -127,6 +128,7 @@
 	group          uint64           // digest of the group that the keeper named last
 	groupAddresses []netip.AddrPort // addresses of that group
 	answering      bool             // whether the last poll was answered
+	failure        Failure          // of the last poll, empty if it was answered
 	isolated       bool             // whether the keeper reported that it has been without contact with a quorum for long
 	zone           string
 	complete       bool // the keeper has sent its complete list and every change since; a brief answer omits some
@@ -144,7 +146,7 @@
 	s := &Subscriber{
 		options: options, members: make(map[netip.AddrPort]*member),
 		followed: make(map[netip.AddrPort]*subscription), ending: make(map[netip.AddrPort]<-chan struct{}),
-		firstAnswer: make(chan struct{}),
+		firstAnswer: make(chan struct{}), failures: make(map[Failure]uint64),
 	}
 	s.Pace(options.Wait, options.Wait)
 	return s
@@ -281,7 +283,7 @@
 	}
 	first := !s.answered
 	changed := !f.answering || f.isolated != answer.GetIsolated() || now.Sub(s.lastReconciled) > reconcileInterval
-	s.answered, f.answering, f.promoted, f.complete = true, true, false, !brief
+	s.answered, f.answering, f.failure, f.promoted, f.complete = true, true, "", false, !brief
 	f.epoch, f.after, f.zone, f.isolated = answer.GetEpoch(), answer.GetNext(), answer.GetZone(), answer.GetIsolated()
 	s.updateDemotion(now, address, f)
 	if s.updateGroup(now, f, answer) || changed {
@@ -368,16 +370,20 @@
 // handleLoss updates the state after a failed poll, and notifies the host if the keeper answered
 // before.
 func (s *Subscriber) handleLoss(address netip.AddrPort, f *subscription, err error) {
+	failure := failureOf(err)
 	s.mutex.Lock()
 	now := s.options.Clock.Now()
-	answered := f.answering
-	f.answering = false
+	answered, before := f.answering, f.failure
+	f.answering, f.failure = false, failure
+	s.failures[failure]++
 	s.updateDemotion(now, address, f)
 	s.reconcile(now)
 	s.choosePrimary()
 	s.mutex.Unlock()
+	if answered || failure != before {
+		s.options.Log.Warn().Stringer("keeper", address).Str("failed_at", string(failure)).Bool("answered_before", answered).Err(err).Msg("keeper does not answer")
+	}
 	if answered {
-		s.options.Log.Warn().Stringer("keeper", address).Err(err).Msg("keeper does not answer")
 		s.options.Host.Lost(address, err)
 	}
 }
--- a/router/internal/director/metrics.go
+++ b/router/internal/director/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"shallotkeel.example/lib/subscriber"
 	"shallotkeel.example/router/internal/screener"
 )
 
@@ -85,6 +86,13 @@
 	counter := func(name, help string, value func() uint64) {
 		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
 	}
+	counter("shallotkeel_direct_undelivered_requests_total", "Requests that ended while their endpoint had not acknowledged all of their bytes.", d.client.Undelivered)
+	for _, side := range subscriber.Failures {
+		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "shallotkeel_direct_failed_polls_total", Help: "Polls of keepers that were not answered, by the side at which they failed.",
+			ConstLabels: prometheus.Labels{"side": string(side)},
+		}, func() float64 { return float64(d.subscriber.FailedPolls(side)) }))
+	}
 	counter("shallotkeel_direct_endpoint_connections_total", "Connections made to endpoints.", d.client.Opened)
 	counter("shallotkeel_direct_closed_behind_total", "Connections closed behind answers to workspaces beyond their share, while the router refuses.", d.proxier.ClosedBehind)
 	counter("shallotkeel_direct_unread_connections_total", "Connections of clients that were closed unread, for want of room.", d.screenerCounter((*screener.Listener).ClosedUnread))
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -89,6 +89,8 @@
 			return false
 		}
 		q.sends++
+		q.listAge = p.options.FleetState.ListAge()
+		p.options.Metrics.observeListAge(q.listAge)
 		p.options.Metrics.countFetch(slot)
 		return true
 	})
--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -47,14 +47,17 @@
 
 // stubFleetState is a FleetState that tests set.
 type stubFleetState struct {
-	ready chan struct{}
-	table atomic.Pointer[resolver.Table]
+	ready   chan struct{}
+	table   atomic.Pointer[resolver.Table]
+	listAge time.Duration
 }
 
 func (s *stubFleetState) Table() *resolver.Table { return s.table.Load() }
 
 func (s *stubFleetState) Ready() <-chan struct{} { return s.ready }
 
+func (s *stubFleetState) ListAge() time.Duration { return s.listAge }
+
 // fixture is a proxier with its dependencies behind an HTTP server, in front of endpoints that tests script.
 type fixture struct {
 	t          *testing.T
--- a/router/internal/proxier/metrics.go
+++ b/router/internal/proxier/metrics.go
@@ -24,6 +24,7 @@
 	timeToFirst prometheus.Histogram
 	duration    prometheus.Histogram
 	firstError  prometheus.Histogram
+	listAge     prometheus.Histogram
 }
 
 // NewMetrics registers the proxier's metrics.
@@ -71,8 +72,12 @@
 			Name: "shallotkeel_passed_first_error_seconds", Help: "Observed minus expected time until an engine's first token.",
 			Buckets: []float64{-0.8, -0.4, -0.2, -0.1, -0.05, -0.025, 0, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8},
 		}),
+		listAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "shallotkeel_passed_list_age_seconds", Help: "Time since a keeper last told this router of changes of endpoints, at each send.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 9),
+		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.parts, m.broken, m.crashes, m.fetches, m.fetchTokens, m.timeToFirst, m.duration, m.firstError)
+	registry.MustRegister(m.requests, m.refusals, m.sends, m.unframed, m.cuts, m.parts, m.broken, m.crashes, m.fetches, m.fetchTokens, m.timeToFirst, m.duration, m.firstError, m.listAge)
 	return m
 }
 
@@ -103,6 +108,12 @@
 	}
 }
 
+func (m *Metrics) observeListAge(age time.Duration) {
+	if m != nil {
+		m.listAge.Observe(age.Seconds())
+	}
+}
+
 func (m *Metrics) countCrash() {
 	if m != nil {
 		m.crashes.Inc()
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -65,6 +65,8 @@
 	Table() *resolver.Table
 	// Ready returns a channel that is closed once there is a table.
 	Ready() <-chan struct{}
+	// ListAge returns how old the list of endpoints is.
+	ListAge() time.Duration
 }
 
 // Streams records the software versions at which streams began.
@@ -172,6 +174,7 @@
 	deadline      time.Time // of the final answer
 
 	sends            int              // attempts that sent at least one byte of it
+	listAge          time.Duration    // age of the list of endpoints at the last send
 	lastSend         bool             // no other endpoint may follow the one that has it
 	unsentAttempts   int              // attempts that sent nothing of it
 	mayHaveRun       bool             // an endpoint may have run it
--- a/router/internal/proxier/record.go
+++ b/router/internal/proxier/record.go
@@ -42,7 +42,7 @@
 	line = q.addParts(line)
 	line.Str("id", q.in.ID).Str("resumes", q.in.Resumes).Str("after_event", q.in.Resume).Str("workspace", q.workspace).
 		Str("service", q.service).Str("endpoint", q.endpoint).Str("version", q.in.Work.Version).
-		Int("sends", q.sends).Int("unreached", q.unsentAttempts).Int("status", q.status).
+		Int("sends", q.sends).Dur("list_age_ms", q.listAge).Int("unreached", q.unsentAttempts).Int("status", q.status).
 		Str("framing", q.framing.String()).Str("cut_by", cutLabels[q.cutBy]).Str("reason", q.reason).
 		Int("tokens", q.tokens()).Int("reading", q.prefillTokens).Str("fetch_from", q.loggedSource()).Int("fetch_tokens", q.fetchTokens).Bool("spare", q.beyondShare).Dur("target_ms", q.in.Work.Target).
 		Dur("queue_ms", q.queueWait).Dur("expected_ms", q.expectedFirst).Dur("slot_ms", q.slotWait).Dur("error_ms", q.firstError).
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -85,6 +85,7 @@
 	silent           map[string]map[netip.AddrPort]bool // endpoint instances, by the keepers that get no heartbeats of them
 	reportedSilent   map[string]bool                    // instances last passed on to Endpoints as silent
 	answeringKeepers map[netip.AddrPort]bool
+	updatedAt        time.Time                    // time of the last answer of any keeper
 	evacuations      uint64                       // revision of the evacuated zones
 	pollSentAt       map[netip.AddrPort]time.Time // send time of each keeper's current poll
 	crashes          localizer.Exchange
@@ -115,6 +116,17 @@
 	return r.ready
 }
 
+// ListAge returns how long ago a keeper last answered a poll, so that this router knew the changes of
+// endpoints. It is 0 if none has answered yet.
+func (r *Reader) ListAge() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.updatedAt.IsZero() {
+		return 0
+	}
+	return r.options.Clock.Since(r.updatedAt)
+}
+
 // Report returns the report for a keeper: the version in force and the crashes seen here, and, for the
 // primary keeper, this router's load at the endpoints and the demand.
 func (r *Reader) Report(keeper netip.AddrPort, brief bool) *messenger.FollowRequest {
@@ -161,7 +173,7 @@
 // Update applies the update in a keeper's answer to a poll.
 func (r *Reader) Update(ctx context.Context, keeper netip.AddrPort, update *messenger.FollowResponse) {
 	r.mutex.Lock()
-	r.answeringKeepers[keeper] = true
+	r.answeringKeepers[keeper], r.updatedAt = true, r.options.Clock.Now()
 	r.mutex.Unlock()
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
 		r.options.ReportAnswered(keeper, update.GetEpoch())
--- a/router/internal/updatereader/updatereader_test.go
+++ b/router/internal/updatereader/updatereader_test.go
@@ -354,3 +354,15 @@
 	require.EqualValues(t, 9, report.GetHoldingsAfter())
 	require.Equal(t, 2, prefixes.Len(b.clock.Now()))
 }
+
+// Guards against a router whose lines do not tell that it sent by an old list of endpoints.
+func TestListAgeCountsFromTheLastAnswerOfAnyKeeper(t *testing.T) {
+	b := newFixture(t)
+	require.Zero(t, b.reader.ListAge(), "no keeper has answered yet")
+	b.update(1, &messenger.FollowResponse{})
+	b.clock.Advance(time.Second)
+	b.update(2, &messenger.FollowResponse{Brief: true})
+	b.clock.Advance(2 * time.Second)
+	b.reader.Lost(at(2), nil)
+	require.Equal(t, 2*time.Second, b.reader.ListAge())
+}
