--- a/keeper/internal/archiver/archiver.go
+++ b/keeper/internal/archiver/archiver.go
@@ -35,12 +35,9 @@
 // ErrStale means that the copy was written more than MaxAge ago, or that far in the future.
 var ErrStale = merry.Sentinel("endpoint list copy is too old")
 
-// Write replaces the copy with listings as of now.
+// Write replaces the copy with listings as of now, without those that cannot be encoded.
 func Write(files recorder.FileSystem, now time.Time, listings []lister.Listing) error {
-	message := &messenger.FollowResponse{}
-	for _, listing := range listings {
-		message.Listings = append(message.Listings, lister.ToWire(listing, now))
-	}
+	message := &messenger.FollowResponse{Listings: lister.EncodableToWire(listings, now)}
 	body := binary.LittleEndian.AppendUint64(nil, uint64(now.UnixMilli()))
 	body, err := proto.MarshalOptions{}.MarshalAppend(body, message)
 	if err != nil {
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"shallotkeel.example/lib/indexer"
 	"shallotkeel.example/lib/lister"
@@ -267,9 +268,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	response := &messenger.FollowResponse{Epoch: epoch, Next: d.list.Revision(), Brief: request.GetBrief()}
-	for _, listing := range d.pendingListings(request, epoch) {
-		response.Listings = append(response.Listings, lister.ToWire(listing, now))
-	}
+	response.Listings = lister.EncodableToWire(d.pendingListings(request, epoch), now)
 	if !request.GetKeeper() {
 		summary := d.summaryCache.get(now, d.followers)
 		response.Mixed = d.mixed.names()
@@ -348,7 +347,7 @@
 			delete(d.heartbeats, id)
 			continue
 		}
-		if h.at.Before(since) {
+		if h.at.Before(since) || !utf8.ValidString(id) {
 			continue
 		}
 		recent = append(recent, &messenger.Heard{Id: id, Sequence: h.sequence, StartedMs: lister.ToMillis(h.started)})
--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -91,11 +91,7 @@
 	if request.GetVersion() == "" {
 		return nil, twirp.RequiredArgumentError("version")
 	}
-	response := &messenger.LocateResponse{}
-	for _, listing := range p.directory.locate(request) {
-		response.Listings = append(response.Listings, lister.ToWire(listing, p.clock.Now()))
-	}
-	return response, nil
+	return &messenger.LocateResponse{Listings: lister.EncodableToWire(p.directory.locate(request), p.clock.Now())}, nil
 }
 
 // locate returns up to maxLocated ready endpoints of a version. The selection is stable for a
--- a/lib/lister/wire.go
+++ b/lib/lister/wire.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"time"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 
@@ -12,6 +13,23 @@
 // ErrWire is returned for a message that contains an invalid listing.
 var ErrWire = merry.Sentinel("listing cannot be read")
 
+// EncodableToWire encodes listings for a message sent at the given time. It leaves out those that cannot be encoded: a
+// single text that is not UTF-8 would fail the whole message, and every later one that contains it.
+func EncodableToWire(listings []Listing, now time.Time) []*messenger.Listing {
+	wire := make([]*messenger.Listing, 0, len(listings))
+	for i := range listings {
+		if listings[i].isEncodable() {
+			wire = append(wire, ToWire(listings[i], now))
+		}
+	}
+	return wire
+}
+
+// isEncodable reports whether a message can contain all texts of the listing.
+func (l *Listing) isEncodable() bool {
+	return utf8.ValidString(l.ID) && utf8.ValidString(l.Service) && utf8.ValidString(l.Zone) && utf8.ValidString(l.Version)
+}
+
 // ToWire encodes a listing for a message sent at the given time.
 func ToWire(l Listing, now time.Time) *messenger.Listing {
 	wire := &messenger.Listing{
