Deliver nothing of a request after it was given up

Behind a cut a request is written, its deadline passes and its connection is closed; the system goes on sending what was not acknowledged, and when the cut heals the endpoint gets a whole request that nobody waits for, from as many routers as had one under way, all at one moment.

An exchange whose connection is not kept now ends the write of its body, asks the system how many bytes are not acknowledged, and closes with a reset if there are any: the system drops them. Where all have arrived it closes as before: a close is repeated until it arrives, a reset is not, and an endpoint that has the request must hear of the end.

TestRequestThatHasArrivedIsClosedWithoutAReset guards the other side and held before.

--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 //     bytes behind it;
 //   - an answer with the ID of another request is skipped, never returned to the caller;
 //   - every wait ends with the context;
+//   - nothing of a request reaches its endpoint after the exchange has ended;
 //   - whatever an endpoint sends, an exchange holds little memory: heads are limited, bodies are read as
 //     the caller reads them, and a connection with bytes behind its answer is closed.
 package forwarder
@@ -133,10 +134,16 @@
 	conn        *conn
 	bound       Bound
 	stopCancel  func() bool
-	bodyWritten chan error // result of a concurrent body write, nil if the body was written inline
+	bodyWrite   *bodyWrite // nil if the body was written inline
 	complete    bool
 }
 
+// bodyWrite is a write of a body that goes on while the answer is read.
+type bodyWrite struct {
+	ended chan struct{} // closed once err is set
+	err   error
+}
+
 // Opened returns the number of connections made since the start.
 func (c *Client) Opened() uint64 {
 	return c.opened.Load()
@@ -176,7 +183,7 @@
 	if err == nil {
 		return x, nil
 	}
-	if waiting := unacknowledged(cn.Conn); waiting > 0 {
+	if waiting := x.withdraw(); waiting > 0 {
 		c.undelivered.Add(1)
 		err = merry.Errorf("%w; the endpoint has not acknowledged %d bytes of the request", err, waiting)
 	}
@@ -204,10 +211,11 @@
 	if _, err := x.conn.Write(head.Bytes()); err != nil {
 		return err
 	}
-	x.bodyWritten = make(chan error, 1)
+	write := &bodyWrite{ended: make(chan struct{})}
+	x.bodyWrite = write
 	go func() {
-		_, err := x.conn.Write(out.Body)
-		x.bodyWritten <- err
+		defer close(write.ended)
+		_, write.err = x.conn.Write(out.Body)
 	}()
 	return nil
 }
@@ -279,17 +287,26 @@
 // hiddenReset returns the error of a reset that the concurrent write of the body has received. The system
 // reports a reset only once: if the write gets it, reads end as at an ordinary close.
 func (x *Exchange) hiddenReset() error {
-	if x.bodyWritten == nil || x.complete {
+	if x.bodyWrite == nil || x.complete {
 		return nil
 	}
 	// The endpoint has closed its side, so that a write that is still blocked may not end by itself.
-	if err := x.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+	if err := x.endBodyWrite(); errors.Is(err, syscall.ECONNRESET) {
 		return err
 	}
-	if err := <-x.bodyWritten; errors.Is(err, syscall.ECONNRESET) {
+	return nil
+}
+
+// endBodyWrite ends the concurrent write of the body, if there is one, and returns its error.
+func (x *Exchange) endBodyWrite() error {
+	if x.bodyWrite == nil {
+		return nil
+	}
+	if err := x.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return err
 	}
-	return nil
+	<-x.bodyWrite.ended
+	return x.bodyWrite.err
 }
 
 func (b *body) Close() error {
@@ -324,6 +341,7 @@
 func (x *Exchange) Close() {
 	interrupted := !x.stopCancel()
 	if interrupted || !x.reusable() {
+		x.withdraw()
 		x.client.discard(x.conn)
 		return
 	}
@@ -337,12 +355,12 @@
 	if x.Response == nil || !x.complete || x.Response.Close || x.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if x.bodyWritten == nil {
+	if x.bodyWrite == nil {
 		return true
 	}
 	select {
-	case err := <-x.bodyWritten:
-		return err == nil
+	case <-x.bodyWrite.ended:
+		return x.bodyWrite.err == nil
 	default:
 		return false // the endpoint answered before it had read the whole body
 	}
--- a/lib/forwarder/unacknowledged.go
+++ b/lib/forwarder/unacknowledged.go
@@ -6,8 +6,22 @@
 	"unsafe"
 )
 
-// unacknowledged returns how many written bytes the other end of a connection has not acknowledged. It is 0
-// for a connection without a socket, and where the system does not tell.
+// withdraw ends the request of an exchange whose connection is about to be closed, and returns how many of its bytes
+// the endpoint has not acknowledged. If there are any, the close becomes a reset: otherwise the system would go on
+// sending them after the close, behind a cut for as long as that lasts, and then to an endpoint that may have left.
+// Where all have arrived, the connection ends with an ordinary close, which the system repeats until it arrives. A reset
+// is sent only once, and if it were lost the endpoint would work on for nobody.
+func (x *Exchange) withdraw() int {
+	_ = x.endBodyWrite() // its error is that of the exchange
+	waiting := unacknowledged(x.conn.Conn)
+	if socket, ok := x.conn.Conn.(*net.TCPConn); ok && waiting > 0 {
+		_ = socket.SetLinger(0) // it fails only on a connection that is closed
+	}
+	return waiting
+}
+
+// unacknowledged returns how many written bytes the other end of a connection has not acknowledged. It is 0 for a
+// connection without a socket, and where the system does not tell.
 func unacknowledged(cn net.Conn) int {
 	socket, ok := cn.(syscall.Conn)
 	if !ok {
@@ -18,13 +32,11 @@
 		return 0
 	}
 	var bytes int32
+	var failed syscall.Errno
 	err = raw.Control(func(descriptor uintptr) {
-		_, _, failed := syscall.Syscall(syscall.SYS_IOCTL, descriptor, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&bytes)))
-		if failed != 0 {
-			bytes = 0
-		}
+		_, _, failed = syscall.Syscall(syscall.SYS_IOCTL, descriptor, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&bytes)))
 	})
-	if err != nil {
+	if err != nil || failed != 0 {
 		return 0
 	}
 	return int(bytes)
--- /dev/null
+++ b/lib/forwarder/undelivered_test.go
@@ -0,0 +1,112 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// listenNarrow starts an endpoint whose connections take few bytes until they are read, as if the path were
+// cut behind them. It passes the connections on unread.
+func listenNarrow(t *testing.T) (netip.AddrPort, <-chan net.Conn) {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
+		})
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String()), accepted
+}
+
+// giveUp sends a request with a body of some bytes, and gives it up once it has begun to arrive.
+func giveUp(t *testing.T, c *Client, address netip.AddrPort, bytes int, accepted <-chan net.Conn) (*bufio.Reader, error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	out := newRequest("late")
+	out.Method, out.Body = http.MethodPost, []byte(strings.Repeat("x", bytes))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Do(ctx, address, out, nil)
+		ended <- err
+	}()
+	conn := <-accepted
+	t.Cleanup(func() { conn.Close() })
+	reader := bufio.NewReaderSize(conn, 16)
+	_, err := reader.Peek(1)
+	require.NoError(t, err)
+	cancel()
+	err = <-ended
+	require.ErrorIs(t, err, ErrBroken)
+	return reader, err
+}
+
+// Guards against a request that was given up behind a cut, and that the system delivers when the cut heals, to an
+// endpoint that has left.
+func TestRequestThatWasGivenUpIsNotDeliveredLater(t *testing.T) {
+	for name, test := range map[string]struct {
+		bytes  int
+		queued bool // all of it waits in the system
+	}{
+		"written at once": {bytes: maxInlineBody, queued: true},
+		"a long body":     {bytes: 4 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient()
+			address, accepted := listenNarrow(t)
+			reader, err := giveUp(t, c, address, test.bytes, accepted)
+			if test.queued {
+				require.ErrorContains(t, err, "has not acknowledged")
+				require.EqualValues(t, 1, c.Undelivered())
+			}
+			request, err := http.ReadRequest(reader)
+			if err == nil {
+				_, err = io.Copy(io.Discard, request.Body)
+			}
+			require.Error(t, err, "the whole request arrived after it was given up")
+		})
+	}
+}
+
+// Guards against a reset in place of a close where the endpoint has the request: behind a cut a reset may be lost
+// for good, and the endpoint would work on for nobody.
+func TestRequestThatHasArrivedIsClosedWithoutAReset(t *testing.T) {
+	c := newClient()
+	e := make(chan error, 1)
+	accepted := make(chan net.Conn, 1)
+	served := listen(t, func(_ int64, conn net.Conn, reader *bufio.Reader) {
+		if readRequest(reader) != nil {
+			accepted <- conn
+			_, err := reader.ReadByte()
+			e <- err
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Do(ctx, served.address, newRequest("arrived"), nil)
+		ended <- err
+	}()
+	<-accepted
+	cancel()
+	require.ErrorIs(t, <-ended, ErrBroken)
+	require.ErrorIs(t, <-e, io.EOF)
+	require.Zero(t, c.Undelivered())
+}
