Ask a keeper before a stream that its client does not name goes on

Cause: recaller.Find compares this router's record of the content with those of the keepers that answer; if none does, nothing contradicts it. Now at least one keeper must have answered, whether or not it knows the stream. If none does the stream is refused with a time to come back (0.3 s and more, at random) and not as unknown for good, also where it is named: a keeper may answer a moment later, and other routers may reach one. If no keeper answered the last polls all that are followed are asked, so that a router that has just thawed is not refused what it can find out.

Beside it: a router whose list is older than a second has its streams confirmed as if versions mixed, as long as it takes keepers to answer; it may not have heard of a new version. One that no keeper answers does not wait for that.

Polls of a keeper that has not answered yet are logged as information, as at a start.

--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -20,7 +20,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,6 +183,13 @@
 	return keepers
 }
 
+// FollowedKeepers returns the keepers that are polled, whether or not they answer.
+func (s *Subscriber) FollowedKeepers() []netip.AddrPort {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Keys(s.followed))
+}
+
 // AnsweringCount returns the number of keepers that answered their last poll.
 func (s *Subscriber) AnsweringCount() int {
 	return len(s.AnsweringKeepers())
@@ -381,7 +390,11 @@
 	s.choosePrimary()
 	s.mutex.Unlock()
 	if answered || failure != before {
-		s.options.Log.Warn().Stringer("keeper", address).Str("failed_at", string(failure)).Bool("answered_before", answered).Err(err).Msg("keeper does not answer")
+		level := zerolog.InfoLevel // at the start keepers may not listen yet
+		if answered {
+			level = zerolog.WarnLevel
+		}
+		s.options.Log.WithLevel(level).Stringer("keeper", address).Str("failed_at", string(failure)).Err(err).Msg("keeper does not answer")
 	}
 	if answered {
 		s.options.Host.Lost(address, err)
--- a/lib/versioner/versioner.go
+++ b/lib/versioner/versioner.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
 	"shallotkeel.example/lib/messenger"
@@ -26,6 +27,14 @@
 	maxRecords = 1 << 19
 )
 
+// Errors of a search for the origin of a stream.
+var (
+	// ErrUnknown means that nobody has a record of the stream, or that it is ambiguous.
+	ErrUnknown = merry.Sentinel("nobody here knows which software began the stream")
+	// ErrUnconfirmed means that nobody could be asked who would know of all streams.
+	ErrUnconfirmed = merry.Sentinel("no keeper could be asked which software began the stream")
+)
+
 // Origin is the service and version at which a stream began.
 type Origin struct {
 	Service string
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -121,7 +121,8 @@
 	d.control = dialer.Client(settings.Secret, &d.controlBytes)
 	dialect := platform.Dialect{}
 	d.streams = recaller.New(recaller.Options{
-		Name: settings.Name, Keepers: d.answeringKeepers, Dial: d.dial, Learn: d.learnEndpoints, Clock: clock, Log: log,
+		Name: settings.Name, Keepers: d.answeringKeepers, Followed: func() []netip.AddrPort { return d.subscriber.FollowedKeepers() },
+		ListAge: func() time.Duration { return d.reader.ListAge() }, Dial: d.dial, Learn: d.learnEndpoints, Clock: clock, Log: log,
 	})
 	d.reader = updatereader.New(updatereader.Options{
 		Name: settings.Name, Zone: settings.Zone, Dialect: dialect, Clock: clock, Log: log, Dial: d.dial,
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -76,8 +76,8 @@
 	RecordOrigin(ctx context.Context, name versioner.StreamID, origin versioner.Origin)
 	// RenewOrigin records the origin of a stream that goes on for long.
 	RenewOrigin(name versioner.StreamID, origin versioner.Origin)
-	// Find returns the origin of a stream, if it is known.
-	Find(ctx context.Context, name versioner.StreamID) (versioner.Origin, bool)
+	// Find returns the origin of a stream. Its errors are versioner.ErrUnknown and versioner.ErrUnconfirmed.
+	Find(ctx context.Context, name versioner.StreamID) (versioner.Origin, error)
 	// LearnEndpoints looks up further endpoints where streams of the origin can be resumed, and adds
 	// them to the balancer.
 	LearnEndpoints(ctx context.Context, origin versioner.Origin)
--- a/router/internal/proxier/resume.go
+++ b/router/internal/proxier/resume.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -11,18 +12,20 @@
 
 // admitResume finds the service and software version at which a stream was begun that the client
 // resumes. Events of two versions are not compatible and endpoints do not check this. A stream is
-// therefore refused if its origin is unknown or no endpoint of its version is left; it is never
+// therefore refused if its origin is unknown or cannot be confirmed, or no endpoint of its version is left; it is never
 // sent to an endpoint of another version.
 func (p *Proxier) admitResume(q *request) bool {
 	if q.route.Kind != resolver.Stream || q.in.Resume == "" && q.in.Resumes == "" {
 		return true
 	}
-	origin, found := p.options.Streams.Find(q.http.Context(), versioner.StreamID{Request: q.in.Resumes, Content: q.digest})
+	origin, err := p.options.Streams.Find(q.http.Context(), versioner.StreamID{Request: q.in.Resumes, Content: q.digest})
 	q.service, q.in.Work.Version = origin.Service, origin.Version
-	reason := ""
+	reason, pause := "", time.Duration(0)
 	switch {
-	case !found:
-		reason = "nobody here knows which software began the stream; begin it anew"
+	case errors.Is(err, versioner.ErrUnconfirmed):
+		reason, pause = err.Error()+"; ask again, or another router", confirmRetryAfter
+	case err != nil:
+		reason = err.Error() + "; begin it anew"
 	case !q.route.Includes(origin.Service):
 		reason = "the stream began at a service that has this route no more; begin it anew"
 	case !p.canResume(q, origin):
@@ -30,10 +33,14 @@
 	default:
 		return true
 	}
-	p.refuse(q, byVersion, http.StatusServiceUnavailable, reason, 0)
+	p.refuse(q, byVersion, http.StatusServiceUnavailable, reason, pause)
 	return false
 }
 
+// confirmRetryAfter is the Retry-After of a stream that no keeper could be asked for. A keeper that is down is back, or
+// replaced as leader, within a second, and other routers may reach one.
+const confirmRetryAfter = 300 * time.Millisecond
+
 // canResume reports whether there is an endpoint where a stream of the origin can be resumed.
 func (p *Proxier) canResume(q *request, origin versioner.Origin) bool {
 	if p.options.Balancer.HasEligible(origin.Service, &q.in.Work) {
--- a/router/internal/proxier/versions_test.go
+++ b/router/internal/proxier/versions_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -159,9 +160,23 @@
 	}
 }
 
+// Guards against a stream that is given up although a keeper, or another router, would know it a moment later.
+func TestStreamThatCannotBeConfirmedIsRefusedForAMoment(t *testing.T) {
+	f := newFixture(t)
+	f.addVersion("v1", func(net.Conn, *http.Request) { t.Error("the stream was resumed at an unconfirmed version") })
+	f.proxier.options.Streams = stubStreams{known: versioner.Origin{Service: "desk", Version: "v1"}, err: versioner.ErrUnconfirmed}
+	response := f.do("POST", "/list/", "prompt", "Last-Event-Id", "3")
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	pause, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.InDelta(t, confirmRetryAfter.Seconds()*(1+retryJitter/2), pause, confirmRetryAfter.Seconds()*retryJitter/2)
+}
+
 // stubStreams finds one origin, and calls learn to list further endpoints.
 type stubStreams struct {
 	known versioner.Origin
+	err   error
 	learn func()
 }
 
@@ -169,8 +184,8 @@
 
 func (w stubStreams) RenewOrigin(versioner.StreamID, versioner.Origin) {}
 
-func (w stubStreams) Find(context.Context, versioner.StreamID) (versioner.Origin, bool) {
-	return w.known, true
+func (w stubStreams) Find(context.Context, versioner.StreamID) (versioner.Origin, error) {
+	return w.known, w.err
 }
 
 func (w stubStreams) LearnEndpoints(context.Context, versioner.Origin) { w.learn() }
--- a/router/internal/recaller/confirming.go
+++ b/router/internal/recaller/confirming.go
@@ -22,6 +22,9 @@
 	// confirmCopies is the number of keepers that confirm a record: one of them may start again before
 	// it has passed the record on.
 	confirmCopies = 2
+	// maxListAge is how old the list of endpoints may be while its versions are taken as they are. Keepers answer
+	// polls at least twice a second.
+	maxListAge = time.Second
 	// confirmCalls is the number of keepers that are called for that: one may be frozen.
 	confirmCalls = 3
 )
@@ -47,10 +50,13 @@
 	return r.unconfirmed.Load()
 }
 
+// isMixed reports whether a service has, or lately had, several versions, or may have as far as this router knows: one
+// that was frozen has not heard yet of the versions that have come since.
 func (r *Recaller) isMixed(service string) bool {
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.mixed[service]
+	mixed := r.mixed[service]
+	r.mutex.Unlock()
+	return mixed || r.options.ListAge != nil && r.options.ListAge() > maxListAge && len(r.options.Keepers()) > 0
 }
 
 // confirm waits until keepers have the records before a sequence number, for confirmTimeout at most, and
--- a/router/internal/recaller/confirming_test.go
+++ b/router/internal/recaller/confirming_test.go
@@ -50,12 +50,12 @@
 			if test.after != nil {
 				test.after(f)
 			}
-			origin, known := f.router("asked").Find(t.Context(), first)
+			origin, known := find(t, f.router("asked"), first)
 			require.Equal(t, test.named, known)
 			if known {
 				require.Equal(t, one, origin)
 			}
-			origin, known = f.router("asked").Find(t.Context(), versioner.StreamID{Content: content})
+			origin, known = find(t, f.router("asked"), versioner.StreamID{Content: content})
 			require.Equal(t, test.unnamed, known)
 			if known {
 				require.Equal(t, one, origin)
@@ -92,7 +92,7 @@
 			f.clock.Advance(confirmTimeout)
 			<-done
 			require.EqualValues(t, 1, r.Unconfirmed())
-			_, known := r.Find(t.Context(), nameOf("first"))
+			_, known := find(t, r, nameOf("first"))
 			require.True(t, known, "it is known here all the same")
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
@@ -147,7 +147,7 @@
 			test.between(f)
 			f.report(r, test.next, true, true) // the answer shows that it is another run
 			f.report(r, test.next, true, true)
-			_, found := f.router("asked").Find(t.Context(), nameOf("first"))
+			_, found := find(t, f.router("asked"), nameOf("first"))
 			require.Equal(t, test.found, found)
 			f.report(r, test.next, true, true)
 			require.Empty(t, r.Report(address(test.next)), "once")
@@ -171,13 +171,13 @@
 	f.report(r, 0, true, true)
 	asked := f.router("asked")
 	for _, name := range []versioner.StreamID{first, {Content: content}} {
-		origin, known := asked.Find(t.Context(), name)
+		origin, known := find(t, asked, name)
 		require.True(t, known)
 		require.Equal(t, one, origin)
 	}
 	other.RecordOrigin(t.Context(), versioner.StreamID{Request: "second", Content: content}, two)
 	f.report(other, 0, true, true)
-	_, known := asked.Find(t.Context(), versioner.StreamID{Content: content})
+	_, known := find(t, asked, versioner.StreamID{Content: content})
 	require.False(t, known)
 }
 
@@ -222,7 +222,7 @@
 			case 6:
 				f.relay()
 			default:
-				origin, known := running[i].Find(t.Context(), versioner.StreamID{Content: content})
+				origin, known := find(t, running[i], versioner.StreamID{Content: content})
 				if !known {
 					continue
 				}
@@ -275,7 +275,7 @@
 	require.Zero(t, f.confirmed())
 	r.SetMixed([]string{"desk"})
 	require.Eventually(t, func() bool { return f.confirmed() == 2 }, time.Minute, time.Millisecond)
-	origin, known := f.router("asked").Find(t.Context(), nameOf("first"))
+	origin, known := find(t, f.router("asked"), nameOf("first"))
 	require.True(t, known)
 	require.Equal(t, one, origin)
 	f.settle(t, r)
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -12,7 +12,7 @@
 // of no second one.
 //
 // Invariants: an origin is returned only if this router or a keeper has a record of it, and none has a
-// record that contradicts it; records that a keeper has not acknowledged are reported again.
+// record that contradicts it; that of a stream that its client does not name only if a keeper was asked; records that a keeper has not acknowledged are reported again.
 package recaller
 
 import (
@@ -42,6 +42,11 @@
 type Options struct {
 	// Keepers returns the keepers that answer. If it is nil, no keeper is asked.
 	Keepers func() []netip.AddrPort
+	// Followed returns all keepers that this router follows. They are asked for streams if none answers: after a
+	// freeze polls fail although keepers can be reached again. It may be nil.
+	Followed func() []netip.AddrPort
+	// ListAge returns how old the list of endpoints is, and with it what is known of their versions. It may be nil.
+	ListAge func() time.Duration
 	Dial    func(address netip.AddrPort) messenger.Planning
 	// Name is the name of this router. Learn receives endpoints that a keeper has named.
 	Name  string
@@ -165,37 +170,65 @@
 	delete(r.reportEnd, keeper)
 }
 
-// Find returns the origin of a stream, if it is known to this router or to the keepers that answer.
-func (r *Recaller) Find(ctx context.Context, name versioner.StreamID) (versioner.Origin, bool) {
+// Find returns the origin of a stream. The error is versioner.ErrUnknown if it is not known, and
+// versioner.ErrUnconfirmed if that could not be found out because no keeper answered.
+func (r *Recaller) Find(ctx context.Context, name versioner.StreamID) (versioner.Origin, error) {
 	stream := name.Hash()
-	origin, recorded := r.store.Find(r.options.Clock.Now(), stream)
+	own, recorded := r.store.Find(r.options.Clock.Now(), stream)
 	switch {
-	case recorded && !origin.Known():
-		return origin, false
+	case recorded && !own.Known():
+		return own, versioner.ErrUnknown
 	case name.Request == "":
-		return r.agreed(ctx, stream, origin)
+		return r.agreed(ctx, stream, own)
 	case recorded:
-		return origin, true
+		return own, nil
 	}
-	answer, found := firstAnswer(ctx, r, r.recall(stream))
-	origin = versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
-	if found {
-		r.store.Add(r.options.Clock.Now(), stream, origin)
+	asked := false
+	for answer := range answers(ctx, r, r.recall(stream)) {
+		asked = true
+		if answer.positive {
+			own = originOf(answer.value)
+			r.store.Add(r.options.Clock.Now(), stream, own)
+			break
+		}
 	}
-	return origin, origin.Known()
+	return own, r.check(own, asked)
 }
 
 // agreed returns the origin of all streams with a key, if there is only one. Own is that which this
-// router knows. The answer is not recorded: another stream may begin at any time.
-func (r *Recaller) agreed(ctx context.Context, stream uint64, own versioner.Origin) (versioner.Origin, bool) {
+// router knows. At least one keeper has to agree: this router does not know of streams that began elsewhere, nor, cut
+// off or frozen until now, of the versions that have come since. The answer is not recorded: another stream may begin at
+// any time.
+func (r *Recaller) agreed(ctx context.Context, stream uint64, own versioner.Origin) (versioner.Origin, error) {
+	asked := false
 	for answer := range answers(ctx, r, r.recall(stream)) {
-		told := versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
+		asked = true
+		if !answer.positive {
+			continue
+		}
+		told := originOf(answer.value)
 		if own.Known() && own != told || !told.Known() {
-			return versioner.Origin{}, false
+			return versioner.Origin{}, versioner.ErrUnknown
 		}
 		own = told
 	}
-	return own, own.Known()
+	return own, r.check(own, asked)
+}
+
+// check returns the error for an origin that was found, by whether a keeper was asked.
+func (r *Recaller) check(origin versioner.Origin, asked bool) error {
+	switch {
+	case !asked && r.options.Keepers != nil:
+		return versioner.ErrUnconfirmed
+	case !origin.Known():
+		return versioner.ErrUnknown
+	}
+	return nil
+}
+
+// originOf decodes the origin in a keeper's answer.
+func originOf(answer *messenger.RecallResponse) versioner.Origin {
+	return versioner.Origin{Service: answer.GetService(), Version: answer.GetVersion()}
 }
 
 // recall returns the query for the record of a stream.
@@ -232,22 +265,26 @@
 // firstAnswer queries all keepers that answer concurrently, and returns the first positive answer.
 func firstAnswer[T any](ctx context.Context, r *Recaller, ask query[T]) (known T, found bool) {
 	for answer := range answers(ctx, r, ask) {
-		return answer, true
+		if answer.positive {
+			return answer.value, true
+		}
 	}
 	return known, false
 }
 
-// answers queries all keepers that answer concurrently, and yields their positive answers as they
-// arrive.
-func answers[T any](ctx context.Context, r *Recaller, ask query[T]) iter.Seq[T] {
-	return func(yield func(T) bool) {
-		if r.options.Keepers == nil {
-			return
-		}
+// reply is what one keeper answers to a query.
+type reply[T any] struct {
+	value    T
+	positive bool
+}
+
+// answers queries all keepers that answer concurrently, and yields their answers as they arrive.
+func answers[T any](ctx context.Context, r *Recaller, ask query[T]) iter.Seq[reply[T]] {
+	return func(yield func(reply[T]) bool) {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		keepers := r.options.Keepers()
-		arrived := make(chan *T, len(keepers))
+		keepers := r.keepers()
+		arrived := make(chan *reply[T], len(keepers))
 		for _, keeper := range keepers {
 			go func() { arrived <- askOne(ctx, r, keeper, ask) }()
 		}
@@ -259,14 +296,26 @@
 	}
 }
 
-// askOne queries one keeper and returns its answer, nil if it is not positive.
-func askOne[T any](ctx context.Context, r *Recaller, keeper netip.AddrPort, ask query[T]) *T {
-	answer, positive, err := ask(ctx, keeper)
-	if err != nil && ctx.Err() == nil && r.logDamper.Admit(r.options.Clock.Now(), r.options.Log) {
-		r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("query to a keeper for a stream failed; the other keepers' answers are used")
-	}
-	if err != nil || !positive {
+// keepers returns the keepers to ask for a stream.
+func (r *Recaller) keepers() []netip.AddrPort {
+	if r.options.Keepers == nil {
 		return nil
 	}
-	return &answer
+	keepers := r.options.Keepers()
+	if len(keepers) == 0 && r.options.Followed != nil {
+		return r.options.Followed()
+	}
+	return keepers
+}
+
+// askOne queries one keeper and returns its answer, nil if there is none.
+func askOne[T any](ctx context.Context, r *Recaller, keeper netip.AddrPort, ask query[T]) *reply[T] {
+	value, positive, err := ask(ctx, keeper)
+	if err == nil {
+		return &reply[T]{value: value, positive: positive}
+	}
+	if ctx.Err() == nil && r.logDamper.Admit(r.options.Clock.Now(), r.options.Log) {
+		r.options.Log.Info().Err(err).Stringer("keeper", keeper).Msg("query to a keeper for a stream failed; the other keepers' answers are used")
+	}
+	return nil
 }
--- a/router/internal/recaller/recaller_test.go
+++ b/router/internal/recaller/recaller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -55,6 +56,15 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(keeper + 1)}), 7400)
 }
 
+// find returns the origin of a stream as a router finds it.
+func find(t *testing.T, r *Recaller, name versioner.StreamID) (versioner.Origin, bool) {
+	origin, err := r.Find(t.Context(), name)
+	if err != nil {
+		require.True(t, errors.Is(err, versioner.ErrUnknown) || errors.Is(err, versioner.ErrUnconfirmed), err)
+	}
+	return origin, err == nil
+}
+
 // router returns a recaller of a router that has just started.
 func (f *fleet) router(name string) *Recaller {
 	return New(Options{
@@ -203,12 +213,12 @@
 			first := f.router("began")
 			first.RecordOrigin(context.Background(), nameOf("first"), one)
 			test.do(f, first)
-			origin, found := f.router("other").Find(t.Context(), nameOf("first"))
+			origin, found := find(t, f.router("other"), nameOf("first"))
 			require.Equal(t, test.found, found)
 			if found {
 				require.Equal(t, one, origin)
 			}
-			_, found = f.router("other").Find(t.Context(), versioner.StreamID{Content: 2})
+			_, found = find(t, f.router("other"), versioner.StreamID{Content: 2})
 			require.False(t, found, "a stream without a record")
 		})
 	}
@@ -219,7 +229,7 @@
 	f := newFleet(0)
 	r := f.router("began")
 	r.RecordOrigin(context.Background(), nameOf("first"), one)
-	origin, found := r.Find(t.Context(), nameOf("first"))
+	origin, found := find(t, r, nameOf("first"))
 	require.True(t, found)
 	require.Equal(t, one, origin)
 }
@@ -286,7 +296,7 @@
 			default:
 				for range len(began) / 4 {
 					name := fmt.Sprint("stream-", draw.IntN(step))
-					if got, found := running[i].Find(t.Context(), nameOf(name)); found {
+					if got, found := find(t, running[i], nameOf(name)); found {
 						require.Equal(t, began[name], got, "seed %d, step %d", seed, step)
 					}
 				}
@@ -302,7 +312,7 @@
 			f.report(running[i], draw.IntN(keepers), true, true)
 		}
 		for i := range running {
-			origin, found := f.router("new").Find(t.Context(), nameOf(fmt.Sprint("last-", i)))
+			origin, found := find(t, f.router("new"), nameOf(fmt.Sprint("last-", i)))
 			require.True(t, found)
 			require.Equal(t, two, origin)
 		}
@@ -329,13 +339,13 @@
 				r.RecordOrigin(context.Background(), versioner.StreamID{Request: request, Content: ask.Content}, origin)
 				f.report(r, 0, true, true)
 			}
-			origin, found := f.router("other").Find(t.Context(), ask)
+			origin, found := find(t, f.router("other"), ask)
 			require.Equal(t, test.found, found)
 			if found {
 				require.Equal(t, one, origin)
 			}
 			for request, origin := range test.begun {
-				got, found := f.router("other").Find(t.Context(), versioner.StreamID{Request: request, Content: ask.Content})
+				got, found := find(t, f.router("other"), versioner.StreamID{Request: request, Content: ask.Content})
 				require.True(t, found, "by its request")
 				require.Equal(t, origin, got)
 			}
@@ -412,7 +422,7 @@
 		}},
 		"an equal one begins after the first was asked for": {do: func(t *testing.T, f *fleet, asked *Recaller) {
 			begin(f, f.router("killed"), "first", one, 0, 1, 2)
-			found, known := asked.Find(t.Context(), unnamed)
+			found, known := find(t, asked, unnamed)
 			require.True(t, known)
 			require.Equal(t, one, found)
 			begin(f, f.router("other"), "second", two, 0, 1, 2)
@@ -438,7 +448,7 @@
 				f := newFleet(3)
 				asked := f.router("asked")
 				test.do(t, f, asked)
-				origin, known := asked.Find(t.Context(), unnamed)
+				origin, known := find(t, asked, unnamed)
 				require.Equal(t, test.want.Known(), known)
 				if known {
 					require.Equal(t, test.want, origin)
@@ -455,7 +465,7 @@
 	name := nameOf("first")
 	f.keepers[address(0)].Add(f.clock.Now(), name.Hash(), versioner.Origin{Service: "desk"})
 	for range 2 {
-		_, known := f.router("other").Find(t.Context(), name)
+		_, known := find(t, f.router("other"), name)
 		require.False(t, known)
 	}
 }
