Own interface: refuse ids and keep outcomes that no message can carry

The class of the fault before: one text that is not UTF-8 fails the whole message, and its sender. Three more texts come from outside without a JSON decoder, a check or a hash:

- The id in POST /v1/endpoints/{id}: it is refused with 400.
Before, the scheduler's messages about its pool could fail.
- The Content-Type of an engine's answer, in the record of an idempotency key: the call that records was retried until the record was dropped, and with it up to 1024 outcomes of other requests that shared the call.
Such an answer is now recorded as omitted, and a resend is told that the key is spent.
- Any other text of an outcome: it is dropped alone, and counted, before it is sent with others.

Not at fault, as looked at: keys of workspaces and idempotency keys (printable ASCII), names in configurations and settings (JSON), request ids and parts of prompts (hashed), X-Shallotkeel-Model (stays in the process), zones of evacuations (unless known 404). Red before: TestRecordThatCannotBeEncodedCostsOnlyItself, TestAnnouncedIDThatCannotBeEncodedIsRefused, TestAnswerWithATypeThatCannotBeEncodedIsRecorded; the relayer's stub of a claimer takes no part of an answer that cannot be encoded.

--- a/router/internal/claimant/claimant.go
+++ b/router/internal/claimant/claimant.go
@@ -22,6 +22,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
 	"shallotkeel.example/lib/messenger"
 )
@@ -237,8 +238,13 @@
 	})
 }
 
-// Record queues an outcome, which is sent to the keepers in the background.
+// Record queues an outcome, which is sent to the keepers in the background. One that no message can carry is dropped:
+// it would fail each call with the others that are sent together with it.
 func (c *Claimant) Record(entry *messenger.RecordEntry) {
+	if _, err := proto.Marshal(entry); err != nil {
+		c.dropped.Inc()
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.records = append(c.records, record{entry: entry, queuedAt: c.options.Clock.Now()})
--- a/router/internal/claimant/claimant_test.go
+++ b/router/internal/claimant/claimant_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"shallotkeel.example/lib/messenger"
 )
@@ -59,6 +60,9 @@
 		k.failures--
 		return nil, errUnreachable
 	}
+	if _, err := proto.Marshal(q); err != nil {
+		return nil, err
+	}
 	k.records = append(k.records, q.GetEntries()...)
 	return &messenger.RecordResponse{}, nil
 }
@@ -142,6 +146,19 @@
 	require.Len(t, k.records, 1)
 }
 
+// Guards against an outcome that no message can carry, and that keeps all others from being recorded.
+func TestRecordThatCannotBeEncodedCostsOnlyItself(t *testing.T) {
+	k := &fakeKeepers{failures: 1}
+	c := newClaimant(k)
+	c.Record(&messenger.RecordEntry{Workspace: "w", Key: "bad", Answer: &messenger.Answer{ContentType: "text/b\xff"}})
+	c.Record(&messenger.RecordEntry{Workspace: "w", Key: "good"})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, c.Drain(ctx))
+	require.Len(t, k.records, 1)
+	require.Equal(t, "good", k.records[0].GetKey())
+}
+
 // Guards against unbounded memory for outcomes while the keepers do not answer.
 func TestRecordsAreBounded(t *testing.T) {
 	k := &fakeKeepers{failures: 1 << 30}
--- a/router/internal/registrar/announcement.go
+++ b/router/internal/registrar/announcement.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 
@@ -75,8 +76,8 @@
 func (a *announcement) check(id string) string {
 	address, err := netip.ParseAddrPort(a.Address)
 	switch {
-	case id == "" || len(id) > maxNameLength:
-		return "the id in the path must have 1 to 128 characters"
+	case id == "" || len(id) > maxNameLength || !utf8.ValidString(id):
+		return "the id in the path must have 1 to 128 bytes of UTF-8"
 	case a.Service == "" || len(a.Service) > maxNameLength:
 		return "service must have 1 to 128 characters"
 	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified():
--- a/router/internal/registrar/registrar_test.go
+++ b/router/internal/registrar/registrar_test.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// Guards against an id that no message to the pool's scheduler can carry.
+func TestAnnouncedIDThatCannotBeEncodedIsRefused(t *testing.T) {
+	z := newFakeSchedulers()
+	got := z.call("POST", "/v1/endpoints/b%FF", validAnnouncement, "secret")
+	require.Equal(t, http.StatusBadRequest, got.Code)
+	require.Contains(t, got.Body.String(), "UTF-8")
+	require.Empty(t, z.announcements)
+}
+
 func TestToken(t *testing.T) {
 	z := newFakeSchedulers()
 	for _, method := range []string{"POST", "DELETE"} {
--- a/router/internal/relayer/claim.go
+++ b/router/internal/relayer/claim.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 
@@ -103,9 +104,13 @@
 	return &messenger.Answer{NotRun: true}
 }
 
-// answer returns the record of the answer. An answer above the limit is marked as omitted.
+// answer returns the record of the answer. An answer that is above the limit, or that no message can carry, is marked as
+// omitted.
 func (a *answerRecorder) answer(sequence *sequence) *messenger.Answer {
 	answer := &messenger.Answer{Status: uint32(a.status), ContentType: a.contentType, Body: a.body, Omitted: a.omitted}
+	if !utf8.ValidString(a.contentType) {
+		return &messenger.Answer{Status: uint32(a.status), Omitted: true}
+	}
 	if !sequence.finished {
 		return answer
 	}
@@ -123,7 +128,7 @@
 func (r *Relayer) replay(q *request, action tracker.Action) tracker.Action {
 	var answer messenger.Answer
 	if err := proto.Unmarshal(q.recorder.recorded, &answer); err != nil || answer.Omitted {
-		q.reason = "an earlier request with this Idempotency-Key ran and was answered, but its answer was too large to keep, or ended with its connection, so that it may not be whole"
+		q.reason = "an earlier request with this Idempotency-Key ran and was answered, but its answer was too large to keep, has a type that is not UTF-8, or ended with its connection, so that it may not be whole"
 		return tracker.Action{Step: tracker.RespondError, Outcome: tracker.OutcomeUnknown, Code: tracker.CodeKeySpent}
 	}
 	headers := q.caller.writer.Header()
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -315,7 +315,9 @@
 		delete(c.claims, entry.Key)
 		return
 	}
-	known.answer, _ = proto.Marshal(entry.Answer)
+	if encoded, err := proto.Marshal(entry.Answer); err == nil {
+		known.answer = encoded
+	}
 }
 
 // answer is the answer as its caller received it.
--- a/router/internal/relayer/truncation_test.go
+++ b/router/internal/relayer/truncation_test.go
@@ -89,3 +89,19 @@
 	require.Equal(t, "unknown key_spent", second.headers.Get("X-Outcome")+" "+second.failure.Code)
 	require.False(t, strings.Contains(second.body, "lot 7 to"))
 }
+
+// Guards against an answer whose type no message can carry, so that the outcome of its request is never recorded.
+func TestAnswerWithATypeThatCannotBeEncodedIsRecorded(t *testing.T) {
+	tb := newTestbed(t, relayer.Limits{}, healthy)
+	tb.replaceEndpoint(1, func() string {
+		return "HTTP/1.1 201 Created\r\nContent-Type: text/b\xff\r\nContent-Length: 5\r\n\r\nlot 7"
+	})
+	first := tb.bid("lot-7", "12")
+	require.Equal(t, "lot 7", first.body)
+	require.Equal(t, "text/b\xff", first.headers.Get("Content-Type"))
+	second := tb.bid("lot-7", "12")
+	require.Equal(t, "unknown key_spent", second.headers.Get("X-Outcome")+" "+second.failure.Code, "it cannot be replayed as it was")
+	tb.claimer.lock.Lock()
+	defer tb.claimer.lock.Unlock()
+	require.NotNil(t, tb.claimer.claims["lot-7"].answer)
+}
