--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -102,7 +102,7 @@
 	unconfirmedDepartures atomic.Uint64
 	// failedCalls counts calls of other processes that failed here.
 	failedCalls atomic.Uint64
-	metrics               *metrics
+	metrics     *metrics
 }
 
 // view is the snapshot of the driver's state that the control loop published last. Other
--- a/keeper/internal/server/unencodable_test.go
+++ b/keeper/internal/server/unencodable_test.go
@@ -19,7 +19,7 @@
 // acknowledges a leaving, and no router that follows it hears of that.
 func TestIDThatCannotBeEncodedCostsOnlyItself(t *testing.T) {
 	for name, announce := range map[string]func(t *testing.T, p Planner){
-		"it is ready":  func(t *testing.T, p Planner) { heartbeat(t, p, endpointAt(unencodable, 1, lister.Ready)) },
+		"it is ready": func(t *testing.T, p Planner) { heartbeat(t, p, endpointAt(unencodable, 1, lister.Ready)) },
 		"it is gone": func(t *testing.T, p Planner) {
 			require.Error(t, p.Leave(t.Context(), unencodable, time.Time{}))
 		},
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -130,12 +130,12 @@
 	// Reused reports that the connection had carried another request before.
 	Reused bool
 
-	client      *Client
-	conn        *conn
-	bound       Bound
-	stopCancel  func() bool
-	bodyWrite   *bodyWrite // nil if the body was written inline
-	complete    bool
+	client     *Client
+	conn       *conn
+	bound      Bound
+	stopCancel func() bool
+	bodyWrite  *bodyWrite // nil if the body was written inline
+	complete   bool
 }
 
 // bodyWrite is a write of a body that goes on while the answer is read.
