Acknowledge no leaving of an instance that nobody here knows

What callers would see: an endpoint announces that it leaves, is told 200, and requests go on reaching it.

Cause: a heartbeat of a service that the configuration does not name is left out, and answered like any other. Read in the code; whether it was part of the users' case cannot be told from their record.

Now such a leaving is answered 503 unless the instance is listed here, and the endpoint calls the next keeper. A forged one for an instance that is listed under another service is left out as before, and so are heartbeats in state ready.

TestLeavingOfAnUnknownServiceIsAcknowledgedOnlyWhereItIsListed failed before (no error).

--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -99,6 +99,14 @@
 	return found && listing.Service == service
 }
 
+// hasInstance reports whether an instance is listed.
+func (d *directory) hasInstance(id string) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	_, found := d.list.Find(id)
+	return found
+}
+
 // leave marks an instance as leaving, at the instance's own request. It reports whether the
 // list changed.
 func (d *directory) leave(now time.Time, id string, started time.Time) bool {
--- a/keeper/internal/server/planning.go
+++ b/keeper/internal/server/planning.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/twitchtv/twirp"
 
 	"shallotkeel.example/keeper/internal/applier"
@@ -12,6 +13,9 @@
 	"shallotkeel.example/lib/messenger"
 )
 
+// ErrUnlisted means that an instance announces its leaving, but that neither it nor its service is known.
+var ErrUnlisted = merry.Sentinel("neither the instance nor its service is known here; announce it to another keeper")
+
 // MaxPlanBytes bounds the size of a plan, the text of a configuration. It leaves space for the
 // other fields of a log command.
 const MaxPlanBytes = driver.MaxCommand - 64<<10
@@ -156,12 +160,16 @@
 
 // ReceiveHeartbeat processes a heartbeat. It ignores a heartbeat of a service that the plan
 // does not contain, unless the instance is listed already: a listed instance may always announce
-// that it leaves.
+// that it leaves. A keeper that has just started may know neither the service nor the instance, so it does not
+// acknowledge that an unlisted one leaves: nobody would be told.
 func (p planning) ReceiveHeartbeat(ctx context.Context, heartbeat lister.Listing) error {
 	services := p.services()
 	service, named := services[heartbeat.Service]
 	if services != nil && !named && !p.directory.hasListing(heartbeat.ID, heartbeat.Service) {
 		p.Unusable(heartbeat.ID, lister.Unusable{Reason: lister.UnknownService, Field: "service"})
+		if heartbeat.State > lister.Ready && !p.directory.hasInstance(heartbeat.ID) {
+			return unavailable(ErrUnlisted)
+		}
 		return nil
 	}
 	heartbeat.ColdUntil = boundColdUntil(p.clock.Now(), heartbeat.ColdUntil, service)
--- a/keeper/internal/server/services_test.go
+++ b/keeper/internal/server/services_test.go
@@ -51,3 +51,30 @@
 	heartbeat(t, p, lounge)
 	require.Equal(t, lister.Leaving, listed("b"), "a listed endpoint may always announce that it leaves")
 }
+
+// Guards against a leaving that is acknowledged and told to nobody: the keeper has just started, with an empty list and
+// an older configuration that lacks the service of the endpoint, and others list it as ready.
+func TestLeavingOfAnUnknownServiceIsAcknowledgedOnlyWhereItIsListed(t *testing.T) {
+	group := startSeededGroup(t, 3)
+	submit(t, group[0].served, version(1, "desk lounge"))
+	lounge := endpointAt("b", 1, lister.Ready)
+	lounge.Service = "lounge"
+	heartbeat(t, group[0].served, lounge)
+	require.Eventually(t, func() bool { return listedAt(t, group[1], "b") == lister.Ready }, waitTimeout, 20*time.Millisecond)
+	submit(t, group[0].served, version(2, "desk"))
+	for _, p := range group {
+		require.Eventually(t, func() bool {
+			return p.served.(planning).view.Load().plan.GetVersion() == 2
+		}, waitTimeout, 20*time.Millisecond)
+	}
+	fresh := &group[2].served.(planning).directory
+	fresh.lock.Lock()
+	fresh.list = lister.List{Interval: time.Hour} // as after a start without a copy; no other keeper sends it again
+	fresh.lock.Unlock()
+	lounge.Sequence, lounge.State = 2, lister.Leaving
+	require.ErrorContains(t, group[2].served.ReceiveHeartbeat(t.Context(), lounge), ErrUnlisted.Error())
+	require.NoError(t, group[1].served.ReceiveHeartbeat(t.Context(), lounge), "another keeper lists it")
+	require.Eventually(t, func() bool { return listedAt(t, group[0], "b") == lister.Leaving }, waitTimeout, 20*time.Millisecond)
+	lounge.Sequence, lounge.State = 3, lister.Ready
+	require.NoError(t, group[2].served.ReceiveHeartbeat(t.Context(), lounge), "a heartbeat of an unknown service is left out")
+}
