Recall a request that has not arrived when its endpoint leaves

What callers would see: a request reaches an endpoint seconds after its leaving was acknowledged, and is answered as if nothing were. It was written before, behind a cut, and its router still waited when the cut healed.

Cause: a router that hears of a leaving sends nothing new, and leaves alone what is under way, also what has not arrived. Now an exchange whose endpoint leaves, before the head of its answer, asks 0.5 s later whether anything of the request has been acknowledged since; if not, it ends, and its connection is reset. A request that may be repeated goes to another endpoint (within the retry budget), another one gets 502: acknowledgements may have been lost alone. What has arrived goes on as it was, and so does a body that is still being written, as it may make progress.

--- a/lib/balancer/backoff.go
+++ b/lib/balancer/backoff.go
@@ -33,6 +33,7 @@
 	defer s.balancer.mutex.Unlock()
 	starts := s.endpoint.State < lister.Leaving
 	s.endpoint.State = max(s.endpoint.State, lister.Leaving)
+	s.endpoint.endAccepting()
 	return starts
 }
 
--- a/lib/balancer/balancer.go
+++ b/lib/balancer/balancer.go
@@ -159,6 +159,8 @@
 	transfers    int             // fetches of this router from it that are under way
 	lifetime     context.Context // done once the endpoint has restarted
 	endLifetime  context.CancelFunc
+	accepting    context.Context // done once the endpoint leaves or is gone
+	endAccepting context.CancelFunc
 }
 
 // Version returns the software version of an instance as listed now, empty if it is unknown.
@@ -193,6 +195,9 @@
 		// permanently.
 		known.endLifetime()
 	}
+	if found && listing.State > lister.Ready {
+		known.endAccepting()
+	}
 	if found && (restarted || listing.State == lister.Gone) {
 		b.unlist(known)
 		b.unindex(known)
@@ -235,6 +240,7 @@
 		added.tieBreak = mix(b.Seed, added.seed)
 	}
 	added.lifetime, added.endLifetime = context.WithCancel(context.Background())
+	added.accepting, added.endAccepting = context.WithCancel(context.Background())
 	b.byID[listing.ID] = added
 	b.index(added)
 	b.list(added)
--- a/lib/balancer/slot.go
+++ b/lib/balancer/slot.go
@@ -127,6 +127,12 @@
 	return s.endpoint.lifetime
 }
 
+// EndpointAccepting returns a context that is done once the endpoint leaves or is gone: nothing may reach it long after
+// that.
+func (s *Slot) EndpointAccepting() context.Context {
+	return s.endpoint.accepting
+}
+
 // SlotWait returns the part of ExpectedQueue until the engine has a free slot.
 func (s *Slot) SlotWait() time.Duration {
 	return s.slotWait
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -49,6 +49,9 @@
 	ErrWithdrawn = merry.Sentinel("the caller withdrew the request")
 	// ErrBroken means that the connection failed after the first write had begun: the request may have run.
 	ErrBroken = merry.Sentinel("the connection to the endpoint broke")
+	// ErrRecalled means that the endpoint had stopped accepting requests and not acknowledged this one. It is wrapped
+	// together with ErrBroken: the request may have run, as acknowledgements may be lost alone.
+	ErrRecalled = merry.Sentinel("the endpoint leaves and has not acknowledged the request")
 	// ErrForeign means that the endpoint sent the answer to another request instead.
 	ErrForeign = merry.Sentinel("the endpoint answered another request")
 	// ErrUndelimited means that a discarded body is too long or that its framing is invalid.
@@ -122,6 +125,9 @@
 	Fresh bool
 	// Bound limits the connections to the address.
 	Bound Bound
+	// Accepting is done once the endpoint takes no more requests. If it has not acknowledged this one recallGrace
+	// later, the request is recalled. It may be nil.
+	Accepting context.Context
 }
 
 // Exchange is a request in flight and its answer.
@@ -178,7 +184,7 @@
 	if err != nil {
 		err = merry.Errorf("%w: %w", ErrBroken, err)
 	} else {
-		err = x.receive(out)
+		err = x.receiveUnlessRecalled(ctx, out)
 	}
 	if err == nil {
 		return x, nil
--- a/lib/forwarder/undelivered_test.go
+++ b/lib/forwarder/undelivered_test.go
@@ -10,7 +10,9 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 )
 
@@ -110,3 +112,59 @@
 	require.ErrorIs(t, <-e, io.EOF)
 	require.Zero(t, c.Undelivered())
 }
+
+// Guards against a request that waits behind a cut while its endpoint announces that it leaves, and that reaches the
+// endpoint when the cut heals.
+func TestRequestToAnEndpointThatLeavesIsRecalledUnlessItHasArrived(t *testing.T) {
+	for name, test := range map[string]struct {
+		leaves   bool
+		arrives  bool // the endpoint reads it before recallGrace is over
+		recalled bool
+	}{
+		"it leaves":                         {leaves: true, recalled: true},
+		"it leaves, and reads it meanwhile": {leaves: true, arrives: true},
+		"it stays":                          {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			c := newClient()
+			c.Clock = clock
+			address, accepted := listenNarrow(t)
+			accepting, leave := context.WithCancel(t.Context())
+			defer leave()
+			out := newRequest("held")
+			out.Method, out.Body, out.Accepting = http.MethodPost, []byte(strings.Repeat("x", maxInlineBody)), accepting
+			ended := make(chan error, 1)
+			go func() {
+				x, err := c.Do(t.Context(), address, out, nil)
+				if err == nil {
+					x.Close()
+				}
+				ended <- err
+			}()
+			conn := <-accepted
+			defer conn.Close()
+			reader := bufio.NewReaderSize(conn, 16)
+			_, err := reader.Peek(1)
+			require.NoError(t, err)
+			if test.leaves {
+				leave()
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				require.NoError(t, clock.BlockUntilContext(ctx, 1))
+			}
+			if test.recalled {
+				clock.Advance(recallGrace)
+				err := <-ended
+				require.ErrorIs(t, err, ErrRecalled)
+				require.ErrorIs(t, err, ErrBroken)
+				require.Nil(t, readRequest(reader), "the whole request arrived all the same")
+				return
+			}
+			require.NotNil(t, readRequest(reader))
+			clock.Advance(recallGrace)
+			writeAnswer(conn, "held", "whole")
+			require.NoError(t, <-ended)
+		})
+	}
+}
--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -80,6 +80,7 @@
 			Instance: slot.ID, Workspace: q.workspace, Remaining: q.deadline.Sub(p.options.Clock.Now()), Resume: q.stream.lastID,
 			Source: slot.Source,
 		}),
+		Accepting: slot.EndpointAccepting(),
 	}
 	unlink := context.AfterFunc(slot.EndpointLifetime(), func() { cancel(errRestarted) })
 	defer unlink()
@@ -142,6 +143,8 @@
 		p.noteRestart(q, slot)
 		p.doubtVersion(q, slot)
 		e.reason = errRestarted.Error()
+	case errors.Is(err, forwarder.ErrRecalled):
+		e.outcome = balancer.Cancelled // nothing crashed, and the endpoint takes no more requests
 	case errors.Is(err, errEndless):
 		e.endless = true // the endpoint runs: nothing crashed
 	case context.Cause(ctx) != nil:
