--- a/bench/internal/soaker/endpoint.go
+++ b/bench/internal/soaker/endpoint.go
@@ -47,7 +47,8 @@
 	listener                   net.Listener
 	sequence                   atomic.Uint64
 	leaving, gone              atomic.Bool
-	hearing, talking           gate // requests in, answers out
+	acknowledged               atomic.Pointer[acknowledgement] // of its leaving
+	hearing, talking           gate                            // requests in, answers out
 	stopBeats                  context.CancelFunc
 
 	lock   sync.Mutex
@@ -70,10 +71,12 @@
 type gated struct {
 	*net.TCPConn
 	in, out *gate
+	heard   time.Time // when the latest bytes arrived, before the gate
 }
 
 func (c *gated) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
+	c.heard = time.Now()
 	c.in.wait()
 	return n, err
 }
@@ -141,23 +144,39 @@
 		return false
 	}
 	response.Body.Close()
-	return response.StatusCode/100 == 2
+	accepted := response.StatusCode/100 == 2
+	if accepted && (method == http.MethodDelete || state == player.Draining) {
+		ack := &acknowledgement{at: time.Now(), by: e.pool.fleet.keepers[node%len(controls)].Name}
+		if e.acknowledged.CompareAndSwap(nil, ack) {
+			e.pool.record.add("endpoint %s: %s acknowledges its leaving (%s)", e.id, ack.by, method)
+		}
+	}
+	return accepted
 }
 
-// leave drains, departs and ends, as an endpoint does that is replaced.
-func (e *endpoint) leave(ctx context.Context) {
-	e.pool.record.add("endpoint %s leaves", e.id)
-	e.leaving.Store(true)
+// leave drains, departs and ends, as an endpoint does that is replaced. Some depart first, and serve on for as long.
+func (e *endpoint) leave(ctx context.Context, departsFirst bool) {
+	e.pool.record.add("endpoint %s leaves (departs first %t)", e.id, departsFirst)
+	if departsFirst {
+		e.depart(ctx)
+	}
 	pause(ctx, heartbeatInterval+drainTime)
+	if !departsFirst {
+		e.depart(ctx)
+	}
+	pause(ctx, 2*time.Second)
+	e.end(closed)
+}
+
+// depart ends the heartbeats and announces the end to one keeper after the other until one acknowledges it.
+func (e *endpoint) depart(ctx context.Context) {
 	e.stopBeats()
 	client := &http.Client{Timeout: callTimeout}
 	for node := range 2 * len(e.pool.fleet.keepers) {
-		if e.call(ctx, client, http.MethodDelete, node) {
-			break
+		if e.call(ctx, client, http.MethodDelete, int(e.sequence.Load())+node) {
+			return
 		}
 	}
-	pause(ctx, 2*time.Second)
-	e.end(closed)
 }
 
 // end ends the endpoint without another word: its connections close or are reset.
@@ -223,6 +242,7 @@
 		if err != nil {
 			return
 		}
+		heard := c.heard
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
@@ -231,7 +251,7 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderSelf, e.id)
 			continue
 		}
-		a := e.answer(request, string(body), previous)
+		a := e.answer(request, string(body), previous, heard)
 		e.lock.Lock()
 		e.conns[c] = a.send
 		e.lock.Unlock()
@@ -247,10 +267,10 @@
 }
 
 // answer runs a request and composes what is written.
-func (e *endpoint) answer(request *http.Request, body, previous string) *answering {
+func (e *endpoint) answer(request *http.Request, body, previous string, heard time.Time) *answering {
 	id := request.Header.Get(platform.HeaderID)
 	q, readable := readQuery(id, body)
-	s := &send{endpoint: e.id, version: e.version, at: time.Now(), fault: "sound", status: http.StatusOK, ran: true}
+	s := &send{endpoint: e.id, version: e.version, at: heard, leaving: e.acknowledged.Load(), fault: "sound", status: http.StatusOK, ran: true}
 	s.resumed, _ = strconv.Atoi(request.Header.Get(platform.HeaderResume)) // a request without it begins anew
 	refuse := func(status int) *answering {
 		s.status, s.ran, s.fault = status, false, "refuses"
--- a/bench/internal/soaker/fleet.go
+++ b/bench/internal/soaker/fleet.go
@@ -32,6 +32,7 @@
 	drainTime         = 1500 * time.Millisecond
 	graceTime         = 4 * time.Second
 	restartDelay      = 300 * time.Millisecond
+	contactTime       = 3 * time.Second // after which a machine counts as calm
 	callTimeout       = time.Second
 	settingsPath      = "/etc/shallotkeel/settings.json" // as the deploy file names it
 	missesUntilOut    = 2
@@ -48,6 +49,7 @@
 	lock    sync.Mutex
 	process *launcher.Process
 	touched bool        // it was signalled since its last start
+	shocks  []time.Time // when it was started, signalled or ended, and each second while it is frozen
 	ends    []time.Time // when it ended
 }
 
@@ -166,6 +168,7 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.process, m.touched, m.Bootstrap = process, false, false
+	m.shocks = append(m.shocks, time.Now())
 	f.record.add("platform starts %s", m.Name)
 	return nil
 }
@@ -201,6 +204,7 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.ends = append(m.ends, time.Now())
+	m.shocks = append(m.shocks, time.Now())
 	f.record.add("%s has ended", m.Name)
 	if !m.touched {
 		f.lock.Lock()
@@ -216,6 +220,7 @@
 	f.record.add("platform: %s %s", what, m.Name)
 	m.touched = true
 	act(m.process)
+	m.shocks = append(m.shocks, time.Now())
 }
 
 // endedSince reports whether the process of a machine ended after a time.
@@ -225,6 +230,34 @@
 	return len(m.ends) > 0 && m.ends[len(m.ends)-1].After(since) || !m.process.Running()
 }
 
+// shock notes that something is being done to a machine.
+func (m *machine) shock() {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.shocks = append(m.shocks, time.Now())
+}
+
+// calm reports whether nothing was done to a machine for contactTime before a time.
+func (m *machine) calm(at time.Time) bool {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return !slices.ContainsFunc(m.shocks, func(shock time.Time) bool {
+		return shock.After(at.Add(-contactTime)) && shock.Before(at)
+	})
+}
+
+// inTouch reports whether a router, and a majority of the keepers, were calm before a time.
+func (f *fleet) inTouch(router string, at time.Time) bool {
+	calm := 0
+	for _, m := range f.keepers {
+		if m.calm(at) {
+			calm++
+		}
+	}
+	i := slices.IndexFunc(f.routers, func(m *machine) bool { return m.Name == router })
+	return 2*calm > len(f.keepers) && i >= 0 && f.routers[i].calm(at)
+}
+
 // watch asks each router every second whether it is ready, as the platform does.
 func (f *fleet) watch(ctx context.Context) {
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/bench/internal/soaker/judge.go
+++ b/bench/internal/soaker/judge.go
@@ -14,21 +14,23 @@
 	mixed   = "MIXED"
 	twice   = "TWICE"
 	refused = "REFUSED"
+	drain   = "DRAIN"
 )
 
 // totals counts what became of requests.
 type totals struct {
-	Attempts, Whole, Streams, WentOn, TakenUp, Cut, Refused, Failed, Doubtful int
+	Attempts, Whole, Streams, WentOn, TakenUp, Cut, Refused, Failed, Doubtful, Late int
 }
 
 func (t totals) String() string {
-	return fmt.Sprintf("attempts %d, plain answers whole %d, streams whole %d, went on within an answer %d, went on after being taken up %d, cut %d, refused %d, failed %d, ends that nothing frames %d",
-		t.Attempts, t.Whole, t.Streams, t.WentOn, t.TakenUp, t.Cut, t.Refused, t.Failed, t.Doubtful)
+	return fmt.Sprintf("attempts %d, plain answers whole %d, streams whole %d, went on within an answer %d, went on after being taken up %d, cut %d, refused %d, failed %d, ends that nothing frames %d, late at endpoints that had left by machines out of touch %d",
+		t.Attempts, t.Whole, t.Streams, t.WentOn, t.TakenUp, t.Cut, t.Refused, t.Failed, t.Doubtful, t.Late)
 }
 
 // judge finds broken rules in what clients got.
 type judge struct {
 	ledger *ledger
+	fleet  *fleet
 	record *record
 	seed   uint64
 	lock   sync.Mutex
@@ -209,6 +211,9 @@
 		for _, h := range j.ledger.all {
 			runs := 0
 			for _, s := range h.sends {
+				if late := s.late(); late > 0 {
+					checks = append(checks, func() { j.late(h, s, late) })
+				}
 				if s.ran {
 					runs++
 				}
@@ -227,3 +232,13 @@
 		check()
 	}
 }
+
+// late judges an arrival at an endpoint whose leaving had been acknowledged too long before.
+func (j *judge) late(h *history, s *send, after time.Duration) {
+	if !j.fleet.inTouch(h.router, s.at) {
+		j.record.add("late by a machine out of touch: at %.3f %s from %s reaches %s %v after its leaving", s.at.Sub(j.record.begun).Seconds(), h.id, h.router, s.endpoint, after)
+		j.count(func(t *totals) { t.Late++ })
+		return
+	}
+	j.broken(drain, h, fmt.Sprintf("at %.3f it reached %s %v after %s had acknowledged that it leaves", s.at.Sub(j.record.begun).Seconds(), s.endpoint, after, s.leaving.by))
+}
--- a/bench/internal/soaker/ledger.go
+++ b/bench/internal/soaker/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -16,11 +17,18 @@
 	none
 )
 
+// acknowledgement says that a keeper has acknowledged the leaving of an endpoint.
+type acknowledgement struct {
+	at time.Time
+	by string
+}
+
 // send is one arrival of a client's attempt at an endpoint, and what the endpoint wrote.
 type send struct {
 	endpoint, version, stamp string
-	at                       time.Time
-	fault                    string // empty if the endpoint was sound
+	at                       time.Time        // when it arrived
+	leaving                  *acknowledgement // of the endpoint's leaving, nil if none
+	fault                    string           // empty if the endpoint was sound
 	status                   int
 	ran                      bool
 	framing                  framing
@@ -28,6 +36,15 @@
 	doubtful                 bool // where it ended, nothing shows that more was due
 }
 
+// late returns how long after its endpoint's leaving was acknowledged the request arrived, 0 if that is within drainTime
+// or the endpoint rejected it as meant for another.
+func (s *send) late() time.Duration {
+	if s.leaving == nil || s.status == http.StatusMisdirectedRequest || s.at.Sub(s.leaving.at) <= drainTime {
+		return 0
+	}
+	return s.at.Sub(s.leaving.at)
+}
+
 func (s *send) String() string {
 	return fmt.Sprintf("%s(%s stamp %s status %d after %d %s)", s.endpoint, s.version, s.stamp, s.status, s.resumed, s.fault)
 }
--- a/bench/internal/soaker/schedule.go
+++ b/bench/internal/soaker/schedule.go
@@ -24,6 +24,19 @@
 		{"stop a keeper", func(_ context.Context, p *play, r *rand.Rand) { p.stop(pick(r, p.fleet.keepers)) }},
 		{"kill a keeper", func(_ context.Context, p *play, r *rand.Rand) { p.kill(pick(r, p.fleet.keepers)) }},
 		{"freeze a keeper", func(ctx context.Context, p *play, r *rand.Rand) { p.freeze(ctx, r, pick(r, p.fleet.keepers)) }},
+		{"kill all keepers", func(_ context.Context, p *play, _ *rand.Rand) {
+			for _, m := range p.fleet.keepers {
+				p.kill(m)
+			}
+		}},
+		{"stop keepers in turn", func(ctx context.Context, p *play, _ *rand.Rand) {
+			for _, m := range p.fleet.keepers {
+				p.stop(m)
+				pause(ctx, turnPause)
+			}
+		}},
+		{"freeze all keepers", func(ctx context.Context, p *play, r *rand.Rand) { p.freeze(ctx, r, p.fleet.keepers...) }},
+		{"freeze all keepers but one", func(ctx context.Context, p *play, r *rand.Rand) { p.freeze(ctx, r, p.fleet.keepers[1:]...) }},
 	}
 	onEndpoints = []disruption{
 		{"crash", func(ctx context.Context, p *play, r *rand.Rand) { p.crash(ctx, r, closed) }},
@@ -39,16 +52,24 @@
 const (
 	processInterval  = 2500 * time.Millisecond // mean time between disruptions of processes
 	endpointInterval = 500 * time.Millisecond
+	leaveInterval    = 1500 * time.Millisecond
+	strangeInterval  = 400 * time.Millisecond
+	turnPause        = 500 * time.Millisecond
 	moodInterval     = 3 * time.Second
 	maxFaulty        = 45 // percent of the answers
+	// roughShare is the part of a play in which processes are disrupted. In the rest routers are in touch, and what
+	// the disruptions left behind shows.
+	roughShare = 0.6
 )
 
-// playFaults plays the schedule of the seed. Its series overlap.
+// playFaults plays the schedule of the seed. Its series overlap; those that befall processes end first.
 func (p *play) playFaults(ctx context.Context) {
 	ends, cancel := context.WithTimeout(ctx, p.options.Duration)
 	defer cancel()
+	rough, cancelRough := context.WithTimeout(ctx, time.Duration(roughShare*float64(p.options.Duration)))
+	defer cancelRough()
 	var group sync.WaitGroup
-	series := func(number uint64, mean time.Duration, step func(r *rand.Rand)) {
+	series := func(ends context.Context, number uint64, mean time.Duration, step func(r *rand.Rand)) {
 		r := rand.New(rand.NewPCG(p.options.Seed, 1<<32+number))
 		group.Go(func() {
 			for ends.Err() == nil {
@@ -65,9 +86,17 @@
 			group.Go(func() { d.play(ctx, p, drawn) })
 		}
 	}
-	series(1, processInterval, disrupt(onProcesses))
-	series(2, endpointInterval, disrupt(onEndpoints))
-	series(3, moodInterval, func(r *rand.Rand) { p.pool.faulty.Store(r.Int64N(maxFaulty)) })
+	series(rough, 1, processInterval, disrupt(onProcesses))
+	series(ends, 2, endpointInterval, disrupt(onEndpoints))
+	series(ends, 4, leaveInterval, func(r *rand.Rand) {
+		e, departsFirst := p.pickEndpoint(r), r.IntN(2) == 0
+		group.Go(func() { p.replace(ctx, e, departsFirst) })
+	})
+	series(ends, 5, strangeInterval, func(r *rand.Rand) {
+		s, node := strangers[r.IntN(len(strangers))], r.IntN(len(p.fleet.keepers))
+		group.Go(func() { s.call(ctx, p, node) })
+	})
+	series(ends, 3, moodInterval, func(r *rand.Rand) { p.pool.faulty.Store(r.Int64N(maxFaulty)) })
 	r := rand.New(rand.NewPCG(p.options.Seed, 1<<33))
 	group.Go(func() { // all routers at once, while two versions serve
 		release := time.Duration((0.1 + 0.3*r.Float64()) * float64(p.options.Duration))
@@ -75,7 +104,10 @@
 		pause(ends, release)
 		group.Go(func() { p.release(ctx, share) })
 		for range 2 {
-			pause(ends, time.Duration((0.1+0.2*r.Float64())*float64(p.options.Duration)))
+			pause(rough, time.Duration((0.1+0.2*r.Float64())*float64(p.options.Duration)))
+			if rough.Err() != nil {
+				return
+			}
 			for _, m := range p.fleet.routers {
 				p.kill(m)
 			}
@@ -110,14 +142,26 @@
 	p.fleet.act(m, "SIGKILL", func(process *launcher.Process) { process.Kill() })
 }
 
-func (p *play) freeze(ctx context.Context, r *rand.Rand, m *machine) {
-	var frozen *launcher.Process
-	p.fleet.act(m, "SIGSTOP", func(process *launcher.Process) {
-		frozen = process
-		process.Freeze()
-	})
-	pause(ctx, time.Duration(300+r.IntN(3000))*time.Millisecond)
-	p.fleet.act(m, "SIGCONT", func(*launcher.Process) { frozen.Resume() })
+// freeze stops processes for a while. Their connections stay open and silent: routers that follow frozen keepers are cut
+// off.
+func (p *play) freeze(ctx context.Context, r *rand.Rand, machines ...*machine) {
+	length := time.Duration(300+r.IntN(3000)) * time.Millisecond
+	frozen := make([]*launcher.Process, len(machines))
+	for i, m := range machines {
+		p.fleet.act(m, "SIGSTOP", func(process *launcher.Process) {
+			frozen[i] = process
+			process.Freeze()
+		})
+	}
+	for ; length > 0; length -= time.Second {
+		pause(ctx, min(length, time.Second))
+		for _, m := range machines {
+			m.shock()
+		}
+	}
+	for i, m := range machines {
+		p.fleet.act(m, "SIGCONT", func(*launcher.Process) { frozen[i].Resume() })
+	}
 }
 
 // crash ends an endpoint, and starts another one at its address.
@@ -145,6 +189,20 @@
 	}
 }
 
+// replace starts another endpoint, and has an endpoint leave.
+func (p *play) replace(ctx context.Context, e *endpoint, departsFirst bool) {
+	if e.leaving.Load() {
+		return
+	}
+	if err := p.startEndpoint(ctx, e.service, e.zone, e.version, ""); err != nil {
+		p.record.add("another endpoint cannot start: %v", err)
+		return
+	}
+	if !e.gone.Load() && !e.leaving.Swap(true) {
+		e.leave(ctx, departsFirst)
+	}
+}
+
 // release replaces the endpoints by those of another version: new ones first, then old ones leave.
 func (p *play) release(ctx context.Context, share float64) {
 	p.lock.Lock()
@@ -159,7 +217,7 @@
 	for _, e := range old {
 		pause(ctx, p.options.Duration/30)
 		if !e.gone.Load() && !e.leaving.Swap(true) {
-			go e.leave(ctx)
+			go e.leave(ctx, false)
 		}
 	}
 }
--- a/bench/internal/soaker/soaker.go
+++ b/bench/internal/soaker/soaker.go
@@ -122,6 +122,7 @@
 	}
 	defer p.fleet.claimed.Close()
 	p.pool = &pool{fleet: p.fleet, record: p.record, ledger: p.ledger, seed: o.Seed, resuming: o.Resuming}
+	p.judge.fleet = p.fleet
 	if err := p.run(); err != nil {
 		return false, fmt.Errorf("%w; logs: %s", err, folder)
 	}
--- a/router/internal/proxier/recalled_test.go
+++ b/router/internal/proxier/recalled_test.go
@@ -26,9 +26,9 @@
 		state  lister.State
 		status int
 	}{
-		"it may be repeated, leaving":     {path: "/read/", state: lister.Leaving, status: http.StatusOK},
-		"it may be repeated, gone":        {path: "/read/", state: lister.Gone, status: http.StatusOK},
-		"it must not be repeated":         {path: "/book/", state: lister.Leaving, status: http.StatusBadGateway},
+		"it may be repeated, leaving":   {path: "/read/", state: lister.Leaving, status: http.StatusOK},
+		"it may be repeated, gone":      {path: "/read/", state: lister.Gone, status: http.StatusOK},
+		"it must not be repeated":       {path: "/book/", state: lister.Leaving, status: http.StatusBadGateway},
 		"it must not be repeated, gone": {path: "/book/", state: lister.Gone, status: http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
