Leave a connection that is silent when a call on it times out

Cause: a poll that times out is sent again on the same HTTP/2 connection, and so is the next, until a ping on it has failed: after 2 s without a frame and 1 s more. A test measured 3.0 s until the next call got an answer. The bound of a leaving is 2 s, and the time after which a machine counts as in touch 3 s.

Now a call that times out, 0.6 s or more after it was sent, closes its connection if nothing at all has arrived on it since; the next one connects anew, so that the first poll that times out is the last one on it. Shorter calls, and those beside which others are answered, leave the connection as it is: a peer that lags would lose its polls.

--- a/lib/dialer/dialer.go
+++ b/lib/dialer/dialer.go
@@ -14,19 +14,25 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
 // Limits of control connections.
 const (
-	DialTimeout       = 500 * time.Millisecond
-	headerTimeout     = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	pingAfter         = 2 * time.Second
-	pingTimeout       = 1 * time.Second
+	DialTimeout   = 500 * time.Millisecond
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	pingAfter     = 2 * time.Second
+	pingTimeout   = 1 * time.Second
+	// minSilence is how long a call must have waited before it closes a silent connection: a peer that lags answers
+	// within it, and the calls beside it would end with the connection.
+	minSilence        = 600 * time.Millisecond
 	maxControlHeaders = 16 << 10
 	// maxAnswerBytes bounds the body of an answer, which its reader holds in memory. The longest answers
 	// contain a configuration, whose command is bounded by 4 MB, beside the lists of endpoints.
@@ -41,7 +47,7 @@
 
 // Client returns an HTTP client for calls to other processes of the fleet. It detects an
 // unresponsive peer by pings on the persistent connection, because a network partition causes no
-// reset and the next call would hang.
+// reset and the next call would hang. A call that times out closes its connection if that is silent.
 func Client(secret string, counter *Counter) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
@@ -73,7 +79,8 @@
 }
 
 func (s *authenticator) RoundTrip(r *http.Request) (*http.Response, error) {
-	authenticated := r.Clone(r.Context())
+	var used usedConn
+	authenticated := r.Clone(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: used.note}))
 	authenticated.Header.Set("Authorization", s.secret)
 	authenticated.Header.Set("User-Agent", "")
 	authenticated.Header.Set("Accept-Encoding", "identity")
@@ -81,6 +88,9 @@
 	// It would start the retry while the first attempt may still be reading the body.
 	authenticated.GetBody = nil
 	answer, err := s.next.RoundTrip(authenticated)
+	if errors.Is(err, context.DeadlineExceeded) {
+		used.closeIfSilent()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -88,6 +98,36 @@
 	return answer, nil
 }
 
+// usedConn is the connection that a call was sent on. A zero usedConn is none.
+type usedConn struct {
+	mutex    sync.Mutex
+	conn     *countingConn
+	received uint64 // bytes before the call
+	at       time.Time
+}
+
+// note implements httptrace.ClientTrace.GotConn.
+func (u *usedConn) note(info httptrace.GotConnInfo) {
+	conn, counted := info.Conn.(*countingConn)
+	if !counted {
+		return
+	}
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.conn, u.received, u.at = conn, conn.received.Load(), time.Now()
+}
+
+// closeIfSilent closes the connection if nothing has arrived on it since the call was sent, minSilence ago or more. A
+// connection that went silent without a reset would take each further call until a ping on it has failed, for three
+// seconds in which a new connection may work.
+func (u *usedConn) closeIfSilent() {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.conn != nil && u.conn.received.Load() == u.received && time.Since(u.at) >= minSilence {
+		u.conn.Close()
+	}
+}
+
 // Server returns a server for control calls. Only calls with the secret reach its handler.
 func Server(secret string, handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
@@ -137,12 +177,14 @@
 // countingConn is a connection that adds the bytes read and written to a counter.
 type countingConn struct {
 	net.Conn
-	counter *Counter
+	counter  *Counter
+	received atomic.Uint64 // bytes read on this connection
 }
 
 func (c *countingConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	c.counter.Received.Add(uint64(n))
+	c.received.Add(uint64(n))
 	return n, err
 }
 
