--- a/bench/internal/soaker/client.go
+++ b/bench/internal/soaker/client.go
@@ -57,13 +57,7 @@
 	for ctx.Err() == nil {
 		r := routes[c.rand.IntN(len(routes))]
 		c.count++
-		q := &query{stream: fmt.Sprintf("s%d-%d", c.number, c.count), pieces: 4 + c.rand.IntN(30), pace: 5 + c.rand.IntN(50)}
-		if c.rand.IntN(5) == 0 {
-			q.pace = 0
-		}
-		if c.rand.IntN(6) == 0 {
-			q.pad = c.rand.IntN(maxPad)
-		}
+		q := c.draw()
 		if r.Kind == player.Streaming {
 			c.stream(ctx, r, q)
 		} else {
@@ -73,6 +67,26 @@
 	}
 }
 
+// draw returns what a request asks for. Some ask for what others ask for at the same time: routers can tell their streams
+// apart only if clients name them.
+func (c *client) draw() *query {
+	if c.rand.IntN(4) == 0 {
+		shared := popular[c.rand.IntN(len(popular))]
+		return &shared
+	}
+	q := &query{stream: fmt.Sprintf("s%d-%d", c.number, c.count), pieces: 4 + c.rand.IntN(30), pace: 5 + c.rand.IntN(50)}
+	if c.rand.IntN(5) == 0 {
+		q.pace = 0
+	}
+	if c.rand.IntN(6) == 0 {
+		q.pad = c.rand.IntN(maxPad)
+	}
+	return q
+}
+
+// popular are the queries of several clients.
+var popular = []query{{stream: "popular-1", pieces: 20, pace: 40}, {stream: "popular-2", pieces: 30, pace: 25}, {stream: "popular-3", pieces: 12, pace: 60}}
+
 // stream gets a stream to its end, by several attempts where it may be taken up.
 func (c *client) stream(ctx context.Context, r player.Route, q *query) {
 	seen := &seen{query: q}
@@ -93,7 +107,7 @@
 
 // send sends one attempt and reads its answer.
 func (c *client) send(r player.Route, q *query, after int, resumes string, try int) *reply {
-	q.id = fmt.Sprintf("%x-%s-%d", c.play.options.Seed, q.stream, try)
+	q.id = fmt.Sprintf("%x-%d-%d-%s-%d", c.play.options.Seed, c.number, c.count, q.stream, try)
 	h := &history{id: q.id, stream: q.stream, from: after, sent: time.Now(), repeatable: r.Kind == player.Idempotent || r.Resume}
 	answer := &reply{history: h}
 	defer func() {
