Own interface: deliver nothing of a request after it was given up

The same cause as on the platform's interface: the transport closes the connection of a request that is given up (its deadline, its caller, a restart of its endpoint), and the system goes on sending what was not acknowledged. Connections to endpoints now end with a reset if anything is not acknowledged, as forwarder does; one piece of code decides it for both.

--- a/lib/forwarder/unacknowledged.go
+++ b/lib/forwarder/unacknowledged.go
@@ -7,14 +7,20 @@
 )
 
 // withdraw ends the request of an exchange whose connection is about to be closed, and returns how many of its bytes
-// the endpoint has not acknowledged. If there are any, the close becomes a reset: otherwise the system would go on
-// sending them after the close, behind a cut for as long as that lasts, and then to an endpoint that may have left.
-// Where all have arrived, the connection ends with an ordinary close, which the system repeats until it arrives. A reset
-// is sent only once, and if it were lost the endpoint would work on for nobody.
+// the endpoint has not acknowledged.
 func (x *Exchange) withdraw() int {
 	_ = x.endBodyWrite() // its error is that of the exchange
-	waiting := unacknowledged(x.conn.Conn)
-	if socket, ok := x.conn.Conn.(*net.TCPConn); ok && waiting > 0 {
+	return Withdraw(x.conn.Conn)
+}
+
+// Withdraw prepares a connection to be closed, and returns how many written bytes its other end has not acknowledged. If
+// there are any, the close becomes a reset: otherwise the system would go on sending them after the close, behind a cut
+// for as long as that lasts, and then to an endpoint that may have left. Where all have arrived, the connection ends with
+// an ordinary close, which the system repeats until it arrives. A reset is sent only once, and if it were lost the
+// endpoint would work on for nobody.
+func Withdraw(cn net.Conn) int {
+	waiting := unacknowledged(cn)
+	if socket, ok := cn.(*net.TCPConn); ok && waiting > 0 {
 		_ = socket.SetLinger(0) // it fails only on a connection that is closed
 	}
 	return waiting
--- a/router/internal/relayer/transport.go
+++ b/router/internal/relayer/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"shallotkeel.example/lib/forwarder"
 )
 
 const (
@@ -36,7 +38,7 @@
 			if err != nil {
 				return nil, merry.Errorf("%w: %w", errUnreachable, err)
 			}
-			return conn, nil
+			return revocable{Conn: conn}, nil
 		},
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
@@ -46,6 +48,16 @@
 	}
 }
 
+// revocable is a connection to an endpoint. The transport closes it when a request is given up; nothing of the request
+// arrives after that.
+type revocable struct{ net.Conn }
+
+// Close closes the connection.
+func (c revocable) Close() error {
+	forwarder.Withdraw(c.Conn)
+	return c.Conn.Close()
+}
+
 // opaque hides the type of a body from the transport. If a connection breaks, the transport itself
 // resends a request with an Idempotency-Key whose body it can rewind or whose body is empty, and a
 // non-repeatable request would run twice unnoticed.
