Relay no promise of an endpoint that may have run a request

Such a status (408, 421, 429, 503) of an endpoint that has not said "not run" now becomes a 502 without a signature, where the request must not be repeated; docs/DECISIONS.md has what was weighed.

--- a/router/internal/proxier/attempt.go
+++ b/router/internal/proxier/attempt.go
@@ -105,6 +105,11 @@
 	if answer.NotRun {
 		return p.declined(q, x, answer)
 	}
+	if promisesNotRun(x.StatusCode) && !q.route.Retryable() {
+		p.noteAnswerStarted(q, slot)
+		p.discardRefusal(q, x)
+		return &attemptFailure{outcome: balancer.Faulty, endedBy: cutByEndpoint, reason: "the endpoint answered " + strconv.Itoa(x.StatusCode) + " and may have run the request"}
+	}
 	if x.StatusCode < http.StatusMultipleChoices && !answer.Signed {
 		return &attemptFailure{outcome: balancer.ConnectionBroken, endedBy: cutByEndpoint, reason: "the endpoint's success is not signed"}
 	}
@@ -115,6 +120,17 @@
 	return p.relayPlain(ctx, q, slot, x)
 }
 
+// promisesNotRun reports whether a status tells a client that its request has not run and never will, so that it may send
+// the request again. An endpoint's own answer with such a status that does not say "not run" may come after a run; for a
+// request that must not be repeated it is replaced.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // noteAnswer applies the hints that the endpoint gives about itself in an answer: backoff and leaving.
 func (p *Proxier) noteAnswer(q *request, slot *balancer.Slot, answer forwarder.Answer) {
 	q.endpointAnswer = answer
