Damp lines about failed calls by themselves; read the age of the list without a lock

Heartbeats of strangers could take all lines of a second from calls that fail at a keeper, and each send waited for the lock under which a router applies lists of thousands of endpoints.

--- a/keeper/internal/server/handlers.go
+++ b/keeper/internal/server/handlers.go
@@ -35,7 +35,7 @@
 		return ctx
 	}
 	s.failedCalls.Add(1)
-	if s.heartbeatDamper.Admit(s.clock.Now(), s.log) {
+	if s.callDamper.Admit(s.clock.Now(), s.log) {
 		method, _ := twirp.MethodName(ctx)
 		s.log.Error().Err(err).Str("method", method).Msg("call of another process failed here")
 	}
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -87,6 +87,7 @@
 	pacer           pacer.Pacer     // measures the scheduling delay of this process
 	heartbeatDamper damper.Damper   // limits log lines about unusable heartbeats and listings
 	archiveDamper   damper.Damper   // limits log lines about failed copies of the list
+	callDamper      damper.Damper   // limits log lines about calls of other processes that failed here
 	serviceCache    serviceCache    // services of the plan in force
 	platform        Platform
 	epoch           uint64 // identifies this run of the keeper to its followers
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -79,13 +79,14 @@
 	options Options
 	table   atomic.Pointer[resolver.Table]
 	ready   chan struct{} // closed once there is a configuration
+	// updatedAt is the time of the last answer of any keeper, nil if there is none.
+	updatedAt atomic.Pointer[time.Time]
 
 	mutex            sync.Mutex
 	list             lister.List
 	silent           map[string]map[netip.AddrPort]bool // endpoint instances, by the keepers that get no heartbeats of them
 	reportedSilent   map[string]bool                    // instances last passed on to Endpoints as silent
 	answeringKeepers map[netip.AddrPort]bool
-	updatedAt        time.Time                    // time of the last answer of any keeper
 	evacuations      uint64                       // revision of the evacuated zones
 	pollSentAt       map[netip.AddrPort]time.Time // send time of each keeper's current poll
 	crashes          localizer.Exchange
@@ -119,12 +120,11 @@
 // ListAge returns how long ago a keeper last answered a poll, so that this router knew the changes of
 // endpoints. It is 0 if none has answered yet.
 func (r *Reader) ListAge() time.Duration {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.updatedAt.IsZero() {
+	updated := r.updatedAt.Load()
+	if updated == nil {
 		return 0
 	}
-	return r.options.Clock.Since(r.updatedAt)
+	return r.options.Clock.Since(*updated)
 }
 
 // Report returns the report for a keeper: the version in force and the crashes seen here, and, for the
@@ -172,8 +172,10 @@
 
 // Update applies the update in a keeper's answer to a poll.
 func (r *Reader) Update(ctx context.Context, keeper netip.AddrPort, update *messenger.FollowResponse) {
+	now := r.options.Clock.Now()
+	r.updatedAt.Store(&now)
 	r.mutex.Lock()
-	r.answeringKeepers[keeper], r.updatedAt = true, r.options.Clock.Now()
+	r.answeringKeepers[keeper] = true
 	r.mutex.Unlock()
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
 		r.options.ReportAnswered(keeper, update.GetEpoch())
