--- a/lib/dialer/silent_test.go
+++ b/lib/dialer/silent_test.go
@@ -103,7 +103,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	var accepted atomic.Int64
-	server := Server("fleet", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := Server("fleet", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/slow":
 			close(held)
--- a/router/internal/proxier/recalled_test.go
+++ b/router/internal/proxier/recalled_test.go
@@ -37,13 +37,15 @@
 			f.proxier.options.Client.Clock = clock
 			address, accepted := listenNarrow(t)
 			listing := f.listing(f.add(address))
-			answered := make(chan *http.Response, 1)
+			answered := make(chan int, 1) // the status, 0 without an answer
 			go func() {
 				response, err := f.send(t.Context(), http.MethodPost, test.path, strings.Repeat("x", 8<<10))
-				if err == nil {
-					answered <- response
+				if err != nil {
+					answered <- 0
+					return
 				}
-				close(answered)
+				response.Body.Close()
+				answered <- response.StatusCode
 			}()
 			conn := <-accepted
 			defer conn.Close()
@@ -57,10 +59,7 @@
 			defer cancel()
 			require.NoError(t, clock.BlockUntilContext(ctx, 1))
 			clock.Advance(time.Second)
-			response := <-answered
-			require.NotNil(t, response)
-			defer response.Body.Close()
-			require.Equal(t, test.status, response.StatusCode)
+			require.Equal(t, test.status, <-answered)
 			request, err := http.ReadRequest(reader)
 			if err == nil {
 				_, err = io.Copy(io.Discard, request.Body)
