--- a/lib/forwarder/undelivered_test.go
+++ b/lib/forwarder/undelivered_test.go
@@ -8,24 +8,19 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/narrower"
 )
 
-// listenNarrow starts an endpoint whose connections take few bytes until they are read, as if the path were
-// cut behind them. It passes the connections on unread.
+// listenNarrow starts an endpoint behind a cut. It passes its connections on unread.
 func listenNarrow(t *testing.T) (netip.AddrPort, <-chan net.Conn) {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(descriptor uintptr) {
-			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
-		})
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	listener, err := narrower.Listen(t.Context())
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	accepted := make(chan net.Conn, 1)
--- a/router/internal/proxier/recalled_test.go
+++ b/router/internal/proxier/recalled_test.go
@@ -4,11 +4,9 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/narrower"
 )
 
 // Guards against a request that was written to an endpoint behind a cut, and that reaches it when the cut heals, long
@@ -35,8 +34,10 @@
 			f := newFixture(t)
 			clock := clockwork.NewFakeClock()
 			f.proxier.options.Client.Clock = clock
-			address, accepted := listenNarrow(t)
-			listing := f.listing(f.add(address))
+			held, err := narrower.Listen(t.Context())
+			require.NoError(t, err)
+			defer held.Close()
+			listing := f.listing(f.add(netip.MustParseAddrPort(held.Addr().String())))
 			answered := make(chan int, 1) // the status, 0 without an answer
 			go func() {
 				response, err := f.send(t.Context(), http.MethodPost, test.path, strings.Repeat("x", 8<<10))
@@ -47,10 +48,11 @@
 				response.Body.Close()
 				answered <- response.StatusCode
 			}()
-			conn := <-accepted
+			conn, err := held.Accept()
+			require.NoError(t, err)
 			defer conn.Close()
 			reader := bufio.NewReaderSize(conn, 16)
-			_, err := reader.Peek(1)
+			_, err = reader.Peek(1)
 			require.NoError(t, err)
 			f.endpoint(answerWith("elsewhere"))
 			listing.State = test.state
@@ -68,24 +70,3 @@
 		})
 	}
 }
-
-// listenNarrow starts an endpoint whose connections take few bytes until they are read, as if the path were cut behind
-// them.
-func listenNarrow(t *testing.T) (netip.AddrPort, <-chan net.Conn) {
-	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(descriptor uintptr) {
-			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
-		})
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		if conn, err := listener.Accept(); err == nil {
-			accepted <- conn
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), accepted
-}
--- a/router/internal/relayer/transport_test.go
+++ b/router/internal/relayer/transport_test.go
@@ -4,27 +4,22 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/narrower"
 )
 
 // Guards against a request that was given up behind a cut, and that the system delivers when the cut heals.
 func TestRequestThatWasGivenUpIsNotDeliveredLater(t *testing.T) {
 	for name, singleUse := range map[string]bool{"may be repeated": false, "must not be repeated": true} {
 		t.Run(name, func(t *testing.T) {
-			narrow := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-				return raw.Control(func(descriptor uintptr) {
-					_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
-				})
-			}}
-			listener, err := narrow.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			listener, err := narrower.Listen(t.Context())
 			require.NoError(t, err)
 			defer listener.Close()
 			written := make(chan struct{})
