--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -136,8 +136,7 @@
 	d.summaryCache = routerSummaryCache{}
 	d.lessor.DropExpired(now)
 	d.expireDepartures(now)
-	d.updateMixed()
-	widened := d.subset.updateSizes(d.list.Services())
+	widened := d.subset.updateSizes(d.survey())
 	for _, service := range widened {
 		d.list.Resend(service)
 	}
--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -75,11 +75,18 @@
 	return slices.Sorted(maps.Keys(m.mixed))
 }
 
-// updateMixed finds out again which services have several versions. Endpoints that are gone count
-// until they are dropped: streams that began at them may still be resumed.
-func (d *directory) updateMixed() {
-	d.mixed = mixedServices{}
-	d.list.Each(func(listing *lister.Listing) { d.mixed.observe(*listing) })
+// survey finds out again which services have several versions, and returns the number of ready endpoints of each
+// service. Endpoints that are gone count for the versions until they are dropped: streams that began at them may still be
+// resumed.
+func (d *directory) survey() (ready map[string]int) {
+	d.mixed, ready = mixedServices{}, make(map[string]int)
+	d.list.Each(func(listing *lister.Listing) {
+		d.mixed.observe(*listing)
+		if listing.State == lister.Ready {
+			ready[listing.Service]++
+		}
+	})
+	return ready
 }
 
 // maxLocated bounds the endpoints that are returned to a router that knows none of a version. So
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -452,17 +452,6 @@
 	return dropped
 }
 
-// Services returns the number of ready instances of each service.
-func (l *List) Services() map[string]int {
-	services := make(map[string]int)
-	for _, e := range l.entries {
-		if e.State == Ready && !e.pending {
-			services[e.Service]++
-		}
-	}
-	return services
-}
-
 // Each calls a function for each listing, in any order. It must not keep the listing.
 func (l *List) Each(call func(*Listing)) {
 	for _, e := range l.entries {
