--- a/bench/internal/soaker/endpoint.go
+++ b/bench/internal/soaker/endpoint.go
@@ -172,8 +172,9 @@
 func (e *endpoint) depart(ctx context.Context) {
 	e.stopBeats()
 	client := &http.Client{Timeout: callTimeout}
-	for node := range 2 * len(e.pool.fleet.keepers) {
-		if e.call(ctx, client, http.MethodDelete, int(e.sequence.Load())+node) {
+	first := rand.IntN(len(e.pool.fleet.keepers))
+	for i := range 2 * len(e.pool.fleet.keepers) {
+		if e.call(ctx, client, http.MethodDelete, first+i) {
 			return
 		}
 	}
--- a/bench/internal/soaker/schedule.go
+++ b/bench/internal/soaker/schedule.go
@@ -103,6 +103,8 @@
 		share := r.Float64()
 		pause(ends, release)
 		group.Go(func() { p.release(ctx, share) })
+		stands := rand.New(rand.NewPCG(p.options.Seed, 1<<34))
+		group.Go(func() { p.freeze(ctx, stands, pick(stands, p.fleet.routers)) }) // it misses the new version
 		for range 2 {
 			pause(rough, time.Duration((0.1+0.2*r.Float64())*float64(p.options.Duration)))
 			if rough.Err() != nil {
