--- a/keeper/internal/server/handlers.go
+++ b/keeper/internal/server/handlers.go
@@ -28,8 +28,8 @@
 	return http.MaxBytesHandler(mux, maxControlBody)
 }
 
-// noteFailedCall counts and logs a call that failed at this keeper, whatever its caller did. Its caller sees
-// only that this keeper does not answer.
+// noteFailedCall counts and logs a call that failed by a fault of this keeper, such as an answer that cannot be encoded.
+// Its caller sees only that this keeper does not answer.
 func (s *Server) noteFailedCall(ctx context.Context, err twirp.Error) context.Context {
 	if err.Code() != twirp.Internal || ctx.Err() != nil {
 		return ctx
--- a/router/internal/recaller/recaller.go
+++ b/router/internal/recaller/recaller.go
@@ -12,7 +12,8 @@
 // of no second one.
 //
 // Invariants: an origin is returned only if this router or a keeper has a record of it, and none has a
-// record that contradicts it; that of a stream that its client does not name only if a keeper was asked; records that a keeper has not acknowledged are reported again.
+// record that contradicts it; that of a stream that its client does not name only if a keeper has
+// answered; records that a keeper has not acknowledged are reported again.
 package recaller
 
 import (
@@ -183,16 +184,16 @@
 	case recorded:
 		return own, nil
 	}
-	asked := false
+	origin, asked := versioner.Origin{}, false
 	for answer := range answers(ctx, r, r.recall(stream)) {
 		asked = true
 		if answer.positive {
-			own = originOf(answer.value)
-			r.store.Add(r.options.Clock.Now(), stream, own)
+			origin = originOf(answer.value)
+			r.store.Add(r.options.Clock.Now(), stream, origin)
 			break
 		}
 	}
-	return own, r.check(own, asked)
+	return origin, r.check(origin, asked)
 }
 
 // agreed returns the origin of all streams with a key, if there is only one. Own is that which this
@@ -215,7 +216,7 @@
 	return own, r.check(own, asked)
 }
 
-// check returns the error for an origin that was found, by whether a keeper was asked.
+// check returns the error for an origin that was searched for, by whether a keeper has answered.
 func (r *Recaller) check(origin versioner.Origin, asked bool) error {
 	switch {
 	case !asked && r.options.Keepers != nil:
