Review case 7: crashes are forgotten when the keepers are restarted in turn

Evidence of requests that crash workers is in the keepers' memory until it leads to a quarantine. A restarted keeper is told the crashes of the last 30 s only, so that after a planned restart of all keepers a request that has crashed two workers may crash three more before it counts as a culprit.

A script sends such a request twice, restarts the keepers one by one, and sends it again.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -142,7 +142,7 @@
 // startRouter starts the router with a number, as deploy/router.json says. Seeds is the network in which it is told
 // to look for keepers.
 func (f *fleet) startRouter(number, seeds int) error {
-	name := fmt.Sprintf("front-%s-1", zoneOf(number))
+	name := fmt.Sprintf("front-%s-%d", zoneOf(number), 1+(number-1)/len(zones))
 	path, err := f.writeSettings(name, map[string]any{"platform": map[string]any{
 		"name": name, "zone": zoneOf(number), "listen": f.address(netRouter, number, portFront),
 		"ready": f.address(netRouter, number, portReady), "metrics": f.address(netRouter, number, portMetrics),
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by number. Each reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"6": forgottenKeepers,
+	"7": forgottenCrashes,
 }
 
 func main() {
