Review case 8: a crashing request counts anew for each key of its caller

The digest by which repeats of a request are recognised holds the key, not the workspace that holds the key. A tenant with two keys, as during a rotation, gets three crashes for each.

A script sends such a request with two keys by turns, with no other disruption.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"6": forgottenKeepers,
 	"7": forgottenCrashes,
+	"8": twoKeys,
 }
 
 func main() {
