--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 	"6": forgottenKeepers,
 	"7": forgottenCrashes,
 	"8": twoKeys,
+	"9": unknownKey,
 }
 
 func main() {
