Review: an interrupted script ends its processes

Cause: the driver of the review's scripts ended its processes only when a case returned; a run that was interrupted left five of them behind. Done: it closes the fleet on SIGINT, SIGTERM and SIGHUP, and starts nothing once it closes.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -164,13 +166,11 @@
 	}
 	command := exec.Command(program, "--settings", settings)
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
+	p := &process{command: command, ended: make(chan struct{})}
+	if err := f.startUnlessClosing(name, p); err != nil {
+		_ = log.Close()
 		return err
 	}
-	p := &process{command: command, ended: make(chan struct{})}
-	f.mutex.Lock()
-	f.processes[name] = p
-	f.mutex.Unlock()
 	f.notef("%s started", name)
 	go func() {
 		err := command.Wait()
@@ -185,6 +185,32 @@
 	return nil
 }
 
+// startUnlessClosing starts a process and registers it, so that close ends each process that was started.
+func (f *fleet) startUnlessClosing(name string, p *process) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.closing {
+		return errors.New("the fleet is closing")
+	}
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	f.processes[name] = p
+	return nil
+}
+
+// closeOnInterrupt ends all processes and the program when the program is interrupted.
+func (f *fleet) closeOnInterrupt() {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-interrupts
+		f.notef("interrupted")
+		f.close()
+		os.Exit(statusFailed)
+	}()
+}
+
 // signal sends a signal to a process and, after SIGKILL, waits for its end.
 func (f *fleet) signal(name string, signal syscall.Signal) {
 	f.mutex.Lock()
@@ -201,7 +227,7 @@
 func (f *fleet) close() {
 	f.mutex.Lock()
 	f.closing = true
-	processes := f.processes
+	processes := maps.Clone(f.processes)
 	f.mutex.Unlock()
 	for _, p := range processes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,6 +34,7 @@
 		return statusFailed
 	}
 	defer f.close()
+	f.closeOnInterrupt()
 	broken, err := play(f, trouble)
 	switch {
 	case err != nil:
