Subscriber: the silence of all keepers makes none unknown

What callers saw: after 40 s without an answer of any keeper a router kept its configuration for good: dropped routes and keys were served, added routes got 404. Routers that started 35 s before the keepers answered 503 for good.

Cause: forget removed each keeper that no answer had named for 30 s, the last one too, and only answers name keepers.

Why it works: a keeper is removed only while others answer and name a group without it, and time without such answers does not count. While none answers, the seeds of the settings are polled as well.

--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -139,7 +139,7 @@
 	}
 	seeds := read.SeedAddresses()
 	s.seeds.Store(&seeds)
-	s.subscriber.AddKeepers(seeds...)
+	s.subscriber.SetSeeds(seeds...)
 	return nil
 }
 
--- a/lib/subscriber/members.go
+++ b/lib/subscriber/members.go
@@ -3,11 +3,21 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"shallotkeel.example/lib/messenger"
 )
 
+// SetSeeds sets the control addresses that the settings name. They are polled whenever no keeper
+// answers, whatever was learned since. It has no effect before Run.
+func (s *Subscriber) SetSeeds(seeds ...netip.AddrPort) {
+	s.mutex.Lock()
+	s.seeds = slices.Clone(seeds)
+	s.mutex.Unlock()
+	s.AddKeepers(seeds...)
+}
+
 // AddKeepers adds keepers by their control addresses. It has no effect before Run.
 func (s *Subscriber) AddKeepers(addresses ...netip.AddrPort) {
 	s.mutex.Lock()
@@ -88,11 +98,15 @@
 // keeper or zone. An answer without a group refers to the group that its keeper named before.
 func (s *Subscriber) updateGroup(now time.Time, f *subscription, answer *messenger.FollowResponse) bool {
 	if len(answer.GetKeepers()) == 0 {
+		if len(f.groupAddresses) > 0 {
+			s.noteNaming(now)
+		}
 		for _, address := range f.groupAddresses {
 			s.noteMember(now, address, "")
 		}
 		return false
 	}
+	s.noteNaming(now)
 	changed := false
 	f.group, f.groupAddresses = answer.GetGroup(), nil
 	for i, text := range answer.GetKeepers() {
@@ -111,6 +125,16 @@
 	return changed
 }
 
+// noteNaming records that an answer names a group. Nobody could name a keeper in a silence before it.
+func (s *Subscriber) noteNaming(now time.Time) {
+	if silence := now.Sub(s.lastNaming); !s.lastNaming.IsZero() && silence >= silenceTimeout {
+		for _, known := range s.members {
+			known.lastNamed = known.lastNamed.Add(silence)
+		}
+	}
+	s.lastNaming = now
+}
+
 // updateDemotion ranks a keeper that is lost or isolated behind the others for demotionTime, and
 // ends the demotion of a keeper that answers and is not isolated.
 func (s *Subscriber) updateDemotion(now time.Time, address netip.AddrPort, f *subscription) {
@@ -130,7 +154,12 @@
 		return
 	}
 	s.lastReconciled = now
-	s.forget(now)
+	s.forget()
+	if now.Sub(s.lastNaming) >= silenceTimeout {
+		for _, address := range s.seeds {
+			s.noteMember(now, address, "")
+		}
+	}
 	wanted := make(map[netip.AddrPort]bool)
 	for _, address := range s.wanted(now) {
 		wanted[address] = true
@@ -147,12 +176,14 @@
 	}
 }
 
-// forget removes keepers that do not answer and have not been named for unnamedTimeout.
-func (s *Subscriber) forget(now time.Time) {
+// forget removes keepers that do not answer and that the answers of others have not named for
+// unnamedTimeout. While no keeper answers, none is removed: nothing would name them again.
+func (s *Subscriber) forget() {
 	for address, known := range s.members {
 		f, found := s.followed[address]
 		answers := found && f.answering
-		if now.Sub(known.lastNamed) >= unnamedTimeout && !answers {
+		if s.lastNaming.Sub(known.lastNamed) >= unnamedTimeout && !answers {
+			s.options.Log.Info().Stringer("keeper", address).Msg("keeper is forgotten: it does not answer, and the others name a group without it")
 			delete(s.members, address)
 		}
 	}
--- a/lib/subscriber/subscriber.go
+++ b/lib/subscriber/subscriber.go
@@ -15,7 +15,9 @@
 //   - a keeper that does not answer is polled again after a pause that grows to MaxPause at
 //     most, or after demotionTime if another keeper is followed in its place, so that its
 //     return is detected within that time;
-//   - the silence of one keeper does not delay the updates of another.
+//   - the silence of one keeper does not delay the updates of another;
+//   - the silence of all keepers makes none of them unknown: when they answer again after any time,
+//     this process follows them without a restart.
 package subscriber
 
 import (
@@ -57,9 +59,12 @@
 	// detection that it is up.
 	initialSlack       = 120 * time.Millisecond
 	slackDoublingTries = 5
-	// unnamedTimeout is how long a keeper is still polled after it was last named by an answer or
-	// the settings.
+	// unnamedTimeout is how long a keeper is still polled while other keepers answer and name a
+	// group without it. Time in which none of them answers does not count.
 	unnamedTimeout = 30 * time.Second
+	// silenceTimeout is the time without an answer that names a group after which the keepers count
+	// as silent. It is longer than the longest poll.
+	silenceTimeout = 3 * time.Second
 	// settleTime is the period after the first complete list in which a primary that answers is
 	// replaced only by a keeper of the own zone, and a primary of the own zone not at all.
 	settleTime = 2 * time.Second
@@ -113,6 +118,8 @@
 	followed       map[netip.AddrPort]*subscription
 	ending         map[netip.AddrPort]<-chan struct{} // closed when the goroutine of a former subscription has ended
 	primary        netip.AddrPort
+	seeds          []netip.AddrPort
+	lastNaming     time.Time     // time of the last answer that named a group, zero if there was none
 	lastReconciled time.Time     // time of the last reconcile
 	firstListing   time.Time     // time of the first complete list from a keeper
 	answered       bool          // whether any keeper has answered since the start
@@ -165,7 +172,7 @@
 	s.mutex.Lock()
 	s.ctx = ctx
 	s.mutex.Unlock()
-	s.AddKeepers(seeds...)
+	s.SetSeeds(seeds...)
 	<-ctx.Done()
 	s.group.Wait()
 }
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -338,7 +338,7 @@
 	if err := loader.Decode(d.path, text, &read); err != nil {
 		return err
 	}
-	d.subscriber.AddKeepers(read.Platform.seeds()...)
+	d.subscriber.SetSeeds(read.Platform.seeds()...)
 	return nil
 }
 
