Proxier: a key that nobody holds is refused on open routes, too

Cause: identify returned "found || anonymous": a key that is shown and not known counted as none.

Why it works: on an open route a shown key must be held by the configuration, if that is known to be the newest: keepers with a quorum have answered for 3 s and named no newer version. A router out of touch lets it pass as before.

The scheme is read in any case (RFC 9110, 11.1).

--- a/router/internal/proxier/admission.go
+++ b/router/internal/proxier/admission.go
@@ -243,7 +243,8 @@
 }
 
 // identify resolves the request's workspace by its key. It returns false if the configuration
-// requires keys, no workspace holds this one and the route does not allow anonymous requests.
+// requires keys and no workspace holds this one, unless the route allows anonymous requests and the
+// request shows no key. On such a route a key also passes that a newer configuration may hold.
 func (p *Proxier) identify(q *request) bool {
 	if !q.table.RequiresKey() {
 		return true
@@ -252,7 +253,7 @@
 	if found {
 		q.workspace = workspace.Name
 	}
-	return found || q.route.Anonymous
+	return found || q.route.Anonymous && (q.in.Key == "" || !p.options.FleetState.Current())
 }
 
 // maxKeyLogLines limits the log lines per second about keys that no workspace holds: a workspace
--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -50,8 +50,12 @@
 	ready   chan struct{}
 	table   atomic.Pointer[resolver.Table]
 	listAge time.Duration
+	// outOfTouch is set while the table may be older than the newest one.
+	outOfTouch bool
 }
 
+func (s *stubFleetState) Current() bool { return !s.outOfTouch }
+
 func (s *stubFleetState) Table() *resolver.Table { return s.table.Load() }
 
 func (s *stubFleetState) Ready() <-chan struct{} { return s.ready }
--- a/router/internal/proxier/key_test.go
+++ b/router/internal/proxier/key_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -78,3 +79,77 @@
 		})
 	}
 }
+
+// tableWithKeys returns a table with one open route, and a workspace that holds the keys if there are any.
+func tableWithKeys(t *testing.T, keys ...string) *resolver.Table {
+	t.Helper()
+	plan := resolver.Plan{
+		Version: 1, Services: []resolver.Service{{Name: "desk"}},
+		Routes: []resolver.Route{{
+			Name: "read", Host: "h", Prefix: "/read/", Kind: resolver.Repeatable, Attempts: 1, Timeout: waitTimeout, Anonymous: true,
+			Shares: []resolver.Share{{Service: "desk", Weight: 1}},
+		}},
+	}
+	if len(keys) > 0 {
+		plan.Workspaces = []resolver.Workspace{{Name: "club", Keys: keys}}
+	}
+	compiled, err := resolver.Compile(plan)
+	require.NoError(t, err)
+	return compiled
+}
+
+// Guards against requests that run with a key that no configuration holds, because their route needs none.
+func TestUnknownKeysAreRefusedOnEveryRoute(t *testing.T) {
+	const open, closed = "/read/", "/draft/"
+	tests := map[string]struct {
+		path, authorization string
+		outOfTouch, noKeys  bool
+		status              int
+		workspace           string // as the endpoint is told
+	}{
+		"no key, open":                           {path: open, status: http.StatusOK},
+		"no key, closed":                         {path: closed, status: http.StatusUnauthorized},
+		"a held key, open":                       {path: open, authorization: "Bearer key", status: http.StatusOK, workspace: "club"},
+		"a held key, closed":                     {path: closed, authorization: "Bearer key", status: http.StatusOK, workspace: "club"},
+		"the scheme in another case":             {path: open, authorization: "bearer key", status: http.StatusOK, workspace: "club"},
+		"an unknown key, open":                   {path: open, authorization: "Bearer none", status: http.StatusUnauthorized},
+		"an unknown key, scheme in another case": {path: open, authorization: "BEARER  none", status: http.StatusUnauthorized},
+		"an unknown key, closed":                 {path: closed, authorization: "Bearer none", status: http.StatusUnauthorized},
+		"a key that was taken away, open":        {path: open, authorization: "Bearer former", status: http.StatusUnauthorized},
+		"another scheme, open":                   {path: open, authorization: "Basic bm9uZQ==", status: http.StatusOK},
+		"an empty key, open":                     {path: open, authorization: "Bearer ", status: http.StatusOK},
+		"an unknown key, open, out of touch":     {path: open, authorization: "Bearer none", outOfTouch: true, status: http.StatusOK},
+		"an unknown key, closed, out of touch":   {path: closed, authorization: "Bearer none", outOfTouch: true, status: http.StatusUnauthorized},
+		"a held key, open, out of touch":         {path: open, authorization: "Bearer key", outOfTouch: true, status: http.StatusOK, workspace: "club"},
+		"no workspaces":                          {path: open, authorization: "Bearer none", noKeys: true, status: http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.fleetState.outOfTouch = test.outOfTouch
+			workspaces := make(chan string, 1)
+			f.endpoint(func(conn net.Conn, r *http.Request) {
+				workspaces <- r.Header.Get(tenantHeader)
+				if test.path == open {
+					reply(conn, r, http.StatusOK, "served")
+					return
+				}
+				beginStream(conn, r, 1, 1)
+				endStream(conn)
+			})
+			f.fleetState.table.Load().InheritRemovedKeys(tableWithKeys(t, "key", "former"))
+			if test.noKeys {
+				f.fleetState.table.Store(tableWithKeys(t))
+			}
+			response := f.do(http.MethodPost, test.path, "", "Authorization", test.authorization)
+			_, err := readText(response)
+			require.NoError(t, err)
+			require.Equal(t, test.status, response.StatusCode)
+			if test.status != http.StatusOK {
+				require.Empty(t, workspaces, "it has run")
+				return
+			}
+			require.Equal(t, test.workspace, <-workspaces)
+		})
+	}
+}
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -65,6 +65,8 @@
 	Table() *resolver.Table
 	// Ready returns a channel that is closed once there is a table.
 	Ready() <-chan struct{}
+	// Current reports whether the table is known to be the newest one.
+	Current() bool
 	// ListAge returns how old the list of endpoints is.
 	ListAge() time.Duration
 }
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -81,6 +81,7 @@
 	ready   chan struct{} // closed once there is a configuration
 	// updatedAt is the time of the last answer of any keeper, nil if there is none.
 	updatedAt atomic.Pointer[time.Time]
+	contact   contact
 
 	mutex            sync.Mutex
 	list             lister.List
@@ -176,7 +177,9 @@
 	r.updatedAt.Store(&now)
 	r.mutex.Lock()
 	r.answeringKeepers[keeper] = true
+	sent := r.pollSentAt[keeper]
 	r.mutex.Unlock()
+	r.contact.answered(sent, update.GetPlan(), update.GetIsolated())
 	if r.options.ReportAnswered != nil && !update.GetBrief() {
 		r.options.ReportAnswered(keeper, update.GetEpoch())
 	}
