Crashes of endpoints outlast restarts of keepers and routers

What callers saw: a request that had crashed two endpoints, came again after 35 s and a planned restart of the keepers in turn, and crashed a third one, reached five more endpoints, each with whatever else ran there. Three are allowed.

Cause: crashes were in the keepers' memory. A keeper that starts again was told those of the last 30 s by routers, and those of the last 5 s by other keepers.

Why it works: a router tells its crashes for as long as a keeper remembers them, 10 minutes, again to a keeper that did not answer or answers from another run; a keeper has them in a file, written within a second and at the planned stop; it tells all it knows to a keeper that did not answer or has started. So any one of them is enough. Answers are remembered and told like crashes, so that what is told again stays refuted, and restored crashes wait for the routers' answers.

TestCrashesAreReportedUntilAcknowledged asked that a crash is not told after a minute, which was the fault; it asks that it is after 9 minutes and not after 10.

--- a/keeper/internal/archiver/archiver_test.go
+++ b/keeper/internal/archiver/archiver_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/recorder"
 )
 
@@ -60,3 +61,40 @@
 		require.ErrorIs(t, err, recorder.ErrDamaged, "byte %d", at)
 	}
 }
+
+// Guards against crashes that a restart makes older or younger than they are, or that a clock which was set
+// back makes unusable.
+func TestCrashesKeepTheirAge(t *testing.T) {
+	evidence := localizer.Report{
+		Crashes: []localizer.Crash{{Lifetime: 5, Service: 1, At: now.Add(-time.Minute), Features: []localizer.Feature{2, 3}}},
+		Answers: []localizer.Answer{{Feature: 2, At: now.Add(-time.Hour)}},
+	}
+	tests := map[string]struct {
+		readAt, written time.Time
+	}{
+		"at once":                {now, now},
+		"after a long time":      {now.Add(8 * time.Minute), now},
+		"the clock was set back": {now.Add(-5 * time.Second), now.Add(-5 * time.Second)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			files := recorder.NewMemory()
+			_, err := ReadCrashes(files, now)
+			require.ErrorIs(t, err, fs.ErrNotExist)
+			require.NoError(t, WriteCrashes(files, now, localizer.Report{}))
+			require.NoError(t, WriteCrashes(files, now, evidence))
+			read, err := ReadCrashes(files, test.readAt)
+			require.NoError(t, err)
+			require.Equal(t, evidence.Crashes[0].Features, read.Crashes[0].Features)
+			require.True(t, test.written.Add(-time.Minute).Equal(read.Crashes[0].At))
+			require.True(t, test.written.Add(-time.Hour).Equal(read.Answers[0].At))
+		})
+	}
+	files := recorder.NewMemory()
+	file, err := files.Create(crashesName)
+	require.NoError(t, err)
+	_, err = file.Write([]byte("no copy"))
+	require.NoError(t, err)
+	_, err = ReadCrashes(files, now)
+	require.ErrorIs(t, err, recorder.ErrDamaged)
+}
--- a/keeper/internal/server/archiving.go
+++ b/keeper/internal/server/archiving.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"errors"
 	"io/fs"
 	"time"
@@ -10,16 +9,47 @@
 	"shallotkeel.example/lib/lister"
 )
 
-// archiveInterval is the pause between two checks whether the list of endpoints has changed
-// since its copy was last written to disk. It bounds how often the copy causes a disk sync.
-const archiveInterval = time.Second
+const (
+	// archiveInterval is the pause between two checks whether the list of endpoints, or what is known of
+	// crashes, has changed since its copy was last written to disk. It bounds how often the copies cause
+	// disk syncs, and what is lost if all processes are killed.
+	archiveInterval = time.Second
+	// lastArchiveTime bounds the time for which a planned stop waits for the last copies: a disk may hang.
+	lastArchiveTime = time.Second
+)
+
+// archived holds the revisions of the copies on disk.
+type archived struct {
+	listings uint64
+	crashes  uint64
+}
 
-// restore loads the list of endpoints that was on disk before a restart. A copy that is missing,
-// stale or damaged leaves the list empty until endpoints send heartbeats.
+// restore loads the soft state that was on disk before a restart.
 func (s *Server) restore() {
-	if s.settings.Platform == nil {
+	s.restoreCrashes()
+	if s.settings.Platform != nil {
+		s.restoreListings()
+	}
+}
+
+// restoreCrashes loads what this keeper knew of crashes. Without a copy it learns what routers and other
+// keepers still know.
+func (s *Server) restoreCrashes() {
+	evidence, err := archiver.ReadCrashes(s.files, s.clock.Now())
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return
+	case err != nil:
+		s.log.Warn().Err(err).Msg("copy of known crashes on disk is unusable; older crashes are known as far as routers and other keepers tell them again")
 		return
 	}
+	s.directory.restoreCrashes(s.clock.Now(), evidence)
+	s.log.Info().Int("crashes", len(evidence.Crashes)).Int("answers", len(evidence.Answers)).Msg("restored the known crashes from the copy on disk")
+}
+
+// restoreListings loads the list of endpoints. A copy that is missing, stale or damaged leaves the list
+// empty until endpoints send heartbeats.
+func (s *Server) restoreListings() {
 	listings, err := archiver.Read(s.files, s.clock.Now())
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
@@ -38,23 +68,58 @@
 	s.log.Info().Int("endpoints", len(listings)).Int("leaving", leaving).Msg("restored the endpoint list from the copy on disk")
 }
 
-// archive writes a copy of the list of endpoints to disk whenever the list has changed, until
-// the context ends. It runs in a goroutine of its own, and no other goroutine waits for it,
-// because a disk may hang.
-func (s *Server) archive(ctx context.Context) {
-	written := uint64(0)
-	for s.pause(ctx, archiveInterval) == nil {
-		revision, listings := s.directory.listingsIfChanged(written)
-		if revision == written {
-			continue
+// archive writes copies of the soft state to disk whenever it has changed, until last is closed, and a
+// last time then. It runs in a goroutine of its own, and no other goroutine waits long for it, because a
+// disk may hang.
+func (s *Server) archive(last <-chan struct{}) {
+	var written archived
+	for stopping := false; !stopping; {
+		select {
+		case <-last:
+			stopping = true
+		case <-s.clock.After(archiveInterval):
+		}
+		s.archiveCrashes(&written)
+		s.archiveListings(&written)
+	}
+}
+
+// archiveListings writes the list of endpoints if it has changed.
+func (s *Server) archiveListings(written *archived) {
+	revision, listings := s.directory.listingsIfChanged(written.listings)
+	if revision == written.listings {
+		return
+	}
+	if err := archiver.Write(s.files, s.clock.Now(), listings); err != nil {
+		if s.archiveDamper.Admit(s.clock.Now(), s.log) {
+			s.log.Warn().Err(err).Msg("endpoint list copy could not be written to disk; retrying")
 		}
-		if err := archiver.Write(s.files, s.clock.Now(), listings); err != nil {
-			if s.archiveDamper.Admit(s.clock.Now(), s.log) {
-				s.log.Warn().Err(err).Msg("endpoint list copy could not be written to disk; retrying")
-			}
-			continue
+		return
+	}
+	written.listings = revision
+}
+
+// archiveCrashes writes what is known of crashes if it has changed.
+func (s *Server) archiveCrashes(written *archived) {
+	revision, evidence := s.directory.crashEvidence(written.crashes)
+	if revision == written.crashes {
+		return
+	}
+	if err := archiver.WriteCrashes(s.files, s.clock.Now(), evidence); err != nil {
+		if s.archiveDamper.Admit(s.clock.Now(), s.log) {
+			s.log.Warn().Err(err).Msg("copy of known crashes could not be written to disk; retrying")
 		}
-		written = revision
+		return
+	}
+	written.crashes = revision
+}
+
+// awaitArchive waits until the last copies have been written, for lastArchiveTime at most.
+func (s *Server) awaitArchive(written <-chan struct{}) {
+	select {
+	case <-written:
+	case <-s.clock.After(lastArchiveTime):
+		s.log.Warn().Msg("the last copies of the soft state are not on disk: the disk is slow; what changed in the last second is lost")
 	}
 }
 
--- a/keeper/internal/server/archiving_test.go
+++ b/keeper/internal/server/archiving_test.go
@@ -89,3 +89,23 @@
 	require.Len(t, again.GetListings(), 1)
 	require.False(t, again.GetListings()[0].GetSilent())
 }
+
+// Guards against crashes that a planned stop forgets because their copy was to be written a moment later.
+func TestPlannedStopKeepsTheLatestCrashes(t *testing.T) {
+	address := freeAddress()
+	p := newSeededKeeper(t, "keeper-1", address, []netip.AddrPort{address})
+	for lifetime := range uint64(3) {
+		p.start(t)
+		crash := []*messenger.Crash{{Endpoint: lifetime, Service: 1, Features: []uint64{badFeature}}}
+		require.Eventually(t, func() bool {
+			_, err := p.planning.Follow(t.Context(), &messenger.FollowRequest{Node: "router", Crashes: crash})
+			return err == nil
+		}, waitTimeout, 20*time.Millisecond)
+		p.stop(t)
+	}
+	p.start(t)
+	require.Eventually(t, func() bool {
+		response, err := p.planning.Follow(t.Context(), &messenger.FollowRequest{Node: "another"})
+		return err == nil && len(response.GetQuarantined()) == 1
+	}, waitTimeout, 20*time.Millisecond)
+}
--- a/keeper/internal/server/crashes.go
+++ b/keeper/internal/server/crashes.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// crashEvidence returns the current revision of what this keeper knows of crashes, and all of it if that
+// revision differs from the given one.
+func (d *directory) crashEvidence(revision uint64) (uint64, localizer.Report) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if current := d.crashes.judge.Recorded(); current != revision {
+		return current, d.crashes.judge.Evidence()
+	}
+	return revision, localizer.Report{}
+}
+
+// restoreCrashes adds what this keeper knew of crashes before a restart.
+func (d *directory) restoreCrashes(now time.Time, evidence localizer.Report) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.crashes.judge.Restore(now, evidence)
+}
+
 // takeUnreplicated returns the changes of quarantines that are to be replicated, once.
 func (d *directory) takeUnreplicated() []localizer.Quarantine {
 	d.lock.Lock()
@@ -122,7 +140,7 @@
 
 // crashCounts is what the metrics tell of crashes.
 type crashCounts struct {
-	quarantined, suspects, begun, lifted int
+	quarantined, suspects, known, begun, lifted int
 }
 
 // crashCounts returns the current counts.
@@ -131,7 +149,7 @@
 	defer d.lock.Unlock()
 	return crashCounts{
 		quarantined: d.crashes.judge.QuarantineCount(), suspects: len(d.crashes.judge.Suspects()),
-		begun: d.crashes.begun, lifted: d.crashes.lifted,
+		known: d.crashes.judge.CrashCount(), begun: d.crashes.begun, lifted: d.crashes.lifted,
 	}
 }
 
--- a/keeper/internal/server/crashes_test.go
+++ b/keeper/internal/server/crashes_test.go
@@ -66,7 +66,7 @@
 	reportCrash(&first, testStart, "a", 1)
 	relay := func(d *directory, since time.Time) *messenger.FollowRequest {
 		report := &messenger.FollowRequest{Node: "keeper", Keeper: true}
-		d.summarize(testStart.Add(time.Second), since, report)
+		d.summarize(testStart.Add(time.Second), since, false, report)
 		return report
 	}
 	report := relay(&first, testStart)
--- a/keeper/internal/server/directory.go
+++ b/keeper/internal/server/directory.go
@@ -318,14 +318,20 @@
 }
 
 // summarize adds the reports of the routers that report to this keeper to its own report, which
-// it sends to another keeper. Reports of crashes are added if they arrived from a time on.
-func (d *directory) summarize(now, since time.Time, report *messenger.FollowRequest) {
+// it sends to another keeper. Reports of crashes are added if they arrived from a time on, or, for a
+// keeper that may have missed earlier ones, all that this keeper knows of crashes.
+func (d *directory) summarize(now, since time.Time, missed bool, report *messenger.FollowRequest) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	summary := d.summaryCache.get(now, d.followers)
 	report.Reporting, report.BacklogMs = summary.direct, summary.directBacklog
 	report.Uses, report.Loads = d.directSums.uses.toWire(), d.directSums.loads.excluding(nil)
-	d.crashes.relay(now, since, report)
+	if missed {
+		evidence := d.crashes.judge.Evidence()
+		evidence.AddTo(report, now)
+	} else {
+		d.crashes.relay(now, since, report)
+	}
 	report.Holdings = indexer.ToWire(d.holdings.direct.RefreshedSince(now, since))
 }
 
--- a/keeper/internal/server/holdings_test.go
+++ b/keeper/internal/server/holdings_test.go
@@ -213,7 +213,7 @@
 				continue
 			}
 			request := &messenger.FollowRequest{Node: address(from), Address: address(from), Keeper: true, Epoch: epoch, Unheard: unreachable}
-			d.summarize(now, g.polled[path], request)
+			d.summarize(now, g.polled[path], false, request)
 			g.polled[path] = now
 			g.sent += len(request.GetHoldings())
 			other.follow(now, request)
--- a/keeper/internal/server/loads_test.go
+++ b/keeper/internal/server/loads_test.go
@@ -27,7 +27,7 @@
 	}
 	exchange := func(now time.Time, from, to *directory) {
 		report := &messenger.FollowRequest{Node: "keeper", Keeper: true}
-		from.summarize(now, time.Time{}, report)
+		from.summarize(now, time.Time{}, false, report)
 		from.addOccasionalTo(now, &occasional{}, report)
 		to.follow(now, report)
 	}
--- a/keeper/internal/server/metrics.go
+++ b/keeper/internal/server/metrics.go
@@ -41,6 +41,7 @@
 	gauge("evacuated_zones", "Zones whose endpoints get no new work.", func(v *view) float64 { return float64(len(v.evacuations.Zones)) })
 	gauge("quarantined_features", "Features that are quarantined because endpoints crash under requests that have them.", func(*view) float64 { return float64(s.directory.crashCounts().quarantined) })
 	gauge("suspect_features", "Features about whose answers routers are asked.", func(*view) float64 { return float64(s.directory.crashCounts().suspects) })
+	gauge("known_crashes", "Lifetimes of endpoints that have crashed, as far as this keeper remembers them.", func(*view) float64 { return float64(s.directory.crashCounts().known) })
 	counter("quarantines_begun_total", "Quarantines that this keeper has begun.", func(*view) float64 { return float64(s.directory.crashCounts().begun) })
 	counter("quarantines_lifted_total", "Quarantines that this keeper has lifted, because requests were answered.", func(*view) float64 { return float64(s.directory.crashCounts().lifted) })
 	gauge("known_prefixes", "Shared prompt prefixes at engines that routers have recently reported.", func(*view) float64 { return float64(s.directory.holdingsCount(s.clock.Now())) })
--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -36,20 +36,26 @@
 	mutex        sync.Mutex
 	pending      map[netip.AddrPort]time.Time // start of the poll in flight
 	acknowledged map[netip.AddrPort]time.Time // start of the last poll that was answered
-	occasional   map[netip.AddrPort]*occasional
+	// epochs identify the runs of the peers that have answered each poll since they were told all that is
+	// known of crashes. A peer that is missing did not answer, or has started again.
+	epochs     map[netip.AddrPort]uint64
+	occasional map[netip.AddrPort]*occasional
 }
 
 // begin records the start of a poll of a peer. It returns the start of the last poll that
-// the peer answered: heartbeats since then may be unknown to it.
-func (t *deliveryTimes) begin(now time.Time, keeper netip.AddrPort) time.Time {
+// the peer answered, since heartbeats after it may be unknown to it, and whether the peer may have
+// missed reports of crashes from before that.
+func (t *deliveryTimes) begin(now time.Time, keeper netip.AddrPort) (since time.Time, missed bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.pending == nil {
 		t.pending = make(map[netip.AddrPort]time.Time)
 		t.acknowledged = make(map[netip.AddrPort]time.Time)
+		t.epochs = make(map[netip.AddrPort]uint64)
 	}
 	t.pending[keeper] = now
-	return t.acknowledged[keeper]
+	_, told := t.epochs[keeper]
+	return t.acknowledged[keeper], !told
 }
 
 // occasionalOf records when the peer was sent what is not in each report.
@@ -65,31 +71,43 @@
 	return t.occasional[keeper]
 }
 
-// acknowledge records that a peer has received the content of the poll in flight.
-func (t *deliveryTimes) acknowledge(keeper netip.AddrPort) {
+// acknowledge records that a peer has received the content of the poll in flight, and by which of its runs.
+func (t *deliveryTimes) acknowledge(keeper netip.AddrPort, epoch uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.acknowledged[keeper] = t.pending[keeper]
+	if former, told := t.epochs[keeper]; told && former != epoch {
+		delete(t.epochs, keeper) // this run was told the latest reports only
+		return
+	}
+	t.epochs[keeper] = epoch
+}
+
+// lose records that a peer does not answer. What is kept for it is dropped before it may be back.
+func (t *deliveryTimes) lose(keeper netip.AddrPort) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.epochs, keeper)
 }
 
 // Report returns the recent heartbeats of endpoints that reached this keeper, and the sums of
 // the reports of the routers that report to it.
 func (c peerSubscription) Report(keeper netip.AddrPort, _ bool) *messenger.FollowRequest {
 	now := c.clock.Now()
-	since := c.deliveries.begin(now, keeper)
+	since, missed := c.deliveries.begin(now, keeper)
 	report := &messenger.FollowRequest{
 		Node: c.settings.Name, Zone: c.settings.Zone, Keeper: true, Address: c.settings.Address().String(),
 		Plan: c.view.Load().plan.GetVersion(), Heard: c.directory.recentHeartbeats(now, since),
 		Unheard: c.subscriber.UnansweringKeepers(), Begun: c.directory.streamOrigins.since(now, since),
 	}
-	c.directory.summarize(now, since, report)
+	c.directory.summarize(now, since, missed, report)
 	c.directory.addOccasionalTo(now, c.deliveries.occasionalOf(keeper), report)
 	return report
 }
 
 // Update merges the listings of a peer's answer into the directory.
 func (c peerSubscription) Update(_ context.Context, keeper netip.AddrPort, response *messenger.FollowResponse) {
-	c.deliveries.acknowledge(keeper)
+	c.deliveries.acknowledge(keeper, response.GetEpoch())
 	m := c.directory.merge(c.clock.Now(), keeper.String(), response.GetListings())
 	if m.invalid != nil && c.heartbeatDamper.Admit(c.clock.Now(), c.log) {
 		c.log.Warn().Err(m.invalid).Stringer("keeper", keeper).Msg("peer sent a listing that cannot be decoded; ignoring it")
@@ -100,9 +118,11 @@
 	}
 }
 
-// Lost does nothing: the listings of an unreachable peer are kept until other keepers
-// update them.
-func (c peerSubscription) Lost(netip.AddrPort, error) {}
+// Lost records that a peer has to be told all crashes again. Its listings are kept until other
+// keepers update them.
+func (c peerSubscription) Lost(keeper netip.AddrPort, _ error) {
+	c.deliveries.lose(keeper)
+}
 
 // runDirectory follows the other keepers until the context ends.
 func (s *Server) runDirectory(ctx context.Context) {
@@ -116,7 +136,6 @@
 			s.subscriber.Pace(wait, wait)
 		}
 	}()
-	go s.archive(ctx)
 	go reloader.Watch(ctx, s.settings.File, s.clock, s.log, s.reload)
 	s.subscriber.Run(ctx, *s.seeds.Load()...)
 }
--- a/keeper/internal/server/router_summary_test.go
+++ b/keeper/internal/server/router_summary_test.go
@@ -21,7 +21,7 @@
 	exchange := func() {
 		for from, to := range map[*directory]*directory{&a: &b, &b: &a} {
 			report := &messenger.FollowRequest{Node: "keeper", Keeper: true}
-			from.summarize(testStart, time.Time{}, report)
+			from.summarize(testStart, time.Time{}, false, report)
 			to.follow(testStart, report)
 		}
 	}
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -254,6 +254,11 @@
 		}
 	})
 	background.Go(func() { s.expireDirectory(backgroundCtx) })
+	lastArchive, archiveWritten := make(chan struct{}), make(chan struct{})
+	go func() {
+		s.archive(lastArchive)
+		close(archiveWritten)
+	}()
 	if s.settings.Platform != nil {
 		background.Go(func() { s.runDirectory(backgroundCtx) })
 	}
@@ -267,6 +272,8 @@
 	endBackground()
 	background.Wait()
 	s.stop(servers, failure == nil)
+	close(lastArchive)
+	s.awaitArchive(archiveWritten)
 	endLoop()
 	<-s.stopped
 	return failure
--- a/lib/localizer/exchange.go
+++ b/lib/localizer/exchange.go
@@ -18,31 +18,58 @@
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
 
-	mutex        sync.Mutex
-	sent         map[netip.AddrPort]time.Time // when the latest poll was sent to each keeper
-	acknowledged map[netip.AddrPort]time.Time // when the latest poll was sent that each keeper has answered
+	mutex   sync.Mutex
+	keepers map[netip.AddrPort]*exchanged
+}
+
+// exchanged is what a keeper has been told, as times up to which it knows all crashes.
+type exchanged struct {
+	epoch        uint64 // of the keeper that has answered last
+	sent         time.Time
+	acknowledged time.Time
 }
 
 // AddReport adds what a keeper has not got to a poll.
 func (x *Exchange) AddReport(keeper netip.AddrPort, request *messenger.FollowRequest) {
 	now := x.Clock.Now()
 	x.mutex.Lock()
-	if x.sent == nil {
-		x.sent, x.acknowledged = make(map[netip.AddrPort]time.Time), make(map[netip.AddrPort]time.Time)
+	defer x.mutex.Unlock()
+	if x.keepers == nil {
+		x.keepers = make(map[netip.AddrPort]*exchanged)
 	}
-	x.sent[keeper] = now
-	since := x.acknowledged[keeper]
-	x.mutex.Unlock()
-	report := x.Observer.Report(now, since)
+	known, found := x.keepers[keeper]
+	if !found {
+		known = &exchanged{}
+		x.keepers[keeper] = known
+	}
+	report := x.Observer.Report(now, known.acknowledged)
+	known.sent = report.Through
 	report.AddTo(request, now)
 }
 
+// Reported reports whether any keeper has acknowledged all crashes that are known here.
+func (x *Exchange) Reported() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	latest := time.Time{}
+	for _, known := range x.keepers {
+		latest = later(latest, known.acknowledged)
+	}
+	return x.Observer.Reported(latest)
+}
+
 // Answered applies the quarantines in a keeper's answer to a poll, and its questions for answers.
 func (x *Exchange) Answered(keeper netip.AddrPort, response *messenger.FollowResponse) {
 	now := x.Clock.Now()
 	x.mutex.Lock()
-	if at, found := x.sent[keeper]; found {
-		x.acknowledged[keeper] = at
+	if known, found := x.keepers[keeper]; found {
+		known.acknowledged = known.sent
+		if epoch := response.GetEpoch(); known.epoch != epoch {
+			if known.epoch != 0 {
+				known.acknowledged = time.Time{} // it has started again, and was told the latest changes only
+			}
+			known.epoch = epoch
+		}
 	}
 	x.mutex.Unlock()
 	x.Observer.Ask(now, SuspectsFrom(response))
@@ -55,6 +82,5 @@
 func (x *Exchange) Lost(keeper netip.AddrPort) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	delete(x.sent, keeper)
-	delete(x.acknowledged, keeper)
+	delete(x.keepers, keeper)
 }
--- a/lib/localizer/judge.go
+++ b/lib/localizer/judge.go
@@ -10,7 +10,8 @@
 	explained Feature   // the quarantined feature that ran there, 0 if there is none
 }
 
-// evidence is what is known of one feature.
+// evidence is what is known of one feature. Without crashes it is an acquittal: it is kept since reports
+// of crashes before the answer may still come, from a router or another keeper that did not hear of it.
 type evidence struct {
 	crashes  map[Lifetime]bool
 	answered time.Time // the latest answer that is known
@@ -26,6 +27,8 @@
 	quarantines map[Feature]*quarantineState
 	answering   map[Feature]time.Time // when each service last began to answer a request
 	revision    uint64                // increases with each change of the quarantines
+	acquitted   int                   // number of acquittals in evidence
+	recorded    uint64                // increases with each change of lifetimes and evidence
 	suspects    []Feature
 	pending     bool // something was reported that has not been judged
 	judged      time.Time
@@ -53,8 +56,12 @@
 		if e == nil || e.crashes[crash.Lifetime] || !e.answered.Before(known.at) {
 			continue
 		}
+		if len(e.crashes) == 0 && !e.answered.IsZero() {
+			j.acquitted--
+		}
 		e.crashes[crash.Lifetime] = true
 		j.pending = true
+		j.recorded++
 		if j.quarantined(now, feature) && known.explained == 0 {
 			j.explain(feature)
 		}
@@ -75,6 +82,9 @@
 func (j *Judge) featureEvidence(feature Feature) *evidence {
 	known, found := j.evidence[feature]
 	if !found {
+		if len(j.evidence) >= maxEvidence {
+			j.dropAcquittals(time.Time{})
+		}
 		if len(j.evidence) >= maxEvidence {
 			return nil
 		}
@@ -98,16 +108,38 @@
 
 func (j *Judge) dropLifetime(lifetime Lifetime) {
 	delete(j.lifetimes, lifetime)
+	j.recorded++
 	for feature, e := range j.evidence {
+		if !e.crashes[lifetime] {
+			continue
+		}
 		delete(e.crashes, lifetime)
-		j.dropIfEmpty(feature, e)
+		j.settleEmpty(feature, e)
 	}
 }
 
-// dropIfEmpty drops evidence that says nothing any more: no crash since the last answer.
-func (j *Judge) dropIfEmpty(feature Feature, e *evidence) {
-	if len(e.crashes) == 0 {
+// settleEmpty drops the evidence of a feature whose last crash was removed, or counts it as an acquittal.
+func (j *Judge) settleEmpty(feature Feature, e *evidence) {
+	switch {
+	case len(e.crashes) > 0:
+	case e.answered.IsZero():
 		delete(j.evidence, feature)
+	default:
+		j.acquitted++
+	}
+}
+
+// dropAcquittals drops the acquittals by answers before a time, all if it is zero.
+func (j *Judge) dropAcquittals(before time.Time) {
+	if j.acquitted == 0 {
+		return
+	}
+	for feature, e := range j.evidence {
+		if len(e.crashes) == 0 && (before.IsZero() || e.answered.Before(before)) {
+			delete(j.evidence, feature)
+			j.acquitted--
+			j.recorded++
+		}
 	}
 }
 
@@ -124,10 +156,12 @@
 	if !found || !answer.At.After(e.answered) {
 		return lifted
 	}
+	first, removed := e.answered.IsZero(), 0
 	e.answered = answer.At
 	for lifetime := range e.crashes {
 		if known := j.lifetimes[lifetime]; known == nil || !known.at.After(answer.At) {
 			delete(e.crashes, lifetime)
+			removed++
 		}
 	}
 	if q, found := j.quarantines[answer.Feature]; found && q.inForce(now) && q.convicted && len(e.crashes) < e.needed(j) {
@@ -135,7 +169,12 @@
 		j.lift(now, answer.Feature)
 		lifted = true
 	}
-	j.dropIfEmpty(answer.Feature, e)
+	if removed > 0 {
+		j.settleEmpty(answer.Feature, e)
+	}
+	if first || removed > 0 {
+		j.recorded++
+	}
 	j.pending = true
 	return lifted
 }
@@ -192,6 +231,7 @@
 			j.dropLifetime(lifetime)
 		}
 	}
+	j.dropAcquittals(now.Add(-crashRetention))
 	if len(j.lifetimes) == 0 {
 		j.answering = nil
 	}
--- a/lib/localizer/observer.go
+++ b/lib/localizer/observer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,10 +13,14 @@
 	provenAfter = 500 * time.Millisecond
 	// probeInterval is the minimum time between two checks whether the same endpoint has crashed.
 	probeInterval = time.Second
-	// reportRetention is how long a crash is reported to a keeper that has not acknowledged it.
-	reportRetention = 30 * time.Second
+	// reportRetention is how long a crash is reported to a keeper that has not acknowledged it: for as long
+	// as a Judge remembers it. All keepers may be away for long, or start again with nothing.
+	reportRetention = crashRetention
+	// serviceRetention is how long after a crash each report names the latest answer of its service.
+	serviceRetention = 30 * time.Second
 	// maxBroken bounds the lifetimes of endpoints that a router remembers, and maxBrokenFeatures the
-	// features of each. Beyond MaxFeatures only those are recorded that were never answered here.
+	// features of each, of some 40 bytes. Beyond MaxFeatures only those are recorded that were never
+	// answered here.
 	maxBroken         = 256
 	maxBrokenFeatures = 4 * MaxFeatures
 	// maxReported bounds the features in one report, of 9 bytes each.
@@ -31,7 +34,7 @@
 type brokenLifetime struct {
 	service  Feature
 	at       time.Time // of the first break
-	changed  time.Time // when a feature was added, or its end became known
+	changed  time.Time // when a feature was added, or its end became known; see change
 	probed   time.Time
 	ended    bool // the endpoint is known to have crashed
 	features map[Feature]bool
@@ -43,6 +46,9 @@
 	mutex       sync.Mutex
 	answers     answerTable
 	broken      map[Lifetime]*brokenLifetime
+	blamed      map[Feature]int // features of broken, with the number of their lifetimes
+	lastChanged time.Time       // the latest changed time of any lifetime
+	lastReport  time.Time       // the latest Through of any report
 	unframed    map[Lifetime][]unframedEnd
 	asked       map[Feature]time.Time // features that keepers ask about, and when they did last
 	quarantined map[Feature]*observedQuarantine
@@ -60,24 +66,60 @@
 	o.answers.add(began, profile.Service)
 	for _, feature := range profile.Shared {
 		o.answers.add(began, feature)
+		o.acquit(began, feature)
 	}
 	// Nearly all requests are sent once, so that their own features would only displace the others.
 	if o.implicated(profile.Whole) {
 		o.answers.add(began, profile.Whole)
+		o.acquit(began, profile.Whole)
 	}
 }
 
-// implicated reports whether a feature is under suspicion here or at a keeper.
-func (o *Observer) implicated(feature Feature) bool {
-	if _, asked := o.asked[feature]; asked || o.quarantined[feature] != nil {
-		return true
+// acquit drops a feature from the crashes before its answer began. The answer itself is forgotten sooner
+// than a crash is.
+func (o *Observer) acquit(began time.Time, feature Feature) {
+	if o.blamed[feature] == 0 {
+		return
 	}
 	for _, b := range o.broken {
-		if b.features[feature] {
-			return true
+		if b.features[feature] && began.After(b.at) {
+			delete(b.features, feature)
+			o.unblame(feature)
 		}
 	}
-	return false
+}
+
+// unblame records that a feature was dropped from a lifetime.
+func (o *Observer) unblame(feature Feature) {
+	o.blamed[feature]--
+	if o.blamed[feature] == 0 {
+		delete(o.blamed, feature)
+	}
+}
+
+// forget drops a lifetime.
+func (o *Observer) forget(lifetime Lifetime) {
+	if b, found := o.broken[lifetime]; found {
+		for feature := range b.features {
+			o.unblame(feature)
+		}
+		delete(o.broken, lifetime)
+	}
+}
+
+// change records that what is reported of a lifetime has changed. Its time is later than that of each change
+// before, and than each report, so that a report that holds all changes up to a time misses none.
+func (o *Observer) change(now time.Time, b *brokenLifetime) {
+	if last := later(o.lastChanged, o.lastReport); !now.After(last) {
+		now = last.Add(time.Nanosecond)
+	}
+	b.changed, o.lastChanged = now, now
+}
+
+// implicated reports whether a feature is under suspicion here or at a keeper.
+func (o *Observer) implicated(feature Feature) bool {
+	_, asked := o.asked[feature]
+	return asked || o.quarantined[feature] != nil || o.blamed[feature] > 0
 }
 
 // Broke records that a request broke off with the connection to its endpoint, after it had been
@@ -102,7 +144,9 @@
 	b := o.lifetime(now, lifetime, profile.Service)
 	for _, feature := range slices.Concat(profile.Shared, []Feature{profile.Whole}) {
 		if !b.features[feature] && o.hasRoom(b, feature) {
-			b.features[feature], b.changed = true, now
+			b.features[feature] = true
+			o.blamed[feature]++
+			o.change(now, b)
 		}
 	}
 	return b
@@ -121,7 +165,7 @@
 		return known
 	}
 	if o.broken == nil {
-		o.broken = make(map[Lifetime]*brokenLifetime)
+		o.broken, o.blamed = make(map[Lifetime]*brokenLifetime), make(map[Feature]int)
 	}
 	o.dropOld(now)
 	known = &brokenLifetime{service: service, at: now, features: make(map[Feature]bool)}
@@ -134,8 +178,7 @@
 	var oldest Lifetime
 	var oldestAt time.Time
 	for lifetime, b := range o.broken {
-		if now.Sub(b.at) > reportRetention {
-			delete(o.broken, lifetime)
+		if o.dropIfOld(now, lifetime) {
 			continue
 		}
 		if oldestAt.IsZero() || b.at.Before(oldestAt) {
@@ -143,8 +186,19 @@
 		}
 	}
 	if len(o.broken) >= maxBroken {
-		delete(o.broken, oldest)
+		o.forget(oldest)
+	}
+}
+
+// dropIfOld drops a lifetime that is not reported any more, and reports whether it is.
+func (o *Observer) dropIfOld(now time.Time, lifetime Lifetime) bool {
+	b := o.broken[lifetime]
+	age := now.Sub(b.at)
+	if age <= reportRetention && (len(b.features) > 0 || age <= serviceRetention) {
+		return false
 	}
+	o.forget(lifetime)
+	return true
 }
 
 // Ended records that a lifetime of an endpoint has ended: it refuses connections, or has started
@@ -159,7 +213,8 @@
 	}
 	delete(o.unframed, lifetime)
 	if b, found := o.broken[lifetime]; found && !b.ended {
-		b.ended, b.changed = true, now
+		b.ended = true
+		o.change(now, b)
 	}
 }
 
@@ -168,7 +223,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if b, found := o.broken[lifetime]; found && !b.ended {
-		delete(o.broken, lifetime)
+		o.forget(lifetime)
 	}
 }
 
@@ -178,37 +233,20 @@
 	Answers []Answer
 	// Refused are the quarantined features for which requests were refused.
 	Refused []Feature
+	// Through is the time up to which the report holds all changes: its own time, or that of the last
+	// change for which it has room.
+	Through time.Time
 }
 
-// Report returns the crashes and refusals that have become known since a time, the latest report that
-// the keeper has answered, and the latest answers to the suspects. Features that were answered here
+// Report returns the crashes and refusals that have become known after a time, Through of the latest report
+// that the keeper has answered, and the latest answers to the suspects. Features that were answered here
 // after a crash are left out of it.
 func (o *Observer) Report(now, since time.Time) Report {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	var r Report
-	reported := 0
-	services := make(map[Feature]bool)
-	for _, lifetime := range o.byAge() {
-		b := o.broken[lifetime]
-		if b.ended && !services[b.service] {
-			services[b.service] = true
-			r.addAnswer(b.service, o.answers.latest(b.service))
-		}
-		if now.Sub(b.at) > reportRetention {
-			delete(o.broken, lifetime)
-			continue
-		}
-		if !b.ended || b.changed.Before(since) {
-			continue
-		}
-		features := o.unanswered(b)
-		features = features[:min(len(features), MaxFeatures, maxReported-reported)]
-		reported += len(features)
-		if len(features) > 0 {
-			r.Crashes = append(r.Crashes, Crash{Lifetime: lifetime, Service: b.service, At: b.at, Features: features})
-		}
-	}
+	r := Report{Through: later(now, o.lastChanged)}
+	o.reportCrashes(now, since, &r)
+	o.lastReport = later(o.lastReport, r.Through)
 	for feature, at := range o.asked {
 		if now.Sub(at) > askedRetention {
 			delete(o.asked, feature)
@@ -233,11 +271,42 @@
 	return r
 }
 
-// byAge returns the lifetimes in the order in which they broke.
-func (o *Observer) byAge() []Lifetime {
-	return slices.SortedFunc(maps.Keys(o.broken), func(a, b Lifetime) int {
-		return cmp.Or(o.broken[a].at.Compare(o.broken[b].at), cmp.Compare(a, b))
-	})
+// reportCrashes adds the crashes that have changed after a time to a report, as far as there is room, and
+// the latest answers of the services that had crashes lately.
+func (o *Observer) reportCrashes(now, since time.Time, r *Report) {
+	var changed []Lifetime
+	services := make(map[Feature]bool)
+	for lifetime, b := range o.broken {
+		if b.ended && !services[b.service] && now.Sub(b.at) <= serviceRetention {
+			services[b.service] = true
+			r.addAnswer(b.service, o.answers.latest(b.service))
+		}
+		if !o.dropIfOld(now, lifetime) && b.ended && b.changed.After(since) {
+			changed = append(changed, lifetime)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Lifetime) int { return o.broken[a].changed.Compare(o.broken[b].changed) })
+	reported, through := 0, since
+	for _, lifetime := range changed {
+		b := o.broken[lifetime]
+		features := o.unanswered(b)
+		features = features[:min(len(features), MaxFeatures)]
+		if reported += len(features); reported > maxReported {
+			r.Through = through
+			return
+		}
+		through = b.changed
+		if len(features) > 0 {
+			r.Crashes = append(r.Crashes, Crash{Lifetime: lifetime, Service: b.service, At: b.at, Features: features})
+		}
+	}
+}
+
+// Reported reports whether a report that holds all changes up to a time holds all crashes.
+func (o *Observer) Reported(through time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return !o.lastChanged.After(through)
 }
 
 // unanswered returns the features of a lifetime that were not answered after its end, those first
--- a/lib/localizer/observer_test.go
+++ b/lib/localizer/observer_test.go
@@ -1,10 +1,15 @@
 package localizer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"shallotkeel.example/lib/messenger"
 )
 
 // reported returns the features that a report names under a lifetime.
@@ -111,3 +116,81 @@
 	}
 	require.LessOrEqual(t, features, maxReported)
 }
+
+// Guards against crashes that are never reported because one report has no room for them.
+func TestCrashesBeyondTheBoundFollowInLaterReports(t *testing.T) {
+	var o Observer
+	x := Exchange{Observer: &o, Clock: clockwork.NewFakeClockAt(testNow), Log: zerolog.Nop()}
+	keeper := netip.MustParseAddrPort("10.0.0.1:1")
+	const lifetimes, features = 40, 60
+	for lifetime := range lifetimes {
+		for feature := range features {
+			o.Broke(testNow, Lifetime(lifetime+1), Profile{Service: 1, Whole: Feature(features*lifetime + feature + 10)}, 0)
+		}
+		o.Ended(testNow, Lifetime(lifetime+1))
+	}
+	told := make(map[uint64]int)
+	for range lifetimes {
+		request := &messenger.FollowRequest{}
+		x.AddReport(keeper, request)
+		count := 0
+		for _, crash := range request.GetCrashes() {
+			told[crash.GetEndpoint()] += len(crash.GetFeatures())
+			count += len(crash.GetFeatures())
+		}
+		require.LessOrEqual(t, count, maxReported)
+		x.Answered(keeper, &messenger.FollowResponse{Epoch: 1})
+		if x.Reported() {
+			break
+		}
+	}
+	require.True(t, x.Reported())
+	require.Len(t, told, lifetimes)
+	for lifetime, count := range told {
+		require.GreaterOrEqual(t, count, features, "lifetime %d", lifetime)
+	}
+}
+
+// Guards against a keeper that starts again between two polls and is told the latest crashes only.
+func TestRestartedKeeperIsToldAllCrashes(t *testing.T) {
+	var o Observer
+	clock := clockwork.NewFakeClockAt(testNow)
+	x := Exchange{Observer: &o, Clock: clock, Log: zerolog.Nop()}
+	keeper := netip.MustParseAddrPort("10.0.0.1:1")
+	poll := func(epoch uint64) int {
+		request := &messenger.FollowRequest{}
+		x.AddReport(keeper, request)
+		clock.Advance(time.Second)
+		x.Answered(keeper, &messenger.FollowResponse{Epoch: epoch})
+		return len(request.GetCrashes())
+	}
+	o.Broke(testNow, 5, Profile{Service: 1, Whole: 2}, 0)
+	o.Ended(testNow, 5)
+	require.False(t, x.Reported())
+	require.Equal(t, 1, poll(1))
+	require.True(t, x.Reported())
+	clock.Advance(5 * time.Minute)
+	require.Zero(t, poll(1))
+	require.Zero(t, poll(2), "it has started again since the last answer")
+	require.False(t, x.Reported())
+	require.Equal(t, 1, poll(2))
+	require.Zero(t, poll(2))
+	x.Lost(keeper)
+	require.Equal(t, 1, poll(2))
+}
+
+// Guards against a feature that is reported as unanswered once its answer is forgotten here.
+func TestAnsweredFeaturesStayOutOfLaterReports(t *testing.T) {
+	var o Observer
+	o.Broke(testNow, 5, Profile{Service: 1, Shared: []Feature{2, 3}, Whole: 4}, 0)
+	o.Ended(testNow, 5)
+	o.Answered(testNow.Add(time.Second), Profile{Service: 1, Shared: []Feature{2}, Whole: 4})
+	now := testNow.Add(2 * time.Second)
+	for n := range 3 * maxAnswered {
+		o.Answered(now, Profile{Service: 1, Shared: []Feature{Feature(100 + n)}})
+	}
+	require.True(t, o.answers.latest(2).IsZero(), "the answer is forgotten")
+	require.Equal(t, []Feature{3}, reported(o.Report(testNow.Add(reportRetention), time.Time{}), 5))
+	require.Empty(t, o.Report(testNow.Add(reportRetention+time.Second), time.Time{}).Crashes)
+	require.Empty(t, o.blamed)
+}
--- a/lib/localizer/quarantine.go
+++ b/lib/localizer/quarantine.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	j.lift(now, feature)
-	delete(j.evidence, feature)
+	j.dropEvidence(feature)
 	return true
 }
 
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -60,6 +60,10 @@
 	// cutTime is the part of stopMargin in which requests that are ended at the end of the grace time answer
 	// their clients and are logged.
 	cutTime = 250 * time.Millisecond
+	// reportTime is the part of stopMargin for which a router that ends waits until a keeper knows the
+	// crashes that it has seen, and reportInterval how often it looks.
+	reportTime     = 200 * time.Millisecond
+	reportInterval = 10 * time.Millisecond
 	// maxScreened bounds the connections whose first request is awaited while requests are refused
 	// before the HTTP server accepts them; each takes a buffer of 16 KB while it is read.
 	maxScreened = 512
@@ -252,6 +256,9 @@
 // pollWaits returns how long keepers are to hold this router's polls, for its requests per second and
 // the number of routers and keepers: the primary keeper, which gets full reports, and the others.
 func (d *Director) pollWaits(requests float64, routers, keepers int) (primary, others time.Duration) {
+	if d.isStopping() {
+		return subscriber.MinWait, subscriber.MinWait // what it still sees is to be reported before its end
+	}
 	primary, others = subscriber.ReportWaitFor(requests, routers, keepers), subscriber.BriefWaitFor(routers, keepers)
 	if d.pacer.Lateness() > pacer.OnTimeThreshold {
 		primary = max(primary, subscriber.MinLateWait)
@@ -261,11 +268,16 @@
 
 // ready reports whether the router accepts new clients.
 func (d *Director) ready() bool {
+	return !d.isStopping() && d.reader.Table() != nil && !d.diverter.diverting.Load()
+}
+
+// isStopping reports whether the planned stop has begun.
+func (d *Director) isStopping() bool {
 	select {
 	case <-d.stopping:
-		return false
+		return true
 	default:
-		return d.reader.Table() != nil && !d.diverter.diverting.Load()
+		return false
 	}
 }
 
@@ -326,6 +338,7 @@
 		d.stop(screened, endRequests)
 	}
 	_ = front.Close() // the connections that are left have been counted
+	d.awaitReports()
 	endBackground()
 	group.Wait()
 	d.log.Info().Int("running", d.proxier.Running()).Msg("router stopped")
@@ -385,6 +398,20 @@
 	}
 }
 
+// awaitReports waits until a keeper knows the crashes that this router has seen, for reportTime at most:
+// once the router has ended, nobody else may know them.
+func (d *Director) awaitReports() {
+	over := d.clock.After(reportTime)
+	for !d.reader.CrashesReported() {
+		select {
+		case <-over:
+			d.log.Warn().Msg("crashes of endpoints are not reported to any keeper; they are lost with this router")
+			return
+		case <-d.clock.After(reportInterval):
+		}
+	}
+}
+
 // cutRequests ends the requests in flight, and gives them cutTime to answer their clients.
 func (d *Director) cutRequests(endRequests context.CancelCauseFunc) {
 	open, _ := d.clientConnections.counts()
--- a/router/internal/director/stop_test.go
+++ b/router/internal/director/stop_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotkeel.example/lib/lister"
+	"shallotkeel.example/lib/localizer"
 	"shallotkeel.example/lib/messenger"
 )
 
@@ -47,8 +49,7 @@
 		began: make(chan struct{}, 8), release: make(chan struct{}), lines: make(chan string, 256), ended: make(chan error, 1),
 	}
 	require.NoError(t, os.WriteFile(r.path, []byte("{}"), 0o600))
-	r.Director = New(validSettings(t), r.path, zerolog.New(stopLines(r.lines)), r.clock)
-	r.configure(1)
+	r.start()
 	endpoint := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(r.serveEndpoint)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -56,19 +57,39 @@
 	t.Cleanup(func() { _ = endpoint.Close() })
 	t.Cleanup(r.proceed)
 	r.balancer.Update(lister.Listing{ID: "a", Service: "desk", State: lister.Ready, Address: netip.MustParseAddrPort(listener.Addr().String())})
-	ctx, cancel := context.WithCancel(t.Context())
-	r.stop = cancel
-	go func() { r.ended <- r.Run(ctx) }()
-	require.Eventually(t, func() bool {
-		cn, err := net.Dial("tcp", r.settings.Listen.String())
-		if err == nil {
-			cn.Close()
-		}
-		return err == nil
-	}, waitTimeout, time.Millisecond)
 	return r
 }
 
+// start starts the router, again at other addresses if one that was free has been taken meanwhile.
+func (r *stoppingRouter) start() {
+	r.t.Helper()
+	for {
+		r.Director = New(validSettings(r.t), r.path, zerolog.New(stopLines(r.lines)), r.clock)
+		r.configure(1)
+		ctx, cancel := context.WithCancel(r.t.Context())
+		r.stop = cancel
+		go func() { r.ended <- r.Run(ctx) }()
+		var failure error
+		require.Eventually(r.t, func() bool {
+			select {
+			case failure = <-r.ended:
+				return true
+			default:
+			}
+			cn, err := net.Dial("tcp", r.settings.Listen.String())
+			if err == nil {
+				cn.Close()
+			}
+			return err == nil
+		}, waitTimeout, time.Millisecond)
+		if failure == nil {
+			return
+		}
+		require.ErrorIs(r.t, failure, syscall.EADDRINUSE)
+		cancel()
+	}
+}
+
 func (r *stoppingRouter) serveEndpoint(w http.ResponseWriter, h *http.Request) {
 	w.Header().Set("X-Shallotkeel-Response-Stamp", "s")
 	switch h.URL.Path {
@@ -307,3 +328,26 @@
 		}
 	}
 }
+
+// Guards against crashes that only a router knows when it ends, since it had not polled a keeper again.
+func TestPlannedStopReportsCrashes(t *testing.T) {
+	for name, reported := range map[string]bool{"a keeper answers": true, "no keeper answers": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newStoppingRouter(t)
+			r.crashes.Broke(r.clock.Now(), 5, localizer.Profile{Service: 1, Whole: 2}, 0)
+			r.crashes.Ended(r.clock.Now(), 5)
+			r.closeListener()
+			require.Never(t, func() bool { return len(r.ended) > 0 }, 50*time.Millisecond, time.Millisecond)
+			keeper := netip.MustParseAddrPort("127.0.0.1:1")
+			if reported {
+				require.Len(t, r.reader.Report(keeper, true).GetCrashes(), 1)
+				r.reader.Update(t.Context(), keeper, &messenger.FollowResponse{Epoch: 1, Brief: true})
+			}
+			for len(r.ended) == 0 {
+				r.clock.Advance(reportInterval)
+			}
+			require.NoError(t, <-r.ended)
+			require.Equal(t, reported, r.reader.CrashesReported())
+		})
+	}
+}
--- a/router/internal/updatereader/updatereader.go
+++ b/router/internal/updatereader/updatereader.go
@@ -128,6 +128,11 @@
 	return r.options.Clock.Since(*updated)
 }
 
+// CrashesReported reports whether a keeper has acknowledged all crashes that were seen here.
+func (r *Reader) CrashesReported() bool {
+	return r.crashes.Reported()
+}
+
 // Report returns the report for a keeper: the version in force and the crashes seen here, and, for the
 // primary keeper, this router's load at the endpoints and the demand.
 func (r *Reader) Report(keeper netip.AddrPort, brief bool) *messenger.FollowRequest {
--- a/router/internal/updatereader/updatereader_test.go
+++ b/router/internal/updatereader/updatereader_test.go
@@ -263,6 +263,8 @@
 	require.Equal(t, 1, reported(2))
 	b.reader.Lost(at(1), nil)
 	require.Equal(t, 1, reported(1), "it may have lost what it was told")
+	b.clock.Advance(9 * time.Minute)
+	require.Equal(t, 1, reported(1), "keepers may be away for long")
 	b.clock.Advance(time.Minute)
 	require.Zero(t, reported(1)+reported(2))
 }
