An answer with a status that does not exist is none

What callers saw: on the own interface a plain call whose endpoint answers 000 or another status below 100 gets no answer at all; 101, 600 to 999 and a status line of HTTP/2 were passed on. On the platform's interface 600 to 999 were passed on.

Cause: the standard client hands out any number as a final status, and the standard server panics in WriteHeader below 100.

Why it works: framer.Check is asked for each final answer on both interfaces; an invalid one is a failed attempt, and the caller gets 502, or another endpoint's answer where the request may be repeated (RFC 9110, 15 and 15.6.3).

--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -56,8 +56,6 @@
 	ErrForeign = merry.Sentinel("the endpoint answered another request")
 	// ErrUndelimited means that a discarded body is too long or that its framing is invalid.
 	ErrUndelimited = merry.Sentinel("the end of the body was not found")
-	// errProtocol means that the head of an answer is none of HTTP/1. The framing of such an answer is unknown.
-	errProtocol = merry.Sentinel("the answer is not HTTP/1")
 )
 
 const (
@@ -254,13 +252,11 @@
 	defer x.conn.limiter.lift()
 	for {
 		answer, err := http.ReadResponse(x.conn.reader, request)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case answer.ProtoMajor != 1:
-			return nil, merry.Errorf("%w: %s", errProtocol, answer.Proto)
-		case answer.StatusCode >= http.StatusOK:
-			return answer, nil
+		}
+		if !framer.Interim(answer) {
+			return answer, framer.Check(answer)
 		}
 	}
 }
--- a/lib/forwarder/heads_test.go
+++ b/lib/forwarder/heads_test.go
@@ -234,3 +234,23 @@
 		})
 	}
 }
+
+// Guards against an answer whose status does not exist that is skipped as an interim one, so that the answer of
+// a later request takes its place, or that is passed on.
+func TestAnswerWithAnInvalidStatusIsNone(t *testing.T) {
+	for name, line := range map[string]string{
+		"000": "HTTP/1.1 000 None", "099": "HTTP/1.1 099 None", "101": "HTTP/1.1 101 Switching Protocols",
+		"600": "HTTP/1.1 600 Beyond", "999": "HTTP/1.1 999 Beyond", "of HTTP/2": "HTTP/2.0 200 OK",
+	} {
+		t.Run(name, func(t *testing.T) {
+			answers := line + "\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody" + answerHead + "Content-Length: 5\r\n\r\nlater"
+			var next atomic.Pointer[string]
+			next.Store(&answers)
+			e, c := listenForCuts(t, &next, false), newClient()
+			_, err := c.Do(t.Context(), e.address, withID(newRequest("1")), nil)
+			require.ErrorIs(t, err, framer.ErrInvalid)
+			require.ErrorIs(t, err, ErrBroken)
+			require.Zero(t, c.openTo(e.address), "what follows belongs to nobody")
+		})
+	}
+}
--- a/lib/framer/framer.go
+++ b/lib/framer/framer.go
@@ -47,6 +47,35 @@
 	return ByConnection
 }
 
+// ErrInvalid means that the head of an answer is not that of a final HTTP/1 answer, so that its framing is
+// unknown, or whether it is an answer at all.
+var ErrInvalid = merry.Sentinel("the endpoint's answer is not a valid one")
+
+// Statuses outside of this range are invalid, and a gateway answers 502 in place of such an answer (RFC 9110,
+// sections 15 and 15.6.3).
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// Check returns an ErrInvalid for an answer that cannot be forwarded as a final one: of another protocol, with
+// a status that does not exist, or with one that nobody has asked for, 101.
+func Check(answer *http.Response) error {
+	switch {
+	case answer.ProtoMajor != 1:
+		return merry.Errorf("%w: its protocol is %s", ErrInvalid, answer.Proto)
+	case answer.StatusCode < minFinalStatus || answer.StatusCode > maxFinalStatus:
+		return merry.Errorf("%w: its status is %03d", ErrInvalid, answer.StatusCode)
+	}
+	return nil
+}
+
+// Interim reports whether a head is that of an informational answer, which precedes the final one.
+func Interim(answer *http.Response) bool {
+	return answer.ProtoMajor == 1 && answer.StatusCode >= http.StatusContinue && answer.StatusCode < minFinalStatus &&
+		answer.StatusCode != http.StatusSwitchingProtocols
+}
+
 // ErrNoReset is returned if the client's connection cannot be reset, so that no answer can be
 // forwarded on it without framing.
 var ErrNoReset = merry.Sentinel("the client's connection cannot be reset; serve HTTP/1 over TCP, with WithConn")
--- a/lib/framer/framer_test.go
+++ b/lib/framer/framer_test.go
@@ -109,3 +109,34 @@
 		})
 	}
 }
+
+// Guards against answers with a status that does not exist, or of another protocol, that are forwarded.
+func TestOnlyFinalAnswersAreValid(t *testing.T) {
+	for name, test := range map[string]struct {
+		status, major  int
+		valid, interim bool
+	}{
+		"none":               {status: 0, major: 1},
+		"below all classes":  {status: 99, major: 1},
+		"100":                {status: 100, major: 1, interim: true},
+		"101 unasked":        {status: 101, major: 1},
+		"103":                {status: 103, major: 1, interim: true},
+		"200":                {status: 200, major: 1, valid: true},
+		"an unknown one":     {status: 299, major: 1, valid: true},
+		"599":                {status: 599, major: 1, valid: true},
+		"beyond all classes": {status: 600, major: 1},
+		"999":                {status: 999, major: 1},
+		"HTTP/2":             {status: 200, major: 2},
+		"interim of HTTP/2":  {status: 100, major: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := &http.Response{StatusCode: test.status, ProtoMajor: test.major}
+			require.Equal(t, test.interim, Interim(answer))
+			if test.valid {
+				require.NoError(t, Check(answer))
+				return
+			}
+			require.ErrorIs(t, Check(answer), ErrInvalid)
+		})
+	}
+}
--- a/router/internal/proxier/proxier_test.go
+++ b/router/internal/proxier/proxier_test.go
@@ -105,6 +105,12 @@
 			conn.Close()
 		}, status: http.StatusBadGateway},
 		"it answers with an error": {serve: func(conn net.Conn, r *http.Request) { reply(conn, r, 500, "no") }, status: http.StatusInternalServerError},
+		"its answer has the status 000": {serve: func(conn net.Conn, _ *http.Request) {
+			fmt.Fprintf(conn, "HTTP/1.1 000 None\r\n%s: s\r\nContent-Length: 2\r\n\r\nok", stampHeader)
+		}, status: http.StatusBadGateway},
+		"its answer has the status 999": {serve: func(conn net.Conn, _ *http.Request) {
+			fmt.Fprintf(conn, "HTTP/1.1 999 Beyond\r\n%s: s\r\nContent-Length: 2\r\n\r\nok", stampHeader)
+		}, status: http.StatusBadGateway},
 		"its success is not signed": {serve: func(conn net.Conn, _ *http.Request) {
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		}, status: http.StatusBadGateway},
--- a/router/internal/relayer/send.go
+++ b/router/internal/relayer/send.go
@@ -63,6 +63,9 @@
 		return r.failureEvent(ctx, q, err), err.Error()
 	}
 	defer response.Body.Close()
+	if err := framer.Check(response); err != nil {
+		return r.failureEvent(ctx, q, err), err.Error()
+	}
 	if event, refused := r.refusedByEndpoint(q, response); refused {
 		return event, "status " + strconv.Itoa(response.StatusCode)
 	}
