Relayer: a reset under an upload is no end of the answer

Cause: the system reports a reset once. If the write of the body receives it, reads end as at an ordinary close, the end of an answer without framing.

Why it works: the connection remembers a reset that a write has received, ends a write that is still blocked, and its reads fail then.

--- a/router/internal/relayer/transport.go
+++ b/router/internal/relayer/transport.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,7 +41,7 @@
 			if err != nil {
 				return nil, merry.Errorf("%w: %w", errUnreachable, err)
 			}
-			return revocable{Conn: conn}, nil
+			return &revocable{Conn: conn}, nil
 		},
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
@@ -50,10 +53,48 @@
 
 // revocable is a connection to an endpoint. The transport closes it when a request is given up; nothing of the request
 // arrives after that.
-type revocable struct{ net.Conn }
+//
+// The system reports a reset only once. If the write of a long body gets it, reads end as at an ordinary close, and an
+// answer without framing that was broken off would look whole: here reads fail, too.
+type revocable struct {
+	net.Conn
+	writing sync.Mutex // held during a write; protects reset
+	reset   bool       // a write has received a reset
+}
+
+// Write writes to the connection.
+func (c *revocable) Write(data []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(data)
+	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// Read reads from the connection.
+func (c *revocable) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) && c.wasReset() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// wasReset reports whether a write has received a reset. The endpoint has closed its side, and a write that
+// is still blocked might not end by itself.
+func (c *revocable) wasReset() bool {
+	if !c.writing.TryLock() {
+		if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+			return true
+		}
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	return c.reset
+}
 
 // Close closes the connection.
-func (c revocable) Close() error {
+func (c *revocable) Close() error {
 	forwarder.Withdraw(c.Conn)
 	return c.Conn.Close()
 }
