A request that has not run is refused late in a planned stop

What callers saw: late in the grace time of a stop, a request that its endpoint had declined was sent to the next one, and ended there with the grace time: 502, or an unknown outcome, although until then it could have been refused as not run and served by another router.

Cause: only reading new requests, and the first wait for a slot, knew of the stop.

Why it works: before a further send, a request that is known not to have run is refused, on the platform's interface if its deadline is later than the end of the grace time, on the own one from half of the stop's limit on.

--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -289,8 +289,8 @@
 	return t.state != Received && t.state != Queued
 }
 
-// mayHaveRun reports whether any endpoint may have started the request.
-func (t *Tracker) mayHaveRun() bool {
+// MayHaveRun reports whether any endpoint may have started the request.
+func (t *Tracker) MayHaveRun() bool {
 	return t.mayHaveStarted || t.state == Sent || t.state == Answering
 }
 
@@ -313,7 +313,7 @@
 // reports this to the caller.
 func (t *Tracker) end(code Code, retry time.Duration, slot scheduler.Ending) Action {
 	action := Action{Step: RespondError, Slot: slot, Outcome: OutcomeNotRun, Code: code, Retry: retry}
-	if t.mayHaveRun() {
+	if t.MayHaveRun() {
 		action.Outcome = OutcomeUnknown
 		action.Code = codeAfterStart(code)
 	} else if t.claimed {
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -384,11 +384,12 @@
 // are read later than that are refused.
 func (d *Director) stop(clients net.Listener, endRequests context.CancelCauseFunc) {
 	d.log.Info().Int("running", d.proxier.Running()).Msg("planned stop begins")
-	over := d.clock.After(d.settings.Grace.Duration - stopMargin)
+	end := d.clock.Now().Add(d.settings.Grace.Duration - stopMargin)
+	over := d.clock.After(end.Sub(d.clock.Now()))
 	close(d.stopping)
 	d.proxier.Stop()
 	<-d.clock.After(drainTime)
-	d.proxier.Refuse()
+	d.proxier.Refuse(end)
 	d.drainer.Begin()
 	if err := clients.Close(); err != nil {
 		d.log.Warn().Err(err).Msg("the listener for clients could not be closed")
--- a/router/internal/director/stop_test.go
+++ b/router/internal/director/stop_test.go
@@ -204,6 +204,8 @@
 		"nothing was sent":      {after: get},
 		"half of a head":        {before: get[:9], after: get[9:]},
 		"half of a body":        {before: "POST /fast HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf", after: "half"},
+		"a stream":              {after: "GET /events/ HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"kept, a stream":        {kept: true, before: "GET /eve", after: "nts/ HTTP/1.1\r\nHost: h\r\n\r\n"},
 		"HTTP/1.0":              {before: "GET /fast HTT", after: "P/1.0\r\nHost: h\r\n\r\n"},
 		"kept, half of a head":  {kept: true, before: get[:9], after: get[9:]},
 		"kept, half of a body":  {kept: true, before: "POST /fast HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf", after: "half"},
--- a/router/internal/proxier/harness_test.go
+++ b/router/internal/proxier/harness_test.go
@@ -87,6 +87,12 @@
 }
 
 func newTable(t *testing.T, version uint64) *resolver.Table {
+	t.Helper()
+	return tableOf(t, version, routes)
+}
+
+// tableOf returns a table with routes to one plain service.
+func tableOf(t *testing.T, version uint64, routes []resolver.Route) *resolver.Table {
 	t.Helper()
 	plan := resolver.Plan{
 		Version: version, Services: []resolver.Service{{Name: "desk"}},
--- a/router/internal/proxier/inflight.go
+++ b/router/internal/proxier/inflight.go
@@ -12,7 +12,7 @@
 // inFlight counts the requests in flight, for a planned stop and for the limit on them.
 type inFlight struct {
 	closing    atomic.Bool
-	refusing   atomic.Bool // requests that are read from now on are refused
+	refusing   atomic.Pointer[time.Time] // set once requests that are read are refused: the end of the grace time
 	mutex      sync.Mutex
 	running    int
 	admitted   int            // requests in flight that have been admitted
@@ -81,9 +81,10 @@
 	p.inFlight.closing.Store(true)
 }
 
-// Refuse makes the proxier refuse each request that has not been read yet.
-func (p *Proxier) Refuse() {
-	p.inFlight.refusing.Store(true)
+// Refuse makes the proxier refuse each request that has not been read yet. Those that have been are ended
+// when the grace time is over, at end.
+func (p *Proxier) Refuse(end time.Time) {
+	p.inFlight.refusing.Store(&end)
 }
 
 // Running returns the number of requests in flight.
--- a/router/internal/proxier/proxier.go
+++ b/router/internal/proxier/proxier.go
@@ -324,7 +324,7 @@
 	if ctx.Err() != nil || clientGone(q.http.Context()) {
 		return false // each retry would open a connection for a client that is gone
 	}
-	if p.mayCrash(q, e) {
+	if p.mayCrash(q, e) || p.outlastsStop(q) {
 		return false
 	}
 	if q.answerStarted && q.stream.unnamed {
@@ -358,6 +358,8 @@
 	case q.http.Context().Err() != nil || clientGone(q.http.Context()):
 		q.reason = "the client left"
 		p.cut(q, cutByClient)
+	case p.outlastsStop(q):
+		p.endAtStop(q)
 	case q.answerStarted:
 		p.cut(q, q.endedBy) // a truncated answer must not look complete
 	case e.fallback != nil:
--- a/router/internal/proxier/stop.go
+++ b/router/internal/proxier/stop.go
@@ -35,13 +35,20 @@
 // refusedAtStop refuses a request that is read so late in a planned stop that it may not end within the
 // grace time.
 func (p *Proxier) refusedAtStop(q *request) bool {
-	if !p.inFlight.refusing.Load() {
+	if p.inFlight.refusing.Load() == nil {
 		return false
 	}
 	p.refuseAtStop(q)
 	return true
 }
 
+// outlastsStop reports whether a request that has not run yet might be ended with the grace time of a planned stop
+// if it were sent to an endpoint now. While it can be refused as not run, another router can serve it.
+func (p *Proxier) outlastsStop(q *request) bool {
+	end := p.inFlight.refusing.Load()
+	return end != nil && !q.mayHaveRun && !q.answerStarted && q.deadline.After(*end)
+}
+
 // refuseAtStop refuses a request that another router can serve, and closes its connection: the request may have
 // begun to arrive before the stop.
 func (p *Proxier) refuseAtStop(q *request) {
--- a/router/internal/relayer/drain_test.go
+++ b/router/internal/relayer/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,9 +76,7 @@
 	from := tb.openStream(t.Context(), chatBody(true))
 	_, err := from.ReadString('\n')
 	require.NoError(t, err)
-	tb.enroller.lock.Lock()
-	tb.enroller.paused = true
-	tb.enroller.lock.Unlock()
+	tb.enroller.pause(true)
 	waiting := make(chan answer, 1)
 	go func() { waiting <- tb.chat(true) }()
 	tb.enroller.await(t, "waiting", func() bool { return len(tb.enroller.waiting) == 2 })
@@ -94,3 +93,47 @@
 	require.NotContains(t, string(rest), "[DONE]")
 	require.ErrorIs(t, receive(t, stopped), relayer.ErrAborted)
 }
+
+// Guards against requests that are sent to another endpoint late in a planned stop, and aborted at its limit with
+// an unknown outcome although they could have been refused as not run.
+func TestRequestThatHasNotRunIsRefusedLateInAStop(t *testing.T) {
+	kinds := map[string]func(tb *testbed) answer{
+		"chat":     func(tb *testbed) answer { return tb.chat(false) },
+		"stream":   func(tb *testbed) answer { return tb.chat(true) },
+		"call":     func(tb *testbed) answer { return tb.call(http.MethodGet, "/v1/services/safe/", "") },
+		"with key": func(tb *testbed) answer { return tb.bid("lot-7", "12") },
+	}
+	for name, send := range kinds {
+		t.Run(name, func(t *testing.T) {
+			holding, proceed := make(chan struct{}), make(chan struct{})
+			var second atomic.Int64
+			tb := newFakeClockTestbed(t, relayer.Limits{}, func(w http.ResponseWriter, r *http.Request, n int) {
+				close(holding)
+				<-proceed
+				refuseUnstarted(w, r, n)
+			}, func(w http.ResponseWriter, r *http.Request, n int) {
+				second.Add(1)
+				healthy(w, r, n)
+			})
+			got := make(chan answer, 1)
+			go func() { got <- send(tb) }()
+			receive(t, holding)
+			tb.enroller.pause(true)
+			waiting := make(chan answer, 1)
+			go func() { waiting <- tb.chat(true) }()
+			tb.enroller.await(t, "waiting", func() bool { return len(tb.enroller.waiting) == 2 })
+			stopped := tb.stop()
+			require.NoError(t, tb.clock.BlockUntilContext(t.Context(), 4)) // timers: half of the stop limit, the stop limit, two request timeouts
+			tb.clock.Advance(5 * time.Second)
+			require.Equal(t, "stopping", receive(t, waiting).failure.Code)
+			tb.enroller.pause(false)
+			close(proceed)
+			answer := receive(t, got)
+			require.Equal(t, "stopping", answer.failure.Code)
+			require.Equal(t, "not-run", answer.headers.Get("X-Outcome"))
+			require.NotEmpty(t, answer.headers.Get("Retry-After"))
+			require.Zero(t, second.Load())
+			require.NoError(t, receive(t, stopped))
+		})
+	}
+}
--- a/router/internal/relayer/harness_test.go
+++ b/router/internal/relayer/harness_test.go
@@ -192,6 +192,14 @@
 	}
 }
 
+// pause sets whether requests wait for their slots.
+func (e *enroller) pause(paused bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.paused = paused
+	e.signal()
+}
+
 // choose returns a slot at the first endpoint that is not avoided and, for a suspect request, runs no
 // other suspect request. It returns nil if there is none.
 func (e *enroller) choose(waiting relayer.WaitingRequest) relayer.Slot {
--- a/router/internal/relayer/run.go
+++ b/router/internal/relayer/run.go
@@ -55,10 +55,30 @@
 	}
 	pause := retrier.Pause(q.tracker.Attempts())
 	r.note(q, "retry", "after "+pause.String(), "it is sent to another endpoint, because the last one failed it")
-	if !r.pause(ctx, pause) {
-		return interruption(ctx)
+	waiting, cancel := r.awaitingSlot(ctx, q)
+	defer cancel()
+	if !r.pause(waiting, pause) {
+		return interruption(waiting)
+	}
+	return r.acquireSlot(waiting, q)
+}
+
+// awaitingSlot returns the context in which a request waits for a slot. While it is known not to have run, it
+// ends early in a planned stop, with the refusal of all that wait: once the request had been sent, it would be
+// aborted with an unknown outcome.
+func (r *Relayer) awaitingSlot(ctx context.Context, q *request) (context.Context, context.CancelFunc) {
+	waiting, cancel := context.WithCancelCause(ctx)
+	if q.tracker.MayHaveRun() {
+		return waiting, func() { cancel(nil) }
+	}
+	stop := context.AfterFunc(r.drain.waitingRefused, func() { cancel(errStopping) })
+	if r.drain.waitingRefused.Err() != nil {
+		cancel(errStopping) // the function above runs later
+	}
+	return waiting, func() {
+		stop()
+		cancel(nil)
 	}
-	return r.acquireSlot(ctx, q)
 }
 
 // enrolFirstAttempt waits for the request's first slot and counts against the limits of the waiting
@@ -72,9 +92,8 @@
 		return tracker.Event{Kind: tracker.Refused, Code: tracker.CodeQueueFull, Retry: retry}
 	}
 	r.note(q, "queued", "", "it waits for a slot: other workspaces or its own earlier requests are ahead, or no endpoint that its workspace may use is free")
-	waiting, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer context.AfterFunc(r.drain.waitingRefused, func() { cancel(errStopping) })()
+	waiting, cancel := r.awaitingSlot(ctx, q)
+	defer cancel()
 	event := r.acquireSlot(waiting, q)
 	r.queue.leave(now(), q.workspace.Name, event.Kind == tracker.SlotGranted)
 	return event
