Keepers, routers: calls, polls and heads without end are cut

From the users' reports on other systems: what was sent without end was kept, and the process that read it ran out of memory.

What routers read of endpoints was bounded already.

--- a/keeper/internal/server/handlers.go
+++ b/keeper/internal/server/handlers.go
@@ -11,6 +11,10 @@
 	"shallotkeel.example/lib/messenger"
 )
 
+// maxCallBody bounds the body of a call of a router or an operator, and of a poll of another keeper, in bytes: four
+// times the largest command.
+const maxCallBody = 16 << 20
+
 // maxControlBody bounds the body of a call from another process, in bytes. Snapshots are the
 // largest.
 const maxControlBody = 256 << 20
@@ -20,12 +24,12 @@
 	mux := http.NewServeMux()
 	hooks := twirp.WithServerHooks(&twirp.ServerHooks{Error: s.noteFailedCall})
 	keeper := messenger.NewKeepingServer(keeping{s}, hooks)
-	mux.Handle(keeper.PathPrefix(), s.metrics.traffic.count(kindOther, markForwarded(keeper)))
+	mux.Handle(keeper.PathPrefix(), s.metrics.traffic.count(kindOther, markForwarded(http.MaxBytesHandler(keeper, maxCallBody))))
 	planning := messenger.NewPlanningServer(planning{s}, hooks)
-	mux.Handle(planning.PathPrefix(), s.metrics.traffic.count(kindOther, withPollSlots(markForwarded(planning))))
+	mux.Handle(planning.PathPrefix(), s.metrics.traffic.count(kindOther, withPollSlots(markForwarded(http.MaxBytesHandler(planning, maxCallBody)))))
 	agreement := messenger.NewReplicationServer(replication{s}, hooks)
-	mux.Handle(agreement.PathPrefix(), s.metrics.traffic.count(kindAgreement, agreement))
-	return http.MaxBytesHandler(mux, maxControlBody)
+	mux.Handle(agreement.PathPrefix(), s.metrics.traffic.count(kindAgreement, http.MaxBytesHandler(agreement, maxControlBody)))
+	return mux
 }
 
 // noteFailedCall counts and logs a call that failed by a fault of this keeper, such as an answer that cannot be encoded.
--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return nil, merry.Errorf("platform address: %w; set \"platform\" to a free address of this instance", err)
 	}
-	server := &http.Server{Handler: s.metrics.traffic.count(kindPlatform, s.platform.Handler(planning{s})), ReadHeaderTimeout: stopGrace, IdleTimeout: time.Minute}
+	server := &http.Server{Handler: s.metrics.traffic.count(kindPlatform, s.platform.Handler(planning{s})), ReadHeaderTimeout: stopGrace, IdleTimeout: time.Minute, MaxHeaderBytes: maxHeaderBytes}
 	go func() { failures <- server.Serve(listener) }()
 	return server, nil
 }
--- a/keeper/internal/server/server.go
+++ b/keeper/internal/server/server.go
@@ -47,6 +47,9 @@
 	// stopGrace is how long in-flight calls may take to finish during a graceful shutdown.
 	// It also is the timeout for reading the headers of a request.
 	stopGrace = 3 * time.Second
+	// maxHeaderBytes bounds the headers of a request from outside of the fleet, which the server holds in
+	// memory; those of endpoints and operators have some hundred bytes.
+	maxHeaderBytes = 16 << 10
 	// handoverElections is the timeout of a leadership transfer, in election timeouts.
 	handoverElections = 2
 )
@@ -234,7 +237,7 @@
 	go func() { failures <- s.loop(loopCtx, d) }()
 
 	controlServer := dialer.Server(s.settings.Secret, s.controlHandler())
-	publicServer := &http.Server{Handler: s.publicHandler(), ReadHeaderTimeout: stopGrace}
+	publicServer := &http.Server{Handler: s.publicHandler(), ReadHeaderTimeout: stopGrace, MaxHeaderBytes: maxHeaderBytes}
 	go func() { failures <- controlServer.Serve(dialer.Listener(control, &s.traffic)) }()
 	go func() { failures <- publicServer.Serve(public) }()
 
--- a/router/internal/assembler/assembler.go
+++ b/router/internal/assembler/assembler.go
@@ -59,6 +59,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// maxControlBody bounds the body of a call of another router, in bytes.
+	maxControlBody = 16 << 20
 )
 
 // Router is a router process: its servers, and the components behind them.
@@ -142,7 +144,7 @@
 	}
 	controlMux := http.NewServeMux()
 	r.coordinator.Register(controlMux, r.follower)
-	r.control = dialer.Server(s.Secret, controlMux)
+	r.control = dialer.Server(s.Secret, http.MaxBytesHandler(controlMux, maxControlBody))
 }
 
 // publicHandler serves clients, endpoints and operators, the probes and the metrics.
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -72,6 +72,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 3 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// maxProbeHeaderBytes bounds the headers of probes and of those who read metrics.
+	maxProbeHeaderBytes = 16 << 10
 )
 
 // Director is a router on the platform's own interface.
@@ -309,10 +311,10 @@
 		ConnContext: framer.WithConn, ConnState: d.setConnState, ErrorLog: stdlog.New(d.log, "", 0),
 		Handler: d.proxier, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	metricsServer := &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	metricsServer := &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
 	failures := make(chan error, 3)
 	go func() { failures <- metricsServer.Serve(scraped) }()
 	screened := screener.New(clients, screener.Options{
