Keepers tell each other the origins of streams for as long as they are of use

What callers may see: a stream that is taken up while two versions serve goes on at another version, or is refused, since the keepers that answer do not know where it began (read in the code; no run has shown it).

Cause: as with forgotten keepers, what nobody says again is never learnt: a keeper kept what routers had told it for others for 5 s, so that one which was cut off for longer, or had started again, never heard of it.

Why it works: it is kept for 15 s, as long as an origin is remembered anywhere, and told again to a keeper that answers from another run.

TestKeeperThatWasAwayHearsOfOrigins: 3 of 4 cases failed before.

--- a/keeper/internal/server/peers.go
+++ b/keeper/internal/server/peers.go
@@ -78,6 +78,7 @@
 	t.acknowledged[keeper] = t.pending[keeper]
 	if former, told := t.epochs[keeper]; told && former != epoch {
 		delete(t.epochs, keeper) // this run was told the latest reports only
+		t.acknowledged[keeper] = time.Time{}
 		return
 	}
 	t.epochs[keeper] = epoch
--- a/keeper/internal/server/recalling_test.go
+++ b/keeper/internal/server/recalling_test.go
@@ -160,3 +160,44 @@
 		}
 	}
 }
+
+// Guards against origins of streams that a keeper which was cut off for some seconds, or has started again, never
+// hears of.
+func TestKeeperThatWasAwayHearsOfOrigins(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		away  time.Duration
+		epoch uint64 // of the keeper when it is back
+		want  int
+	}{
+		"cut off for 10 s":                        {10 * time.Second, 1, 1},
+		"started again at once":                   {100 * time.Millisecond, 2, 2},
+		"started again after 10 s":                {10 * time.Second, 2, 2},
+		"away for longer than origins are of use": {versioner.Retention + time.Second, 1, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s streamOrigins
+			var d deliveryTimes
+			peer := freeAddress()
+			begin := func(at time.Time, stream uint64) {
+				s.receive(at, &messenger.FollowRequest{Begun: []*messenger.Begun{{Service: "desk", Version: "v1", Streams: []uint64{stream}}}})
+			}
+			poll := func(at time.Time, epoch uint64) (told int) {
+				since, _ := d.begin(at, peer)
+				told = len(versioner.FromWire(s.since(at, since)))
+				d.acknowledge(peer, epoch)
+				return told
+			}
+			begin(start, 1)
+			require.Equal(t, 1, poll(start.Add(time.Microsecond), 1))
+			begin(start.Add(time.Millisecond), 2)
+			back := start.Add(test.away)
+			told := poll(back, test.epoch)
+			if test.epoch != 1 {
+				told = poll(back, test.epoch) // the answer to the poll before shows that it has started again
+			}
+			require.Equal(t, test.want, told)
+		})
+	}
+}
--- a/keeper/internal/server/relay_queue.go
+++ b/keeper/internal/server/relay_queue.go
@@ -1,13 +1,17 @@
 package server
 
 import (
+	"sort"
 	"sync"
 	"time"
+
+	"shallotkeel.example/lib/versioner"
 )
 
 // relayRetention is how long an item that a router sent to this keeper is kept for relaying to the
-// other keepers: longer than a poll between keepers takes, however busy they are.
-const relayRetention = 5 * time.Second
+// other keepers: for as long as the origin of a stream is of use. A keeper that was cut off hears of
+// what it has missed from nobody else.
+const relayRetention = versioner.Retention
 
 // relayQueue holds items that routers sent to this keeper, in order of arrival, until the other
 // keepers have got them. Its zero value is empty. It is safe for concurrent use.
@@ -41,11 +45,10 @@
 		expired++
 	}
 	r.items = r.items[expired:]
+	first := sort.Search(len(r.items), func(i int) bool { return !r.items[i].at.Before(from) })
 	var items []T
-	for _, a := range r.items {
-		if !a.at.Before(from) {
-			items = append(items, a.item)
-		}
+	for _, a := range r.items[first:] {
+		items = append(items, a.item)
 	}
 	return items
 }
