Budgeter: a router that has started does not spend its constant anew

Cause: what a router has spent is in its memory; after a restart it had its whole share again.

Why it works: a router may spend 0.7 of its share, so 0.3 of it is left for the window after a start, whatever was spent before. Two restarts of one router within a window may still exceed the bound.

TestRestartedRoutersStayWithinTheBound (random requests, retries and restarts) and TestRestartedRouterGetsItsShareBack failed with the whole share.

--- a/lib/budgeter/budgeter.go
+++ b/lib/budgeter/budgeter.go
@@ -6,7 +6,8 @@
 // and however the requests are distributed among them, the sum stays below the bound.
 //
 // Invariant: Spend allows a retry only if the retries of the last Window, this one included, are at
-// most Ratio times the requests of the same time plus Slack divided by the number of routers.
+// most Ratio times the requests of the same time plus Slack divided by the number of routers, those included
+// that the router has spent before a restart within that time.
 package budgeter
 
 import (
@@ -36,6 +37,8 @@
 // for concurrent use.
 type Budgeter struct {
 	Bound Bound
+	// Started is when this router has started, zero if that was long ago. Nobody knows what it spent before.
+	Started time.Time
 
 	mutex    sync.Mutex
 	routers  int
@@ -80,7 +83,7 @@
 			requests += c.requests[i]
 		}
 	}
-	allowed := safety * (b.Bound.Ratio*float64(requests) + b.Bound.Slack/float64(max(b.routers, 1)))
+	allowed := safety*b.Bound.Ratio*float64(requests) + b.slackShare(now)*b.Bound.Slack/float64(max(b.routers, 1))
 	if float64(spent+1) > allowed {
 		return false
 	}
@@ -88,6 +91,15 @@
 	return true
 }
 
+// slackShare returns the fraction of this router's share of the constant that may be spent. A router that has
+// started within the window may have spent safety of it before, and gets the rest.
+func (b *Budgeter) slackShare(now time.Time) float64 {
+	if !b.Started.IsZero() && now.Sub(b.Started) <= b.Bound.Window+b.Bound.Window/buckets {
+		return 1 - safety
+	}
+	return safety
+}
+
 // advance returns a service's counts, after clearing the buckets that have left the window. It
 // returns nil for a service without counts if maxServices are counted already.
 func (b *Budgeter) advance(now time.Time, service string) *counts {
--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -117,7 +117,7 @@
 	d := &Director{
 		settings: settings, path: path, log: log, clock: clock,
 		balancer: &balancer.Balancer{Zone: settings.Zone, Seed: xxhash.Sum64String(settings.Name)}, client: &forwarder.Client{Clock: clock},
-		budget:   &budgeter.Budgeter{Bound: settings.Retry.bound()},
+		budget:   &budgeter.Budgeter{Bound: settings.Retry.bound(), Started: clock.Now()},
 		shares:   &apportioner.Apportioner{},
 		planning: make(map[netip.AddrPort]messenger.Planning),
 		drainer:  drainer.New(),
