Rig: invalid statuses, answers without end, resets under uploads, long outages

The endpoints of bench soak answer with statuses that do not exist, send heads and chunk extensions without end, and answer long uploads at once and reset. The judge takes an invalid status for a broken rule, and a process that takes more memory than its machine for one that fails.

--- a/bench/internal/soaker/client.go
+++ b/bench/internal/soaker/client.go
@@ -21,7 +21,8 @@
 	requestDeadline = 8 * time.Second
 	eventPatience   = 4 * time.Second
 	maxTries        = 5
-	maxPad          = 9000 // bytes, more than a router reads at once
+	maxPad          = 9000    // bytes, more than a router reads at once
+	longUpload      = 900_000 // bytes, more than connections hold
 	probeTime       = time.Millisecond
 )
 
@@ -61,6 +62,9 @@
 		if r.Kind == player.Streaming {
 			c.stream(ctx, r, q)
 		} else {
+			if c.rand.IntN(10) == 0 {
+				q.upload = longUpload
+			}
 			c.play.judge.plain(q, c.send(r, q, 0, "", 0))
 		}
 		pause(ctx, time.Duration(c.rand.IntN(120))*time.Millisecond)
--- a/bench/internal/soaker/endpoint.go
+++ b/bench/internal/soaker/endpoint.go
@@ -25,6 +25,7 @@
 	endpointSlots = 24
 	hangTime      = 6 * time.Second
 	idleTime      = 20 * time.Second
+	maxQueryText  = 512 // bytes of a body, without what makes an upload long
 )
 
 // pool is what endpoints share.
@@ -37,6 +38,8 @@
 	number atomic.Int64
 	// resuming means that endpoints go on with streams as they are asked.
 	resuming bool
+	// crash is called when an endpoint runs the request that crashes it.
+	crash func(e *endpoint)
 }
 
 // endpoint is one incarnation of an endpoint.
@@ -244,15 +247,20 @@
 			return
 		}
 		heard := c.heard
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
+		first := make([]byte, min(max(request.ContentLength, 0), maxQueryText))
+		if _, err := io.ReadFull(request.Body, first); err != nil {
 			return
 		}
 		if request.URL.Path == healthPath {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderSelf, e.id)
 			continue
 		}
-		a := e.answer(request, string(body), previous, heard)
+		a := e.answer(request, string(first), previous, heard)
+		if !a.script.early {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+		}
 		e.lock.Lock()
 		e.conns[c] = a.send
 		e.lock.Unlock()
@@ -283,6 +291,12 @@
 	if request.Header.Get(platform.HeaderInstance) != e.id {
 		return refuse(http.StatusMisdirectedRequest)
 	}
+	if q != nil && q.stream == poison {
+		e.pool.crash(e)
+		s.fault = "crashes"
+		e.pool.ledger.arrive(id, s)
+		return &answering{script: &script{ending: reset}, send: s, id: id}
+	}
 	number, from, known := e.pool.ledger.arrive(id, s)
 	if !known || !readable {
 		e.pool.record.add("endpoint %s: request %q is no client's", e.id, id)
@@ -305,11 +319,12 @@
 		s.framing = sc.frame
 		if name == "sound" && r.IntN(100) < int(e.pool.faulty.Load()) {
 			f := firstFaults[r.IntN(len(firstFaults))]
-			f.apply(r, &answering{script: sc, send: s, id: id, previous: previous})
+			f.apply(r, &answering{script: sc, send: s, id: id, previous: previous, query: q, streaming: isStream(request), long: request.ContentLength > maxQueryText})
 			name = f.name
 		}
 		if sc.cut >= 0 {
 			name += fmt.Sprintf(" (%d of %d, head %d)", sc.cut, sc.size(), len(sc.head))
+			s.framing = sc.frame
 			s.doubtful = sc.frame == none && sc.ending == closed && sc.cut >= len(sc.head) && (!isStream(request) || sc.atBoundary())
 		}
 		s.fault = name
--- a/bench/internal/soaker/faults.go
+++ b/bench/internal/soaker/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"shallotkeel.example/platform"
@@ -22,6 +23,10 @@
 	send     *send
 	id       string
 	previous string // ID of the request before it on the connection, empty if none
+
+	query     *query
+	streaming bool
+	long      bool // the request's body is long
 }
 
 // firstFaults befall any answer. A stream's own events stay in order.
@@ -54,6 +59,54 @@
 		}
 	}},
 	{"closes after the answer", func(_ *rand.Rand, a *answering) { a.script.ending = closed }},
+	{"answers a status that does not exist", func(r *rand.Rand, a *answering) {
+		a.send.status = invalidStatuses[r.IntN(len(invalidStatuses))]
+		_, rest, _ := strings.Cut(a.script.head, "\r\n")
+		a.script.head = fmt.Sprintf("HTTP/1.1 %03d None\r\n%s", a.send.status, rest)
+	}},
+	{"sends without end", flood},
+	{"answers at once, and resets under a long upload", resetEarly},
+	{"answers at once, and resets under a long upload", resetEarly},
+	{"answers at once, and resets under a long upload", resetEarly},
+}
+
+// invalidStatuses are outside of what RFC 9110 allows, or of what a final answer may have unasked.
+var invalidStatuses = []int{0, 1, 99, 101, 600, 777, 999}
+
+// flood has an answer never end, in its head or where it is no part of the body.
+func flood(r *rand.Rand, a *answering) {
+	filler := strings.Repeat("x", 1<<10)
+	line, _, _ := strings.Cut(a.script.head, "\r\n")
+	a.script.cut, a.script.ending = 0, closed
+	switch r.IntN(6) {
+	case 0:
+		a.script.flood = filler
+	case 1:
+		a.script.before, a.script.flood = line, filler
+	case 2:
+		a.script.before, a.script.flood = line+"\r\nEndless: ", filler
+	case 3:
+		a.script.before, a.script.flood = line+"\r\n", strings.Repeat("A: b\r\n", 100)
+	case 4:
+		a.script.flood = informational
+	default:
+		if a.script.frame != chunked {
+			a.script.flood = filler
+			return
+		}
+		a.script.cut, a.script.tail, a.script.flood = len(a.script.head), "1;", filler
+	}
+}
+
+// resetEarly answers a request with a long body before that is read, without a length, sends a part and resets the
+// connection while the body is still being written.
+func resetEarly(r *rand.Rand, a *answering) {
+	if !a.long || a.streaming {
+		return
+	}
+	*a.script = *newScript(a.send.status, a.id, a.send.stamp, "text/plain", none, []line{{text: a.query.plain()}})
+	a.script.cut = len(a.script.head) + r.IntN(a.script.size()-len(a.script.head))
+	a.script.ending, a.script.early, a.script.rest = reset, true, time.Duration(r.IntN(3000))*time.Microsecond
 }
 
 const informational = "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n"
--- a/bench/internal/soaker/fleet.go
+++ b/bench/internal/soaker/fleet.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -49,6 +50,8 @@
 	lock    sync.Mutex
 	process *launcher.Process
 	touched bool        // it was signalled since its last start
+	held    atomic.Bool // it is not started again while this is set
+	large   bool        // it was found to take more memory than it has
 	shocks  []time.Time // when it was started, signalled or ended, and each second while it is frozen
 	ends    []time.Time // when it ended
 }
@@ -188,6 +191,9 @@
 			}
 			f.noteEnd(m)
 			time.Sleep(restartDelay)
+			for m.held.Load() && ctx.Err() == nil {
+				time.Sleep(restartDelay / 10)
+			}
 			if ctx.Err() != nil {
 				return
 			}
@@ -262,6 +268,9 @@
 func (f *fleet) watch(ctx context.Context) {
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
+		for _, m := range f.machines() {
+			f.weigh(m)
+		}
 		for _, m := range f.routers {
 			go f.ask(client, m)
 		}
@@ -269,6 +278,20 @@
 	}
 }
 
+// weigh notes a process that takes more memory than its machine has.
+func (f *fleet) weigh(m *machine) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	size, err := m.process.Memory()
+	if err != nil || size <= player.MemoryMB<<20 || m.large {
+		return // it has ended, or is as it should be
+	}
+	m.large = true
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.own = append(f.own, fmt.Sprintf("%s takes %d MB of memory, and has %d", m.Name, size>>20, player.MemoryMB))
+}
+
 func (f *fleet) ask(client *http.Client, m *machine) {
 	response, err := client.Get("http://" + m.Address + ":" + player.PortReady + platform.PathReady)
 	ready := err == nil && response.StatusCode == http.StatusOK
--- a/bench/internal/soaker/judge.go
+++ b/bench/internal/soaker/judge.go
@@ -15,8 +15,13 @@
 	twice   = "TWICE"
 	refused = "REFUSED"
 	drain   = "DRAIN"
+	config  = "CONFIG"
+	budget  = "BUDGET"
 )
 
+// maxStatus is the highest status that exists.
+const maxStatus = 599
+
 // totals counts what became of requests.
 type totals struct {
 	Attempts, Whole, Streams, WentOn, TakenUp, Cut, Refused, Failed, Doubtful, Late int
@@ -71,6 +76,9 @@
 		}
 	})
 	success := answer.status/100 == 2
+	if answer.status != 0 && (answer.status < http.StatusOK || answer.status > maxStatus) {
+		j.broken(mixed, answer.history, fmt.Sprintf("the status %03d does not exist", answer.status))
+	}
 	switch {
 	case answer.stamp == "" && success:
 		j.broken(mixed, answer.history, fmt.Sprintf("a success %d without a signature", answer.status))
--- a/bench/internal/soaker/query.go
+++ b/bench/internal/soaker/query.go
@@ -14,9 +14,12 @@
 	pieces int    // events, or hundreds of bytes
 	pace   int    // milliseconds between two events
 	pad    int    // bytes by which each event is longer
+	upload int    // bytes by which the request's body is longer
 }
 
-func (q *query) text() string { return fmt.Sprintf("%s %d %d %d", q.stream, q.pieces, q.pace, q.pad) }
+func (q *query) text() string {
+	return fmt.Sprintf("%s %d %d %d %s", q.stream, q.pieces, q.pace, q.pad, strings.Repeat("u", q.upload))
+}
 
 // readQuery reads a request's body.
 func readQuery(id, text string) (*query, bool) {
--- a/bench/internal/soaker/schedule.go
+++ b/bench/internal/soaker/schedule.go
@@ -147,7 +147,11 @@
 // freeze stops processes for a while. Their connections stay open and silent: routers that follow frozen keepers are cut
 // off.
 func (p *play) freeze(ctx context.Context, r *rand.Rand, machines ...*machine) {
-	length := time.Duration(300+r.IntN(3000)) * time.Millisecond
+	p.freezeFor(ctx, time.Duration(300+r.IntN(3000))*time.Millisecond, machines...)
+}
+
+// freezeFor stops processes for a time.
+func (p *play) freezeFor(ctx context.Context, length time.Duration, machines ...*machine) {
 	frozen := make([]*launcher.Process, len(machines))
 	for i, m := range machines {
 		p.fleet.act(m, "SIGSTOP", func(process *launcher.Process) {
--- a/bench/internal/soaker/script.go
+++ b/bench/internal/soaker/script.go
@@ -32,11 +32,17 @@
 	head   string
 	body   []line
 	tail   string // bytes after the complete answer
+	flood  string // bytes after all that, again and again until the caller closes the connection
+	early  bool   // it is written before the request's body has been read
 	cut    int    // bytes of the head and the body that are written, all if negative
 	ending ending
+	rest   time.Duration // before a reset
 	frame  framing
 }
 
+// maxFlood bounds what an endpoint sends to a caller that does not close the connection.
+const maxFlood = 512 << 20
+
 // newScript composes an answer.
 func newScript(status int, id, stamp, kind string, frame framing, body []line) *script {
 	sc := &script{cut: -1, frame: frame}
@@ -145,8 +151,14 @@
 	if _, err := conn.Write([]byte(sc.tail)); err != nil {
 		return false
 	}
+	for sent := 0; sc.flood != "" && sent < maxFlood; sent += len(sc.flood) {
+		if _, err := conn.Write([]byte(sc.flood)); err != nil {
+			return false
+		}
+	}
 	switch sc.ending {
 	case reset:
+		time.Sleep(sc.rest)
 		_ = conn.SetLinger(0)
 	case hung:
 		rest()
--- a/bench/internal/soaker/soaker.go
+++ b/bench/internal/soaker/soaker.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 	Seed     uint64
 	Unnamed  bool // half of the clients do not name the streams that they take up
 	Resuming bool // endpoints that are asked to go on with a stream do so; all other faults are played
+	// Outage names an outage that is played in place of the schedule, empty for none. See Outages.
+	Outage string
 }
 
 // options adds the sizes of a play.
@@ -98,6 +101,7 @@
 
 	lock      sync.Mutex
 	endpoints []*endpoint
+	poisoned  int // crashes of endpoints under the request that causes them
 }
 
 // Run plays one seed, prints what it found, and reports whether every rule was kept.
@@ -123,6 +127,7 @@
 	defer p.fleet.claimed.Close()
 	p.pool = &pool{fleet: p.fleet, record: p.record, ledger: p.ledger, seed: o.Seed, resuming: o.Resuming}
 	p.judge.fleet = p.fleet
+	p.pool.crash = p.crashPoisoned
 	if err := p.run(); err != nil {
 		return false, fmt.Errorf("%w; logs: %s", err, folder)
 	}
@@ -153,7 +158,11 @@
 		clients.Go(func() { c.run(traffic) })
 	}
 	pause(ctx, time.Second)
-	p.playFaults(ctx)
+	if outage, named := outages[p.options.Outage]; named {
+		outage(ctx, p)
+	} else {
+		p.playFaults(ctx)
+	}
 	stop()
 	clients.Wait()
 	p.judge.conclude()
@@ -174,15 +183,7 @@
 			return err
 		}
 	}
-	config := player.Config{
-		Version: 7, Routes: routes,
-		Services: []player.Service{
-			{Name: serviceDrafts, Health: healthPath, Connections: 200, Protocol: "h1"},
-			{Name: servicePrices, Health: healthPath, Connections: 200, Protocol: "h1"},
-		},
-		Limits: player.Limits{Header: 16384, Body: 4 << 20, HeaderTimeout: 3000, IdleTimeout: 15000},
-	}
-	if err := p.fleet.submit(patient, config); err != nil {
+	if err := p.fleet.submit(patient, configuration(7, routeBefore)); err != nil {
 		return err
 	}
 	for i := range p.options.Endpoints {
@@ -196,6 +197,18 @@
 	return p.awaitService(patient)
 }
 
+// configuration returns the routes that clients use and one more.
+func configuration(version int, more player.Route) player.Config {
+	return player.Config{
+		Version: version, Routes: append(slices.Clone(routes), more),
+		Services: []player.Service{
+			{Name: serviceDrafts, Health: healthPath, Connections: 200, Protocol: "h1"},
+			{Name: servicePrices, Health: healthPath, Connections: 200, Protocol: "h1"},
+		},
+		Limits: player.Limits{Header: 16384, Body: 4 << 20, HeaderTimeout: 3000, IdleTimeout: 15000},
+	}
+}
+
 // awaitService waits until every router serves every route.
 func (p *play) awaitService(ctx context.Context) error {
 	c := &client{play: p, number: -1}
--- a/bench/main.go
+++ b/bench/main.go
@@ -113,6 +113,7 @@
 	Duration time.Duration `long:"duration" default:"30s" description:"how long faults are played"`
 	Resuming bool          `long:"resuming" description:"endpoints that are asked to go on with a stream always do so as they are asked"`
 	Unnamed  bool          `long:"unnamed" description:"half of the clients do not name the streams that they take up"`
+	Outage   string        `long:"outage" choice:"keepers-away" choice:"router-stands" choice:"keepers-late" choice:"crashes" description:"play a long outage in place of the schedule (about 70 s), and see whether the fleet finds itself again and remembers"`
 	Logs     string        `long:"logs" value-name:"FOLDER" description:"where plays keep their logs; the folder of temporary files by default"`
 }
 
@@ -139,7 +140,7 @@
 	}
 	kept := true
 	for seed := first; seed <= last; seed++ {
-		ok, err := soaker.Run(soaker.Options{Root: root, Programs: programs, Logs: c.Logs, Duration: c.Duration, Seed: seed, Resuming: c.Resuming, Unnamed: c.Unnamed}, os.Stdout)
+		ok, err := soaker.Run(soaker.Options{Root: root, Programs: programs, Logs: c.Logs, Duration: c.Duration, Seed: seed, Resuming: c.Resuming, Unnamed: c.Unnamed, Outage: c.Outage}, os.Stdout)
 		if err != nil {
 			return err
 		}
