Restored crashes wait half a second less; a silence does not make seeds young

A keeper that has restored crashes judged them 3 s after its start, the moment from which retries of a request that crashes endpoints count again (contact_ms). Routers need less than 2 s to find it and to say what they have answered: it waits for 2.5 s.

After a long silence the seeds, which are named anew all through it, counted as named in the future, and one that had left the group was polled for as long again. The new case of TestSilenceOfAllKeepersMakesNoneUnknown failed before.

--- a/lib/localizer/memory.go
+++ b/lib/localizer/memory.go
@@ -9,7 +9,7 @@
 const (
 	// restoreTime is how long evidence from before a restart waits, beyond the time that any crash needs to
 	// settle: routers have to find this keeper before they can say what they have answered since.
-	restoreTime = 2 * time.Second
+	restoreTime = 1500 * time.Millisecond
 	// maxKept bounds the features of all crashes in Evidence, of 8 bytes each.
 	maxKept = 1 << 14
 )
--- a/lib/subscriber/members.go
+++ b/lib/subscriber/members.go
@@ -129,7 +129,9 @@
 func (s *Subscriber) noteNaming(now time.Time) {
 	if silence := now.Sub(s.lastNaming); !s.lastNaming.IsZero() && silence >= silenceTimeout {
 		for _, known := range s.members {
-			known.lastNamed = known.lastNamed.Add(silence)
+			if known.lastNamed = known.lastNamed.Add(silence); known.lastNamed.After(now) {
+				known.lastNamed = now // the settings have named it meanwhile
+			}
 		}
 	}
 	s.lastNaming = now
--- a/lib/subscriber/silence_test.go
+++ b/lib/subscriber/silence_test.go
@@ -88,6 +88,9 @@
 		"a seed that had left, when the others are gone": {[]byte{4}, []phase{
 			{[]byte{1, 2, 4}, 5 * time.Second}, {[]byte{1, 2}, time.Minute}, {nil, 40 * time.Second}, {[]byte{4, 5}, 3 * time.Second},
 		}, map[byte]bool{4: true, 5: true}},
+		"a seed that has left the group, after a silence": {[]byte{1, 2, 3}, []phase{
+			{[]byte{1, 2, 3}, 5 * time.Second}, {nil, time.Hour}, {[]byte{1, 2}, time.Minute}, {[]byte{1, 2}, 10 * time.Second},
+		}, map[byte]bool{1: true, 2: true, 3: false}},
 		"a keeper that has left the group": {[]byte{1, 2, 3}, []phase{
 			{[]byte{1, 2, 3}, 5 * time.Second}, {[]byte{1, 2}, time.Minute}, {[]byte{1, 2}, 10 * time.Second},
 		}, map[byte]bool{1: true, 2: true, 3: false}},
