--- a/keeper/internal/server/archiving.go
+++ b/keeper/internal/server/archiving.go
@@ -87,31 +87,25 @@
 // archiveListings writes the list of endpoints if it has changed.
 func (s *Server) archiveListings(written *archived) {
 	revision, listings := s.directory.listingsIfChanged(written.listings)
-	if revision == written.listings {
-		return
+	if revision != written.listings && s.isArchived("endpoint list copy", archiver.Write(s.files, s.clock.Now(), listings)) {
+		written.listings = revision
 	}
-	if err := archiver.Write(s.files, s.clock.Now(), listings); err != nil {
-		if s.archiveDamper.Admit(s.clock.Now(), s.log) {
-			s.log.Warn().Err(err).Msg("endpoint list copy could not be written to disk; retrying")
-		}
-		return
-	}
-	written.listings = revision
 }
 
 // archiveCrashes writes what is known of crashes if it has changed.
 func (s *Server) archiveCrashes(written *archived) {
 	revision, evidence := s.directory.crashEvidence(written.crashes)
-	if revision == written.crashes {
-		return
+	if revision != written.crashes && s.isArchived("copy of known crashes", archiver.WriteCrashes(s.files, s.clock.Now(), evidence)) {
+		written.crashes = revision
 	}
-	if err := archiver.WriteCrashes(s.files, s.clock.Now(), evidence); err != nil {
-		if s.archiveDamper.Admit(s.clock.Now(), s.log) {
-			s.log.Warn().Err(err).Msg("copy of known crashes could not be written to disk; retrying")
-		}
-		return
+}
+
+// isArchived reports whether a copy was written, and logs why not.
+func (s *Server) isArchived(what string, err error) bool {
+	if err != nil && s.archiveDamper.Admit(s.clock.Now(), s.log) {
+		s.log.Warn().Err(err).Msg(what + " could not be written to disk; retrying")
 	}
-	written.crashes = revision
+	return err == nil
 }
 
 // awaitArchive waits until the last copies have been written, for lastArchiveTime at most.
--- a/lib/budgeter/budgeter_test.go
+++ b/lib/budgeter/budgeter_test.go
@@ -10,17 +10,23 @@
 
 var bound = Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
 
+// newBudgets returns the budgets of routers that have run for long.
+func newBudgets(routers int) []*Budgeter {
+	budgets := make([]*Budgeter, routers)
+	for i := range budgets {
+		budgets[i] = &Budgeter{Bound: bound}
+		budgets[i].SetRouters(routers)
+	}
+	return budgets
+}
+
 // Guards against a retry storm, in which failing endpoints get more retries than they can handle.
 // Random requests and retries at several routers are compared with the bound in every sliding
 // window.
 func TestRoutersTogetherStayWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		routers := rapid.IntRange(1, 5).Draw(t, "routers")
-		budgets := make([]*Budgeter, routers)
-		for i := range budgets {
-			budgets[i] = &Budgeter{Bound: bound}
-			budgets[i].SetRouters(routers)
-		}
+		budgets := newBudgets(routers)
 		now := time.Unix(1000, 0)
 		var requests, spent []time.Time
 		for range rapid.IntRange(50, 600).Draw(t, "events") {
@@ -42,11 +48,7 @@
 func TestRestartedRoutersStayWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		routers := rapid.IntRange(1, 5).Draw(t, "routers")
-		budgets, restarted := make([]*Budgeter, routers), make([]time.Time, routers)
-		for i := range budgets {
-			budgets[i] = &Budgeter{Bound: bound}
-			budgets[i].SetRouters(routers)
-		}
+		budgets, restarted := newBudgets(routers), make([]time.Time, routers)
 		now := time.Unix(1000, 0)
 		var requests, spent []time.Time
 		for range rapid.IntRange(50, 600).Draw(t, "events") {
