Localizer: a broken connection is no crash once its endpoint has lived on

Since crashes are remembered for ten minutes, a connection that broke, and of which nobody could tell whether its endpoint had crashed, counted as a crash if the endpoint ended minutes later, for any reason. As before, that holds for 30 s.

The new case of TestOnlyEndsOfLifetimesAreReported failed before.

--- a/lib/localizer/observer.go
+++ b/lib/localizer/observer.go
@@ -16,7 +16,9 @@
 	// reportRetention is how long a crash is reported to a keeper that has not acknowledged it: for as long
 	// as a Judge remembers it. All keepers may be away for long, or start again with nothing.
 	reportRetention = crashRetention
-	// serviceRetention is how long after a crash each report names the latest answer of its service.
+	// breakRetention is how long after a break the end of its endpoint still counts as a crash under it, and
+	// serviceRetention how long after a crash each report names the latest answer of its service.
+	breakRetention   = 30 * time.Second
 	serviceRetention = 30 * time.Second
 	// maxBroken bounds the lifetimes of endpoints that a router remembers, and maxBrokenFeatures the
 	// features of each, of some 40 bytes. Beyond MaxFeatures only those are recorded that were never
@@ -193,8 +195,14 @@
 // dropIfOld drops a lifetime that is not reported any more, and reports whether it is.
 func (o *Observer) dropIfOld(now time.Time, lifetime Lifetime) bool {
 	b := o.broken[lifetime]
-	age := now.Sub(b.at)
-	if age <= reportRetention && (len(b.features) > 0 || age <= serviceRetention) {
+	retention := reportRetention
+	switch {
+	case !b.ended:
+		retention = breakRetention
+	case len(b.features) == 0:
+		retention = serviceRetention
+	}
+	if now.Sub(b.at) <= retention {
 		return false
 	}
 	o.forget(lifetime)
@@ -212,7 +220,7 @@
 		}
 	}
 	delete(o.unframed, lifetime)
-	if b, found := o.broken[lifetime]; found && !b.ended {
+	if b, found := o.broken[lifetime]; found && !b.ended && !o.dropIfOld(now, lifetime) {
 		b.ended = true
 		o.change(now, b)
 	}
--- a/lib/localizer/observer_test.go
+++ b/lib/localizer/observer_test.go
@@ -39,6 +39,10 @@
 			o.Ended(testNow, 5)
 			o.Broke(testNow, 5, Profile{Shared: []Feature{3}, Whole: 4}, 0)
 		}, []Feature{1, 2, 3, 4}},
+		"it ends long after": {func(o *Observer) {
+			o.Broke(testNow.Add(-5*time.Minute), 5, Profile{Shared: []Feature{1}, Whole: 2}, 0)
+			o.Ended(testNow, 5)
+		}, nil},
 		"one request was answered for long": {func(o *Observer) {
 			o.Broke(testNow, 5, Profile{Shared: []Feature{1}, Whole: 2}, time.Second)
 			o.Broke(testNow, 5, Profile{Shared: []Feature{3}, Whole: 4}, 0)
