--- a/keeper/internal/server/crashes.go
+++ b/keeper/internal/server/crashes.go
@@ -20,7 +20,8 @@
 )
 
 // crashReports holds what routers and other keepers report of crashed endpoints, and the quarantines
-// that follow from it. Its zero value is empty. The directory's lock protects it.
+// that follow from it. Its copy on disk lacks the last second after a kill. Its zero value is empty. The
+// directory's lock protects it.
 type crashReports struct {
 	judge    localizer.Judge
 	received relayQueue[localizer.Report]
--- a/keeper/internal/server/holdings.go
+++ b/keeper/internal/server/holdings.go
@@ -18,7 +18,7 @@
 // holdings holds which engines cache which shared prefixes, as routers report it. Each keeper tells
 // its peers what routers reported to it, and only that: with all entries passed on by all keepers,
 // each entry would be sent over every link between keepers. A keeper that cannot reach a peer gets that
-// peer's entries from the others. Its zero value is empty.
+// peer's entries from the others. They are in memory only, and routers report them again. Its zero value is empty.
 type holdings struct {
 	all    indexer.Directory
 	direct indexer.Directory // those that routers reported to this keeper first
--- a/keeper/internal/server/recalling.go
+++ b/keeper/internal/server/recalling.go
@@ -20,7 +20,8 @@
 
 // streamOrigins holds the origins of streams: the service and software version at which each
 // began. Routers send their records to one keeper, which relays them, so that every keeper has
-// all of them. Its zero value is empty. It is safe for concurrent use.
+// all of them. They are in memory only: if all keepers that have a record end, it is lost. Its zero value is
+// empty. It is safe for concurrent use.
 type streamOrigins struct {
 	memory   versioner.Store
 	received relayQueue[versioner.Record]
--- a/lib/localizer/bench_test.go
+++ b/lib/localizer/bench_test.go
@@ -60,3 +60,52 @@
 		})
 	}
 }
+
+// BenchmarkEvidence measures what it costs a keeper to write down, or to tell another keeper, all that it knows.
+func BenchmarkEvidence(b *testing.B) {
+	for name, size := range map[string]struct{ crashes, features int }{
+		"ten crashes": {10, 64}, "full tables": {maxLifetimes, 4 * MaxFeatures},
+	} {
+		b.Run(name, func(b *testing.B) {
+			var j Judge
+			now := time.Unix(1000, 0)
+			for n := range size.crashes {
+				for first := 0; first < size.features; first += MaxFeatures {
+					crash := Crash{Lifetime: Lifetime(n), Service: 1, At: now}
+					for feature := range min(MaxFeatures, size.features-first) {
+						crash.Features = append(crash.Features, Feature(n*size.features/64+first+feature+10))
+					}
+					j.AddCrash(now, crash)
+				}
+			}
+			b.ReportAllocs()
+			for range b.N {
+				j.Evidence()
+			}
+		})
+	}
+}
+
+// BenchmarkAnsweredAfterCrashes measures what a request costs a router that remembers as many crashes as it can.
+func BenchmarkAnsweredAfterCrashes(b *testing.B) {
+	var o Observer
+	now := time.Unix(1000, 0)
+	for n := range maxBroken {
+		for repeat := range 16 {
+			o.Broke(now, Lifetime(n), benchProfile(1000+16*n+repeat), 0)
+		}
+		o.Ended(now, Lifetime(n))
+	}
+	now = now.Add(time.Second)
+	profiles := make([]Profile, 1000)
+	for n := range profiles {
+		profiles[n] = Profile{Service: 1, Whole: Feature(n)<<40 | 1}
+		for i := range 10 {
+			profiles[n].Shared = append(profiles[n].Shared, Feature(n)<<40|Feature(i+2))
+		}
+	}
+	b.ReportAllocs()
+	for n := range b.N {
+		o.Answered(now, profiles[n%len(profiles)])
+	}
+}
