--- a/keeper/internal/server/crash_memory_test.go
+++ b/keeper/internal/server/crash_memory_test.go
@@ -162,6 +162,17 @@
 	}
 }
 
+// restartEverything stops and starts all processes at once.
+func (f *crashFleet) restartEverything(planned bool) {
+	for _, k := range f.keepers {
+		f.stopKeeper(k, planned)
+	}
+	f.restartRouters()
+	for _, k := range f.keepers {
+		f.startKeeper(k)
+	}
+}
+
 // Guards against crashes that are forgotten when keepers and routers stop and start: a request would be
 // permitted three more.
 func TestCrashesOutlastRestarts(t *testing.T) {
@@ -190,24 +201,8 @@
 			f.restartKeepersInTurn(true)
 			f.restartRouters()
 		},
-		"everything at once": func(f *crashFleet) {
-			for _, k := range f.keepers {
-				f.stopKeeper(k, true)
-			}
-			f.restartRouters()
-			for _, k := range f.keepers {
-				f.startKeeper(k)
-			}
-		},
-		"everything at once, killed": func(f *crashFleet) {
-			for _, k := range f.keepers {
-				f.stopKeeper(k, false)
-			}
-			f.restartRouters()
-			for _, k := range f.keepers {
-				f.startKeeper(k)
-			}
-		},
+		"everything at once":         func(f *crashFleet) { f.restartEverything(true) },
+		"everything at once, killed": func(f *crashFleet) { f.restartEverything(false) },
 		"keepers are replaced in turn, routers first": func(f *crashFleet) {
 			f.restartRouters()
 			for _, k := range f.keepers {
