--- a/lib/budgeter/budgeter.go
+++ b/lib/budgeter/budgeter.go
@@ -6,8 +6,8 @@
 // and however the requests are distributed among them, the sum stays below the bound.
 //
 // Invariant: Spend allows a retry only if the retries of the last Window, this one included, are at
-// most Ratio times the requests of the same time plus Slack divided by the number of routers, those included
-// that the router has spent before a restart within that time.
+// most Ratio times the requests of the same time plus Slack divided by the number of routers. That
+// includes what the router spent before one restart within that time; after a second one it may spend more.
 package budgeter
 
 import (
