Director: the connections' tracking begins before a stop may

A router that is stopped at once after its start could count its connections as drained before it accepts any.

Cause: the drainer was told that connections will come in the goroutine that serves them, which may run after the stop has begun. The router of the own interface does it before it serves.

--- a/router/internal/director/director.go
+++ b/router/internal/director/director.go
@@ -296,7 +296,8 @@
 		Identify: func(h *http.Request) string { return platform.Dialect{}.Read(h.Header).ID }, MaxWaiting: maxScreened, Clock: d.clock, Log: d.log,
 	})
 	d.screened.Store(screened)
-	go func() { failures <- front.Serve(d.drainer.Listener(screened)) }()
+	served := d.drainer.Listener(screened) // before a stop may begin
+	go func() { failures <- front.Serve(served) }()
 	go func() { failures <- ready.Serve(readiness) }()
 	background, endBackground := context.WithCancel(context.Background())
 	var group sync.WaitGroup
